--- /dev/null
+++ b/bilberryring/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for prompts of very unlike lengths."""
--- /dev/null
+++ b/bilberryring/adapters/__init__.py
@@ -0,0 +1,51 @@
+"""Thin adapters to the platform and to the endpoints."""
+
+from bilberryring.adapters.engine import (
+    INCARNATION_HEADER,
+    EngineClient,
+    EngineError,
+    Generation,
+    GenerationEnd,
+)
+from bilberryring.adapters.engine_protocol import (
+    CancelOrder,
+    GenerateEvent,
+    GenerateOrder,
+    HeldAnswer,
+    HeldRequest,
+)
+from bilberryring.adapters.platform import (
+    PART_PREFIX,
+    SET_KEY_DIGITS,
+    SET_PREFIX,
+    PlatformError,
+    PlatformReader,
+    PlatformValue,
+    number_of_set_key,
+    set_key,
+)
+from bilberryring.adapters.platform_protocol import ListedVm, WatchAnswer, WatchItem
+
+__all__ = [
+    "CancelOrder",
+    "EngineClient",
+    "EngineError",
+    "GenerateEvent",
+    "GenerateOrder",
+    "Generation",
+    "GenerationEnd",
+    "HeldAnswer",
+    "HeldRequest",
+    "INCARNATION_HEADER",
+    "ListedVm",
+    "PART_PREFIX",
+    "PlatformError",
+    "PlatformReader",
+    "PlatformValue",
+    "SET_KEY_DIGITS",
+    "SET_PREFIX",
+    "WatchAnswer",
+    "WatchItem",
+    "number_of_set_key",
+    "set_key",
+]
--- /dev/null
+++ b/bilberryring/adapters/platform.py
@@ -0,0 +1,103 @@
+"""Reading the platform: values, watches and the VM list. Nothing is written."""
+
+from dataclasses import dataclass
+from urllib.parse import quote
+
+import msgspec
+
+from bilberryring.adapters.platform_protocol import ListedVm, WatchAnswer
+from bilberryring.http import HttpClient
+
+SET_PREFIX = "set/"
+PART_PREFIX = "part/"
+SET_KEY_DIGITS = 12
+
+
+class PlatformError(Exception):
+    """The platform gave no answer; the remedy is to read again later."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformValue:
+    """A value and whether its key was written only once."""
+
+    content: bytes
+    is_first_write: bool
+
+
+def set_key(number: int) -> str:
+    """Return the key under which operators publish a manifest.
+
+    >>> set_key(7)
+    'set/000000000007'
+    """
+    return f"{SET_PREFIX}{number:0{SET_KEY_DIGITS}d}"
+
+
+def number_of_set_key(key: str) -> int | None:
+    """Return the number in a manifest's key, or `None` for another key."""
+    digits = key.removeprefix(SET_PREFIX)
+    if not key.startswith(SET_PREFIX) or not digits.isdigit():
+        return None
+    return int(digits)
+
+
+class PlatformReader:
+    """Reads on behalf of one process; each call is counted by the platform."""
+
+    def __init__(self, *, client: HttpClient, reader: str):
+        self._client = client
+        self._reader = quote(reader)
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """The calls made so far, watches included."""
+        return self._calls
+
+    async def read(self, key: str) -> PlatformValue | None:
+        """Return a value, or `None` when the key does not exist."""
+        answer = await self._get(f"/v1/values/{key}?reader={self._reader}")
+        if answer.status == 404:
+            return None
+        created = answer.header("x-created")
+        return PlatformValue(
+            content=answer.body, is_first_write=created == answer.header("x-modified")
+        )
+
+    async def watch_sets(self, *, after: int, wait: float) -> WatchAnswer:
+        """Return the manifests written after a revision; wait for one."""
+        answer = await self._get(
+            f"/v1/watch?prefix={SET_PREFIX}&after={after}&wait={wait}"
+            f"&reader={self._reader}"
+        )
+        return _decode(answer.body, WatchAnswer)
+
+    async def vms(self) -> tuple[ListedVm, ...]:
+        """Return the VM list, which is late."""
+        answer = await self._get(f"/v1/vms?reader={self._reader}")
+        return _decode(answer.body, tuple[ListedVm, ...])
+
+    async def _get(self, path: str):
+        self._calls += 1
+        try:
+            answer = await self._client.request("GET", path)
+        except Exception as error:
+            raise PlatformError(
+                f"platform_unreachable: {error}. Remedy: it is read again later"
+            )
+        if answer.status not in (200, 404):
+            raise PlatformError(
+                f"platform_refused: status {answer.status}. "
+                "Remedy: it is read again later"
+            )
+        return answer
+
+
+def _decode(body: bytes, shape):
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except msgspec.DecodeError as error:
+        raise PlatformError(
+            f"platform_malformed: {error}. Remedy: it is read again later"
+        )
--- /dev/null
+++ b/bilberryring/admission/__init__.py
@@ -0,0 +1,61 @@
+"""Admission of prompts at one endpoint."""
+
+from bilberryring.admission.allowance import COLD_TOKENS_PER_SLOT, ColdAllowance
+from bilberryring.admission.fair_queue import FairQueue
+from bilberryring.admission.length_class import (
+    LENGTH_CLASSES,
+    LONG_TOKENS,
+    MEDIUM_TOKENS,
+    SHORT_TOKENS,
+    LengthClass,
+    length_class_of,
+)
+from bilberryring.admission.memory import SHORT_RESERVE_SHARE, KvMemory
+from bilberryring.admission.prompt_admission import (
+    INITIAL_PREFILL_RATE,
+    MAX_QUEUED_WORKS,
+    MEMORY_HOLD_SECONDS,
+    MIN_RETRY_AFTER_SECONDS,
+    OVERDUE_FACTOR,
+    OVERDUE_SECONDS,
+    PROGRESS_SHARE,
+    RATE_SMOOTHING,
+    STARTED_TOKENS_LIMIT,
+    AdmissionLoad,
+    EndpointLimits,
+    PromptAdmission,
+    PromptRefusal,
+    Queued,
+)
+from bilberryring.admission.work import PRIORITIES_PER_CLASS, PromptWork, WorkKey
+
+__all__ = [
+    "AdmissionLoad",
+    "COLD_TOKENS_PER_SLOT",
+    "ColdAllowance",
+    "EndpointLimits",
+    "FairQueue",
+    "INITIAL_PREFILL_RATE",
+    "KvMemory",
+    "LENGTH_CLASSES",
+    "LONG_TOKENS",
+    "LengthClass",
+    "MAX_QUEUED_WORKS",
+    "MEDIUM_TOKENS",
+    "MEMORY_HOLD_SECONDS",
+    "MIN_RETRY_AFTER_SECONDS",
+    "OVERDUE_FACTOR",
+    "OVERDUE_SECONDS",
+    "PRIORITIES_PER_CLASS",
+    "PROGRESS_SHARE",
+    "PromptAdmission",
+    "PromptRefusal",
+    "PromptWork",
+    "Queued",
+    "RATE_SMOOTHING",
+    "SHORT_RESERVE_SHARE",
+    "SHORT_TOKENS",
+    "STARTED_TOKENS_LIMIT",
+    "WorkKey",
+    "length_class_of",
+]
--- /dev/null
+++ b/bilberryring/admission/fair_queue.py
@@ -0,0 +1,81 @@
+"""A queue in the order priority, fairness between workspaces, length.
+
+Fairness is start-time fair queueing: each workspace has a virtual time that
+advances by tokens served divided by its share, and the one furthest behind is
+served next.
+"""
+
+import bisect
+import itertools
+from collections.abc import Iterator
+
+from bilberryring.admission.work import PromptWork, WorkKey
+
+
+class FairQueue:
+    """Holds prompts of one length class."""
+
+    def __init__(self):
+        self._by_rank: dict[int, dict[str, list[tuple[int, int, PromptWork]]]] = {}
+        self._virtual_times: dict[str, float] = {}
+        self._virtual_now = 0.0
+        self._sequence = itertools.count()
+        self._works: dict[WorkKey, PromptWork] = {}
+        self._tokens = 0
+
+    def __len__(self) -> int:
+        return len(self._works)
+
+    def __iter__(self) -> Iterator[PromptWork]:
+        return iter(tuple(self._works.values()))
+
+    @property
+    def tokens(self) -> int:
+        """The prompt tokens that wait here."""
+        return self._tokens
+
+    def push(self, work: PromptWork) -> None:
+        """Add a prompt."""
+        workspaces = self._by_rank.setdefault(work.rank, {})
+        entries = workspaces.setdefault(work.workspace, [])
+        bisect.insort(entries, (work.prompt_tokens, next(self._sequence), work))
+        behind = self._virtual_times.get(work.workspace, 0.0)
+        self._virtual_times[work.workspace] = max(behind, self._virtual_now)
+        self._works[work.key] = work
+        self._tokens += work.prompt_tokens
+
+    def peek(self) -> PromptWork | None:
+        """Return the prompt to serve next, or `None`."""
+        if not self._works:
+            return None
+        workspaces = self._by_rank[min(self._by_rank)]
+        workspace = min(workspaces, key=self._virtual_times.__getitem__)
+        return workspaces[workspace][0][2]
+
+    def pop(self) -> PromptWork:
+        """Remove the prompt to serve next and charge its workspace."""
+        work = self.peek()
+        self.remove(work.key)
+        start = self._virtual_times.get(work.workspace, self._virtual_now)
+        self._virtual_now = max(self._virtual_now, start)
+        cost = (work.prompt_tokens + work.max_tokens) / work.share
+        self._virtual_times[work.workspace] = start + cost
+        return work
+
+    def remove(self, key: WorkKey) -> PromptWork | None:
+        """Remove a prompt without serving it; `None` when it is not here."""
+        work = self._works.pop(key, None)
+        if work is None:
+            return None
+        workspaces = self._by_rank[work.rank]
+        entries = workspaces[work.workspace]
+        entries[:] = [entry for entry in entries if entry[2].key != key]
+        if not entries:
+            del workspaces[work.workspace]
+        if not workspaces:
+            del self._by_rank[work.rank]
+        self._tokens -= work.prompt_tokens
+        if not self._works:
+            self._virtual_times.clear()
+            self._virtual_now = 0.0
+        return work
--- /dev/null
+++ b/bilberryring/core/__init__.py
@@ -0,0 +1,39 @@
+"""Identifiers, errors and clocks that every other package uses."""
+
+from bilberryring.core.clock import (
+    ReceiverClock,
+    from_micros,
+    to_micros,
+    use_monotonic_time,
+)
+from bilberryring.core.errors import (
+    ErrorCode,
+    RunOutcome,
+    ServingError,
+    SettingsError,
+)
+from bilberryring.core.identifiers import (
+    AttemptId,
+    Fingerprint,
+    Incarnation,
+    RequestId,
+    new_incarnation,
+    new_request_id,
+)
+
+__all__ = [
+    "AttemptId",
+    "ErrorCode",
+    "Fingerprint",
+    "Incarnation",
+    "ReceiverClock",
+    "RequestId",
+    "RunOutcome",
+    "ServingError",
+    "SettingsError",
+    "from_micros",
+    "new_incarnation",
+    "new_request_id",
+    "to_micros",
+    "use_monotonic_time",
+]
--- /dev/null
+++ b/bilberryring/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo that `bin/demo` runs."""
--- /dev/null
+++ b/bilberryring/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon on the entry VMs, which answers callers."""
--- /dev/null
+++ b/bilberryring/entry/caller_site.py
@@ -0,0 +1,303 @@
+"""The callers' listener: completions, models, and plain services."""
+
+import hashlib
+from dataclasses import dataclass
+
+import msgspec
+from twisted.web.resource import Resource
+from twisted.web.server import Request
+
+from bilberryring.core import (
+    ErrorCode,
+    Fingerprint,
+    RequestId,
+    RunOutcome,
+    ServingError,
+    new_request_id,
+)
+from bilberryring.entry.answer_sinks import (
+    AnswerFormat,
+    AnswerSink,
+    StreamSink,
+    WholeSink,
+)
+from bilberryring.entry.entry_state import EntryState
+from bilberryring.entry.openai_messages import (
+    DEFAULT_MAX_TOKENS,
+    ChatOrder,
+    CompletionOrder,
+    ModelEntry,
+    ModelList,
+)
+from bilberryring.entry.prompt_request import CallerPrompt, PromptRequest
+from bilberryring.entry.service_request import (
+    CallerCall,
+    ServiceRequest,
+    issue_ticket,
+)
+from bilberryring.http import AsyncResource, BoundedRequest, write_json, write_problem
+from bilberryring.objects import Model, ObjectSet, Service, Workspace
+from bilberryring.routing import PromptShape
+from bilberryring.telemetry import LogEvent
+
+BYTES_PER_TOKEN = 4
+MAX_DEADLINE_SECONDS = 3600.0
+IDEMPOTENCY_HEADER = "idempotency-key"
+REPLAYED_HEADER = b"x-bilberryring-replayed"
+
+
+class TicketAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """A ticket to send as Idempotency-Key."""
+
+    ticket: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Caller:
+    request_id: RequestId
+    objects: ObjectSet
+    workspace: Workspace
+
+
+class CallerSite:
+    """Builds the callers' resources around the state of the entry."""
+
+    def __init__(self, *, state: EntryState):
+        self._state = state
+
+    def resource(self) -> Resource:
+        """Return the root of the site."""
+        root = Resource()
+        version = Resource()
+        chat = Resource()
+        root.putChild(b"v1", version)
+        version.putChild(b"chat", chat)
+        chat.putChild(b"completions", self._leaf(self._chat))
+        version.putChild(b"completions", self._leaf(self._complete))
+        version.putChild(b"models", self._leaf(self._models))
+        version.putChild(b"services", self._leaf(self._service))
+        return root
+
+    def _leaf(self, handle) -> AsyncResource:
+        async def guarded(request: BoundedRequest) -> None:
+            request_id = new_request_id()
+            self._state.request_began()
+            try:
+                await handle(request, self._caller_of(request, request_id))
+            except ServingError as error:
+                self._failed(request, request_id, error)
+            finally:
+                self._state.request_ended()
+
+        return AsyncResource(handle=guarded, on_fault=self._state.log_fault)
+
+    def _caller_of(self, request: BoundedRequest, request_id: RequestId) -> _Caller:
+        """Return who calls; `ServingError` when that cannot be served."""
+        if self._state.is_draining:
+            raise _refusal(ErrorCode.LEAVING, retry_after=1.0)
+        objects = self._state.objects
+        if objects is None:
+            raise _refusal(ErrorCode.NO_SET, retry_after=1.0)
+        header = request.getHeader("authorization") or ""
+        key = header.removeprefix("Bearer ").strip()
+        workspace = objects.workspace_of_key(key)
+        if workspace is None:
+            raise _refusal(ErrorCode.KEY_UNKNOWN)
+        if request.is_body_over:
+            raise _refusal(ErrorCode.BODY_TOO_LARGE)
+        return _Caller(request_id=request_id, objects=objects, workspace=workspace)
+
+    def _failed(
+        self, request: Request, request_id: RequestId, error: ServingError
+    ) -> None:
+        self._state.log.write(
+            LogEvent.REQUEST_FAILED,
+            request=request_id,
+            code=error.code.value,
+            outcome=error.outcome.value,
+        )
+        self._state.count_failure(error.code)
+        is_open = not request.finished and not request._disconnected
+        if is_open and not request.startedWriting:
+            write_problem(request, error, request_id=request_id)
+
+    async def _models(self, request: BoundedRequest, caller: _Caller) -> None:
+        entries = tuple(ModelEntry(id=name) for name in caller.workspace.models)
+        write_json(request, ModelList(data=entries))
+
+    async def _chat(self, request: BoundedRequest, caller: _Caller) -> None:
+        order = _decode(request.read_body(), ChatOrder)
+        await self._prompt(request, caller, order, order.prompt, is_chat=True)
+
+    async def _complete(self, request: BoundedRequest, caller: _Caller) -> None:
+        order = _decode(request.read_body(), CompletionOrder)
+        await self._prompt(request, caller, order, order.prompt, is_chat=False)
+
+    async def _prompt(
+        self,
+        request: BoundedRequest,
+        caller: _Caller,
+        order: ChatOrder | CompletionOrder,
+        text: str,
+        *,
+        is_chat: bool,
+    ) -> None:
+        prompt = self._caller_prompt(caller, order, text)
+        answer_format = AnswerFormat(
+            request_id=caller.request_id,
+            model=prompt.model.name,
+            is_chat=is_chat,
+            prompt_tokens=prompt.shape.prompt_tokens,
+            include_usage=bool(
+                order.stream_options and order.stream_options.include_usage
+            ),
+        )
+        mailbox: list[PromptRequest] = []
+        sink: AnswerSink
+        if order.stream:
+            sink = StreamSink(
+                reactor=self._state.reactor,
+                request=request,
+                answer_format=answer_format,
+                on_too_slow=lambda: mailbox[0].caller_too_slow(),
+            )
+        else:
+            sink = WholeSink(request=request, answer_format=answer_format)
+        task = self._state.prompt_request(prompt, sink)
+        mailbox.append(task)
+        request.notifyFinish().addErrback(lambda _: task.caller_gone())
+        await self._run_prompt(prompt, task, sink)
+
+    async def _run_prompt(
+        self, prompt: CallerPrompt, task: PromptRequest, sink: AnswerSink
+    ) -> None:
+        self._state.log.write(
+            LogEvent.REQUEST_RECEIVED,
+            request=prompt.request_id,
+            workspace=prompt.workspace.name,
+            model=prompt.model.name,
+            prompt_tokens=prompt.shape.prompt_tokens,
+        )
+        try:
+            times = await task.run()
+        except ServingError as error:
+            sink.fail(error)
+            raise
+        self._state.observe_answer(prompt, times)
+
+    def _caller_prompt(
+        self, caller: _Caller, order: ChatOrder | CompletionOrder, text: str
+    ) -> CallerPrompt:
+        model = self._model_of(caller, order.model)
+        body = text.encode("utf-8", "surrogatepass")
+        prompt_tokens = max(1, len(text) // BYTES_PER_TOKEN)
+        asked = order.max_completion_tokens or order.max_tokens or DEFAULT_MAX_TOKENS
+        if asked < 1:
+            raise _refusal(ErrorCode.BODY_MALFORMED, detail="max_tokens: at least 1")
+        max_tokens = min(asked, model.max_output_tokens)
+        if prompt_tokens > model.max_prompt_tokens:
+            raise _refusal(
+                ErrorCode.PROMPT_TOO_LONG,
+                detail=f"{prompt_tokens} tokens, allowed {model.max_prompt_tokens}",
+            )
+        priority = caller.objects.priorities[caller.workspace.priority]
+        now = self._state.reactor.seconds()
+        seconds = min(order.timeout or priority.total_seconds, MAX_DEADLINE_SECONDS)
+        return CallerPrompt(
+            request_id=caller.request_id,
+            workspace=caller.workspace,
+            priority=priority,
+            model=model,
+            text=body,
+            shape=PromptShape(prompt_tokens=prompt_tokens, max_tokens=max_tokens),
+            fingerprint=_fingerprint(caller.workspace.name, model.name, body),
+            received_at=now,
+            deadline=now + max(0.0, seconds),
+        )
+
+    def _model_of(self, caller: _Caller, name: str) -> Model:
+        model = caller.objects.models.get(name)
+        if model is None or name not in caller.workspace.models:
+            raise _refusal(ErrorCode.MODEL_UNKNOWN)
+        return model
+
+    async def _service(self, request: BoundedRequest, caller: _Caller) -> None:
+        path = [part.decode() for part in request.postpath]
+        service = self._service_of(caller, path[0] if path else "")
+        match path[1:]:
+            case ["tickets"] if request.method == b"POST":
+                ticket = issue_ticket(
+                    self._state.links,
+                    caller.objects,
+                    service,
+                    now=self._state.reactor.seconds(),
+                )
+                write_json(request, TicketAnswer(ticket=ticket.text), status=201)
+            case ["calls", *rest]:
+                await self._call(request, caller, service, "/".join(rest))
+            case _:
+                raise _refusal(ErrorCode.PATH_UNKNOWN)
+
+    def _service_of(self, caller: _Caller, name: str) -> Service:
+        service = caller.objects.services.get(name)
+        if service is None or name not in caller.workspace.services:
+            raise _refusal(ErrorCode.SERVICE_UNKNOWN)
+        return service
+
+    async def _call(
+        self, request: BoundedRequest, caller: _Caller, service: Service, path: str
+    ) -> None:
+        method = request.method.decode()
+        ticket = request.getHeader(IDEMPOTENCY_HEADER) or ""
+        if not ticket and method not in service.repeatable_methods:
+            raise _refusal(ErrorCode.TICKET_REQUIRED)
+        call = CallerCall(
+            request_id=caller.request_id,
+            workspace=caller.workspace,
+            service=service,
+            method=method,
+            path=path,
+            content_type=request.getHeader("content-type") or "application/json",
+            body=request.read_body(),
+            ticket_text=ticket,
+            deadline=self._state.reactor.seconds() + service.deadline_seconds,
+        )
+        self._state.log.write(
+            LogEvent.REQUEST_RECEIVED,
+            request=caller.request_id,
+            workspace=caller.workspace.name,
+            service=service.name,
+            ticket=ticket,
+        )
+        task: ServiceRequest = self._state.service_request(call)
+        request.notifyFinish().addErrback(lambda _: task.caller_gone())
+        answer = await task.run()
+        self._state.log.write(LogEvent.REQUEST_FINISHED, request=caller.request_id)
+        request.setResponseCode(answer.status)
+        request.setHeader(b"content-type", answer.content_type.encode())
+        request.setHeader(b"x-request-id", caller.request_id.encode())
+        if answer.replayed:
+            request.setHeader(REPLAYED_HEADER, b"true")
+        request.write(answer.body)
+        request.finish()
+
+
+def _decode(body: bytes, shape):
+    try:
+        return msgspec.json.decode(body, type=shape)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise _refusal(ErrorCode.BODY_MALFORMED, detail=str(error))
+
+
+def _fingerprint(workspace: str, model: str, body: bytes) -> Fingerprint:
+    mixed = hashlib.blake2b(f"{workspace}\0{model}\0".encode(), digest_size=12)
+    mixed.update(body)
+    return Fingerprint(mixed.hexdigest())
+
+
+def _refusal(
+    code: ErrorCode, *, detail: str = "", retry_after: float | None = None
+) -> ServingError:
+    return ServingError(
+        code=code, outcome=RunOutcome.NOT_RUN, detail=detail, retry_after=retry_after
+    )
--- /dev/null
+++ b/bilberryring/entry/entry_state.py
@@ -0,0 +1,149 @@
+"""What the requests of one entry share: configuration, links, budget, metrics."""
+
+from bilberryring.admission import LENGTH_CLASSES
+from bilberryring.core import ErrorCode
+from bilberryring.entry.answer_sinks import AnswerSink
+from bilberryring.entry.prompt_request import (
+    AnswerTimes,
+    CallerPrompt,
+    PromptRequest,
+)
+from bilberryring.entry.service_request import CallerCall, ServiceRequest
+from bilberryring.entry.sidecar_links import SidecarLinks
+from bilberryring.execution import RetryBudget
+from bilberryring.objects import ObjectSet
+from bilberryring.process.configuration import ConfigurationTask
+from bilberryring.routing import LengthAware, Placement
+from bilberryring.telemetry import (
+    FIRST_TOKEN_BOUNDS,
+    TOKEN_GAP_BOUNDS,
+    EventLog,
+    LogEvent,
+    Metrics,
+)
+
+MAX_WORKSPACE_SERIES = 1_000
+MAX_CLASS_SERIES = 64
+
+
+class EntryState:
+    """Creates the tasks of requests and counts them."""
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        log: EventLog,
+        metrics: Metrics,
+        configuration: ConfigurationTask,
+        links: SidecarLinks,
+    ):
+        self.reactor = reactor
+        self.log = log
+        self.links = links
+        self._configuration = configuration
+        self._placement = Placement(policy=LengthAware())
+        self._budget = RetryBudget()
+        self._in_progress = 0
+        self._is_draining = False
+        self._first_token_by_workspace = metrics.histograms(
+            name="bilberryring_first_token_seconds",
+            doc="Time to the first token by workspace",
+            labels=("workspace",),
+            bounds=FIRST_TOKEN_BOUNDS,
+            max_series=MAX_WORKSPACE_SERIES,
+        )
+        self._first_token_by_class = metrics.histograms(
+            name="bilberryring_first_token_class_seconds",
+            doc="Time to the first token by length class and priority",
+            labels=("length_class", "priority"),
+            bounds=FIRST_TOKEN_BOUNDS,
+            max_series=MAX_CLASS_SERIES * len(LENGTH_CLASSES),
+        )
+        self._token_gaps = metrics.histograms(
+            name="bilberryring_token_gap_seconds",
+            doc="Time between tokens by length class",
+            labels=("length_class",),
+            bounds=TOKEN_GAP_BOUNDS,
+            max_series=len(LENGTH_CLASSES),
+        )
+        self._failures = metrics.counter(
+            name="bilberryring_failures_total", doc="Errors told to callers by code"
+        )
+
+    @property
+    def objects(self) -> ObjectSet | None:
+        """The objects in force, or `None` before the first set."""
+        return self._configuration.objects
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the entry takes no new requests."""
+        return self._is_draining
+
+    @property
+    def in_progress(self) -> int:
+        """The requests that have not ended."""
+        return self._in_progress
+
+    def begin_drain(self) -> None:
+        """Take no new requests from now on."""
+        self._is_draining = True
+
+    def request_began(self) -> None:
+        """Count a request that arrived."""
+        self._in_progress += 1
+
+    def request_ended(self) -> None:
+        """Count a request that ended."""
+        self._in_progress -= 1
+
+    def count_failure(self, code: ErrorCode) -> None:
+        """Count an error told to a caller."""
+        self._failures.inc({"code": code.value})
+
+    def log_fault(self, error: BaseException) -> None:
+        """Log a fault of this process."""
+        self.log.write(LogEvent.INTERNAL_FAULT, detail=repr(error))
+
+    def prompt_request(self, prompt: CallerPrompt, sink: AnswerSink) -> PromptRequest:
+        """Return the task of a prompt."""
+        label = (prompt.shape.length_class.label,)
+        return PromptRequest(
+            reactor=self.reactor,
+            prompt=prompt,
+            sink=sink,
+            links=self.links,
+            placement=self._placement,
+            budget=self._budget,
+            objects=lambda: self._configuration.objects,
+            log=self.log,
+            on_token_gap=lambda gap: self._token_gaps.observe(label, gap),
+        )
+
+    def service_request(self, call: CallerCall) -> ServiceRequest:
+        """Return the task of a call."""
+        return ServiceRequest(
+            reactor=self.reactor,
+            call=call,
+            links=self.links,
+            budget=self._budget,
+            objects=lambda: self._configuration.objects,
+            log=self.log,
+        )
+
+    def observe_answer(self, prompt: CallerPrompt, times: AnswerTimes) -> None:
+        """Count a whole answer in the histograms and the log."""
+        length = prompt.shape.length_class.label
+        first = None
+        if times.first_token is not None:
+            first = times.first_token - prompt.received_at
+            self._first_token_by_workspace.observe((prompt.workspace.name,), first)
+            self._first_token_by_class.observe((length, prompt.priority.name), first)
+        self.log.write(
+            LogEvent.REQUEST_FINISHED,
+            request=prompt.request_id,
+            first_token_seconds=first,
+            seconds=times.end - prompt.received_at,
+            tokens=times.token_count,
+        )
--- /dev/null
+++ b/bilberryring/http/answers.py
@@ -0,0 +1,114 @@
+"""Answers over HTTP: JSON, and errors as `application/problem+json`."""
+
+import math
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from bilberryring.core import ErrorCode, RunOutcome, ServingError
+
+PROBLEM_TYPE_PREFIX = "urn:bilberryring:error:"
+JSON_TYPE = b"application/json"
+PROBLEM_TYPE = b"application/problem+json"
+
+
+class Problem(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The body of an error; `retry_after` is in seconds."""
+
+    type: str
+    title: str
+    status: int
+    code: str
+    outcome: str
+    remedy: str
+    detail: str = ""
+    request_id: str = ""
+    retry_after: float | None = None
+
+
+def problem_of(error: ServingError, *, request_id: str) -> Problem:
+    """Return the body that tells a caller about an error."""
+    return Problem(
+        type=PROBLEM_TYPE_PREFIX + error.code.value,
+        title=error.code.title,
+        status=error.code.status,
+        code=error.code.value,
+        outcome=error.outcome.value,
+        remedy=error.code.remedy,
+        detail=error.detail,
+        request_id=request_id,
+        retry_after=error.retry_after,
+    )
+
+
+def write_json(request: Request, body: object, *, status: int = 200) -> None:
+    """Send a JSON body and end the answer."""
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", JSON_TYPE)
+    request.write(msgspec.json.encode(body))
+    request.finish()
+
+
+def write_problem(request: Request, error: ServingError, *, request_id: str) -> None:
+    """Send an error and end the answer."""
+    request.setResponseCode(error.code.status)
+    request.setHeader(b"content-type", PROBLEM_TYPE)
+    if error.retry_after is not None:
+        seconds = max(1, math.ceil(error.retry_after))
+        request.setHeader(b"retry-after", str(seconds).encode())
+    request.write(msgspec.json.encode(problem_of(error, request_id=request_id)))
+    request.finish()
+
+
+class AsyncResource(Resource):
+    """A leaf whose answer is written by a coroutine.
+
+    `handle` writes and finishes the answer. A fault that it lets through is
+    handed to `on_fault`, and the caller gets an internal error.
+    """
+
+    isLeaf = True
+
+    def __init__(
+        self,
+        *,
+        handle: Callable[[Request], Awaitable[None]],
+        on_fault: Callable[[BaseException], None],
+    ):
+        super().__init__()
+        self._handle = handle
+        self._on_fault = on_fault
+
+    def render(self, request: Request) -> int:
+        Deferred.fromCoroutine(self._guard(request))
+        return NOT_DONE_YET
+
+    async def _guard(self, request: Request) -> None:
+        try:
+            await self._handle(request)
+        except Exception as error:
+            self._on_fault(error)
+            if not request.startedWriting and not request.finished:
+                fault = ServingError(
+                    code=ErrorCode.INTERNAL, outcome=RunOutcome.UNKNOWN
+                )
+                write_problem(request, fault, request_id="")
+            elif not request._disconnected:
+                request.loseConnection()
+
+
+class JsonQuery(Resource):
+    """A leaf that answers each GET with the JSON of `read()`."""
+
+    isLeaf = True
+
+    def __init__(self, *, read: Callable[[], object]):
+        super().__init__()
+        self._read = read
+
+    def render_GET(self, request: Request) -> bytes:
+        request.setHeader(b"content-type", JSON_TYPE)
+        return msgspec.json.encode(self._read())
--- /dev/null
+++ b/bilberryring/objects/check.py
@@ -0,0 +1,248 @@
+"""Checks of a whole set: references, room, shares and what is left served.
+
+The checks are generators. A daemon consumes them in small steps, so that a set
+of full size never holds its reactor.
+"""
+
+from collections.abc import Iterator
+
+from bilberryring.objects.findings import Finding, FindingCode
+from bilberryring.objects.kinds import DomainState, Kind, PublishedObject
+from bilberryring.objects.object_set import ObjectSet
+
+SHARES_TOLERANCE = 1e-9
+
+REFERENCES: tuple[tuple[Kind, str, Kind], ...] = (
+    (Kind.MODELS, "default_version", Kind.VERSIONS),
+    (Kind.MODELS, "fallback", Kind.MODELS),
+    (Kind.VERSIONS, "model", Kind.MODELS),
+    (Kind.ADAPTERS, "model", Kind.MODELS),
+    (Kind.WORKSPACES, "priority", Kind.PRIORITIES),
+    (Kind.WORKSPACES, "models", Kind.MODELS),
+    (Kind.WORKSPACES, "adapters", Kind.ADAPTERS),
+    (Kind.WORKSPACES, "services", Kind.SERVICES),
+    (Kind.MODEL_ENDPOINTS, "failure_domain", Kind.FAILURE_DOMAINS),
+    (Kind.MODEL_ENDPOINTS, "versions", Kind.VERSIONS),
+    (Kind.MODEL_ENDPOINTS, "adapters", Kind.ADAPTERS),
+    (Kind.SERVICE_ENDPOINTS, "failure_domain", Kind.FAILURE_DOMAINS),
+    (Kind.SERVICE_ENDPOINTS, "service", Kind.SERVICES),
+)
+"""Which field of which kind names objects of which other kind."""
+
+OPTIONAL_REFERENCES = frozenset({"fallback"})
+KINDS_THAT_MUST_BE_USED = (
+    Kind.PRIORITIES,
+    Kind.VERSIONS,
+    Kind.ADAPTERS,
+    Kind.SERVICES,
+    Kind.FAILURE_DOMAINS,
+)
+
+
+def check_set(objects: ObjectSet) -> Iterator[Finding | None]:
+    """Yield each finding, and `None` wherever the caller may pause."""
+    yield from _check_references(objects)
+    yield from _check_unused(objects)
+    yield from _check_fallback_cycles(objects)
+    yield from _check_model_of_version(objects)
+    yield from _check_room(objects)
+    yield from _check_shares(objects)
+    yield from _check_keys(objects)
+    yield from _check_addresses(objects)
+    yield from _check_served(objects)
+
+
+def findings_of(objects: ObjectSet) -> list[Finding]:
+    """Return all findings of a set in one run."""
+    return [finding for finding in check_set(objects) if finding is not None]
+
+
+def referred_names(item: PublishedObject, field: str) -> tuple[str, ...]:
+    """Return the names in a reference field, be it one name or several."""
+    value = getattr(item, field)
+    if isinstance(value, str):
+        return () if field in OPTIONAL_REFERENCES and not value else (value,)
+    return value
+
+
+def _finding(
+    code: FindingCode, kind: Kind, name: str, field: str, detail: str
+) -> Finding:
+    return Finding(
+        code=code,
+        file="",
+        object_name=f"{kind.value}/{name}",
+        field=field,
+        detail=detail,
+    )
+
+
+def _check_references(objects: ObjectSet) -> Iterator[Finding | None]:
+    for kind, field, target in REFERENCES:
+        known = objects.of_kind(target)
+        for item in objects.of_kind(kind).values():
+            for name in referred_names(item, field):
+                if name not in known:
+                    yield _finding(
+                        FindingCode.REFERENCE_DANGLING,
+                        kind,
+                        item.name,
+                        field,
+                        f"no {target.value} named '{name}'",
+                    )
+            yield None
+
+
+def _check_unused(objects: ObjectSet) -> Iterator[Finding | None]:
+    used: dict[Kind, set[str]] = {kind: set() for kind in Kind}
+    for kind, field, target in REFERENCES:
+        for item in objects.of_kind(kind).values():
+            used[target].update(referred_names(item, field))
+        yield None
+    for kind in KINDS_THAT_MUST_BE_USED:
+        for name in sorted(objects.of_kind(kind).keys() - used[kind]):
+            yield _finding(
+                FindingCode.OBJECT_UNUSED, kind, name, "name", "nothing refers to it"
+            )
+
+
+def _check_fallback_cycles(objects: ObjectSet) -> Iterator[Finding | None]:
+    for model in objects.models.values():
+        seen = {model.name}
+        step = model
+        while step is not None and step.fallback:
+            if step.fallback in seen:
+                yield _finding(
+                    FindingCode.REFERENCE_CYCLIC,
+                    Kind.MODELS,
+                    model.name,
+                    "fallback",
+                    f"'{step.fallback}' is reached again",
+                )
+                break
+            seen.add(step.fallback)
+            step = objects.models.get(step.fallback)
+        yield None
+
+
+def _check_model_of_version(objects: ObjectSet) -> Iterator[Finding | None]:
+    for model in objects.models.values():
+        version = objects.versions.get(model.default_version)
+        if version is not None and version.model != model.name:
+            yield _finding(
+                FindingCode.REFERENCE_DANGLING,
+                Kind.MODELS,
+                model.name,
+                "default_version",
+                f"'{version.name}' is a version of '{version.model}'",
+            )
+    yield None
+
+
+def _check_room(objects: ObjectSet) -> Iterator[Finding | None]:
+    held: set[str] = set()
+    for endpoint in objects.model_endpoints.values():
+        versions = [objects.versions.get(name) for name in endpoint.versions]
+        adapters = [objects.adapters.get(name) for name in endpoint.adapters]
+        needed = sum(
+            item.weights_megabytes for item in versions + adapters if item is not None
+        )
+        if needed > endpoint.weights_megabytes:
+            yield _finding(
+                FindingCode.WEIGHTS_TOO_LARGE,
+                Kind.MODEL_ENDPOINTS,
+                endpoint.name,
+                "versions",
+                f"{needed} MB of weights, room for {endpoint.weights_megabytes}",
+            )
+        else:
+            held.update(endpoint.versions)
+        yield None
+    for model in objects.models.values():
+        known = model.default_version in objects.versions
+        if known and model.default_version not in held:
+            yield _finding(
+                FindingCode.VERSION_NOT_HELD,
+                Kind.MODELS,
+                model.name,
+                "default_version",
+                f"no endpoint can hold '{model.default_version}'",
+            )
+
+
+def _check_shares(objects: ObjectSet) -> Iterator[Finding | None]:
+    total = sum(workspace.share for workspace in objects.workspaces.values())
+    if total > 1 + SHARES_TOLERANCE:
+        yield _finding(
+            FindingCode.SHARES_OVER_WHOLE,
+            Kind.WORKSPACES,
+            "*",
+            "share",
+            f"the shares add up to {total:.4f}",
+        )
+    yield None
+
+
+def _check_keys(objects: ObjectSet) -> Iterator[Finding | None]:
+    owner: dict[str, str] = {}
+    for workspace in objects.workspaces.values():
+        for digest in workspace.key_digests:
+            if digest in owner:
+                yield _finding(
+                    FindingCode.KEY_SHARED,
+                    Kind.WORKSPACES,
+                    workspace.name,
+                    "key_digests",
+                    f"'{owner[digest]}' has the same key",
+                )
+            owner[digest] = workspace.name
+        yield None
+
+
+def _check_addresses(objects: ObjectSet) -> Iterator[Finding | None]:
+    owner: dict[str, str] = {}
+    for kind in (Kind.MODEL_ENDPOINTS, Kind.SERVICE_ENDPOINTS):
+        for endpoint in objects.of_kind(kind).values():
+            if endpoint.sidecar in owner:
+                yield _finding(
+                    FindingCode.ADDRESS_SHARED,
+                    kind,
+                    endpoint.name,
+                    "sidecar",
+                    f"'{owner[endpoint.sidecar]}' has the same address",
+                )
+            owner[endpoint.sidecar] = endpoint.name
+            yield None
+
+
+def _check_served(objects: ObjectSet) -> Iterator[Finding | None]:
+    if any(domain.allow_unserved for domain in objects.failure_domains.values()):
+        return
+    for model in objects.models.values():
+        endpoints = objects.endpoints_of_version.get(model.default_version, ())
+        if endpoints and not _has_domain_in(objects, endpoints):
+            yield _finding(
+                FindingCode.MODEL_UNSERVED,
+                Kind.MODELS,
+                model.name,
+                "default_version",
+                "every failure domain that serves it is out",
+            )
+        yield None
+    for service, endpoints in objects.endpoints_of_service.items():
+        if not _has_domain_in(objects, endpoints):
+            yield _finding(
+                FindingCode.SERVICE_UNSERVED,
+                Kind.SERVICES,
+                service,
+                "name",
+                "every failure domain that serves it is out",
+            )
+
+
+def _has_domain_in(objects: ObjectSet, endpoints: tuple) -> bool:
+    for endpoint in endpoints:
+        domain = objects.failure_domains.get(endpoint.failure_domain)
+        if domain is not None and domain.state is DomainState.IN:
+            return True
+    return False
--- /dev/null
+++ b/bilberryring/objects/kinds.py
@@ -0,0 +1,234 @@
+"""The kinds of published objects, as immutable values that check themselves.
+
+An object refers to others by name. Whether the names exist is checked for the
+whole set by `bilberryring.objects.check`.
+
+>>> Priority(name="urgent", rank=0).total_seconds
+600.0
+>>> Priority(name="", rank=0)
+Traceback (most recent call last):
+    ...
+ValueError: name: must be 1 to 63 of a-z, 0-9, '-', '.' and '_'
+"""
+
+import re
+from enum import Enum
+from typing import NewType
+
+import msgspec
+
+ModelName = NewType("ModelName", str)
+VersionName = NewType("VersionName", str)
+AdapterName = NewType("AdapterName", str)
+WorkspaceName = NewType("WorkspaceName", str)
+FailureDomainName = NewType("FailureDomainName", str)
+PriorityName = NewType("PriorityName", str)
+EndpointName = NewType("EndpointName", str)
+ServiceName = NewType("ServiceName", str)
+
+NAME_PATTERN = re.compile(r"[a-z0-9._-]{1,63}\Z")
+KEY_DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}\Z")
+ADDRESS_PATTERN = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})\Z")
+MAX_TOKENS_OF_A_PROMPT = 4_000_000
+MAX_PORT = 65535
+MAX_OCTET = 255
+
+
+class DomainState(Enum):
+    """Whether a failure domain takes new work."""
+
+    IN = "in"
+    OUT = "out"
+
+
+def require(condition: bool, field: str, rule: str) -> None:
+    """Raise `ValueError` naming the field and its rule unless the rule holds."""
+    if not condition:
+        raise ValueError(f"{field}: {rule}")
+
+
+def require_name(value: str) -> None:
+    """Raise `ValueError` unless `value` is a proper object name."""
+    require(
+        NAME_PATTERN.match(value) is not None,
+        "name",
+        "must be 1 to 63 of a-z, 0-9, '-', '.' and '_'",
+    )
+
+
+def is_address(value: str) -> bool:
+    """Whether `value` is an IPv4 number and a port.
+
+    >>> is_address("127.0.0.1:9000"), is_address("localhost:9000")
+    (True, False)
+    """
+    found = ADDRESS_PATTERN.match(value)
+    if found is None:
+        return False
+    octets = [int(octet) for octet in found.groups()[:4]]
+    port = int(found.group(5))
+    return max(octets) <= MAX_OCTET and 0 < port <= MAX_PORT
+
+
+class PublishedObject(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """An object that operators publish; `name` is unique within its kind."""
+
+    name: str
+
+    def __post_init__(self):
+        require_name(self.name)
+        self.check_fields()
+
+    def check_fields(self) -> None:
+        """Raise `ValueError` for a field that breaks its rule."""
+
+
+class FailureDomain(PublishedObject):
+    """A part of a region that fails, leaves and returns as one."""
+
+    region: str
+    state: DomainState = DomainState.IN
+    allow_unserved: bool = False
+
+
+class Priority(PublishedObject):
+    """Rank 0 is served first and refused last; times are in seconds."""
+
+    rank: int
+    first_token_seconds: float = 30.0
+    total_seconds: float = 600.0
+
+    def check_fields(self) -> None:
+        require(0 <= self.rank <= 99, "rank", "must be 0 to 99")
+        require(self.first_token_seconds > 0, "first_token_seconds", "must be above 0")
+        require(
+            self.total_seconds >= self.first_token_seconds,
+            "total_seconds",
+            "must be at least first_token_seconds",
+        )
+
+
+class Model(PublishedObject):
+    """A model that callers name; lengths are in tokens."""
+
+    default_version: VersionName
+    max_prompt_tokens: int = 1_000_000
+    max_output_tokens: int = 4096
+    fallback: ModelName = ModelName("")
+
+    def check_fields(self) -> None:
+        require(
+            0 < self.max_prompt_tokens <= MAX_TOKENS_OF_A_PROMPT,
+            "max_prompt_tokens",
+            f"must be 1 to {MAX_TOKENS_OF_A_PROMPT}",
+        )
+        require(self.max_output_tokens > 0, "max_output_tokens", "must be above 0")
+
+
+class Version(PublishedObject):
+    """One set of weights of a model."""
+
+    model: ModelName
+    weights_megabytes: int
+
+    def check_fields(self) -> None:
+        require(self.weights_megabytes > 0, "weights_megabytes", "must be above 0")
+
+
+class Adapter(PublishedObject):
+    """Weights that change a model for some workspaces."""
+
+    model: ModelName
+    weights_megabytes: int
+
+    def check_fields(self) -> None:
+        require(self.weights_megabytes > 0, "weights_megabytes", "must be above 0")
+
+
+class Workspace(PublishedObject):
+    """A customer's part of the fleet; `share` is its part of the tokens."""
+
+    priority: PriorityName
+    key_digests: tuple[str, ...]
+    models: tuple[ModelName, ...] = ()
+    adapters: tuple[AdapterName, ...] = ()
+    services: tuple[ServiceName, ...] = ()
+    share: float = 0.001
+
+    def check_fields(self) -> None:
+        require(0 < self.share <= 1, "share", "must be above 0 and at most 1")
+        for digest in self.key_digests:
+            require(
+                KEY_DIGEST_PATTERN.match(digest) is not None,
+                "key_digests",
+                "must hold SHA-256 digests in lower-case hexadecimal",
+            )
+
+
+class Service(PublishedObject):
+    """A plain service; calls outside `repeatable_methods` run at most once."""
+
+    repeatable_methods: tuple[str, ...] = ("GET", "HEAD")
+    deadline_seconds: float = 10.0
+
+    def check_fields(self) -> None:
+        require(self.deadline_seconds > 0, "deadline_seconds", "must be above 0")
+
+
+class ModelEndpoint(PublishedObject):
+    """A model engine and its sidecar; `kv_tokens` is its KV memory."""
+
+    failure_domain: FailureDomainName
+    sidecar: str
+    versions: tuple[VersionName, ...]
+    adapters: tuple[AdapterName, ...] = ()
+    kv_tokens: int = 400_000
+    weights_megabytes: int = 80_000
+    cold_allowance: int = 2
+    concurrency: int = 64
+    checks_fencing: bool = True
+
+    def check_fields(self) -> None:
+        require(is_address(self.sidecar), "sidecar", "must be an IP number and a port")
+        require(self.kv_tokens > 0, "kv_tokens", "must be above 0")
+        require(
+            0 < self.cold_allowance <= self.concurrency,
+            "cold_allowance",
+            "must be above 0 and at most concurrency",
+        )
+        require(self.weights_megabytes > 0, "weights_megabytes", "must be above 0")
+
+
+class ServiceEndpoint(PublishedObject):
+    """A server of a plain service and its sidecar."""
+
+    failure_domain: FailureDomainName
+    sidecar: str
+    service: ServiceName
+    concurrency: int = 64
+
+    def check_fields(self) -> None:
+        require(is_address(self.sidecar), "sidecar", "must be an IP number and a port")
+        require(self.concurrency > 0, "concurrency", "must be above 0")
+
+
+class Kind(Enum):
+    """The kinds, by the name that files and parts use."""
+
+    def __new__(cls, value: str, struct: type[PublishedObject]):
+        member = object.__new__(cls)
+        member._value_ = value
+        member.struct = struct
+        return member
+
+    FAILURE_DOMAINS = ("failure_domains", FailureDomain)
+    PRIORITIES = ("priorities", Priority)
+    MODELS = ("models", Model)
+    VERSIONS = ("versions", Version)
+    ADAPTERS = ("adapters", Adapter)
+    WORKSPACES = ("workspaces", Workspace)
+    SERVICES = ("services", Service)
+    MODEL_ENDPOINTS = ("model_endpoints", ModelEndpoint)
+    SERVICE_ENDPOINTS = ("service_endpoints", ServiceEndpoint)
--- /dev/null
+++ b/bilberryring/process/__init__.py
@@ -0,0 +1,1 @@
+"""What both daemons share: settings, configuration, listeners."""
--- /dev/null
+++ b/bilberryring/process/operator_site.py
@@ -0,0 +1,125 @@
+"""The operators' listener: status, metrics, health and readiness."""
+
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.task import cooperate
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request
+
+from bilberryring.acceptance import RefusedSet
+from bilberryring.http import JsonQuery
+from bilberryring.telemetry import Metrics
+
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+
+class RefusedSetStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """A refused set, its reason and its remedy."""
+
+    number: int
+    digest: str
+    reason: str
+    remedy: str
+
+
+class EndpointStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """How an entry treats an endpoint."""
+
+    endpoint: str
+    failure_domain: str
+    standing: str
+    outstanding: int
+    set_number: int
+
+
+class ProcessStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """What a process has in force and how it stands."""
+
+    process: str
+    role: str
+    failure_domain: str
+    state: str
+    incarnation: str
+    set_number: int
+    set_digest: str
+    highest_seen: int
+    is_reader: bool
+    refused_sets: tuple[RefusedSetStatus, ...]
+    in_progress: int
+    links: int
+    endpoint: str = ""
+    endpoints: tuple[EndpointStatus, ...] = ()
+    quarantined: tuple[str, ...] = ()
+
+
+def refused_statuses(refused: tuple[RefusedSet, ...]) -> tuple[RefusedSetStatus, ...]:
+    """Return the refused sets as the status shows them."""
+    return tuple(
+        RefusedSetStatus(
+            number=item.number,
+            digest=item.digest,
+            reason=item.reason,
+            remedy=item.remedy,
+        )
+        for item in refused
+    )
+
+
+class MetricsQuery(Resource):
+    """Renders metrics piece by piece, so that streams go on meanwhile."""
+
+    isLeaf = True
+
+    def __init__(self, *, metrics: Metrics):
+        super().__init__()
+        self._metrics = metrics
+
+    def render_GET(self, request: Request) -> int:
+        request.setHeader(b"content-type", METRICS_TYPE)
+        closed: list[object] = []
+        request.notifyFinish().addBoth(closed.append)
+        cooperate(self._write(request, closed))
+        return NOT_DONE_YET
+
+    def _write(self, request: Request, closed: list[object]):
+        for piece in self._metrics.render():
+            if closed:
+                return
+            request.write(piece)
+            yield None
+        request.finish()
+
+
+class _Readiness(Resource):
+    isLeaf = True
+
+    def __init__(self, *, is_ready: Callable[[], bool]):
+        super().__init__()
+        self._is_ready = is_ready
+
+    def render_GET(self, request: Request) -> bytes:
+        if self._is_ready():
+            return b"ready\n"
+        request.setResponseCode(503)
+        return b"not ready\n"
+
+
+def health_children(root: Resource, *, is_ready: Callable[[], bool]) -> None:
+    """Add health and readiness to a site."""
+    root.putChild(b"healthz", _Readiness(is_ready=lambda: True))
+    root.putChild(b"readyz", _Readiness(is_ready=is_ready))
+
+
+def operator_resource(
+    *,
+    status: Callable[[], ProcessStatus],
+    metrics: Metrics,
+    is_ready: Callable[[], bool],
+) -> Resource:
+    """Return the root of the operators' site."""
+    root = Resource()
+    root.putChild(b"status", JsonQuery(read=status))
+    root.putChild(b"metrics", MetricsQuery(metrics=metrics))
+    health_children(root, is_ready=is_ready)
+    return root
--- /dev/null
+++ b/bilberryring/process/running.py
@@ -0,0 +1,68 @@
+"""Listening, signals and the end of a process."""
+
+import signal
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import Factory
+
+from bilberryring.core import ErrorCode, SettingsError
+from bilberryring.http import make_site
+from bilberryring.process.settings import host_and_port
+from bilberryring.telemetry import EventLog, LogEvent
+
+
+class Listeners:
+    """The bound addresses of a process."""
+
+    def __init__(self, *, reactor):
+        self._reactor = reactor
+        self._ports: dict[str, object] = {}
+
+    def listen(self, address: str, factory: Factory, *, key: str) -> None:
+        """Bind an address; `SettingsError` names the key when it is in use."""
+        host, port = host_and_port(address)
+        try:
+            bound = self._reactor.listenTCP(port, factory, interface=host)
+        except CannotListenError as error:
+            raise SettingsError(
+                code=ErrorCode.ADDRESS_IN_USE, key=key, detail=str(error)
+            )
+        self._ports[key] = bound
+
+    def listen_http(self, address: str, resource, *, key: str) -> None:
+        """Bind an address for HTTP."""
+        self.listen(address, make_site(resource), key=key)
+
+    def close(self, key: str) -> None:
+        """Cease to accept connections on one address."""
+        bound = self._ports.pop(key, None)
+        if bound is not None:
+            bound.stopListening()
+
+
+def run_until_drained(*, reactor, daemon, log: EventLog) -> None:
+    """Run the daemon until a signal has drained it; a second signal ends it."""
+    signals: list[int] = []
+
+    def on_signal(number: int, _frame) -> None:
+        reactor.callFromThread(begin_end, number)
+
+    def begin_end(number: int) -> None:
+        signals.append(number)
+        if len(signals) > 1:
+            log.write(LogEvent.DRAIN_CUT_SHORT)
+            reactor.stop()
+            return
+        log.write(LogEvent.DRAIN_STARTED)
+        draining = Deferred.fromCoroutine(daemon.drain())
+        draining.addBoth(end)
+
+    def end(_result) -> None:
+        log.write(LogEvent.DRAIN_FINISHED)
+        if reactor.running:
+            reactor.stop()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    reactor.run(installSignalHandlers=False)
--- /dev/null
+++ b/bilberryring/process/settings.py
@@ -0,0 +1,116 @@
+"""Settings of the daemons: JSON with comments, checked on start."""
+
+import re
+from pathlib import Path
+from typing import Literal, TypeVar
+
+import msgspec
+import pyjson5
+
+from bilberryring.core import ErrorCode, SettingsError
+from bilberryring.objects import is_address
+
+URL_PATTERN = re.compile(r"http://(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})\Z")
+
+
+class CommonSettings(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What both roles need; times are in seconds."""
+
+    process: str
+    failure_domain: str
+    operator_address: str
+    platform_url: str
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    drain_seconds: float = 300.0
+
+    def __post_init__(self):
+        _require_address(self.operator_address, "operator_address")
+        _require_url(self.platform_url, "platform_url")
+        if self.drain_seconds <= 0:
+            raise ValueError("drain_seconds: must be above 0 seconds")
+
+
+class EntrySettings(CommonSettings, frozen=True, kw_only=True):
+    """The settings of an entry."""
+
+    caller_address: str
+    tracked_endpoints_per_model: int = 12
+    leave_balancer_seconds: float = 0.0
+
+    def __post_init__(self):
+        super().__post_init__()
+        _require_address(self.caller_address, "caller_address")
+        if self.tracked_endpoints_per_model < 2:
+            raise ValueError("tracked_endpoints_per_model: must be at least 2")
+
+
+class SidecarSettings(CommonSettings, frozen=True, kw_only=True):
+    """The settings of a sidecar; `target_url` is its endpoint's own address."""
+
+    endpoint: str
+    link_address: str
+    target_url: str
+
+    def __post_init__(self):
+        super().__post_init__()
+        _require_address(self.link_address, "link_address")
+        _require_url(self.target_url, "target_url")
+
+
+Settings = TypeVar("Settings", bound=CommonSettings)
+
+
+def host_and_port(address: str) -> tuple[str, int]:
+    """Return the two parts of an address.
+
+    >>> host_and_port("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
+
+
+def read_settings(path: Path, shape: type[Settings]) -> Settings:
+    """Return checked settings; `SettingsError` names the key and the remedy."""
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise _error(str(path), str(error))
+    return parse_settings(text, shape)
+
+
+def parse_settings(text: str, shape: type[Settings]) -> Settings:
+    """Return the settings in a text; `SettingsError` names the key."""
+    try:
+        content = pyjson5.decode(text, maxdepth=8)
+    except (pyjson5.Json5Exception, ValueError) as error:
+        raise _error("file", str(error).replace("\n", " ")[:200])
+    try:
+        return msgspec.convert(content, shape)
+    except msgspec.ValidationError as error:
+        raise _error(_key_of(str(error)), str(error))
+
+
+def _error(key: str, detail: str) -> SettingsError:
+    return SettingsError(code=ErrorCode.SETTINGS_INVALID, key=key, detail=detail)
+
+
+def _key_of(message: str) -> str:
+    if " - at `$." in message:
+        return message.rsplit("`$.", 1)[1].rstrip("`")
+    if "`" in message:
+        return message.split("`")[1]
+    return message.split(":")[0]
+
+
+def _require_address(value: str, key: str) -> None:
+    if not is_address(value):
+        raise ValueError(f"{key}: must be an IP number and a port")
+
+
+def _require_url(value: str, key: str) -> None:
+    found = URL_PATTERN.match(value)
+    if found is None or not is_address(found.group(1)):
+        raise ValueError(f"{key}: must be http:// with an IP number and a port")
--- /dev/null
+++ b/bilberryring/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside each endpoint, the one authority over it."""
--- /dev/null
+++ b/bilberryring/sidecar/daemon.py
@@ -0,0 +1,341 @@
+"""The sidecar: the one authority over the endpoint beside it."""
+
+from twisted.internet.protocol import Factory
+from twisted.internet.task import LoopingCall, deferLater
+
+from bilberryring.adapters import EngineClient, PlatformReader
+from bilberryring.admission import EndpointLimits
+from bilberryring.core import ErrorCode, new_incarnation, to_micros
+from bilberryring.http import HttpClient
+from bilberryring.membership import HEARTBEAT_SECONDS, SidecarState
+from bilberryring.objects import ModelEndpoint, ObjectSet, ServiceEndpoint
+from bilberryring.process.configuration import ConfigurationTask
+from bilberryring.process.operator_site import (
+    ProcessStatus,
+    operator_resource,
+    refused_statuses,
+)
+from bilberryring.process.running import Listeners
+from bilberryring.process.settings import SidecarSettings
+from bilberryring.sidecar.peer import PeerLink
+from bilberryring.sidecar.prompt_runner import PromptRunner
+from bilberryring.sidecar.service_runner import ServiceRunner
+from bilberryring.sidecar.token_batcher import TokenBatcher
+from bilberryring.telemetry import EventLog, LogEvent, Metrics
+from bilberryring.wire import (
+    CallService,
+    Cancel,
+    Heartbeat,
+    Hello,
+    LinkProtocol,
+    PromptPart,
+    Refused,
+    RunPrompt,
+    SetAnswer,
+    SetNotice,
+    SetQuery,
+)
+
+ROLE = "sidecar"
+DRAIN_CHECK_SECONDS = 0.1
+DRAIN_QUIET_SECONDS = 0.5
+"""How long nothing may have run before a drained sidecar ends."""
+
+
+class SidecarDaemon:
+    """Wires the tasks of one sidecar together and answers its links."""
+
+    def __init__(self, *, reactor, settings: SidecarSettings, log: EventLog):
+        self._reactor = reactor
+        self._settings = settings
+        self._log = log
+        self._incarnation = new_incarnation()
+        self._metrics = Metrics()
+        self._peers: dict[LinkProtocol, PeerLink] = {}
+        self._prompts: PromptRunner | None = None
+        self._service: ServiceRunner | None = None
+        self._endpoint: ModelEndpoint | ServiceEndpoint | None = None
+        self._is_draining = False
+        self._last_state: SidecarState | None = None
+        self._listeners = Listeners(reactor=reactor)
+        self._target = HttpClient(reactor=reactor, base=settings.target_url)
+        self._configuration = ConfigurationTask(
+            reactor=reactor,
+            platform=PlatformReader(
+                client=HttpClient(reactor=reactor, base=settings.platform_url),
+                reader=settings.process,
+            ),
+            log=log,
+            failure_domain=settings.failure_domain,
+            endpoint=settings.endpoint,
+            on_change=self._set_changed,
+        )
+        self._heartbeats = LoopingCall(self._send_heartbeats)
+        self._heartbeats.clock = reactor
+
+    @property
+    def state(self) -> SidecarState:
+        """What this sidecar says of its endpoint."""
+        if self._is_draining or self._is_superseded:
+            return SidecarState.LEAVING
+        if self._is_domain_out:
+            return SidecarState.OUT
+        if self._prompts is not None and self._prompts.watch.is_lost:
+            return SidecarState.ENGINE_LOST
+        if self._prompts is not None and self._prompts.load().is_cold:
+            return SidecarState.COLD
+        return SidecarState.READY
+
+    def start(self) -> None:
+        """Bind the addresses and begin."""
+        factory = Factory.forProtocol(
+            lambda: LinkProtocol(
+                on_open=self._link_opened,
+                on_message=self._message_received,
+                on_closed=self._link_closed,
+            )
+        )
+        factory.noisy = False
+        self._listeners.listen(self._settings.link_address, factory, key="link_address")
+        self._listeners.listen_http(
+            self._settings.operator_address,
+            operator_resource(
+                status=self._status, metrics=self._metrics, is_ready=self._is_ready
+            ),
+            key="operator_address",
+        )
+        self._configuration.start()
+        self._heartbeats.start(HEARTBEAT_SECONDS, now=False)
+        self._log.write(
+            LogEvent.PROCESS_STARTED,
+            incarnation=self._incarnation,
+            link_address=self._settings.link_address,
+        )
+
+    async def drain(self) -> None:
+        """Refuse new work, end what runs, and return when nothing is left."""
+        self._is_draining = True
+        self._send_heartbeats()
+        quiet_since = self._reactor.seconds()
+        until = quiet_since + self._settings.drain_seconds
+        while True:
+            now = self._reactor.seconds()
+            if self._in_progress():
+                quiet_since = now
+            if now - quiet_since >= DRAIN_QUIET_SECONDS:
+                return
+            if now >= until:
+                self._log.write(LogEvent.DRAIN_TIMED_OUT, left=self._in_progress())
+                return
+            await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
+
+    @property
+    def _is_superseded(self) -> bool:
+        return self._prompts is not None and self._prompts.watch.is_superseded
+
+    @property
+    def _is_domain_out(self) -> bool:
+        objects = self._configuration.objects
+        return objects is not None and (
+            self._settings.failure_domain in objects.domains_out
+        )
+
+    def _is_ready(self) -> bool:
+        return self._endpoint is not None and not self._is_draining
+
+    def _in_progress(self) -> int:
+        prompts = self._prompts.attempt_count if self._prompts else 0
+        calls = self._service.running if self._service else 0
+        return prompts + calls
+
+    def _refusal(self) -> ErrorCode | None:
+        """Return the reason for which no new work is taken, if any."""
+        match self.state:
+            case SidecarState.LEAVING:
+                return ErrorCode.LEAVING
+            case SidecarState.OUT:
+                return ErrorCode.DOMAIN_OUT
+            case _:
+                return None
+
+    def _set_changed(self, objects: ObjectSet) -> None:
+        name = self._settings.endpoint
+        model_endpoint = objects.model_endpoints.get(name)
+        service_endpoint = objects.service_endpoints.get(name)
+        was_ready = self._endpoint is not None
+        if model_endpoint is not None:
+            self._endpoint = model_endpoint
+            self._ensure_prompt_runner(model_endpoint)
+        elif service_endpoint is not None:
+            self._endpoint = service_endpoint
+            self._ensure_service_runner()
+        if not was_ready and self._endpoint is not None:
+            self._log.write(LogEvent.PROCESS_READY)
+        self._send_heartbeats()
+
+    def _ensure_prompt_runner(self, endpoint: ModelEndpoint) -> None:
+        if self._prompts is not None:
+            return
+        self._prompts = PromptRunner(
+            reactor=self._reactor,
+            engine=EngineClient(client=self._target),
+            log=self._log,
+            incarnation=self._incarnation,
+            limits=EndpointLimits(
+                kv_tokens=endpoint.kv_tokens,
+                concurrency=endpoint.concurrency,
+                cold_allowance=endpoint.cold_allowance,
+            ),
+            objects=lambda: self._configuration.objects,
+            refusal=self._refusal,
+            on_change=self._state_may_have_changed,
+        )
+        self._prompts.start()
+
+    def _ensure_service_runner(self) -> None:
+        if self._service is not None:
+            return
+        self._service = ServiceRunner(
+            reactor=self._reactor,
+            client=HttpClient(
+                reactor=self._reactor,
+                base=self._settings.target_url,
+                persistent=False,
+            ),
+            log=self._log,
+            incarnation=self._incarnation,
+            concurrency=lambda: self._endpoint.concurrency,
+            refusal=self._refusal,
+        )
+
+    def _link_opened(self, link: LinkProtocol) -> None:
+        link.send(
+            Hello(
+                process=self._settings.process,
+                role=ROLE,
+                failure_domain=self._settings.failure_domain,
+                incarnation=self._incarnation,
+            )
+        )
+        self._configuration.add_link(link)
+
+    def _link_closed(self, link: LinkProtocol) -> None:
+        self._configuration.remove_link(link)
+        peer = self._peers.pop(link, None)
+        if peer is None:
+            return
+        self._log.write(LogEvent.LINK_CLOSED, peer=peer.incarnation)
+        if self._prompts is not None:
+            self._prompts.drop_link(link)
+        if self._service is not None:
+            self._service.drop_link(link)
+
+    def _message_received(self, link: LinkProtocol, message: object) -> None:
+        match message:
+            case Hello():
+                self._greet(link, message)
+            case SetNotice():
+                self._configuration.take_notice(link, message.number, message.digest)
+            case SetQuery():
+                self._configuration.take_query(link, message)
+            case SetAnswer():
+                self._configuration.take_answer(link, message)
+            case _:
+                peer = self._peers.get(link)
+                if peer is not None:
+                    self._work_received(peer, message)
+
+    def _greet(self, link: LinkProtocol, hello: Hello) -> None:
+        batcher = TokenBatcher(reactor=self._reactor, link=link)
+        self._peers[link] = PeerLink(
+            link=link, incarnation=hello.incarnation, batcher=batcher
+        )
+        self._log.write(
+            LogEvent.LINK_OPENED, peer=hello.process, incarnation=hello.incarnation
+        )
+        link.send(self._heartbeat())
+
+    def _work_received(self, peer: PeerLink, message: object) -> None:
+        match message:
+            case RunPrompt() if self._prompts is not None:
+                self._prompts.run_prompt(peer, message)
+            case PromptPart() if self._prompts is not None:
+                self._prompts.take_part(peer, message)
+            case Cancel() if self._prompts is not None:
+                self._prompts.cancel(peer, message)
+            case CallService() if self._service is not None:
+                self._service.call(peer, message)
+            case RunPrompt():
+                _refuse_unready(peer, message.attempt, "not_run")
+            case CallService():
+                _refuse_unready(peer, message.attempt, "unknown")
+
+    def _state_may_have_changed(self) -> None:
+        if self.state is not self._last_state:
+            self._send_heartbeats()
+
+    def _send_heartbeats(self) -> None:
+        heartbeat = self._heartbeat()
+        for peer in tuple(self._peers.values()):
+            peer.link.send(heartbeat)
+
+    def _heartbeat(self) -> Heartbeat:
+        state = self.state
+        self._last_state = state
+        heartbeat = Heartbeat(
+            sender_clock=to_micros(self._reactor.seconds()),
+            state=state.value,
+            incarnation=self._incarnation,
+            set_number=self._configuration.sets.number,
+            set_digest=self._configuration.sets.digest[:16],
+            backlog_tokens=[],
+            running=0,
+            free_kv_tokens=0,
+            allowance=0,
+            quarantined=[],
+            held_versions=[],
+            prefill_rate=0.0,
+            kv_tokens_total=0,
+        )
+        if self._prompts is not None and self._endpoint is not None:
+            load = self._prompts.load()
+            heartbeat.backlog_tokens = list(load.backlog_tokens)
+            heartbeat.running = load.running + load.queued
+            heartbeat.free_kv_tokens = load.free_kv_tokens
+            heartbeat.allowance = load.allowance
+            heartbeat.prefill_rate = load.prefill_rate
+            heartbeat.kv_tokens_total = self._endpoint.kv_tokens
+        elif self._service is not None and self._endpoint is not None:
+            heartbeat.running = self._service.running
+            heartbeat.allowance = self._endpoint.concurrency
+        return heartbeat
+
+    def _status(self) -> ProcessStatus:
+        sets = self._configuration.sets
+        return ProcessStatus(
+            process=self._settings.process,
+            role=ROLE,
+            failure_domain=self._settings.failure_domain,
+            endpoint=self._settings.endpoint,
+            incarnation=self._incarnation,
+            state=self.state.value,
+            set_number=sets.number,
+            set_digest=sets.digest,
+            highest_seen=self._configuration.highest_seen,
+            is_reader=self._configuration.is_reader,
+            refused_sets=refused_statuses(sets.refused),
+            in_progress=self._in_progress(),
+            links=len(self._peers),
+        )
+
+
+def _refuse_unready(peer: PeerLink, attempt: int, outcome: str) -> None:
+    peer.link.send(
+        Refused(
+            attempt=attempt,
+            code=ErrorCode.NO_SET.value,
+            detail="",
+            outcome=outcome,
+            retry_after=0,
+        )
+    )
--- /dev/null
+++ b/bilberryring/standins/platform_server.py
@@ -0,0 +1,193 @@
+"""The platform's stand-in over HTTP.
+
+Readers use `GET /v1/values/KEY`, `GET /v1/watch?prefix=&after=&wait=` and
+`GET /v1/vms`. Scenarios use `/control/...` to write, to be down, slow or stale,
+and to count calls; the system itself never calls it.
+"""
+
+from urllib.parse import unquote
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.web.resource import Resource
+from twisted.web.server import Request
+
+from bilberryring.adapters.platform_protocol import ListedVm
+from bilberryring.http import AsyncResource, write_json
+from bilberryring.standins.platform_store import (
+    CallLimiter,
+    PlatformStore,
+)
+
+MAX_WAIT_SECONDS = 60.0
+
+
+class PlatformMode(msgspec.Struct, frozen=True, kw_only=True):
+    """How the stand-in misbehaves; `stale_readers` limits staleness by name."""
+
+    down: bool = False
+    delay_seconds: float = 0.0
+    stale_at: int | None = None
+    stale_readers: tuple[str, ...] = ()
+    list_lag_seconds: float = 0.0
+
+
+class CallCounts(msgspec.Struct, frozen=True, kw_only=True):
+    """The calls that readers made; watches count as one each."""
+
+    total: int
+    refused: int
+    peak_per_second: int
+    by_reader: dict[str, int]
+
+
+class PlatformServer:
+    """Answers readers and scenarios from one store."""
+
+    def __init__(self, *, reactor):
+        self._reactor = reactor
+        self._store = PlatformStore()
+        self._limiter = CallLimiter()
+        self._by_reader: dict[str, int] = {}
+        self._mode = PlatformMode()
+        self._waiting: list[Deferred[None]] = []
+
+    def resource(self) -> Resource:
+        """Return the root of the site."""
+        root = Resource()
+        reads = Resource()
+        control = Resource()
+        root.putChild(b"v1", reads)
+        root.putChild(b"control", control)
+        for name, handle in (
+            (b"values", self._get_value),
+            (b"watch", self._watch),
+            (b"vms", self._list_vms),
+        ):
+            reads.putChild(name, self._leaf(handle, is_read=True))
+        for name, handle in (
+            (b"values", self._put_value),
+            (b"mode", self._set_mode),
+            (b"vms", self._set_vms),
+            (b"counts", self._counts),
+            (b"revision", self._get_revision),
+        ):
+            control.putChild(name, self._leaf(handle, is_read=False))
+        return root
+
+    def _leaf(self, handle, *, is_read: bool) -> AsyncResource:
+        async def guarded(request: Request) -> None:
+            if is_read and not await self._admit(request):
+                return
+            await handle(request)
+
+        return AsyncResource(handle=guarded, on_fault=lambda error: None)
+
+    async def _admit(self, request: Request) -> bool:
+        reader = _argument(request, b"reader", "")
+        self._by_reader[reader] = self._by_reader.get(reader, 0) + 1
+        is_within = self._limiter.admit(self._reactor.seconds())
+        if self._mode.down:
+            request.loseConnection()
+            return False
+        if self._mode.delay_seconds:
+            await deferLater(self._reactor, self._mode.delay_seconds)
+        if not is_within:
+            write_json(request, {"error": "rate"}, status=429)
+        return is_within
+
+    def _seen_revision(self, request: Request) -> int | None:
+        mode = self._mode
+        if mode.stale_at is None:
+            return None
+        reader = _argument(request, b"reader", "")
+        if mode.stale_readers and reader not in mode.stale_readers:
+            return None
+        return mode.stale_at
+
+    async def _get_value(self, request: Request) -> None:
+        key = _key_of(request)
+        value = self._store.get(key, at=self._seen_revision(request))
+        if value is None:
+            write_json(request, {"error": "no such key"}, status=404)
+            return
+        request.setHeader(b"x-created", str(value.created).encode())
+        request.setHeader(b"x-modified", str(value.modified).encode())
+        request.setHeader(b"content-type", b"application/octet-stream")
+        request.write(value.content)
+        request.finish()
+
+    async def _watch(self, request: Request) -> None:
+        prefix = _argument(request, b"prefix", "")
+        after = int(_argument(request, b"after", "0"))
+        wait = min(float(_argument(request, b"wait", "0")), MAX_WAIT_SECONDS)
+        closed: list[bool] = []
+        request.notifyFinish().addBoth(closed.append)
+        until = self._reactor.seconds() + wait
+        while not closed:
+            answer = self._store.changes(
+                prefix=prefix, after=after, at=self._seen_revision(request)
+            )
+            left = until - self._reactor.seconds()
+            if answer.items or left <= 0 or self._mode.down:
+                write_json(request, answer)
+                return
+            await self._next_change(left)
+
+    async def _next_change(self, timeout: float) -> None:
+        woken: Deferred[None] = Deferred()
+        self._waiting.append(woken)
+        timer = self._reactor.callLater(timeout, self._wake, woken)
+        await woken
+        if timer.active():
+            timer.cancel()
+
+    def _wake(self, woken: Deferred[None]) -> None:
+        if woken in self._waiting:
+            self._waiting.remove(woken)
+            woken.callback(None)
+
+    def _wake_all(self) -> None:
+        for woken in tuple(self._waiting):
+            self._wake(woken)
+
+    async def _list_vms(self, request: Request) -> None:
+        lag = self._mode.list_lag_seconds
+        vms = self._store.vms(now=self._reactor.seconds(), lag=lag)
+        write_json(request, vms)
+
+    async def _put_value(self, request: Request) -> None:
+        revision = self._store.put(_key_of(request), request.read_body())
+        self._wake_all()
+        write_json(request, {"revision": revision})
+
+    async def _set_mode(self, request: Request) -> None:
+        self._mode = msgspec.json.decode(request.read_body(), type=PlatformMode)
+        self._wake_all()
+        write_json(request, self._mode)
+
+    async def _set_vms(self, request: Request) -> None:
+        vms = msgspec.json.decode(request.read_body(), type=tuple[ListedVm, ...])
+        self._store.set_vms(vms, now=self._reactor.seconds())
+        write_json(request, {"count": len(vms)})
+
+    async def _counts(self, request: Request) -> None:
+        counts = CallCounts(
+            total=self._limiter.total,
+            refused=self._limiter.refused,
+            peak_per_second=self._limiter.peak,
+            by_reader=self._by_reader,
+        )
+        write_json(request, counts)
+
+    async def _get_revision(self, request: Request) -> None:
+        write_json(request, {"revision": self._store.revision})
+
+
+def _key_of(request: Request) -> str:
+    return unquote(b"/".join(request.postpath).decode())
+
+
+def _argument(request: Request, name: bytes, default: str) -> str:
+    return request.args.get(name, [default.encode()])[0].decode()
--- /dev/null
+++ b/bilberryring/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets of real processes and callers, for scenarios and the demo."""
--- /dev/null
+++ b/bilberryring/testing/caller.py
@@ -0,0 +1,183 @@
+"""A caller that speaks HTTP, and judges the answers that it gets."""
+
+import http.client
+import json
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from bilberryring.standins.engine_model import expected_answer
+
+SOCKET_SECONDS = 120.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PromptResult:
+    """What a caller got for a prompt; times are in seconds.
+
+    `outcome` and `code` are empty for a whole answer, and `cut` says that the
+    answer ended without an end marker or a typed error.
+    """
+
+    is_whole: bool
+    code: str = ""
+    outcome: str = ""
+    cut: bool = False
+    first_token: float | None = None
+    seconds: float = 0.0
+    tokens: int = 0
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallResult:
+    """What a caller got for a call of a plain service."""
+
+    status: int
+    code: str = ""
+    outcome: str = ""
+    body: Any = None
+    replayed: bool = False
+
+
+class Caller:
+    """Speaks to one entry with the key of one workspace."""
+
+    def __init__(self, *, address: str, key: str):
+        self._address = address
+        self._key = key
+
+    def prompt(
+        self, text: str, *, model: str, max_tokens: int, timeout: float | None = None
+    ) -> PromptResult:
+        """Send a streaming completion and read it to its end."""
+        body = {
+            "model": model,
+            "prompt": text,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        if timeout is not None:
+            body["timeout"] = timeout
+        started = time.monotonic()
+        try:
+            connection = self._connect()
+            connection.request(
+                "POST", "/v1/completions", json.dumps(body), self._headers()
+            )
+            response = connection.getresponse()
+            if response.status != 200:
+                return _problem_result(response.read(), started)
+            return _read_stream(response, text, max_tokens, started)
+        except (OSError, http.client.HTTPException) as error:
+            return PromptResult(
+                is_whole=False,
+                cut=True,
+                detail=repr(error),
+                seconds=time.monotonic() - started,
+            )
+
+    def ticket(self, service: str) -> CallResult:
+        """Take a ticket for a service."""
+        return self._exchange("POST", f"/v1/services/{service}/tickets", {}, "")
+
+    def call(
+        self, service: str, path: str, body: dict, *, ticket: str = ""
+    ) -> CallResult:
+        """Call a service, under a ticket when one is given."""
+        return self._exchange(
+            "POST", f"/v1/services/{service}/calls/{path}", body, ticket
+        )
+
+    def look(self, service: str, path: str) -> CallResult:
+        """Make a repeatable call of a service."""
+        return self._exchange("GET", f"/v1/services/{service}/calls/{path}", None, "")
+
+    def _exchange(
+        self, method: str, path: str, body: dict | None, ticket: str
+    ) -> CallResult:
+        headers = self._headers()
+        if ticket:
+            headers["Idempotency-Key"] = ticket
+        content = json.dumps(body) if body is not None else None
+        try:
+            connection = self._connect()
+            connection.request(method, path, content, headers)
+            response = connection.getresponse()
+            text = response.read()
+        except (OSError, http.client.HTTPException) as error:
+            return CallResult(status=0, code="cut", body=repr(error))
+        decoded = json.loads(text) if text else None
+        is_problem = "problem" in (response.getheader("content-type") or "")
+        return CallResult(
+            status=response.status,
+            code=decoded["code"] if is_problem else "",
+            outcome=decoded["outcome"] if is_problem else "",
+            body=decoded,
+            replayed=response.getheader("x-bilberryring-replayed") == "true",
+        )
+
+    def _connect(self) -> http.client.HTTPConnection:
+        host, port = self._address.rsplit(":", 1)
+        return http.client.HTTPConnection(host, int(port), timeout=SOCKET_SECONDS)
+
+    def _headers(self) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {self._key}",
+            "Content-Type": "application/json",
+        }
+
+
+def _problem_result(body: bytes, started: float) -> PromptResult:
+    try:
+        problem = json.loads(body)
+    except ValueError:
+        return PromptResult(is_whole=False, cut=True, detail=repr(body[:200]))
+    return PromptResult(
+        is_whole=False,
+        code=problem["code"],
+        outcome=problem["outcome"],
+        seconds=time.monotonic() - started,
+        detail=problem.get("detail", ""),
+    )
+
+
+def _read_stream(response, prompt: str, max_tokens: int, started: float):
+    texts: list[str] = []
+    first_token = None
+    problem = None
+    has_end = False
+    for raw in response:
+        line = raw.decode().strip()
+        if not line.startswith("data: "):
+            continue
+        data = line.removeprefix("data: ")
+        if data == "[DONE]":
+            has_end = True
+            break
+        event = json.loads(data)
+        if "error" in event:
+            problem = event["error"]
+            break
+        text = event["choices"][0]["text"]
+        if text and first_token is None:
+            first_token = time.monotonic() - started
+        texts.append(text)
+    seconds = time.monotonic() - started
+    if problem is not None:
+        return PromptResult(
+            is_whole=False,
+            code=problem["code"],
+            outcome=problem["outcome"],
+            first_token=first_token,
+            seconds=seconds,
+        )
+    whole = has_end and "".join(texts) == expected_answer(prompt, max_tokens)
+    return PromptResult(
+        is_whole=whole,
+        cut=not has_end,
+        first_token=first_token,
+        seconds=seconds,
+        tokens=max_tokens if whole else 0,
+        detail="" if whole else "the answer is not the expected one",
+    )
--- /dev/null
+++ b/bilberryring/testing/fleet.py
@@ -0,0 +1,499 @@
+"""A small fleet of real processes on loopback, for scenarios and the demo."""
+
+import contextlib
+import json
+import random
+import shutil
+import socket
+import urllib.request
+from dataclasses import dataclass, replace
+
+from bilberryring.adapters import PART_PREFIX, set_key
+from bilberryring.objects import (
+    CanonicalSet,
+    DomainState,
+    FailureDomain,
+    Manifest,
+    Model,
+    ModelEndpoint,
+    ObjectSet,
+    Priority,
+    Service,
+    ServiceEndpoint,
+    Version,
+    Workspace,
+    encode_manifest,
+    key_digest,
+    render_set,
+)
+from bilberryring.testing.caller import Caller
+from bilberryring.testing.processes import (
+    ManagedProcess,
+    scratch_directory,
+    wait_until,
+)
+
+MODEL = "bilberry"
+VERSION = "bilberry-1"
+SERVICE = "booking"
+KEY = "key-of-{workspace}"
+READY_SECONDS = 30.0
+STOP_SECONDS = 20.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """How many processes of each kind, and how the stand-ins behave."""
+
+    domains: tuple[str, ...] = ("valpo-a", "vina-b", "quilpue-c")
+    region: str = "cl-centro"
+    engines_per_domain: int = 2
+    services_per_domain: int = 1
+    entry_domains: tuple[str, ...] = ("valpo-a", "vina-b")
+    kv_tokens: int = 600_000
+    prefill_rate: float = 40_000.0
+    cold_completions: int = 0
+    cold_bears: int = 2
+    cold_allowance: int = 64
+    concurrency: int = 64
+    honours_fencing: bool = True
+    service_deadline_seconds: float = 5.0
+    total_seconds: float = 60.0
+    first_token_seconds: float = 20.0
+
+
+def workspace_key(workspace: str) -> str:
+    """Return the caller's key of a workspace of the plan."""
+    return KEY.format(workspace=workspace)
+
+
+class AddressBook:
+    """Hands out free addresses on a loopback number of its own."""
+
+    def __init__(self):
+        self._host = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.1"
+        self._taken: set[int] = set()
+
+    @property
+    def host(self) -> str:
+        """The IP number of all addresses."""
+        return self._host
+
+    def address(self) -> str:
+        """Return an address whose port the kernel chose."""
+        while True:
+            with socket.socket() as probe:
+                probe.bind((self._host, 0))
+                port = probe.getsockname()[1]
+            if port not in self._taken:
+                self._taken.add(port)
+                return f"{self._host}:{port}"
+
+
+class Fleet:
+    """Starts the processes of a plan, publishes sets, and causes failures."""
+
+    def __init__(self, *, plan: FleetPlan | None = None):
+        self._plan = plan or FleetPlan()
+        self._directory = scratch_directory()
+        self._addresses = AddressBook()
+        self._processes: dict[str, ManagedProcess] = {}
+        self._targets: dict[str, str] = {}
+        self._sidecars: dict[str, str] = {}
+        self._published_addresses: dict[str, str] = {}
+        self._operators: dict[str, str] = {}
+        self._callers: dict[str, str] = {}
+        self._platform = ""
+        self._published: CanonicalSet | None = None
+        self._objects = ObjectSet()
+
+    @property
+    def plan(self) -> FleetPlan:
+        """The plan of the fleet."""
+        return self._plan
+
+    @property
+    def objects(self) -> ObjectSet:
+        """The objects published last."""
+        return self._objects
+
+    @property
+    def published(self) -> CanonicalSet:
+        """The set published last."""
+        return self._published
+
+    @property
+    def entries(self) -> tuple[str, ...]:
+        """The names of the entries."""
+        return tuple(self._callers)
+
+    @property
+    def engines(self) -> tuple[str, ...]:
+        """The names of the model endpoints."""
+        return tuple(name for name in self._targets if name.startswith("engine-"))
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """The names of the service endpoints."""
+        return tuple(name for name in self._targets if name.startswith("book-"))
+
+    @property
+    def daemons(self) -> tuple[str, ...]:
+        """The names of the system's own processes."""
+        return tuple(self._operators)
+
+    def start(self) -> "Fleet":
+        """Start everything and wait until it is ready."""
+        self.start_stand_ins()
+        self.publish(self.base_objects())
+        for name in self._targets:
+            self.start_sidecar(name)
+        for index, domain in enumerate(self._plan.entry_domains):
+            self.start_entry(f"entry-{index + 1}", domain)
+        self.wait_ready()
+        return self
+
+    def stop(self) -> None:
+        """End every process that this fleet started, and remove its files."""
+        for process in self._processes.values():
+            if process.is_running:
+                process.thaw()
+                process.kill()
+        shutil.rmtree(self._directory, ignore_errors=True)
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a process by name, such as `sidecar-engine-valpo-a-1`."""
+        return self._processes[name]
+
+    def start_stand_ins(self) -> None:
+        """Start the platform, the engines and the plain services."""
+        self._platform = self._start_stand_in("platform", ["platform"])
+        for domain in self._plan.domains:
+            for index in range(self._plan.engines_per_domain):
+                self.start_engine(f"engine-{domain}-{index + 1}")
+            for index in range(self._plan.services_per_domain):
+                self.start_service(f"book-{domain}-{index + 1}")
+        for name in self._targets:
+            self._sidecars[name] = self._addresses.address()
+            self._published_addresses[name] = self._sidecars[name]
+            self._processes[name].listening_port()
+        self._processes["platform"].listening_port()
+
+    def start_engine(self, name: str) -> None:
+        """Start, or start again, the engine of an endpoint."""
+        plan = self._plan
+        fencing = "--honours-fencing" if plan.honours_fencing else "--ignores-fencing"
+        self._targets[name] = self._start_stand_in(
+            name,
+            [
+                "engine",
+                "--kv-tokens",
+                str(plan.kv_tokens),
+                "--prefill-rate",
+                str(plan.prefill_rate),
+                "--cold-completions",
+                str(plan.cold_completions),
+                "--cold-bears",
+                str(plan.cold_bears),
+                fencing,
+            ],
+            address=self._targets.get(name),
+        )
+
+    def start_service(self, name: str) -> None:
+        """Start, or start again, the plain service of an endpoint."""
+        self._targets[name] = self._start_stand_in(
+            name, ["plain"], address=self._targets.get(name)
+        )
+
+    def start_sidecar(self, endpoint: str, *, link_address: str = "") -> str:
+        """Start the sidecar of an endpoint and return the process's name."""
+        name = f"sidecar-{endpoint}"
+        operator = self._operators.setdefault(name, self._addresses.address())
+        settings = {
+            "process": name,
+            "failure_domain": self.domain_of(endpoint),
+            "operator_address": operator,
+            "platform_url": f"http://{self._platform}",
+            "endpoint": endpoint,
+            "link_address": link_address or self._sidecars[endpoint],
+            "target_url": f"http://{self._targets[endpoint]}",
+        }
+        self._start_daemon(name, "sidecar", settings)
+        return name
+
+    def start_entry(self, name: str, domain: str) -> None:
+        """Start, or start again, an entry."""
+        operator = self._operators.setdefault(name, self._addresses.address())
+        caller = self._callers.setdefault(name, self._addresses.address())
+        settings = {
+            "process": name,
+            "failure_domain": domain,
+            "operator_address": operator,
+            "caller_address": caller,
+            "platform_url": f"http://{self._platform}",
+        }
+        self._start_daemon(name, "entry", settings)
+
+    def domain_of(self, endpoint: str) -> str:
+        """Return the failure domain in an endpoint's name."""
+        return next(domain for domain in self._plan.domains if domain in endpoint)
+
+    def wait_ready(self) -> None:
+        """Wait until every daemon is ready and every endpoint is live."""
+        for name in self._operators:
+            wait_until(
+                lambda name=name: self.is_ready(name), READY_SECONDS, f"{name} ready"
+            )
+        for name in self._callers:
+            wait_until(
+                lambda name=name: self._sees_all_live(name),
+                READY_SECONDS,
+                f"{name} to see all endpoints live",
+            )
+
+    def is_ready(self, name: str) -> bool:
+        """Whether a daemon says it is ready."""
+        with contextlib.suppress(OSError):
+            return self._http("GET", self._operators[name], "/readyz") == b"ready\n"
+        return False
+
+    def status(self, name: str) -> dict:
+        """Return the status of a daemon."""
+        return json.loads(self._http("GET", self._operators[name], "/status"))
+
+    def operator_address(self, name: str) -> str:
+        """Return the operators' address of a daemon."""
+        return self._operators[name]
+
+    def caller(self, entry: str, workspace: str) -> Caller:
+        """Return a caller of an entry with a workspace's key."""
+        return Caller(address=self._callers[entry], key=workspace_key(workspace))
+
+    def caller_address(self, entry: str) -> str:
+        """Return the callers' address of an entry."""
+        return self._callers[entry]
+
+    def published_address(self, endpoint: str) -> str:
+        """Return the address of a sidecar as published."""
+        return self._published_addresses[endpoint]
+
+    def reroute(self, endpoint: str, address: str) -> str:
+        """Publish another address for a sidecar from the next set on.
+
+        Return the address at which the sidecar itself listens.
+        """
+        self._published_addresses[endpoint] = address
+        return self._sidecars[endpoint]
+
+    def base_objects(self) -> ObjectSet:
+        """Return the objects of the plan."""
+        plan = self._plan
+        domains = [
+            FailureDomain(name=name, region=plan.region) for name in plan.domains
+        ]
+        priorities = [
+            Priority(
+                name=name,
+                rank=rank,
+                first_token_seconds=plan.first_token_seconds,
+                total_seconds=plan.total_seconds,
+            )
+            for rank, name in enumerate(("counter", "office", "archive"))
+        ]
+        workspaces = [
+            Workspace(
+                name=name,
+                priority=priority,
+                models=(MODEL,),
+                services=(SERVICE,),
+                share=0.2,
+                key_digests=(key_digest(workspace_key(name)),),
+            )
+            for name, priority in (
+                ("bars", "counter"),
+                ("fuentes", "counter"),
+                ("tenders", "office"),
+                ("logs", "archive"),
+            )
+        ]
+        return ObjectSet(
+            failure_domains=_by_name(domains),
+            priorities=_by_name(priorities),
+            models=_by_name(
+                [Model(name=MODEL, default_version=VERSION)],
+            ),
+            versions=_by_name(
+                [Version(name=VERSION, model=MODEL, weights_megabytes=14_000)]
+            ),
+            workspaces=_by_name(workspaces),
+            services=_by_name(
+                [Service(name=SERVICE, deadline_seconds=plan.service_deadline_seconds)]
+            ),
+            model_endpoints=_by_name(
+                [self._model_endpoint(name) for name in self.engines]
+            ),
+            service_endpoints=_by_name(
+                [self._service_endpoint(name) for name in self.services]
+            ),
+        )
+
+    def publish(self, objects: ObjectSet) -> int:
+        """Publish a set on top of the last one and return its number."""
+        predecessor = self._published.manifest if self._published else None
+        canonical = render_set(objects, predecessor=predecessor)
+        self.write_set(canonical)
+        self._published = canonical
+        self._objects = objects
+        return canonical.manifest.number
+
+    def write_set(self, canonical: CanonicalSet) -> None:
+        """Write a set's parts and then its manifest, as operators do."""
+        for digest, content in canonical.parts.items():
+            self.write_value(PART_PREFIX + digest, content)
+        self.write_manifest(canonical.manifest)
+
+    def write_manifest(self, manifest: Manifest) -> None:
+        """Write a manifest under the key of its number."""
+        self.write_value(set_key(manifest.number), encode_manifest(manifest))
+
+    def write_value(self, key: str, content: bytes) -> None:
+        """Write a value to the platform."""
+        self._http("POST", self._platform, f"/control/values/{key}", content)
+
+    def set_domain(self, domain: str, state: DomainState) -> int:
+        """Publish a set that takes a failure domain out or back."""
+        domains = dict(self._objects.failure_domains)
+        changed = FailureDomain(name=domain, region=self._plan.region, state=state)
+        domains[domain] = changed
+        return self.publish(replace(self._objects, failure_domains=domains))
+
+    def platform_mode(self, **mode) -> None:
+        """Make the platform down, slow or stale."""
+        self._http("POST", self._platform, "/control/mode", json.dumps(mode).encode())
+
+    def platform_revision(self) -> int:
+        """Return the platform's newest revision."""
+        return json.loads(self._http("GET", self._platform, "/control/revision"))[
+            "revision"
+        ]
+
+    def platform_counts(self) -> dict:
+        """Return the calls that the platform counted."""
+        return json.loads(self._http("GET", self._platform, "/control/counts"))
+
+    def publish_vms(self, leaving: tuple[str, ...] = ()) -> None:
+        """Write the VM list with the sidecars of the plan."""
+        vms = [
+            {
+                "name": name,
+                "role": "sidecar",
+                "address": address,
+                "failure_domain": self.domain_of(name),
+                "state": "leaving" if name in leaving else "live",
+            }
+            for name, address in self._published_addresses.items()
+        ]
+        self._http("POST", self._platform, "/control/vms", json.dumps(vms).encode())
+
+    def effects(self) -> dict[str, int]:
+        """Return how often each reference took effect, over all services."""
+        total: dict[str, int] = {}
+        for name in self.services:
+            with contextlib.suppress(OSError):
+                text = self._http("GET", self._targets[name], "/control/effects")
+                for reference, count in json.loads(text).items():
+                    total[reference] = total.get(reference, 0) + count
+        return total
+
+    def engine_facts(self, name: str) -> dict:
+        """Return what the engine stand-in knows of itself."""
+        return json.loads(self._http("GET", self._targets[name], "/control/facts"))
+
+    def engine_control(self, name: str, action: str, body: object = None) -> None:
+        """Make an engine crash or turn cold."""
+        self._http(
+            "POST",
+            self._targets[name],
+            f"/control/{action}",
+            json.dumps(body).encode(),
+        )
+
+    def log_events(self, name: str) -> list[dict]:
+        """Return the log events of a daemon, over all its runs."""
+        events = []
+        for line in self._processes[name].log_text.splitlines():
+            with contextlib.suppress(ValueError):
+                events.append(json.loads(line))
+        return events
+
+    def _model_endpoint(self, name: str) -> ModelEndpoint:
+        plan = self._plan
+        return ModelEndpoint(
+            name=name,
+            failure_domain=self.domain_of(name),
+            sidecar=self._published_addresses[name],
+            versions=(VERSION,),
+            kv_tokens=plan.kv_tokens,
+            cold_allowance=plan.cold_allowance,
+            concurrency=plan.concurrency,
+            checks_fencing=plan.honours_fencing,
+        )
+
+    def _service_endpoint(self, name: str) -> ServiceEndpoint:
+        return ServiceEndpoint(
+            name=name,
+            failure_domain=self.domain_of(name),
+            sidecar=self._published_addresses[name],
+            service=SERVICE,
+        )
+
+    def _sees_all_live(self, entry: str) -> bool:
+        with contextlib.suppress(OSError):
+            endpoints = self.status(entry)["endpoints"]
+            live = [item for item in endpoints if item["standing"] in ("live", "cold")]
+            return len(live) == len(self._targets)
+        return False
+
+    def _start_stand_in(
+        self, name: str, arguments: list[str], *, address: str | None = None
+    ) -> str:
+        address = address or self._addresses.address()
+        host, port = address.rsplit(":", 1)
+        process = ManagedProcess(
+            name=name,
+            arguments=[
+                "bilberryring.standins.main",
+                arguments[0],
+                "--host",
+                host,
+                "--port",
+                port,
+                *arguments[1:],
+            ],
+            directory=self._directory,
+        )
+        self._processes[name] = process
+        return address
+
+    def _start_daemon(self, name: str, role: str, settings: dict) -> None:
+        path = self._directory / f"{name}.json5"
+        path.write_text(
+            f"// Settings of {name}.\n" + json.dumps(settings, indent=2), "utf-8"
+        )
+        self._processes[name] = ManagedProcess(
+            name=name,
+            arguments=["bilberryring.daemon", role, "--settings", str(path)],
+            directory=self._directory,
+        )
+
+    def _http(self, method: str, address: str, path: str, body: bytes = b"") -> bytes:
+        request = urllib.request.Request(
+            f"http://{address}{path}", data=body or None, method=method
+        )
+        with urllib.request.urlopen(request, timeout=5) as response:
+            return response.read()
+
+
+def _by_name(items: list) -> dict:
+    return {item.name: item for item in items}
--- /dev/null
+++ b/bilberryring/wire/codec.py
@@ -0,0 +1,34 @@
+"""Envelopes to bytes and back, with Thrift's binary protocol."""
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+
+from bilberryring.wire.gen.ttypes import Envelope
+
+MAX_STRING_BYTES = 64 * 1024 * 1024
+ENVELOPE_SPEC = (Envelope, Envelope.thrift_spec)
+
+
+class FrameError(Exception):
+    """A frame that is not an Envelope; the remedy is to close the link."""
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the bytes of one frame, without its length prefix."""
+    buffer = TMemoryBuffer()
+    envelope.write(TBinaryProtocolAccelerated(buffer, fallback=False))
+    return buffer.getvalue()
+
+
+def decode(frame: bytes) -> Envelope:
+    """Return the Envelope of one frame; `FrameError` when it is not one."""
+    envelope = Envelope()
+    protocol = TBinaryProtocolAccelerated(
+        TMemoryBuffer(frame), fallback=False, string_length_limit=MAX_STRING_BYTES
+    )
+    try:
+        envelope.read(protocol)
+    except (TException, EOFError, TypeError, ValueError, MemoryError) as error:
+        raise FrameError(f"frame_malformed: {error}. Remedy: close the link.")
+    return envelope
--- /dev/null
+++ b/bilberryring/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/bilberryring/wire/link.py
@@ -0,0 +1,87 @@
+"""A link between two processes: framed Envelopes over one TCP connection."""
+
+from collections.abc import Callable
+
+from twisted.internet.protocol import connectionDone
+from twisted.protocols.basic import Int32StringReceiver
+
+from bilberryring.wire.codec import MAX_STRING_BYTES, FrameError, decode, encode
+from bilberryring.wire.gen.ttypes import Envelope
+
+_FIELD_OF_TYPE: dict[type, str] = {
+    spec[3][0]: spec[2] for spec in Envelope.thrift_spec if spec is not None
+}
+_FIELDS = tuple(Envelope.__slots__)
+
+
+class LinkProtocol(Int32StringReceiver):
+    """Sends messages, and hands each received one to the owner's handler."""
+
+    MAX_LENGTH = MAX_STRING_BYTES
+
+    def __init__(
+        self,
+        *,
+        on_open: Callable[["LinkProtocol"], None],
+        on_message: Callable[["LinkProtocol", object], None],
+        on_closed: Callable[["LinkProtocol"], None],
+    ):
+        self._on_open = on_open
+        self._on_message = on_message
+        self._on_closed = on_closed
+        self._is_open = False
+        self._bytes_sent = 0
+        self._bytes_received = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can be sent."""
+        return self._is_open
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes sent since the connection opened, prefixes included."""
+        return self._bytes_sent
+
+    @property
+    def bytes_received(self) -> int:
+        """Bytes received since the connection opened, prefixes included."""
+        return self._bytes_received
+
+    def send(self, message: object) -> bool:
+        """Send one message; `False` when the link is closed."""
+        if not self._is_open:
+            return False
+        envelope = Envelope()
+        setattr(envelope, _FIELD_OF_TYPE[type(message)], message)
+        frame = encode(envelope)
+        self._bytes_sent += len(frame) + self.prefixLength
+        self.sendString(frame)
+        return True
+
+    def connectionMade(self):
+        self._is_open = True
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self._on_open(self)
+
+    def stringReceived(self, string: bytes):
+        self._bytes_received += len(string) + self.prefixLength
+        try:
+            envelope = decode(string)
+        except FrameError:
+            self.transport.abortConnection()
+            return
+        for field in _FIELDS:
+            message = getattr(envelope, field)
+            if message is not None:
+                self._on_message(self, message)
+                return
+
+    def lengthLimitExceeded(self, length: int):
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason=connectionDone):
+        if self._is_open:
+            self._is_open = False
+            self._on_closed(self)
--- /dev/null
+++ b/bilberryring/wire/messages.thrift
@@ -0,0 +1,133 @@
+// Messages between the processes of bilberryring.
+//
+// Every frame on a link is one Envelope in the binary protocol. Exactly one
+// field of an Envelope is set. Times are microseconds on the clock of the
+// process that receives them, unless the name says "sender".
+
+namespace py bilberryring.wire.gen
+
+struct Hello {
+  1: string process,
+  2: string role,
+  3: string failure_domain,
+  4: string incarnation,
+}
+
+struct SetNotice {
+  1: i64 number,
+  2: string digest,
+}
+
+struct SetQuery {
+  1: bool manifest,
+  2: list<string> part_digests,
+}
+
+struct SetAnswer {
+  1: binary manifest,
+  2: map<string, binary> parts,
+}
+
+struct Heartbeat {
+  1: i64 sender_clock,
+  2: string state,
+  3: list<i64> backlog_tokens,
+  4: i32 running,
+  5: i64 free_kv_tokens,
+  6: i32 allowance,
+  7: i64 set_number,
+  8: string set_digest,
+  9: list<string> quarantined,
+  10: list<string> held_versions,
+  11: double prefill_rate,
+  12: string incarnation,
+  13: i64 kv_tokens_total,
+}
+
+struct RunPrompt {
+  1: i64 attempt,
+  2: string request,
+  3: string workspace,
+  4: string model,
+  5: string version,
+  6: string adapter,
+  7: string priority,
+  8: i64 prompt_tokens,
+  9: i32 max_tokens,
+  10: i32 delivered_tokens,
+  11: i64 deadline,
+  12: string fingerprint,
+  13: i32 prompt_parts,
+  14: i64 queue_deadline,
+}
+
+struct PromptPart {
+  1: i64 attempt,
+  2: i32 index,
+  3: binary text,
+}
+
+struct Cancel {
+  1: i64 attempt,
+}
+
+struct CallService {
+  1: i64 attempt,
+  2: string request,
+  3: string workspace,
+  4: string service_name,
+  5: string ticket,
+  6: string method,
+  7: string path,
+  8: string content_type,
+  9: binary body,
+  10: i64 deadline,
+}
+
+struct Tokens {
+  1: i64 attempt,
+  2: i32 first_index,
+  3: list<string> texts,
+}
+
+struct TokenBatch {
+  1: list<Tokens> items,
+}
+
+struct Finished {
+  1: i64 attempt,
+  2: i32 token_count,
+  3: string reason,
+}
+
+struct Refused {
+  1: i64 attempt,
+  2: string code,
+  3: string detail,
+  4: string outcome,
+  5: i64 retry_after,
+}
+
+struct ServiceAnswer {
+  1: i64 attempt,
+  2: i32 status,
+  3: string content_type,
+  4: binary body,
+  5: bool replayed,
+}
+
+struct Envelope {
+  1: optional Hello hello,
+  2: optional Heartbeat heartbeat,
+  3: optional SetNotice set_notice,
+  4: optional SetQuery set_query,
+  5: optional SetAnswer set_answer,
+  6: optional RunPrompt run_prompt,
+  7: optional PromptPart prompt_part,
+  8: optional Cancel cancel,
+  9: optional CallService call_service,
+  10: optional TokenBatch token_batch,
+  11: optional Finished finished,
+  12: optional Refused refused,
+  13: optional ServiceAnswer service_answer,
+}
