At most once: scenarios with real processes and a ledger state machine

Cause: the ledger's promises were untested. A forged ticket from the future was refused as 'not run' without a record, and could have run later. A forged future ticket is now refused as 'unknown'. Ruled out: recording forged tickets for ever (memory without bound).

--- a/bilberryring/execution/ledger.py
+++ b/bilberryring/execution/ledger.py
@@ -136,10 +136,10 @@
         if age > TICKET_VALID_SECONDS:
             return Refuse(code=ErrorCode.TICKET_EXPIRED, outcome=RunOutcome.UNKNOWN)
         if age < -TICKET_FUTURE_SECONDS:
-            return Refuse(code=ErrorCode.TICKET_MALFORMED, outcome=RunOutcome.NOT_RUN)
+            return Refuse(code=ErrorCode.TICKET_MALFORMED, outcome=RunOutcome.UNKNOWN)
         if refusal is None and now >= deadline:
             refusal = ErrorCode.TOO_LATE
-        if refusal is None and len(self._records) >= self._max_records:
+        if len(self._records) >= self._max_records:
             return Refuse(code=ErrorCode.QUEUE_FULL, outcome=RunOutcome.UNKNOWN)
         return self._open_record(call, now, refusal)
 
--- /dev/null
+++ b/bilberryring/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios with real processes, in Gherkin."""
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -60,6 +60,7 @@
     service_deadline_seconds: float = 5.0
     total_seconds: float = 60.0
     first_token_seconds: float = 20.0
+    is_relayed: bool = False
 
 
 def workspace_key(workspace: str) -> str:
@@ -104,6 +105,8 @@
         self._operators: dict[str, str] = {}
         self._callers: dict[str, str] = {}
         self._platform = ""
+        self._relay = ""
+        self._relayed_targets: dict[str, str] = {}
         self._published: CanonicalSet | None = None
         self._objects = ObjectSet()
 
@@ -178,6 +181,8 @@
             self._published_addresses[name] = self._sidecars[name]
             self._processes[name].listening_port()
         self._processes["platform"].listening_port()
+        if self._plan.is_relayed:
+            self._start_relay()
 
     def start_engine(self, name: str) -> None:
         """Start, or start again, the engine of an endpoint."""
@@ -206,9 +211,9 @@
             name, ["plain"], address=self._targets.get(name)
         )
 
-    def start_sidecar(self, endpoint: str, *, link_address: str = "") -> str:
+    def start_sidecar(self, endpoint: str, *, name: str = "") -> str:
         """Start the sidecar of an endpoint and return the process's name."""
-        name = f"sidecar-{endpoint}"
+        name = name or f"sidecar-{endpoint}"
         operator = self._operators.setdefault(name, self._addresses.address())
         settings = {
             "process": name,
@@ -216,8 +221,8 @@
             "operator_address": operator,
             "platform_url": f"http://{self._platform}",
             "endpoint": endpoint,
-            "link_address": link_address or self._sidecars[endpoint],
-            "target_url": f"http://{self._targets[endpoint]}",
+            "link_address": self._sidecars[endpoint],
+            "target_url": f"http://{self._relayed_target(endpoint)}",
         }
         self._start_daemon(name, "sidecar", settings)
         return name
@@ -278,13 +283,17 @@
         """Return the address of a sidecar as published."""
         return self._published_addresses[endpoint]
 
-    def reroute(self, endpoint: str, address: str) -> str:
-        """Publish another address for a sidecar from the next set on.
+    def set_route(self, route: str, **mode: bool) -> None:
+        """Cut or hold a route: `link-ENDPOINT` or `target-ENDPOINT`."""
+        body = json.dumps({"name": route, **mode}).encode()
+        self._http("POST", self._relay, "/modes", body)
 
-        Return the address at which the sidecar itself listens.
-        """
+    def replace_sidecar_address(self, endpoint: str) -> str:
+        """Give a replaced sidecar a new address from the next set on."""
+        address = self._addresses.address()
+        self._sidecars[endpoint] = address
         self._published_addresses[endpoint] = address
-        return self._sidecars[endpoint]
+        return address
 
     def base_objects(self) -> ObjectSet:
         """Return the objects of the plan."""
@@ -455,6 +464,33 @@
             return len(live) == len(self._targets)
         return False
 
+    def _start_relay(self) -> None:
+        """Put the relay on every link and before every target."""
+        self._relay = self._addresses.address()
+        host, port = self._relay.rsplit(":", 1)
+        arguments = ["bilberryring.testing.main", "--host", host, "--port", port]
+        process = ManagedProcess(
+            name="relay", arguments=arguments, directory=self._directory
+        )
+        process.listening_port()
+        self._processes["relay"] = process
+        for name in self._targets:
+            self._published_addresses[name] = self._add_route(
+                f"link-{name}", self._sidecars[name]
+            )
+            self._relayed_targets[name] = self._add_route(
+                f"target-{name}", self._targets[name]
+            )
+
+    def _add_route(self, name: str, target: str) -> str:
+        listen = self._addresses.address()
+        body = json.dumps({"name": name, "listen": listen, "target": target})
+        self._http("POST", self._relay, "/routes", body.encode())
+        return listen
+
+    def _relayed_target(self, endpoint: str) -> str:
+        return self._relayed_targets.get(endpoint, self._targets[endpoint])
+
     def _start_stand_in(
         self, name: str, arguments: list[str], *, address: str | None = None
     ) -> str:
