Published sets in force everywhere: scenarios, and keys that cannot collide

Cause: two faults found by the scenarios. (1) Two operators who published the same number within milliseconds overwrote one key; every reader saw a second write, so neither set came into force. (2) An entry that started while the platform was stale took the stale set first, since nobody told it of peers. Change: the key of a manifest names its digest, and the one created first under a number counts; readers see revisions in order, so nobody can see the loser alone. The VM list names peers; links retry within 1 s, less than the 2 s for which a starting process waits for a peer's word. Ruled out: lowest digest wins (processes that accepted the other would have to revert); a settling time before acceptance (does not bound a partition).

--- a/bilberryring/acceptance/__init__.py
+++ b/bilberryring/acceptance/__init__.py
@@ -8,6 +8,11 @@
     SetInForce,
 )
 from bilberryring.acceptance.judgement import Candidate, Verdict, judge
+from bilberryring.acceptance.published_keys import (
+    NUMBERS_KEPT,
+    PublishedKey,
+    PublishedKeys,
+)
 from bilberryring.acceptance.readers import (
     READERS_PER_DOMAIN,
     SAFETY_READ_SECONDS,
@@ -20,6 +25,9 @@
 __all__ = [
     "AcceptedSets",
     "Candidate",
+    "NUMBERS_KEPT",
+    "PublishedKey",
+    "PublishedKeys",
     "READERS_PER_DOMAIN",
     "REFUSALS_KEPT",
     "RefusalReason",
--- a/bilberryring/acceptance/judgement.py
+++ b/bilberryring/acceptance/judgement.py
@@ -1,10 +1,10 @@
 """Whether a process may put a set in force, given what it has in force.
 
-Operators write each manifest under a key that names its number. The platform
-tells with a value when its key was created and when it was last modified. Only
-the first write of a key counts: where two operators publish the same number,
-whoever reads the second write knows that it is the second, even without having
-seen the first. No process can thus accept the loser, and none has to step back.
+Operators write each manifest under a key that names its number and digest. The
+platform tells with each key the revision that created it. Only the manifest
+created first under a number counts. Readers see revisions in order, so whoever
+sees the second of two sees the first as well: no process can accept the loser,
+and none has to step back.
 """
 
 from dataclasses import dataclass
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Candidate:
-    """A manifest and whether it is the first write of its key.
+    """A manifest and whether it was the first one written under its number.
 
     Sets that come from a peer are first writes, since the peer accepted them.
     """
@@ -68,7 +68,7 @@
 ) -> Verdict:
     """Return the verdict on a candidate; a set is only ever left for a later one.
 
-    `losers` are the digests known to be second writes of their keys.
+    `losers` are the digests known not to be first under their numbers.
 
     >>> first = Manifest(number=1, parts=())
     >>> second = Manifest(number=2, parts=(), history=(first.digest,))
--- a/bilberryring/adapters/__init__.py
+++ b/bilberryring/adapters/__init__.py
@@ -16,6 +16,7 @@
 )
 from bilberryring.adapters.platform import (
     PART_PREFIX,
+    SET_KEY_DIGEST_LENGTH,
     SET_KEY_DIGITS,
     SET_PREFIX,
     PlatformError,
@@ -42,6 +43,7 @@
     "PlatformError",
     "PlatformReader",
     "PlatformValue",
+    "SET_KEY_DIGEST_LENGTH",
     "SET_KEY_DIGITS",
     "SET_PREFIX",
     "WatchAnswer",
--- a/bilberryring/adapters/platform.py
+++ b/bilberryring/adapters/platform.py
@@ -11,6 +11,7 @@
 SET_PREFIX = "set/"
 PART_PREFIX = "part/"
 SET_KEY_DIGITS = 12
+SET_KEY_DIGEST_LENGTH = 16
 
 
 class PlatformError(Exception):
@@ -22,21 +23,24 @@
     """A value and whether its key was written only once."""
 
     content: bytes
-    is_first_write: bool
+    is_written_once: bool
 
 
-def set_key(number: int) -> str:
+def set_key(number: int, digest: str) -> str:
     """Return the key under which operators publish a manifest.
 
-    >>> set_key(7)
-    'set/000000000007'
+    The digest in it keeps two operators who choose the same number from
+    overwriting each other.
+
+    >>> set_key(7, "0123456789abcdef0123")
+    'set/000000000007-0123456789abcdef'
     """
-    return f"{SET_PREFIX}{number:0{SET_KEY_DIGITS}d}"
+    return f"{SET_PREFIX}{number:0{SET_KEY_DIGITS}d}-{digest[:SET_KEY_DIGEST_LENGTH]}"
 
 
 def number_of_set_key(key: str) -> int | None:
     """Return the number in a manifest's key, or `None` for another key."""
-    digits = key.removeprefix(SET_PREFIX)
+    digits = key.removeprefix(SET_PREFIX).split("-")[0]
     if not key.startswith(SET_PREFIX) or not digits.isdigit():
         return None
     return int(digits)
@@ -62,7 +66,7 @@
             return None
         created = answer.header("x-created")
         return PlatformValue(
-            content=answer.body, is_first_write=created == answer.header("x-modified")
+            content=answer.body, is_written_once=created == answer.header("x-modified")
         )
 
     async def watch_sets(self, *, after: int, wait: float) -> WatchAnswer:
--- a/bilberryring/process/configuration.py
+++ b/bilberryring/process/configuration.py
@@ -5,6 +5,7 @@
 Silence on the links makes any process read, with jitter.
 """
 
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,8 @@
     WATCH_SECONDS,
     AcceptedSets,
     Candidate,
+    PublishedKey,
+    PublishedKeys,
     RefusalReason,
     SetInForce,
     Verdict,
@@ -26,8 +29,8 @@
     PART_PREFIX,
     PlatformError,
     PlatformReader,
+    WatchAnswer,
     number_of_set_key,
-    set_key,
 )
 from bilberryring.objects import (
     Kind,
@@ -44,7 +47,7 @@
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import LinkProtocol, SetAnswer, SetNotice, SetQuery
 
-START_GRACE_SECONDS = 1.5
+START_GRACE_SECONDS = 2.0
 """How long a process that starts waits for a peer before the platform's word."""
 RETRY_SECONDS = 0.5
 NOTICE_SECONDS = 2.0
@@ -84,6 +87,7 @@
         self._is_platform_up = True
         self._is_stopped = False
         self._highest_seen = 0
+        self._published = PublishedKeys()
         self._notices = LoopingCall(self._send_notices)
         self._notices.clock = reactor
 
@@ -315,18 +319,11 @@
         wait = WATCH_SECONDS if self._is_reader and is_settled else 0.0
         answer = await self._platform.watch_sets(after=self._revision, wait=wait)
         await self._wait_for_peers()
-        numbers: list[int] = []
-        for item in answer.items:
-            number = number_of_set_key(item.key)
-            if number is None:
-                continue
-            if item.created != item.modified:
-                await self._read_overwritten(number)
-            elif number > self._sets.number:
-                numbers.append(number)
-        for number in sorted(numbers, reverse=True):
-            if await self._read_manifest(number):
-                break
+        keys = _published_keys(answer)
+        for key in keys:
+            self._published.add(key)
+        await self._read_losers(keys)
+        await self._read_newest(keys)
         await self._read_parts()
         if self._sets.pending is None:
             self._revision = max(self._revision, answer.revision)
@@ -337,30 +334,44 @@
         while self._sets.in_force is None and self._reactor.seconds() < until:
             await deferLater(self._reactor, 0.1)
 
-    async def _read_overwritten(self, number: int) -> None:
-        value = await self._platform.read(set_key(number))
-        if value is None or value.is_first_write:
-            return
-        try:
-            manifest = decode_manifest(value.content)
-        except SetError:
-            return
-        self._consider(Candidate(manifest=manifest, is_first_write=False))
+    async def _read_losers(self, keys: list[PublishedKey]) -> None:
+        """Learn the digests of sets that were not first under their number."""
+        for key in keys:
+            if self._published.is_first(key):
+                continue
+            value = await self._platform.read(key.key)
+            if value is None:
+                continue
+            with contextlib.suppress(SetError):
+                manifest = decode_manifest(value.content)
+                self._consider(Candidate(manifest=manifest, is_first_write=False))
+
+    async def _read_newest(self, keys: list[PublishedKey]) -> None:
+        """Make the newest acceptable set the pending one."""
+        ahead = [
+            key
+            for key in keys
+            if key.number > self._sets.number and self._published.is_first(key)
+        ]
+        ahead.sort(key=lambda key: key.number, reverse=True)
+        for key in ahead:
+            if await self._read_manifest(key):
+                return
 
-    async def _read_manifest(self, number: int) -> bool:
-        """Read one manifest; whether it is pending now."""
-        value = await self._platform.read(set_key(number))
+    async def _read_manifest(self, key: PublishedKey) -> bool:
+        """Read one manifest; whether it is acceptable."""
+        value = await self._platform.read(key.key)
         if value is None:
             return False
         try:
             manifest = decode_manifest(value.content)
         except SetError as error:
-            self._log_malformed(number, str(error))
+            self._log_malformed(key.number, str(error))
             return False
-        if manifest.number != number:
-            self._log_malformed(number, "the manifest names another number")
+        if manifest.number != key.number:
+            self._log_malformed(key.number, "the manifest names another number")
             return False
-        candidate = Candidate(manifest=manifest, is_first_write=value.is_first_write)
+        candidate = Candidate(manifest=manifest, is_first_write=value.is_written_once)
         return self._consider(candidate) is Verdict.ACCEPTABLE
 
     def _log_malformed(self, number: int, remedy: str) -> None:
@@ -382,3 +393,20 @@
                 self._log.write(LogEvent.SET_PART_CORRUPT, digest=digest)
                 return
         await self._validate()
+
+
+def _published_keys(answer: WatchAnswer) -> list[PublishedKey]:
+    """Return the manifests' keys among those that changed."""
+    keys = []
+    for item in answer.items:
+        number = number_of_set_key(item.key)
+        if number is not None:
+            keys.append(
+                PublishedKey(
+                    key=item.key,
+                    number=number,
+                    created=item.created,
+                    modified=item.modified,
+                )
+            )
+    return keys
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -149,6 +149,7 @@
         """Start everything and wait until it is ready."""
         self.start_stand_ins()
         self.publish(self.base_objects())
+        self.publish_vms()
         for name in self._targets:
             self.start_sidecar(name)
         for index, domain in enumerate(self._plan.entry_domains):
@@ -356,6 +357,10 @@
         self._objects = objects
         return canonical.manifest.number
 
+    def adopt(self, canonical: CanonicalSet) -> None:
+        """Take a set that a scenario published as the last one."""
+        self._published = canonical
+
     def write_set(self, canonical: CanonicalSet) -> None:
         """Write a set's parts and then its manifest, as operators do."""
         for digest, content in canonical.parts.items():
@@ -364,7 +369,8 @@
 
     def write_manifest(self, manifest: Manifest) -> None:
         """Write a manifest under the key of its number."""
-        self.write_value(set_key(manifest.number), encode_manifest(manifest))
+        key = set_key(manifest.number, manifest.digest)
+        self.write_value(key, encode_manifest(manifest))
 
     def write_value(self, key: str, content: bytes) -> None:
         """Write a value to the platform."""
--- /dev/null
+++ b/bilberryring/tool/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' tool; queries and commands stand apart."""
--- /dev/null
+++ b/bilberryring/tool/output.py
@@ -0,0 +1,20 @@
+"""How the tool prints: lines for people, or JSON for programs."""
+
+import click
+import msgspec
+
+
+def print_json(value: object) -> None:
+    """Print a value as one JSON document."""
+    click.echo(msgspec.json.format(msgspec.json.encode(value), indent=2).decode())
+
+
+def print_rows(header: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
+    """Print a table with columns as wide as they need to be."""
+    widths = [
+        max(len(row[column]) for row in (header, *rows))
+        for column in range(len(header))
+    ]
+    for row in (header, *rows):
+        cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        click.echo("  ".join(cells).rstrip())
--- /dev/null
+++ b/bilberryring/tool/queries.py
@@ -0,0 +1,125 @@
+"""The tool's queries: they read and explain, and change nothing."""
+
+import json
+import urllib.error
+import urllib.request
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from bilberryring.objects import (
+    Change,
+    Finding,
+    Manifest,
+    ObjectSet,
+    SetError,
+    SourceReading,
+    build_set,
+    decode_manifest,
+    decode_part,
+    difference,
+    read_directory,
+)
+from bilberryring.process.operator_site import ProcessStatus
+
+STATUS_SECONDS = 3.0
+MANIFEST_FILE = "manifest.json"
+PARTS_DIRECTORY = "part"
+
+
+class Unreachable(msgspec.Struct, frozen=True, kw_only=True):
+    """A process that gave no status; the remedy is to look at its VM."""
+
+    address: str
+    detail: str
+
+
+class StatusReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The status of some processes and what stands out in them."""
+
+    newest_set: int
+    processes: tuple[ProcessStatus, ...]
+    unreachable: tuple[Unreachable, ...]
+    behind: tuple[str, ...]
+    forked: tuple[str, ...]
+
+
+class RenderedSet(msgspec.Struct, frozen=True, kw_only=True):
+    """A rendered set read back from a directory."""
+
+    manifest: Manifest
+    objects_count: int
+
+
+def check_directory(directory: Path) -> SourceReading:
+    """Return the objects of a directory with every finding."""
+    return read_directory(directory)
+
+
+def read_rendered(directory: Path) -> tuple[Manifest, ObjectSet]:
+    """Return a rendered set; `SetError` when a file is missing or malformed."""
+    try:
+        manifest = decode_manifest((directory / MANIFEST_FILE).read_bytes())
+        contents = [
+            (directory / PARTS_DIRECTORY / part.digest).read_bytes()
+            for part in manifest.parts
+        ]
+    except OSError as error:
+        raise SetError(f"set_unreadable: {error}. Remedy: name a rendered set")
+    objects = build_set(item for part in contents for item in decode_part(part))
+    return manifest, objects
+
+
+def changes_between(old: ObjectSet, new: ObjectSet) -> tuple[Change, ...]:
+    """Return what differs between two sets."""
+    return difference(old, new)
+
+
+def read_status(address: str) -> ProcessStatus | Unreachable:
+    """Return the status of the process at an operators' address."""
+    try:
+        with urllib.request.urlopen(
+            f"http://{address}/status", timeout=STATUS_SECONDS
+        ) as response:
+            return msgspec.json.decode(response.read(), type=ProcessStatus)
+    except (OSError, urllib.error.URLError, msgspec.DecodeError) as error:
+        return Unreachable(address=address, detail=str(error))
+
+
+def report_status(addresses: Iterable[str]) -> StatusReport:
+    """Return the status of all processes, and who is behind or on a fork."""
+    answers = [read_status(address) for address in addresses]
+    processes = tuple(item for item in answers if isinstance(item, ProcessStatus))
+    unreachable = tuple(item for item in answers if isinstance(item, Unreachable))
+    newest = max((item.set_number for item in processes), default=0)
+    digests = {item.set_digest for item in processes if item.set_number == newest}
+    behind = tuple(item.process for item in processes if item.set_number < newest)
+    is_forked = len(digests) > 1
+    forked = tuple(
+        item.process for item in processes if is_forked and item.set_number == newest
+    )
+    return StatusReport(
+        newest_set=newest,
+        processes=processes,
+        unreachable=unreachable,
+        behind=behind,
+        forked=forked,
+    )
+
+
+def explain_prompt(
+    address: str, *, model: str, prompt_tokens: int, max_tokens: int
+) -> dict:
+    """Return where an entry would send a prompt now, and why."""
+    url = (
+        f"http://{address}/explain?model={model}"
+        f"&prompt_tokens={prompt_tokens}&max_tokens={max_tokens}"
+    )
+    with urllib.request.urlopen(url, timeout=STATUS_SECONDS) as response:
+        return json.loads(response.read())
+
+
+def finding_texts(findings: Iterable[Finding]) -> list[str]:
+    """Return the findings as lines."""
+    return [finding.text for finding in findings]
