--- a/bilberryring/adapters/__init__.py
+++ b/bilberryring/adapters/__init__.py
@@ -1,7 +1,7 @@
 """Thin adapters to the platform and to the endpoints."""
 
 from bilberryring.adapters.engine import (
-    INCARNATION_HEADER,
+    CALL_SECONDS,
     EngineClient,
     EngineError,
     Generation,
@@ -16,6 +16,7 @@
 )
 from bilberryring.adapters.platform import (
     PART_PREFIX,
+    READ_SECONDS,
     SET_KEY_DIGEST_LENGTH,
     SET_KEY_DIGITS,
     SET_PREFIX,
@@ -28,6 +29,7 @@
 from bilberryring.adapters.platform_protocol import ListedVm, WatchAnswer, WatchItem
 
 __all__ = [
+    "CALL_SECONDS",
     "CancelOrder",
     "EngineClient",
     "EngineError",
@@ -37,12 +39,12 @@
     "GenerationEnd",
     "HeldAnswer",
     "HeldRequest",
-    "INCARNATION_HEADER",
     "ListedVm",
     "PART_PREFIX",
     "PlatformError",
     "PlatformReader",
     "PlatformValue",
+    "READ_SECONDS",
     "SET_KEY_DIGEST_LENGTH",
     "SET_KEY_DIGITS",
     "SET_PREFIX",
--- a/bilberryring/adapters/engine.py
+++ b/bilberryring/adapters/engine.py
@@ -14,7 +14,7 @@
 )
 from bilberryring.http import HttpClient, LineStream
 
-INCARNATION_HEADER = "x-engine-incarnation"
+CALL_SECONDS = 1.0
 
 
 class EngineError(Exception):
@@ -126,7 +126,9 @@
 
     async def _call(self, method: str, path: str, body: bytes) -> bytes:
         try:
-            answer = await self._client.request(method, path, body=body)
+            answer = await self._client.request(
+                method, path, body=body, timeout=CALL_SECONDS
+            )
         except Exception as error:
             raise EngineError(f"engine_unreachable: {error}")
         if answer.status != 200:
--- a/bilberryring/adapters/platform.py
+++ b/bilberryring/adapters/platform.py
@@ -11,6 +11,7 @@
 SET_PREFIX = "set/"
 PART_PREFIX = "part/"
 SET_KEY_DIGITS = 12
+READ_SECONDS = 5.0
 SET_KEY_DIGEST_LENGTH = 16
 
 
@@ -73,7 +74,8 @@
         """Return the manifests written after a revision; wait for one."""
         answer = await self._get(
             f"/v1/watch?prefix={SET_PREFIX}&after={after}&wait={wait}"
-            f"&reader={self._reader}"
+            f"&reader={self._reader}",
+            timeout=wait + READ_SECONDS,
         )
         return _decode(answer.body, WatchAnswer)
 
@@ -82,10 +84,10 @@
         answer = await self._get(f"/v1/vms?reader={self._reader}")
         return _decode(answer.body, tuple[ListedVm, ...])
 
-    async def _get(self, path: str):
+    async def _get(self, path: str, *, timeout: float = READ_SECONDS):
         self._calls += 1
         try:
-            answer = await self._client.request("GET", path)
+            answer = await self._client.request("GET", path, timeout=timeout)
         except Exception as error:
             raise PlatformError(
                 f"platform_unreachable: {error}. Remedy: it is read again later"
--- a/bilberryring/admission/fair_queue.py
+++ b/bilberryring/admission/fair_queue.py
@@ -22,6 +22,7 @@
         self._sequence = itertools.count()
         self._works: dict[WorkKey, PromptWork] = {}
         self._tokens = 0
+        self._tokens_by_rank: dict[int, int] = {}
 
     def __len__(self) -> int:
         return len(self._works)
@@ -34,6 +35,12 @@
         """The prompt tokens that wait here."""
         return self._tokens
 
+    def tokens_before(self, rank: int) -> int:
+        """Return the tokens of prompts that go before or with a rank."""
+        return sum(
+            tokens for other, tokens in self._tokens_by_rank.items() if other <= rank
+        )
+
     def push(self, work: PromptWork) -> None:
         """Add a prompt."""
         workspaces = self._by_rank.setdefault(work.rank, {})
@@ -42,7 +49,7 @@
         behind = self._virtual_times.get(work.workspace, 0.0)
         self._virtual_times[work.workspace] = max(behind, self._virtual_now)
         self._works[work.key] = work
-        self._tokens += work.prompt_tokens
+        self._count(work, work.prompt_tokens)
 
     def peek(self) -> PromptWork | None:
         """Return the prompt to serve next, or `None`."""
@@ -74,8 +81,13 @@
             del workspaces[work.workspace]
         if not workspaces:
             del self._by_rank[work.rank]
-        self._tokens -= work.prompt_tokens
+        self._count(work, -work.prompt_tokens)
         if not self._works:
             self._virtual_times.clear()
             self._virtual_now = 0.0
         return work
+
+    def _count(self, work: PromptWork, tokens: int) -> None:
+        self._tokens += tokens
+        left = self._tokens_by_rank.get(work.rank, 0) + tokens
+        self._tokens_by_rank[work.rank] = left
--- a/bilberryring/admission/length_class.py
+++ b/bilberryring/admission/length_class.py
@@ -8,7 +8,7 @@
 
 
 class LengthClass(Enum):
-    """A class by the number of prompt tokens; the value orders them."""
+    """A class by the number of prompt tokens, the shortest first."""
 
     SHORT = 0
     MEDIUM = 1
@@ -20,6 +20,15 @@
         """The name of the class in metrics and reports."""
         return self.name.lower()
 
+    @property
+    def prefill_rank(self) -> int:
+        """The order of prefill; the two longest classes are equal in it."""
+        return min(self.value, LengthClass.LONG.value)
+
+    def goes_before(self, other: "LengthClass") -> bool:
+        """Whether prompts of this class are prefilled before or with another's."""
+        return self.prefill_rank <= other.prefill_rank
+
 
 LENGTH_CLASSES = tuple(LengthClass)
 
--- a/bilberryring/admission/prompt_admission.py
+++ b/bilberryring/admission/prompt_admission.py
@@ -138,11 +138,15 @@
         )
 
     def first_token_wait(self, work: PromptWork) -> float:
-        """Return the estimated seconds until the first token of new work."""
+        """Return the estimated seconds until the first token of new work.
+
+        Work of a later rank has more before it, so that when capacity is short
+        it is the first to be refused as too late.
+        """
         ahead = sum(
-            self._queues[length].tokens + self._prefill_tokens[length]
+            self._tokens_before(length, work)
             for length in LENGTH_CLASSES
-            if length.value <= work.length_class.value
+            if length.goes_before(work.length_class)
         )
         return (ahead + work.prompt_tokens) / self._rate
 
@@ -224,6 +228,12 @@
         self._allowance.reset()
         return lost
 
+    def _tokens_before(self, length: LengthClass, work: PromptWork) -> int:
+        queue = self._queues[length]
+        is_same = length.prefill_rank == work.length_class.prefill_rank
+        waiting = queue.tokens_before(work.rank) if is_same else queue.tokens
+        return waiting + self._prefill_tokens[length]
+
     def _begin(self, work: PromptWork, now: float) -> None:
         self._memory.reserve(work.key, tokens=work.kv_tokens)
         self._running[work.key] = _Running(work=work, started_at=now)
--- a/bilberryring/admission/work.py
+++ b/bilberryring/admission/work.py
@@ -46,4 +46,4 @@
     @property
     def engine_priority(self) -> int:
         """The number that orders prefill in the engine; lower goes first."""
-        return self.length_class.value * PRIORITIES_PER_CLASS + self.rank
+        return self.length_class.prefill_rank * PRIORITIES_PER_CLASS + self.rank
--- a/bilberryring/demo/report.py
+++ b/bilberryring/demo/report.py
@@ -1,11 +1,11 @@
 """The table at the end of the demo."""
 
-import math
 from dataclasses import dataclass, field
 
 import click
 
 from bilberryring.admission import LENGTH_CLASSES, LengthClass
+from bilberryring.measure.statistics import percentile
 from bilberryring.testing.caller import CallResult, PromptResult
 
 BOOKING_KIND = "booking"
@@ -85,16 +85,6 @@
         return tally
 
 
-def percentile(values: list[float], share: float) -> float:
-    """Return the value below which a share of the values lies.
-
-    >>> percentile([4.0, 1.0, 2.0, 3.0], 0.5)
-    2.0
-    """
-    ordered = sorted(values)
-    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
-
-
 def print_table(tally: Tally) -> None:
     """Print the results."""
     click.echo(
--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -7,6 +7,7 @@
 from bilberryring.core import new_incarnation
 from bilberryring.entry.caller_site import CallerSite
 from bilberryring.entry.entry_state import EntryState
+from bilberryring.entry.explain import ExplainQuery
 from bilberryring.entry.sidecar_links import SidecarLinks
 from bilberryring.http import HttpClient
 from bilberryring.objects import ModelEndpoint, ObjectSet
@@ -74,6 +75,7 @@
             links=self._links,
         )
         self._is_ready_logged = False
+        self._is_leaving = False
         self._list_loop = LoopingCall(self._read_list_soon)
         self._list_loop.clock = reactor
         self._track_loop = LoopingCall(self._track)
@@ -86,12 +88,12 @@
         self._listeners.listen_http(
             self._settings.caller_address, root, key="caller_address"
         )
+        operators = operator_resource(
+            status=self._status, metrics=self._metrics, is_ready=self._is_ready
+        )
+        operators.putChild(b"explain", ExplainQuery(state=self._state))
         self._listeners.listen_http(
-            self._settings.operator_address,
-            operator_resource(
-                status=self._status, metrics=self._metrics, is_ready=self._is_ready
-            ),
-            key="operator_address",
+            self._settings.operator_address, operators, key="operator_address"
         )
         self._configuration.start()
         self._list_loop.start(LIST_SECONDS)
@@ -99,7 +101,13 @@
         self._log.write(LogEvent.PROCESS_STARTED, incarnation=self._incarnation)
 
     async def drain(self) -> None:
-        """Leave the balancer, then refuse new work and end what runs."""
+        """Leave the balancer, then refuse new work and end what runs.
+
+        Readiness fails first, and new requests are still taken for as long as
+        the balancer needs to see it.
+        """
+        self._is_leaving = True
+        await deferLater(self._reactor, self._settings.leave_balancer_seconds)
         self._state.begin_drain()
         until = self._reactor.seconds() + self._settings.drain_seconds
         while self._state.in_progress:
@@ -107,10 +115,11 @@
                 self._log.write(LogEvent.DRAIN_TIMED_OUT, left=self._state.in_progress)
                 return
             await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
+        await self._listeners.close_http("caller_address")
 
     def _is_ready(self) -> bool:
         objects = self._configuration.objects
-        if objects is None or self._state.is_draining:
+        if objects is None or self._is_leaving:
             return False
         return self._has_live_endpoint()
 
@@ -160,7 +169,7 @@
             process=self._settings.process,
             role=ROLE,
             failure_domain=self._settings.failure_domain,
-            state="leaving" if self._state.is_draining else "live",
+            state="leaving" if self._is_leaving else "live",
             incarnation=self._incarnation,
             set_number=sets.number,
             set_digest=sets.digest,
--- a/bilberryring/entry/endpoint_record.py
+++ b/bilberryring/entry/endpoint_record.py
@@ -11,7 +11,12 @@
     Standing,
     standing_of,
 )
-from bilberryring.routing import Endpoint, EndpointLoad, PromptShape
+from bilberryring.routing import (
+    Endpoint,
+    EndpointLoad,
+    PromptShape,
+    drained_backlog,
+)
 from bilberryring.wire import Heartbeat
 
 ARRIVAL_MARGIN_SECONDS = 0.05
@@ -145,21 +150,5 @@
             kv_tokens=heartbeat.kv_tokens_total,
             prefill_rate=max(heartbeat.prefill_rate, 1.0),
             distance_seconds=distance_seconds,
+            is_cold=heartbeat.state == SidecarState.COLD.value,
         )
-
-
-def drained_backlog(backlog: tuple[int, ...], drained: float) -> tuple[int, ...]:
-    """Return a backlog after some tokens were prefilled, shorter classes first.
-
-    >>> drained_backlog((100, 50, 0, 1000), 120)
-    (0, 30, 0, 1000)
-    """
-    left = int(drained)
-    remaining = []
-    for tokens in backlog:
-        taken = min(tokens, left)
-        left -= taken
-        remaining.append(tokens - taken)
-    if not remaining:
-        return (0,) * len(LENGTH_CLASSES)
-    return tuple(remaining)
--- a/bilberryring/entry/prompt_request.py
+++ b/bilberryring/entry/prompt_request.py
@@ -22,10 +22,12 @@
     CallerGone,
     CallerTooSlow,
     DeadlinePassed,
+    EndpointSilent,
     LinkLost,
     SidecarLinks,
 )
 from bilberryring.execution import AnswerAssembly, AnswerGapError, RetryBudget
+from bilberryring.membership import Standing
 from bilberryring.objects import Model, ObjectSet, Priority, Workspace
 from bilberryring.routing import Placement, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
@@ -197,7 +199,7 @@
             )
         ]
         loads = self._links.loads(names, excluded=frozenset(progress.excluded))
-        chosen = self._placement.choose(prompt.shape, loads, key=prompt.workspace.name)
+        chosen = self._placement.choose(prompt.shape, loads)
         channel = None
         if chosen is not None:
             channel = self._links.open_attempt(
@@ -243,6 +245,7 @@
 
     async def _follow(self, channel: AttemptChannel) -> bool:
         """Take the messages of an attempt to its end."""
+        name = channel.record.endpoint.name
         while True:
             message = await self._mailbox.get()
             match message:
@@ -260,6 +263,13 @@
                         self._progress.has_run = True
                         self._fail_attempt(channel, error)
                         return False
+                case EndpointSilent():
+                    if self._links.standing(name) is Standing.SILENT:
+                        channel.send(Cancel(attempt=channel.attempt))
+                        error = _unknown(ErrorCode.ENDPOINT_FAILED, "it fell silent")
+                        self._progress.has_run = True
+                        self._fail_attempt(channel, error)
+                        return False
                 case DeadlinePassed():
                     channel.send(Cancel(attempt=channel.attempt))
                     self._progress.has_run = True
--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -7,6 +7,7 @@
 
 from twisted.internet.defer import Deferred, DeferredQueue
 from twisted.internet.protocol import ClientFactory
+from twisted.internet.task import LoopingCall
 
 from bilberryring.core import AttemptId
 from bilberryring.entry.endpoint_record import EndpointRecord
@@ -33,6 +34,7 @@
 RECONNECT_MAX_SECONDS = 1.0
 RECONNECT_FACTOR = 1.6
 FORGET_SECONDS = 600.0
+SILENCE_CHECK_SECONDS = 0.5
 FAR_SECONDS = 0.01
 """The way to an endpoint of another failure domain and back."""
 
@@ -42,6 +44,11 @@
     """The link closed while the attempt was open."""
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointSilent:
+    """No word came from the sidecar for too long, though its link is open."""
+
+
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
     """The request's deadline passed."""
@@ -220,6 +227,9 @@
         self._links: dict[str, _SidecarLink] = {}
         self._attempts = itertools.count(1)
         self._waiting_for_greeting: list[Deferred[None]] = []
+        self._silence_loop = LoopingCall(self._look_for_silence)
+        self._silence_loop.clock = reactor
+        self._silence_loop.start(SILENCE_CHECK_SECONDS, now=False)
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -352,6 +362,14 @@
             case SetAnswer():
                 self._configuration.take_answer(link, message)
 
+    def _look_for_silence(self) -> None:
+        """Tell the attempts of endpoints that fell silent."""
+        for link in self._links.values():
+            self._note_standing(link)
+            if link.channels and link.last_standing is Standing.SILENT:
+                for channel in tuple(link.channels.values()):
+                    channel.deliver(EndpointSilent())
+
     def _track_one(self, name: str, endpoint: Endpoint) -> None:
         link = self._links.get(name)
         if link is not None and link.record.endpoint.sidecar != endpoint.sidecar:
--- a/bilberryring/http/__init__.py
+++ b/bilberryring/http/__init__.py
@@ -15,9 +15,11 @@
     MAX_BODY_BYTES,
     UPLOAD_SECONDS,
     BoundedRequest,
+    DrainableSite,
     make_site,
 )
 from bilberryring.http.client import (
+    ANSWER_SECONDS,
     CONNECT_SECONDS,
     CONNECTIONS_PER_HOST,
     HttpAnswer,
@@ -26,10 +28,12 @@
 )
 
 __all__ = [
+    "ANSWER_SECONDS",
     "AsyncResource",
     "BoundedRequest",
     "CONNECTIONS_PER_HOST",
     "CONNECT_SECONDS",
+    "DrainableSite",
     "HttpAnswer",
     "HttpClient",
     "JSON_TYPE",
--- a/bilberryring/http/bodies.py
+++ b/bilberryring/http/bodies.py
@@ -49,9 +49,41 @@
         return self.content.read()
 
 
-def make_site(resource) -> Site:
+class DrainableSite(Site):
+    """A site that knows its open connections and can close them in peace."""
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self._channels: set = set()
+
+    @property
+    def open_connections(self) -> int:
+        """The connections that have not closed."""
+        return len(self._channels)
+
+    def buildProtocol(self, addr):
+        channel = super().buildProtocol(addr)
+        self._channels.add(channel)
+        ended = channel.connectionLost
+
+        def connection_lost(reason):
+            self._channels.discard(channel)
+            ended(reason)
+
+        channel.connectionLost = connection_lost
+        return channel
+
+    def close_connections(self) -> None:
+        """Close every connection once what was written has gone out."""
+        for channel in tuple(self._channels):
+            channel.transport.loseConnection()
+
+
+def make_site(resource) -> DrainableSite:
     """Return a site whose requests keep their bodies in memory."""
-    site = Site(resource, requestFactory=BoundedRequest, parsePOSTFormSubmission=False)
+    site = DrainableSite(
+        resource, requestFactory=BoundedRequest, parsePOSTFormSubmission=False
+    )
     site.timeOut = UPLOAD_SECONDS
     site.displayTracebacks = False
     return site
--- a/bilberryring/http/client.py
+++ b/bilberryring/http/client.py
@@ -19,6 +19,7 @@
 
 CONNECT_SECONDS = 2.0
 CONNECTIONS_PER_HOST = 64
+ANSWER_SECONDS = 60.0
 
 
 @implementer(IBodyProducer)
@@ -110,6 +111,7 @@
     """Speaks HTTP to one base address with pooled connections."""
 
     def __init__(self, *, reactor: IReactorTCP, base: str, persistent: bool = True):
+        self._reactor = reactor
         pool = HTTPConnectionPool(reactor, persistent=persistent)
         pool.maxPersistentPerHost = CONNECTIONS_PER_HOST
         pool.retryAutomatically = False
@@ -124,10 +126,15 @@
         *,
         body: bytes = b"",
         content_type: str = "application/json",
+        timeout: float = ANSWER_SECONDS,
     ) -> HttpAnswer:
-        """Send a request and return the whole answer."""
-        response = await self._send(method, path, body, content_type)
-        content = await readBody(response)
+        """Send a request and return the whole answer; the timeout is in seconds."""
+        sending = self._send(method, path, body, content_type)
+        sending.addTimeout(timeout, self._reactor)
+        response = await sending
+        reading = readBody(response)
+        reading.addTimeout(timeout, self._reactor)
+        content = await reading
         return HttpAnswer(status=response.code, headers=response.headers, body=content)
 
     async def open_lines(
--- /dev/null
+++ b/bilberryring/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the pure decisions and of the running processes."""
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -5,12 +5,17 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
+from twisted.internet.task import deferLater
 
 from bilberryring.core import ErrorCode, SettingsError
-from bilberryring.http import make_site
+from bilberryring.http import DrainableSite, make_site
 from bilberryring.process.settings import host_and_port
 from bilberryring.telemetry import EventLog, LogEvent
 
+FLUSH_SECONDS = 30.0
+"""How long a drained process waits for callers to read their answers."""
+FLUSH_CHECK_SECONDS = 0.05
+
 
 class Listeners:
     """The bound addresses of a process."""
@@ -18,6 +23,7 @@
     def __init__(self, *, reactor):
         self._reactor = reactor
         self._ports: dict[str, object] = {}
+        self._sites: dict[str, DrainableSite] = {}
 
     def listen(self, address: str, factory: Factory, *, key: str) -> None:
         """Bind an address; `SettingsError` names the key when it is in use."""
@@ -32,13 +38,21 @@
 
     def listen_http(self, address: str, resource, *, key: str) -> None:
         """Bind an address for HTTP."""
-        self.listen(address, make_site(resource), key=key)
+        site = make_site(resource)
+        self.listen(address, site, key=key)
+        self._sites[key] = site
 
-    def close(self, key: str) -> None:
-        """Cease to accept connections on one address."""
+    async def close_http(self, key: str) -> None:
+        """Cease to accept, and wait until every answer has gone out."""
         bound = self._ports.pop(key, None)
-        if bound is not None:
-            bound.stopListening()
+        site = self._sites.pop(key, None)
+        if bound is None or site is None:
+            return
+        bound.stopListening()
+        site.close_connections()
+        until = self._reactor.seconds() + FLUSH_SECONDS
+        while site.open_connections and self._reactor.seconds() < until:
+            await deferLater(self._reactor, FLUSH_CHECK_SECONDS)
 
 
 def run_until_drained(*, reactor, daemon, log: EventLog) -> None:
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -1,11 +1,14 @@
 """Where an entry sends a request."""
 
-from bilberryring.routing.endpoint_load import NO_BACKLOG, EndpointLoad, PromptShape
+from bilberryring.routing.endpoint_load import (
+    NO_BACKLOG,
+    EndpointLoad,
+    PromptShape,
+    drained_backlog,
+)
 from bilberryring.routing.placement import (
     LONG_NEIGHBOUR_SECONDS,
     SAMPLED_ENDPOINTS,
-    SPILL_FACTOR,
-    SPILL_SECONDS,
     FewestOutstanding,
     FewestTokens,
     LengthAware,
@@ -14,7 +17,6 @@
     RoundRobin,
     TwoChoices,
     first_token_seconds,
-    long_wait_seconds,
 )
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
@@ -32,10 +34,8 @@
     "PromptShape",
     "RoundRobin",
     "SAMPLED_ENDPOINTS",
-    "SPILL_FACTOR",
-    "SPILL_SECONDS",
     "TwoChoices",
+    "drained_backlog",
     "first_token_seconds",
-    "long_wait_seconds",
     "tracked_endpoints",
 ]
--- a/bilberryring/routing/endpoint_load.py
+++ b/bilberryring/routing/endpoint_load.py
@@ -43,18 +43,50 @@
     prefill_rate: float = 1.0
     distance_seconds: float = 0.0
     cached_tokens: int = 0
+    is_cold: bool = False
 
     def tokens_ahead(self, length: LengthClass) -> int:
         """Return the tokens prefilled before a new prompt of the class."""
-        upto = length.value + 1
-        return sum(self.backlog_tokens[:upto]) + sum(self.sent_tokens[:upto])
+        return sum(
+            self.backlog_tokens[other.value] + self.sent_tokens[other.value]
+            for other in LENGTH_CLASSES
+            if other.goes_before(length)
+        )
 
     def tokens_behind(self, length: LengthClass) -> int:
-        """Return the tokens of longer classes."""
-        after = length.value + 1
-        return sum(self.backlog_tokens[after:]) + sum(self.sent_tokens[after:])
+        """Return the tokens that a new prompt of the class overtakes."""
+        return self.all_tokens - self.tokens_ahead(length)
+
+    def may_bear(self, shape: PromptShape) -> bool:
+        """Whether the endpoint would take the prompt, as far as is known.
+
+        A cold endpoint takes a few requests, and no long prompt.
+        """
+        if self.kv_tokens and self.kv_tokens < shape.kv_tokens:
+            return False
+        if not self.is_cold:
+            return True
+        is_long = shape.length_class in (LengthClass.LONG, LengthClass.VERY_LONG)
+        return not is_long and self.outstanding < self.allowance
 
     @property
     def all_tokens(self) -> int:
         """The tokens of all classes."""
         return sum(self.backlog_tokens) + sum(self.sent_tokens)
+
+
+def drained_backlog(backlog: tuple[int, ...], drained: float) -> tuple[int, ...]:
+    """Return a backlog after some tokens were prefilled, shorter classes first.
+
+    >>> drained_backlog((100, 50, 0, 1000), 120)
+    (0, 30, 0, 1000)
+    """
+    left = int(drained)
+    remaining = []
+    for tokens in backlog:
+        taken = min(tokens, left)
+        left -= taken
+        remaining.append(tokens - taken)
+    if not remaining:
+        return (0,) * len(LENGTH_CLASSES)
+    return tuple(remaining)
--- a/bilberryring/routing/placement.py
+++ b/bilberryring/routing/placement.py
@@ -7,7 +7,7 @@
 >>> loads = [EndpointLoad(endpoint="busy", backlog_tokens=(9000, 0, 0, 0)),
 ...          EndpointLoad(endpoint="idle")]
 >>> shape = PromptShape(prompt_tokens=1000, max_tokens=100)
->>> placement.choose(shape, loads, key="w").endpoint
+>>> placement.choose(shape, loads).endpoint
 'idle'
 """
 
@@ -15,15 +15,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-import xxhash
-
-from bilberryring.admission import LengthClass
 from bilberryring.routing.endpoint_load import EndpointLoad, PromptShape
 
-LONG_NEIGHBOUR_SECONDS = 0.02
-"""The cost of sharing an engine with a long prompt in prefill: one chunk."""
-SPILL_SECONDS = 1.0
-SPILL_FACTOR = 1.25
+LONG_NEIGHBOUR_SECONDS = 0.2
+"""What avoiding an engine with longer prompts in prefill is worth."""
 SAMPLED_ENDPOINTS = 16
 
 
@@ -49,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LengthAware:
-    """The earliest estimated first token; long prompts are kept together."""
+    """The earliest estimated first token, apart from longer prompts."""
 
 
 Policy = RoundRobin | FewestOutstanding | FewestTokens | TwoChoices | LengthAware
@@ -64,14 +59,10 @@
         self._turn = 0
 
     def choose(
-        self, shape: PromptShape, loads: Sequence[EndpointLoad], *, key: str
+        self, shape: PromptShape, loads: Sequence[EndpointLoad]
     ) -> EndpointLoad | None:
-        """Return the endpoint for a prompt, or `None` when none can hold it."""
-        fitting = [
-            load
-            for load in loads
-            if load.kv_tokens == 0 or load.kv_tokens >= shape.kv_tokens
-        ]
+        """Return the endpoint for a prompt, or `None` when none would take it."""
+        fitting = [load for load in loads if load.may_bear(shape)]
         if not fitting:
             return None
         match self._policy:
@@ -86,7 +77,7 @@
                 pair = self._random.sample(fitting, min(2, len(fitting)))
                 return min(pair, key=lambda load: load.outstanding)
             case LengthAware():
-                return self._choose_by_length(shape, fitting, key)
+                return self._choose_by_length(shape, fitting)
 
     def _least(self, loads: Sequence[EndpointLoad], cost) -> EndpointLoad:
         """Return the least costly load; equal ones are drawn at random."""
@@ -98,30 +89,12 @@
         return self._random.choice(best)
 
     def _choose_by_length(
-        self, shape: PromptShape, loads: Sequence[EndpointLoad], key: str
+        self, shape: PromptShape, loads: Sequence[EndpointLoad]
     ) -> EndpointLoad:
-        if shape.length_class in (LengthClass.LONG, LengthClass.VERY_LONG):
-            return self._choose_for_long(shape, loads)
         if len(loads) > SAMPLED_ENDPOINTS:
             loads = self._random.sample(loads, SAMPLED_ENDPOINTS)
         return self._least(loads, lambda load: first_token_seconds(shape, load))
 
-    def _choose_for_long(
-        self, shape: PromptShape, loads: Sequence[EndpointLoad]
-    ) -> EndpointLoad:
-        """Take the first endpoint, in an order all entries share, that is fast.
-
-        Long prompts thus gather on as few endpoints as the load asks for, and
-        the others stay free of them.
-        """
-        waits = [long_wait_seconds(shape, load) for load in loads]
-        limit = min(waits) * SPILL_FACTOR + SPILL_SECONDS
-        ordered = sorted(
-            zip(waits, loads, strict=True),
-            key=lambda pair: _order_weight(pair[1].endpoint),
-        )
-        return next(load for wait, load in ordered if wait <= limit)
-
 
 def first_token_seconds(shape: PromptShape, load: EndpointLoad) -> float:
     """Return the estimated time to the first token at an endpoint."""
@@ -131,14 +104,3 @@
     if load.tokens_behind(length):
         wait += LONG_NEIGHBOUR_SECONDS
     return wait + load.distance_seconds
-
-
-def long_wait_seconds(shape: PromptShape, load: EndpointLoad) -> float:
-    """Return the estimated time to the first token of a long prompt."""
-    own = max(1, shape.prompt_tokens - load.cached_tokens)
-    wait = (load.all_tokens + own) / load.prefill_rate
-    return wait + load.distance_seconds
-
-
-def _order_weight(endpoint: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"long\0{endpoint}".encode())
--- a/bilberryring/sidecar/engine_watch.py
+++ b/bilberryring/sidecar/engine_watch.py
@@ -47,6 +47,7 @@
         incarnation: str,
         owned: Callable[[], frozenset[str]],
         on_restart: Callable[[], None],
+        on_lost: Callable[[], None],
         on_look: Callable[[], None],
     ):
         self._reactor = reactor
@@ -55,6 +56,7 @@
         self._incarnation = incarnation
         self._owned = owned
         self._on_restart = on_restart
+        self._on_lost = on_lost
         self._on_look = on_look
         self._engine_incarnation = ""
         self._last_look = -FRESH_SECONDS
@@ -118,6 +120,7 @@
             self._misses += 1
             if self._misses == MISSES_UNTIL_LOST:
                 self._log.write(LogEvent.ENGINE_LOST, detail=str(error))
+                self._on_lost()
             return
         finally:
             self._is_looking = False
--- a/bilberryring/sidecar/prompt_runner.py
+++ b/bilberryring/sidecar/prompt_runner.py
@@ -73,6 +73,7 @@
             incarnation=incarnation,
             owned=self._owned_names,
             on_restart=self._engine_restarted,
+            on_lost=self._engine_lost,
             on_look=self._pump,
         )
         self._pump_loop = LoopingCall(self._pump)
@@ -281,7 +282,15 @@
         self._end_early(attempt, ErrorCode.DEADLINE_PASSED)
 
     def _engine_restarted(self) -> None:
+        """Forget what the engine lost; it is cold now."""
         self._admission.restart()
+        self._fail_running()
+
+    def _engine_lost(self) -> None:
+        """Let entries go elsewhere; what the engine still holds is audited."""
+        self._fail_running()
+
+    def _fail_running(self) -> None:
         for attempt in tuple(self._attempts.values()):
             if attempt.state is AttemptState.RUNNING:
                 self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, _outcome_of(attempt))
