Failure domains, cold starts, and requests that crash engines

Cause: a cold engine fell over twice in the scenario: the allowance grew with each completion, while the engine bears its cold load until a number of them. No process knew which prompts had ended engines. Change: operators publish cold_completions; the allowance holds until then. A cold endpoint's size limit follows its allowance. Deaths name the prompts that ran; suspects run alone, after a pause; a second death quarantines them; each process tells a death on once.

--- a/bilberryring/admission/__init__.py
+++ b/bilberryring/admission/__init__.py
@@ -1,6 +1,10 @@
 """Admission of prompts at one endpoint."""
 
-from bilberryring.admission.allowance import COLD_TOKENS_PER_SLOT, ColdAllowance
+from bilberryring.admission.allowance import (
+    COLD_TOKENS_PER_SLOT,
+    ColdAllowance,
+    cold_fits,
+)
 from bilberryring.admission.fair_queue import FairQueue
 from bilberryring.admission.length_class import (
     LENGTH_CLASSES,
@@ -57,5 +61,6 @@
     "SHORT_TOKENS",
     "STARTED_TOKENS_LIMIT",
     "WorkKey",
+    "cold_fits",
     "length_class_of",
 ]
--- a/bilberryring/admission/prompt_admission.py
+++ b/bilberryring/admission/prompt_admission.py
@@ -46,6 +46,7 @@
     kv_tokens: int
     concurrency: int
     cold_allowance: int
+    cold_completions: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,9 +94,12 @@
         self._limits = limits
         self._memory = KvMemory(total_tokens=limits.kv_tokens)
         self._allowance = ColdAllowance(
-            initial=limits.cold_allowance, full=limits.concurrency
+            initial=limits.cold_allowance,
+            full=limits.concurrency,
+            completions_needed=limits.cold_completions,
         )
         self._queues = {length: FairQueue() for length in LENGTH_CLASSES}
+        self._isolated = FairQueue()
         self._running: dict[WorkKey, _Running] = {}
         self._prefill_tokens = dict.fromkeys(LENGTH_CLASSES, 0)
         self._rate = INITIAL_PREFILL_RATE
@@ -120,7 +124,7 @@
     @property
     def queued_count(self) -> int:
         """The prompts that wait."""
-        return sum(len(queue) for queue in self._queues.values())
+        return sum(len(queue) for queue in self._all_queues())
 
     def load(self) -> AdmissionLoad:
         """Return what to report to entries."""
@@ -157,7 +161,11 @@
             return PromptRefusal(code=ErrorCode.OUT_OF_MEMORY, retry_after=wait)
         if self.queued_count >= MAX_QUEUED_WORKS:
             return PromptRefusal(code=ErrorCode.QUEUE_FULL, retry_after=wait)
-        if self._allowance.is_cold and not self._cold_room(work):
+        in_hand = len(self._running) + self.queued_count
+        may_bear = self._allowance.may_bear(
+            prompt_tokens=work.prompt_tokens, in_hand=in_hand
+        )
+        if not may_bear:
             return PromptRefusal(
                 code=ErrorCode.COLD, retry_after=max(wait, MIN_RETRY_AFTER_SECONDS)
             )
@@ -167,11 +175,14 @@
                 code=ErrorCode.TOO_LATE,
                 retry_after=max(late, MIN_RETRY_AFTER_SECONDS),
             )
-        self._queues[work.length_class].push(work)
+        queue = self._isolated if work.is_isolated else self._queues[work.length_class]
+        queue.push(work)
         return Queued()
 
     def take_starts(self, *, now: float) -> list[PromptWork]:
         """Return the work to hand to the engine now, with memory reserved."""
+        if self._must_isolate():
+            return self._take_isolated(now)
         starts: list[PromptWork] = []
         for length in LENGTH_CLASSES:
             queue = self._queues[length]
@@ -206,13 +217,13 @@
 
     def withdraw(self, key: WorkKey) -> bool:
         """Remove a prompt that still waits; `False` when it does not."""
-        return any(queue.remove(key) for queue in self._queues.values())
+        return any(queue.remove(key) for queue in self._all_queues())
 
     def expire(self, *, now: float) -> list[PromptWork]:
         """Remove and return the prompts that waited past their time."""
         expired = [
             work
-            for queue in self._queues.values()
+            for queue in self._all_queues()
             for work in queue
             if now > work.start_by
         ]
@@ -228,6 +239,23 @@
         self._allowance.reset()
         return lost
 
+    def _all_queues(self) -> tuple[FairQueue, ...]:
+        return (*self._queues.values(), self._isolated)
+
+    def _must_isolate(self) -> bool:
+        """Whether a suspect runs or waits, so that nothing else may start."""
+        is_running = any(item.work.is_isolated for item in self._running.values())
+        return is_running or len(self._isolated) > 0
+
+    def _take_isolated(self, now: float) -> list[PromptWork]:
+        """Start the next suspect once nothing else runs."""
+        work = self._isolated.peek()
+        if work is None or self._running or not self._memory.has_room(work):
+            return []
+        self._isolated.pop()
+        self._begin(work, now)
+        return [work]
+
     def _tokens_before(self, length: LengthClass, work: PromptWork) -> int:
         queue = self._queues[length]
         is_same = length.prefill_rank == work.length_class.prefill_rank
@@ -303,10 +331,3 @@
         fair_time = running.work.prompt_tokens / self._rate
         age = now - running.started_at
         return age > OVERDUE_FACTOR * fair_time + OVERDUE_SECONDS
-
-    def _cold_room(self, work: PromptWork) -> bool:
-        """Whether a cold endpoint could start the work soon."""
-        is_long = work.length_class in (LengthClass.LONG, LengthClass.VERY_LONG)
-        if is_long:
-            return False
-        return len(self._running) + self.queued_count < self._allowance.limit
--- a/bilberryring/demo/report.py
+++ b/bilberryring/demo/report.py
@@ -31,6 +31,7 @@
     booked: list[str] = field(default_factory=list)
     unsure: list[str] = field(default_factory=list)
     effects: dict[str, int] = field(default_factory=dict)
+    errors: list[str] = field(default_factory=list)
 
     @property
     def doubled(self) -> int:
@@ -64,8 +65,13 @@
             tally.refused_not_run += 1
         elif result.cut:
             tally.cut += 1
+            self.errors.append(f"{kind}: cut: {result.detail}")
         else:
             tally.failed += 1
+            self.errors.append(
+                f"{kind}: {result.code} ({result.outcome}) after "
+                f"{result.seconds:.1f} s: {result.detail}"
+            )
 
     def add_booking(self, reference: str, result: CallResult) -> None:
         """Count the result of a booking."""
@@ -78,6 +84,7 @@
         else:
             tally.failed += 1
             self.unsure.append(reference)
+            self.errors.append(f"{reference}: {result.code} ({result.outcome})")
 
     def _kind(self, kind: str) -> KindTally:
         tally = self.kinds.setdefault(kind, KindTally())
@@ -108,4 +115,6 @@
         f"{sum(tally.effects.values())}, doubled {tally.doubled}, "
         f"lost {tally.lost}, untrue refusals {tally.untrue}"
     )
+    for error in tally.errors:
+        click.echo(error)
     click.echo("result: " + ("good" if tally.is_good else "NOT GOOD"))
--- a/bilberryring/demo/work.py
+++ b/bilberryring/demo/work.py
@@ -1,5 +1,6 @@
 """The work of the demo: questions, manifests, seasons of logs, bookings."""
 
+import itertools
 import random
 import threading
 import time
@@ -57,6 +58,8 @@
 )
 BOOKING_SENDERS = 2
 BOOKING_PAUSE_SECONDS = 0.05
+_runs = itertools.count(1)
+"""Numbers each start, so that no two name the same booking."""
 
 
 def filler_prompt(tokens: int, label: str) -> str:
@@ -80,11 +83,12 @@
     def start(self, seconds: float) -> None:
         """Begin to send, for a time in seconds."""
         self._until = time.monotonic() + seconds
+        run = next(_runs)
         for kind in PROMPT_KINDS:
             for number in range(kind.senders):
                 self._thread(self._send_prompts, kind, number)
         for number in range(BOOKING_SENDERS):
-            self._thread(self._send_bookings, number)
+            self._thread(self._send_bookings, run, number)
 
     def join(self) -> None:
         """Wait until every answer has come."""
@@ -117,10 +121,10 @@
             count += 1
             time.sleep(kind.pause_seconds)
 
-    def _send_bookings(self, number: int) -> None:
+    def _send_bookings(self, run: int, number: int) -> None:
         count = 0
         while not self._is_over():
-            reference = f"booking-{number}-{count}"
+            reference = f"booking-{run}-{number}-{count}"
             caller = self._fleet.caller(self._entry(number + count), "bars")
             result = caller.ticket(SERVICE)
             if result.status == 201:
--- a/bilberryring/entry/prompt_request.py
+++ b/bilberryring/entry/prompt_request.py
@@ -29,7 +29,8 @@
 from bilberryring.execution import AnswerAssembly, AnswerGapError, RetryBudget
 from bilberryring.membership import Standing
 from bilberryring.objects import Model, ObjectSet, Priority, Workspace
-from bilberryring.routing import Placement, PromptShape
+from bilberryring.quarantine import PromptStanding, Suspicions
+from bilberryring.routing import FewestOutstanding, Placement, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
     Cancel,
@@ -46,6 +47,8 @@
 PREFILL_PATIENCE = 4.0
 """How many times its own prefill time a prompt may wait beyond its priority's."""
 NO_ENDPOINT_RETRY_SECONDS = 1.0
+SUSPECT_PAUSE_SECONDS = 0.3
+_ISOLATED_PLACEMENT = Placement(policy=FewestOutstanding())
 
 FREE_MOVE_CODES = frozenset(
     {
@@ -111,6 +114,7 @@
         links: SidecarLinks,
         placement: Placement,
         budget: RetryBudget,
+        suspicions: Suspicions,
         objects: Callable[[], ObjectSet],
         log: EventLog,
         on_token_gap: Callable[[float], None],
@@ -121,6 +125,7 @@
         self._links = links
         self._placement = placement
         self._budget = budget
+        self._suspicions = suspicions
         self._objects = objects
         self._log = log
         self._on_token_gap = on_token_gap
@@ -152,6 +157,7 @@
         finally:
             if timer.active():
                 timer.cancel()
+        self._suspicions.clear(self._prompt.fingerprint)
         self._sink.finish(self._assembly.text, self._assembly.token_count)
         return AnswerTimes(
             first_token=self._first_token_at,
@@ -163,7 +169,8 @@
         """Make one attempt; whether the answer is whole now."""
         if self._is_answer_complete():
             return True
-        channel = self._open_channel()
+        is_isolated = await self._must_isolate()
+        channel = self._open_channel(is_isolated)
         self._assembly.begin(channel.attempt)
         self._progress.attempts += 1
         self._log.write(
@@ -173,7 +180,7 @@
             endpoint=channel.record.endpoint.name,
         )
         try:
-            await self._send_prompt(channel)
+            await self._send_prompt(channel, is_isolated)
             return await self._follow(channel)
         except AnswerGapError as error:
             channel.send(Cancel(attempt=channel.attempt))
@@ -182,11 +189,33 @@
         finally:
             channel.close()
 
+    async def _must_isolate(self) -> bool:
+        """Whether the prompt is a suspect; `ServingError` when quarantined.
+
+        A suspect waits a moment first, so that the deaths it may have caused
+        elsewhere are known.
+        """
+        standing = self._standing()
+        if standing is PromptStanding.SUSPECT:
+            await deferLater(self._reactor, SUSPECT_PAUSE_SECONDS)
+            standing = self._standing()
+        if standing is PromptStanding.QUARANTINED:
+            self._log.write(
+                LogEvent.PROMPT_QUARANTINED, request=self._prompt.request_id
+            )
+            raise self._error(ErrorCode.QUARANTINED)
+        return standing is PromptStanding.SUSPECT
+
+    def _standing(self) -> PromptStanding:
+        return self._suspicions.standing(
+            self._prompt.fingerprint, now=self._reactor.seconds()
+        )
+
     def _is_answer_complete(self) -> bool:
         """Whether all tokens were delivered and only the end was lost."""
         return self._assembly.token_count >= self._prompt.shape.max_tokens
 
-    def _open_channel(self) -> AttemptChannel:
+    def _open_channel(self, is_isolated: bool) -> AttemptChannel:
         prompt, progress = self._prompt, self._progress
         if self._reactor.seconds() >= prompt.deadline:
             raise self._error(ErrorCode.DEADLINE_PASSED)
@@ -199,7 +228,8 @@
             )
         ]
         loads = self._links.loads(names, excluded=frozenset(progress.excluded))
-        chosen = self._placement.choose(prompt.shape, loads)
+        placement = _ISOLATED_PLACEMENT if is_isolated else self._placement
+        chosen = placement.choose(prompt.shape, loads)
         channel = None
         if chosen is not None:
             channel = self._links.open_attempt(
@@ -211,7 +241,7 @@
             )
         return channel
 
-    async def _send_prompt(self, channel: AttemptChannel) -> None:
+    async def _send_prompt(self, channel: AttemptChannel, is_isolated: bool) -> None:
         """Send the prompt in parts, and let other streams go between them."""
         prompt = self._prompt
         text = prompt.text
@@ -232,6 +262,7 @@
                 queue_deadline=self._receiver_micros(channel, prompt.start_by),
                 fingerprint=prompt.fingerprint,
                 prompt_parts=len(starts),
+                isolated=is_isolated,
             )
         )
         for index, start in enumerate(starts):
--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -14,9 +14,11 @@
 from bilberryring.membership import Standing
 from bilberryring.objects import ObjectSet
 from bilberryring.process.settings import host_and_port
+from bilberryring.quarantine import Suspicions
 from bilberryring.routing import Endpoint, EndpointLoad, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
+    EngineDeath,
     Finished,
     Heartbeat,
     Hello,
@@ -203,6 +205,8 @@
             case Hello():
                 self._record.link_opened(message.incarnation)
                 self._owner.greeted(self, message)
+            case EngineDeath():
+                self._owner.spread_death(message, link)
             case _:
                 self._owner.set_message(link, message)
 
@@ -218,7 +222,9 @@
         failure_domain: str,
         hello: Hello,
         configuration,
+        suspicions: Suspicions,
     ):
+        self._suspicions = suspicions
         self.reactor = reactor
         self._log = log
         self._failure_domain = failure_domain
@@ -352,6 +358,17 @@
         )
         self._note_standing(sidecar)
 
+    def spread_death(self, death: EngineDeath, origin: LinkProtocol) -> None:
+        """Record an engine's death and tell it on, once."""
+        new = self._suspicions.record_death(
+            death.death, death.fingerprints, now=self.reactor.seconds()
+        )
+        if not new:
+            return
+        for link in self._links.values():
+            if link.protocol is not None and link.protocol is not origin:
+                link.protocol.send(death)
+
     def set_message(self, link: LinkProtocol, message: object) -> None:
         """Hand a message about sets to the configuration."""
         match message:
--- a/bilberryring/measure/fake_endpoint.py
+++ b/bilberryring/measure/fake_endpoint.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from twisted.internet.task import Clock
@@ -55,6 +55,10 @@
     tokens_left: int
 
 
+def _ignore(key: WorkKey) -> None:
+    """Do nothing at the start of a prompt."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointCallbacks:
     """What the driver is told of a prompt."""
@@ -62,6 +66,7 @@
     on_first_token: Callable[[WorkKey], None]
     on_end: Callable[[WorkKey], None]
     on_refused: Callable[[WorkKey, PromptRefusal], None]
+    on_start: Callable[[WorkKey], None] = _ignore
 
 
 class FakeEndpoint:
@@ -79,20 +84,14 @@
         self._clock = clock
         self._options = options
         self._callbacks = callbacks
-        self._admission = PromptAdmission(
-            limits=EndpointLimits(
-                kv_tokens=options.kv_tokens,
-                concurrency=options.concurrency,
-                cold_allowance=options.cold_allowance,
-            )
-        )
+        self._new_admission()
+        self._lost: set[WorkKey] = set()
         self._waiting: list[tuple[int, int, _Prefill]] = []
         self._sequence = itertools.count()
         self._is_busy = False
         self._prefilled = 0
         self._outstanding = 0
         self._unprefilled_tokens = 0
-        self._peak_running = 0
 
     @property
     def name(self) -> str:
@@ -149,9 +148,40 @@
         self._outstanding += 1
         self._pump()
 
+    def return_cold(self, *, initial: int) -> None:
+        """Begin again with a small allowance; what runs here goes on."""
+        self._options = replace(self._options, cold_allowance=initial)
+        self._new_admission()
+
+    def raise_allowance(self, limit: int) -> None:
+        """Raise the allowance without regard to work completed."""
+        while self._admission.allowance.limit < limit:
+            self._admission.allowance.record_completion(in_time=True)
+        self._pump()
+
+    def lose_all(self) -> list[WorkKey]:
+        """Lose every prompt, as an engine does that falls over."""
+        lost = list(self._admission.running_keys)
+        self._lost.update(lost)
+        self._waiting.clear()
+        self._outstanding -= len(lost)
+        self._admission.restart()
+        return lost
+
+    def _new_admission(self) -> None:
+        options = self._options
+        self._admission = PromptAdmission(
+            limits=EndpointLimits(
+                kv_tokens=options.kv_tokens,
+                concurrency=options.concurrency,
+                cold_allowance=options.cold_allowance,
+            )
+        )
+
     def _pump(self) -> None:
         for work in self._admission.take_starts(now=self._clock.seconds()):
             self._enqueue(work)
+            self._callbacks.on_start(work.key)
 
     def _enqueue(self, work: PromptWork) -> None:
         is_priority = self._options.order is EngineOrder.PRIORITY
@@ -174,7 +204,8 @@
         self._prefilled += tokens
         self._unprefilled_tokens -= tokens
         prefill.tokens_left -= tokens
-        if prefill.tokens_left == 0:
+        is_lost = prefill.work.key in self._lost
+        if prefill.tokens_left == 0 and not is_lost:
             self._waiting = [item for item in self._waiting if item[2] is not prefill]
             heapq.heapify(self._waiting)
             self._first_token(prefill.work)
@@ -188,6 +219,8 @@
         self._clock.callLater(work.max_tokens * TOKEN_SECONDS, self._end, work)
 
     def _end(self, work: PromptWork) -> None:
+        if work.key in self._lost:
+            return
         self._outstanding -= 1
         if self._options.uses_admission:
             self._admission.finish(work.key, in_time=True)
--- a/bilberryring/objects/kinds.py
+++ b/bilberryring/objects/kinds.py
@@ -178,7 +178,11 @@
 
 
 class ModelEndpoint(PublishedObject):
-    """A model engine and its sidecar; `kv_tokens` is its KV memory."""
+    """A model engine and its sidecar; `kv_tokens` is its KV memory.
+
+    While cold, the engine bears `cold_allowance` requests, until it completed
+    `cold_completions` of them in time.
+    """
 
     failure_domain: FailureDomainName
     sidecar: str
@@ -187,6 +191,7 @@
     kv_tokens: int = 400_000
     weights_megabytes: int = 80_000
     cold_allowance: int = 2
+    cold_completions: int = 8
     concurrency: int = 64
     checks_fencing: bool = True
 
@@ -198,6 +203,7 @@
             "cold_allowance",
             "must be above 0 and at most concurrency",
         )
+        require(self.cold_completions >= 0, "cold_completions", "must not be negative")
         require(self.weights_megabytes > 0, "weights_megabytes", "must be above 0")
 
 
--- a/bilberryring/routing/endpoint_load.py
+++ b/bilberryring/routing/endpoint_load.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass
 
-from bilberryring.admission import LENGTH_CLASSES, LengthClass, length_class_of
+from bilberryring.admission import (
+    LENGTH_CLASSES,
+    LengthClass,
+    cold_fits,
+    length_class_of,
+)
 
 NO_BACKLOG = (0,) * len(LENGTH_CLASSES)
 
@@ -60,14 +65,15 @@
     def may_bear(self, shape: PromptShape) -> bool:
         """Whether the endpoint would take the prompt, as far as is known.
 
-        A cold endpoint takes a few requests, and no long prompt.
+        A cold endpoint takes a few requests, and none that is long for it.
         """
         if self.kv_tokens and self.kv_tokens < shape.kv_tokens:
             return False
         if not self.is_cold:
             return True
-        is_long = shape.length_class in (LengthClass.LONG, LengthClass.VERY_LONG)
-        return not is_long and self.outstanding < self.allowance
+        return self.outstanding < self.allowance and cold_fits(
+            prompt_tokens=shape.prompt_tokens, allowance=self.allowance
+        )
 
     @property
     def all_tokens(self) -> int:
--- a/bilberryring/sidecar/attempt.py
+++ b/bilberryring/sidecar/attempt.py
@@ -73,4 +73,5 @@
             max_tokens=message.max_tokens,
             start_by=from_micros(message.queue_deadline),
             deadline=self.deadline,
+            is_isolated=bool(message.isolated),
         )
--- a/bilberryring/sidecar/daemon.py
+++ b/bilberryring/sidecar/daemon.py
@@ -5,7 +5,7 @@
 
 from bilberryring.adapters import EngineClient, PlatformReader
 from bilberryring.admission import EndpointLimits
-from bilberryring.core import ErrorCode, new_incarnation, to_micros
+from bilberryring.core import ErrorCode, Fingerprint, new_incarnation, to_micros
 from bilberryring.http import HttpClient
 from bilberryring.membership import HEARTBEAT_SECONDS, SidecarState
 from bilberryring.objects import ModelEndpoint, ObjectSet, ServiceEndpoint
@@ -17,6 +17,7 @@
 )
 from bilberryring.process.running import Listeners
 from bilberryring.process.settings import SidecarSettings
+from bilberryring.quarantine import PromptStanding, Suspicions
 from bilberryring.sidecar.peer import PeerLink
 from bilberryring.sidecar.prompt_runner import PromptRunner
 from bilberryring.sidecar.service_runner import ServiceRunner
@@ -25,6 +26,7 @@
 from bilberryring.wire import (
     CallService,
     Cancel,
+    EngineDeath,
     Heartbeat,
     Hello,
     LinkProtocol,
@@ -51,6 +53,7 @@
         self._log = log
         self._incarnation = new_incarnation()
         self._metrics = Metrics()
+        self._suspicions = Suspicions()
         self._peers: dict[LinkProtocol, PeerLink] = {}
         self._prompts: PromptRunner | None = None
         self._service: ServiceRunner | None = None
@@ -185,10 +188,15 @@
                 kv_tokens=endpoint.kv_tokens,
                 concurrency=endpoint.concurrency,
                 cold_allowance=endpoint.cold_allowance,
+                cold_completions=endpoint.cold_completions,
             ),
             objects=lambda: self._configuration.objects,
             refusal=self._refusal,
             on_change=self._state_may_have_changed,
+            on_death=lambda death, fingerprint: self._spread_death(
+                EngineDeath(death=death, fingerprints=[fingerprint]), None
+            ),
+            is_quarantined=self._is_quarantined,
         )
         self._prompts.start()
 
@@ -208,6 +216,21 @@
             refusal=self._refusal,
         )
 
+    def _is_quarantined(self, fingerprint: Fingerprint) -> bool:
+        standing = self._suspicions.standing(fingerprint, now=self._reactor.seconds())
+        return standing is PromptStanding.QUARANTINED
+
+    def _spread_death(self, death: EngineDeath, origin: LinkProtocol | None) -> None:
+        """Record a death and tell it on, once, to everyone but its origin."""
+        new = self._suspicions.record_death(
+            death.death, death.fingerprints, now=self._reactor.seconds()
+        )
+        if not new:
+            return
+        for link in tuple(self._peers):
+            if link is not origin:
+                link.send(death)
+
     def _link_opened(self, link: LinkProtocol) -> None:
         link.send(
             Hello(
@@ -240,6 +263,8 @@
                 self._configuration.take_query(link, message)
             case SetAnswer():
                 self._configuration.take_answer(link, message)
+            case EngineDeath():
+                self._spread_death(message, link)
             case _:
                 peer = self._peers.get(link)
                 if peer is not None:
@@ -326,6 +351,7 @@
             refused_sets=refused_statuses(sets.refused),
             in_progress=self._in_progress(),
             links=len(self._peers),
+            quarantined=self._suspicions.quarantined(now=self._reactor.seconds()),
         )
 
 
--- a/bilberryring/sidecar/engine_watch.py
+++ b/bilberryring/sidecar/engine_watch.py
@@ -77,6 +77,11 @@
         """The holder that this sidecar's orders name."""
         return holder_name(self._fence, self._incarnation)
 
+    @property
+    def engine_incarnation(self) -> str:
+        """The engine's incarnation at the last look."""
+        return self._engine_incarnation
+
     @property
     def is_superseded(self) -> bool:
         """Whether another sidecar has taken over the engine."""
--- a/bilberryring/sidecar/prompt_runner.py
+++ b/bilberryring/sidecar/prompt_runner.py
@@ -22,7 +22,7 @@
     Queued,
     WorkKey,
 )
-from bilberryring.core import ErrorCode, RunOutcome, to_micros
+from bilberryring.core import ErrorCode, Fingerprint, RunOutcome, to_micros
 from bilberryring.objects import ObjectSet
 from bilberryring.sidecar.attempt import AttemptState, PromptAttempt
 from bilberryring.sidecar.engine_watch import EngineWatch
@@ -56,6 +56,8 @@
         objects: Callable[[], ObjectSet | None],
         refusal: Callable[[], ErrorCode | None],
         on_change: Callable[[], None],
+        on_death: Callable[[str, Fingerprint], None],
+        is_quarantined: Callable[[Fingerprint], bool],
     ):
         self._reactor = reactor
         self._engine = engine
@@ -63,6 +65,9 @@
         self._objects = objects
         self._refusal = refusal
         self._on_change = on_change
+        self._on_death = on_death
+        self._is_quarantined = is_quarantined
+        self._incarnation = incarnation
         self._admission = PromptAdmission(limits=limits)
         self._attempts: dict[WorkKey, PromptAttempt] = {}
         self._tombstones = Tombstones()
@@ -147,6 +152,8 @@
             return ErrorCode.CANCELLED
         if now >= attempt.deadline:
             return ErrorCode.TOO_LATE
+        if self._is_quarantined(attempt.message.fingerprint):
+            return ErrorCode.QUARANTINED
         refusal = self._refusal()
         if refusal is None and self._watch.is_lost:
             return ErrorCode.NO_ENDPOINT
@@ -255,6 +262,8 @@
                 self._refuse(attempt, ErrorCode.OUT_OF_MEMORY, _outcome_of(attempt))
                 self._release(attempt, in_time=False)
             case GenerationEnd.BROKEN | GenerationEnd.CANCELLED:
+                if end is GenerationEnd.BROKEN:
+                    self._suspect(attempt)
                 self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, _outcome_of(attempt))
                 self._release(attempt, in_time=False)
                 self._watch.look_now()
@@ -290,6 +299,14 @@
         """Let entries go elsewhere; what the engine still holds is audited."""
         self._fail_running()
 
+    def _suspect(self, attempt: PromptAttempt) -> None:
+        """Tell everyone that the engine broke off while the prompt ran."""
+        death = f"{self._incarnation}/{self._watch.engine_incarnation}"
+        self._log.write(
+            LogEvent.PROMPT_SUSPECTED, request=attempt.message.request, death=death
+        )
+        self._on_death(death, Fingerprint(attempt.message.fingerprint))
+
     def _fail_running(self) -> None:
         for attempt in tuple(self._attempts.values()):
             if attempt.state is AttemptState.RUNNING:
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -451,6 +451,7 @@
             versions=(VERSION,),
             kv_tokens=plan.kv_tokens,
             cold_allowance=plan.cold_allowance,
+            cold_completions=plan.cold_completions,
             concurrency=plan.concurrency,
             checks_fencing=plan.honours_fencing,
         )
--- a/bilberryring/wire/__init__.py
+++ b/bilberryring/wire/__init__.py
@@ -4,6 +4,7 @@
 from bilberryring.wire.gen.ttypes import (
     CallService,
     Cancel,
+    EngineDeath,
     Envelope,
     Finished,
     Heartbeat,
@@ -23,6 +24,7 @@
 __all__ = [
     "CallService",
     "Cancel",
+    "EngineDeath",
     "Envelope",
     "Finished",
     "FrameError",
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -631,6 +631,7 @@
      - fingerprint
      - prompt_parts
      - queue_deadline
+     - isolated
 
     """
 
@@ -649,10 +650,11 @@
         'fingerprint',
         'prompt_parts',
         'queue_deadline',
+        'isolated',
     )
 
 
-    def __init__(self, attempt=None, request=None, workspace=None, model=None, version=None, adapter=None, priority=None, prompt_tokens=None, max_tokens=None, delivered_tokens=None, deadline=None, fingerprint=None, prompt_parts=None, queue_deadline=None,):
+    def __init__(self, attempt=None, request=None, workspace=None, model=None, version=None, adapter=None, priority=None, prompt_tokens=None, max_tokens=None, delivered_tokens=None, deadline=None, fingerprint=None, prompt_parts=None, queue_deadline=None, isolated=None,):
         self.attempt = attempt
         self.request = request
         self.workspace = workspace
@@ -667,6 +669,7 @@
         self.fingerprint = fingerprint
         self.prompt_parts = prompt_parts
         self.queue_deadline = queue_deadline
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -747,6 +750,11 @@
                     self.queue_deadline = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -813,6 +821,10 @@
             oprot.writeFieldBegin('queue_deadline', TType.I64, 14)
             oprot.writeI64(self.queue_deadline)
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 15)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1675,6 +1687,94 @@
         return not (self == other)
 
 
+class EngineDeath(object):
+    """
+    Attributes:
+     - death
+     - fingerprints
+
+    """
+
+    __slots__ = (
+        'death',
+        'fingerprints',
+    )
+
+
+    def __init__(self, death=None, fingerprints=None,):
+        self.death = death
+        self.fingerprints = fingerprints
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.death = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.fingerprints = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.fingerprints.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EngineDeath')
+        if self.death is not None:
+            oprot.writeFieldBegin('death', TType.STRING, 1)
+            oprot.writeString(self.death.encode('utf-8') if sys.version_info[0] == 2 else self.death)
+            oprot.writeFieldEnd()
+        if self.fingerprints is not None:
+            oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.fingerprints))
+            for iter57 in self.fingerprints:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1691,6 +1791,7 @@
      - finished
      - refused
      - service_answer
+     - engine_death
 
     """
 
@@ -1708,10 +1809,11 @@
         'finished',
         'refused',
         'service_answer',
+        'engine_death',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None,):
+    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.set_notice = set_notice
@@ -1725,6 +1827,7 @@
         self.finished = finished
         self.refused = refused
         self.service_answer = service_answer
+        self.engine_death = engine_death
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1813,6 +1916,12 @@
                     self.service_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.engine_death = EngineDeath()
+                    self.engine_death.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1875,6 +1984,10 @@
             oprot.writeFieldBegin('service_answer', TType.STRUCT, 13)
             self.service_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.engine_death is not None:
+            oprot.writeFieldBegin('engine_death', TType.STRUCT, 14)
+            self.engine_death.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1958,6 +2071,7 @@
     (12, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 12
     (13, TType.I32, 'prompt_parts', None, None, ),  # 13
     (14, TType.I64, 'queue_deadline', None, None, ),  # 14
+    (15, TType.BOOL, 'isolated', None, None, ),  # 15
 )
 all_structs.append(PromptPart)
 PromptPart.thrift_spec = (
@@ -2022,6 +2136,12 @@
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
     (5, TType.BOOL, 'replayed', None, None, ),  # 5
 )
+all_structs.append(EngineDeath)
+EngineDeath.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'death', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -2038,6 +2158,7 @@
     (11, TType.STRUCT, 'finished', [Finished, None], None, ),  # 11
     (12, TType.STRUCT, 'refused', [Refused, None], None, ),  # 12
     (13, TType.STRUCT, 'service_answer', [ServiceAnswer, None], None, ),  # 13
+    (14, TType.STRUCT, 'engine_death', [EngineDeath, None], None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -59,6 +59,7 @@
   12: string fingerprint,
   13: i32 prompt_parts,
   14: i64 queue_deadline,
+  15: bool isolated,
 }
 
 struct PromptPart {
@@ -116,6 +117,11 @@
   5: bool replayed,
 }
 
+struct EngineDeath {
+  1: string death,
+  2: list<string> fingerprints,
+}
+
 struct Envelope {
   1: optional Hello hello,
   2: optional Heartbeat heartbeat,
@@ -130,4 +136,5 @@
   11: optional Finished finished,
   12: optional Refused refused,
   13: optional ServiceAnswer service_answer,
+  14: optional EngineDeath engine_death,
 }
