Suspicions are cleared everywhere, and only by deaths that the prompt was in

Change: an order that the engine never took is no death; after a break the sidecar gives no order until it has looked at the engine again; a whole answer voids its deaths in every process, also where the word of them comes later. The entry tracks 6 endpoints of a model instead of 12. Ruled out: clearing at the entry alone (a prompt sent again later was quarantined by its second, unrelated death).

--- a/bilberryring/adapters/engine.py
+++ b/bilberryring/adapters/engine.py
@@ -46,6 +46,11 @@
         self._stream: LineStream | None = None
         self._is_aborted = False
 
+    @property
+    def was_accepted(self) -> bool:
+        """Whether the engine took the order."""
+        return self._stream is not None
+
     @property
     def token_count(self) -> int:
         """The tokens of the whole answer, once it ended well."""
--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -21,7 +21,6 @@
 )
 from bilberryring.process.running import Listeners
 from bilberryring.process.settings import EntrySettings
-from bilberryring.quarantine import Suspicions
 from bilberryring.routing import tracked_endpoints
 from bilberryring.telemetry import EventLog, LogEvent, Metrics
 from bilberryring.wire import Hello
@@ -43,7 +42,6 @@
         self._log = log
         self._incarnation = new_incarnation()
         self._metrics = Metrics()
-        self._suspicions = Suspicions()
         self._listeners = Listeners(reactor=reactor)
         self._platform = PlatformReader(
             client=HttpClient(reactor=reactor, base=settings.platform_url),
@@ -68,7 +66,6 @@
                 incarnation=self._incarnation,
             ),
             configuration=self._configuration,
-            suspicions=self._suspicions,
         )
         self._state = EntryState(
             reactor=reactor,
@@ -76,7 +73,6 @@
             metrics=self._metrics,
             configuration=self._configuration,
             links=self._links,
-            suspicions=self._suspicions,
         )
         self._is_ready_logged = False
         self._is_leaving = False
@@ -183,7 +179,7 @@
             in_progress=self._state.in_progress,
             links=len(self._links.names),
             endpoints=tuple(self._endpoint_status(name) for name in self._links.names),
-            quarantined=self._suspicions.quarantined(now=self._reactor.seconds()),
+            quarantined=self._links.deaths.quarantined(),
         )
 
     def _endpoint_status(self, name: str) -> EndpointStatus:
--- a/bilberryring/entry/entry_state.py
+++ b/bilberryring/entry/entry_state.py
@@ -13,7 +13,6 @@
 from bilberryring.execution import RetryBudget
 from bilberryring.objects import ObjectSet
 from bilberryring.process.configuration import ConfigurationTask
-from bilberryring.quarantine import Suspicions
 from bilberryring.routing import LengthAware, Placement
 from bilberryring.telemetry import (
     FIRST_TOKEN_BOUNDS,
@@ -38,9 +37,7 @@
         metrics: Metrics,
         configuration: ConfigurationTask,
         links: SidecarLinks,
-        suspicions: Suspicions,
     ):
-        self._suspicions = suspicions
         self.reactor = reactor
         self.log = log
         self.links = links
@@ -119,7 +116,6 @@
             links=self.links,
             placement=self._placement,
             budget=self._budget,
-            suspicions=self._suspicions,
             objects=lambda: self._configuration.objects,
             log=self.log,
             on_token_gap=lambda gap: self._token_gaps.observe(label, gap),
--- a/bilberryring/entry/prompt_request.py
+++ b/bilberryring/entry/prompt_request.py
@@ -34,7 +34,7 @@
 from bilberryring.execution import AnswerAssembly, AnswerGapError, RetryBudget
 from bilberryring.membership import Standing
 from bilberryring.objects import Model, ObjectSet, Priority, Workspace
-from bilberryring.quarantine import PromptStanding, Suspicions
+from bilberryring.quarantine import PromptStanding
 from bilberryring.routing import EndpointLoad, FewestOutstanding, Placement, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
@@ -119,7 +119,6 @@
         links: SidecarLinks,
         placement: Placement,
         budget: RetryBudget,
-        suspicions: Suspicions,
         objects: Callable[[], ObjectSet],
         log: EventLog,
         on_token_gap: Callable[[float], None],
@@ -130,7 +129,6 @@
         self._links = links
         self._placement = placement
         self._budget = budget
-        self._suspicions = suspicions
         self._objects = objects
         self._log = log
         self._on_token_gap = on_token_gap
@@ -163,7 +161,7 @@
         finally:
             if timer.active():
                 timer.cancel()
-        self._suspicions.clear(self._prompt.fingerprint)
+        self._links.deaths.clear(self._prompt.fingerprint)
         self._sink.finish(self._assembly.text, self._assembly.token_count)
         return AnswerTimes(
             first_token=self._first_token_at,
@@ -213,9 +211,7 @@
         return standing is PromptStanding.SUSPECT
 
     def _standing(self) -> PromptStanding:
-        return self._suspicions.standing(
-            self._prompt.fingerprint, now=self._reactor.seconds()
-        )
+        return self._links.deaths.standing(self._prompt.fingerprint)
 
     def _is_answer_complete(self) -> bool:
         """Whether all tokens were delivered and only the end was lost."""
--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -13,8 +13,8 @@
 from bilberryring.entry.endpoint_record import EndpointRecord
 from bilberryring.membership import Standing
 from bilberryring.objects import ObjectSet
+from bilberryring.process.death_spread import DeathSpread
 from bilberryring.process.settings import host_and_port
-from bilberryring.quarantine import Suspicions
 from bilberryring.routing import Endpoint, EndpointLoad, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
@@ -24,6 +24,7 @@
     Heartbeat,
     Hello,
     LinkProtocol,
+    PromptCleared,
     Refused,
     ServiceAnswer,
     SetAnswer,
@@ -210,7 +211,9 @@
                 self._record.link_opened(message.incarnation)
                 self._owner.greeted(self, message)
             case EngineDeath():
-                self._owner.spread_death(message, link)
+                self._owner.deaths.take_death(message, link)
+            case PromptCleared():
+                self._owner.deaths.take_cleared(message, link)
             case _:
                 self._owner.set_message(link, message)
 
@@ -226,9 +229,8 @@
         failure_domain: str,
         hello: Hello,
         configuration,
-        suspicions: Suspicions,
     ):
-        self._suspicions = suspicions
+        self.deaths = DeathSpread(reactor=reactor, links=self._open_links)
         self.reactor = reactor
         self._log = log
         self._failure_domain = failure_domain
@@ -368,17 +370,6 @@
         """Note that a peer lives."""
         self._configuration.note_peer()
 
-    def spread_death(self, death: EngineDeath, origin: LinkProtocol) -> None:
-        """Record an engine's death and tell it on, once."""
-        new = self._suspicions.record_death(
-            death.death, death.fingerprints, now=self.reactor.seconds()
-        )
-        if not new:
-            return
-        for link in self._links.values():
-            if link.protocol is not None and link.protocol is not origin:
-                link.protocol.send(death)
-
     def set_message(self, link: LinkProtocol, message: object) -> None:
         """Hand a message about sets to the configuration."""
         match message:
@@ -389,6 +380,10 @@
             case SetAnswer():
                 self._configuration.take_answer(link, message)
 
+    def _open_links(self) -> list[LinkProtocol]:
+        protocols = [link.protocol for link in self._links.values()]
+        return [protocol for protocol in protocols if protocol is not None]
+
     def _look_for_silence(self) -> None:
         """Tell the attempts of endpoints that fell silent."""
         for link in self._links.values():
--- a/bilberryring/measure/capacity.py
+++ b/bilberryring/measure/capacity.py
@@ -295,7 +295,7 @@
         loads = [record.load(now=1.5, distance_seconds=0.0) for _ in range(12)]
         placement.choose(shape, loads)
 
-    tracked = tracked_endpoints(objects, entry="entry-1", per_model=5)
+    tracked = tracked_endpoints(objects, entry="entry-1", per_model=6)
     return [
         Slope(name="choice among 12", value=1e6 * cpu_of(choose, 2000), unit="us"),
         Slope(
@@ -306,7 +306,7 @@
         Slope(
             name="choice of tracked endpoints",
             value=cpu_of(
-                lambda: tracked_endpoints(objects, entry="entry-1", per_model=5)
+                lambda: tracked_endpoints(objects, entry="entry-1", per_model=6)
             ),
             unit="s of CPU",
         ),
--- a/bilberryring/process/settings.py
+++ b/bilberryring/process/settings.py
@@ -36,7 +36,7 @@
     """The settings of an entry."""
 
     caller_address: str
-    tracked_endpoints_per_model: int = 12
+    tracked_endpoints_per_model: int = 6
     leave_balancer_seconds: float = 0.0
 
     def __post_init__(self):
--- a/bilberryring/quarantine/__init__.py
+++ b/bilberryring/quarantine/__init__.py
@@ -3,6 +3,7 @@
 from bilberryring.quarantine.suspicions import (
     DEATHS_UNTIL_QUARANTINE,
     MAX_SUSPECTS,
+    MAX_VOIDED,
     QUARANTINE_SECONDS,
     SUSPECT_SECONDS,
     PromptStanding,
@@ -12,6 +13,7 @@
 __all__ = [
     "DEATHS_UNTIL_QUARANTINE",
     "MAX_SUSPECTS",
+    "MAX_VOIDED",
     "PromptStanding",
     "QUARANTINE_SECONDS",
     "SUSPECT_SECONDS",
--- a/bilberryring/quarantine/suspicions.py
+++ b/bilberryring/quarantine/suspicions.py
@@ -27,6 +27,7 @@
 QUARANTINE_SECONDS = 600.0
 DEATHS_UNTIL_QUARANTINE = 2
 MAX_SUSPECTS = 256
+MAX_VOIDED = 4_096
 
 
 class PromptStanding(Enum):
@@ -48,6 +49,7 @@
 
     def __init__(self):
         self._records: OrderedDict[Fingerprint, _Record] = OrderedDict()
+        self._voided: OrderedDict[tuple[str, Fingerprint], None] = OrderedDict()
 
     def record_death(
         self, death: str, fingerprints: list[Fingerprint], *, now: float
@@ -58,6 +60,8 @@
         """
         new: list[Fingerprint] = []
         for fingerprint in fingerprints:
+            if (death, fingerprint) in self._voided:
+                continue
             record = self._records.setdefault(fingerprint, _Record())
             if death not in record.deaths:
                 record.deaths.add(death)
@@ -68,10 +72,36 @@
             self._records.popitem(last=False)
         return new
 
-    def clear(self, fingerprint: Fingerprint) -> None:
-        """Note that a suspect ran to its end."""
-        if self.deaths_of(fingerprint) < DEATHS_UNTIL_QUARANTINE:
-            self._records.pop(fingerprint, None)
+    def clear(self, fingerprint: Fingerprint) -> tuple[str, ...]:
+        """Note that a suspect ran to its end; return the deaths it was in.
+
+        The deaths are to be told on: a process that hears of them later must
+        not hold them against the prompt.
+        """
+        record = self._records.get(fingerprint)
+        if record is None:
+            return ()
+        deaths = tuple(sorted(record.deaths))
+        return deaths if self.clear_deaths(fingerprint, deaths) else ()
+
+    def clear_deaths(
+        self, fingerprint: Fingerprint, deaths: tuple[str, ...] | list[str]
+    ) -> bool:
+        """Void some deaths of a prompt; whether that was news.
+
+        A quarantined prompt stays so.
+        """
+        record = self._records.get(fingerprint)
+        if record is not None and len(record.deaths) >= DEATHS_UNTIL_QUARANTINE:
+            return False
+        is_news = False
+        for death in deaths:
+            is_news = self._void(death, fingerprint) or is_news
+            if record is not None:
+                record.deaths.discard(death)
+        if record is not None and not record.deaths:
+            del self._records[fingerprint]
+        return is_news
 
     def deaths_of(self, fingerprint: Fingerprint) -> int:
         """Return the number of deaths that a prompt was in."""
@@ -99,3 +129,12 @@
             for fingerprint in tuple(self._records)
             if self.standing(fingerprint, now=now) is PromptStanding.QUARANTINED
         )
+
+    def _void(self, death: str, fingerprint: Fingerprint) -> bool:
+        key = (death, fingerprint)
+        if key in self._voided:
+            return False
+        self._voided[key] = None
+        while len(self._voided) > MAX_VOIDED:
+            self._voided.popitem(last=False)
+        return True
--- a/bilberryring/scenarios/tests/test_spans.py
+++ b/bilberryring/scenarios/tests/test_spans.py
@@ -1,5 +1,6 @@
 """Steps of the scenarios about prompts that span several engines."""
 
+import itertools
 import threading
 from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -16,6 +17,8 @@
 
 KV_TOKENS = 120_000
 TOTAL_SECONDS = 90.0
+_labels = itertools.count()
+"""Makes each prompt unlike the others, so that no engine has it cached."""
 
 
 @dataclass
@@ -82,14 +85,15 @@
 def send_long(fleet, sending, count, engines):
     for index in range(count):
         caller = fleet.caller(fleet.entries[index % 2], "logs")
-        text = filler_prompt(int(engines * KV_TOKENS), f"span {index}")
+        text = filler_prompt(int(engines * KV_TOKENS), f"span {next(_labels)}")
         sending.long.append(
             sending.pool.submit(caller.prompt, text, model=MODEL, max_tokens=40)
         )
 
 
-def a_member(fleet: Fleet) -> str:
+def a_member(fleet: Fleet, sending: Sending) -> str:
     """Return an engine that holds a part of a prompt."""
+    assert not sending.long[0].done(), sending.long[0].result()
     wait_until(
         lambda: any(fleet.engine_facts(name)["kv_used"] for name in fleet.engines),
         10.0,
@@ -101,14 +105,14 @@
 @when(parsers.parse("after {seconds:g} s a member's sidecar is killed"))
 def kill_member(fleet, sending, seconds):
     pause(seconds)
-    sending.victim = a_member(fleet)
+    sending.victim = a_member(fleet, sending)
     fleet.process(f"sidecar-{sending.victim}").kill()
 
 
 @when(parsers.parse("after {seconds:g} s a member's engine crashes"))
 def crash_member(fleet, sending, seconds):
     pause(seconds)
-    fleet.engine_control(a_member(fleet), "crash")
+    fleet.engine_control(a_member(fleet, sending), "crash")
 
 
 @then("the sidecar is started again")
--- a/bilberryring/sidecar/daemon.py
+++ b/bilberryring/sidecar/daemon.py
@@ -5,7 +5,7 @@
 
 from bilberryring.adapters import EngineClient, PlatformReader
 from bilberryring.admission import EndpointLimits
-from bilberryring.core import ErrorCode, Fingerprint, new_incarnation, to_micros
+from bilberryring.core import ErrorCode, new_incarnation, to_micros
 from bilberryring.http import HttpClient
 from bilberryring.membership import (
     HEARTBEAT_SECONDS,
@@ -15,6 +15,7 @@
 )
 from bilberryring.objects import ModelEndpoint, ObjectSet, ServiceEndpoint
 from bilberryring.process.configuration import ConfigurationTask
+from bilberryring.process.death_spread import DeathSpread
 from bilberryring.process.operator_site import (
     ProcessStatus,
     operator_resource,
@@ -22,7 +23,6 @@
 )
 from bilberryring.process.running import Listeners
 from bilberryring.process.settings import SidecarSettings
-from bilberryring.quarantine import PromptStanding, Suspicions
 from bilberryring.sidecar.peer import PeerLink
 from bilberryring.sidecar.prompt_runner import PromptRunner
 from bilberryring.sidecar.service_runner import ServiceRunner
@@ -36,6 +36,7 @@
     Heartbeat,
     Hello,
     LinkProtocol,
+    PromptCleared,
     PromptPart,
     Refused,
     RunPrompt,
@@ -59,7 +60,7 @@
         self._log = log
         self._incarnation = new_incarnation()
         self._metrics = Metrics()
-        self._suspicions = Suspicions()
+        self._deaths = DeathSpread(reactor=reactor, links=lambda: self._peers)
         self._peers: dict[LinkProtocol, PeerLink] = {}
         self._prompts: PromptRunner | None = None
         self._service: ServiceRunner | None = None
@@ -201,10 +202,7 @@
             objects=lambda: self._configuration.objects,
             refusal=self._refusal,
             on_change=self._state_may_have_changed,
-            on_death=lambda death, fingerprint: self._spread_death(
-                EngineDeath(death=death, fingerprints=[fingerprint]), None
-            ),
-            is_quarantined=self._is_quarantined,
+            deaths=self._deaths,
         )
         self._prompts.start()
 
@@ -224,21 +222,6 @@
             refusal=self._refusal,
         )
 
-    def _is_quarantined(self, fingerprint: Fingerprint) -> bool:
-        standing = self._suspicions.standing(fingerprint, now=self._reactor.seconds())
-        return standing is PromptStanding.QUARANTINED
-
-    def _spread_death(self, death: EngineDeath, origin: LinkProtocol | None) -> None:
-        """Record a death and tell it on, once, to everyone but its origin."""
-        new = self._suspicions.record_death(
-            death.death, death.fingerprints, now=self._reactor.seconds()
-        )
-        if not new:
-            return
-        for link in tuple(self._peers):
-            if link is not origin:
-                link.send(death)
-
     def _hello(self) -> Hello:
         return Hello(
             process=self._settings.process,
@@ -273,7 +256,9 @@
             case SetAnswer():
                 self._configuration.take_answer(link, message)
             case EngineDeath():
-                self._spread_death(message, link)
+                self._deaths.take_death(message, link)
+            case PromptCleared():
+                self._deaths.take_cleared(message, link)
             case _:
                 peer = self._peers.get(link)
                 if peer is not None:
@@ -383,7 +368,7 @@
             refused_sets=refused_statuses(sets.refused),
             in_progress=self._in_progress(),
             links=len(self._peers),
-            quarantined=self._suspicions.quarantined(now=self._reactor.seconds()),
+            quarantined=self._deaths.quarantined(),
         )
 
 
--- a/bilberryring/sidecar/engine_watch.py
+++ b/bilberryring/sidecar/engine_watch.py
@@ -60,6 +60,7 @@
         self._on_look = on_look
         self._engine_incarnation = ""
         self._last_look = -FRESH_SECONDS
+        self._trusted_from = 0.0
         self._misses = 0
         self._is_looking = False
         self._fence = 0
@@ -96,7 +97,8 @@
     def may_order(self) -> bool:
         """Whether an order may be given now."""
         age = self._reactor.seconds() - self._last_look
-        return age <= FRESH_SECONDS and not self._is_superseded and not self.is_lost
+        is_fresh = age <= FRESH_SECONDS and self._last_look >= self._trusted_from
+        return is_fresh and not self._is_superseded and not self.is_lost
 
     def start(self) -> None:
         """Begin to look."""
@@ -107,8 +109,9 @@
         if self._loop.running:
             self._loop.stop()
 
-    def look_now(self) -> None:
-        """Look at once, for instance when a prompt broke off."""
+    def look_again(self) -> None:
+        """Give no order until a look that begins from now on has succeeded."""
+        self._trusted_from = self._reactor.seconds()
         self._look_soon()
 
     def _look_soon(self) -> None:
--- a/bilberryring/sidecar/prompt_runner.py
+++ b/bilberryring/sidecar/prompt_runner.py
@@ -24,6 +24,8 @@
 )
 from bilberryring.core import ErrorCode, Fingerprint, RunOutcome, to_micros
 from bilberryring.objects import ObjectSet
+from bilberryring.process.death_spread import DeathSpread
+from bilberryring.quarantine import PromptStanding
 from bilberryring.sidecar.attempt import AttemptState, PromptAttempt
 from bilberryring.sidecar.engine_watch import EngineWatch
 from bilberryring.sidecar.peer import PeerLink
@@ -32,6 +34,7 @@
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
     Cancel,
+    EngineDeath,
     Finished,
     Held,
     Hello,
@@ -60,8 +63,7 @@
         objects: Callable[[], ObjectSet | None],
         refusal: Callable[[], ErrorCode | None],
         on_change: Callable[[], None],
-        on_death: Callable[[str, Fingerprint], None],
-        is_quarantined: Callable[[Fingerprint], bool],
+        deaths: DeathSpread,
     ):
         self._reactor = reactor
         self._engine = engine
@@ -69,8 +71,7 @@
         self._objects = objects
         self._refusal = refusal
         self._on_change = on_change
-        self._on_death = on_death
-        self._is_quarantined = is_quarantined
+        self._deaths = deaths
         self._incarnation = incarnation
         self._hello = hello
         self._admission = PromptAdmission(limits=limits)
@@ -161,7 +162,8 @@
             return ErrorCode.CANCELLED
         if now >= attempt.deadline:
             return ErrorCode.TOO_LATE
-        if self._is_quarantined(attempt.message.fingerprint):
+        standing = self._deaths.standing(Fingerprint(attempt.message.fingerprint))
+        if standing is PromptStanding.QUARANTINED:
             return ErrorCode.QUARANTINED
         refusal = self._refusal()
         if refusal is None and self._watch.is_lost:
@@ -310,11 +312,11 @@
                 self._refuse(attempt, ErrorCode.OUT_OF_MEMORY, _outcome_of(attempt))
                 self._release(attempt, in_time=False)
             case GenerationEnd.BROKEN | GenerationEnd.CANCELLED:
-                if end is GenerationEnd.BROKEN:
+                if end is GenerationEnd.BROKEN and attempt.generation.was_accepted:
                     self._suspect(attempt)
                 self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, _outcome_of(attempt))
                 self._release(attempt, in_time=False)
-                self._watch.look_now()
+                self._watch.look_again()
 
     def _end_early(self, attempt: PromptAttempt, code: ErrorCode) -> None:
         """End an attempt that the engine has not ended."""
@@ -332,7 +334,7 @@
         try:
             await self._engine.cancel(order)
         except EngineError:
-            self._watch.look_now()
+            self._watch.look_again()
         attempt.generation.abort()
 
     def _deadline_passed(self, attempt: PromptAttempt) -> None:
@@ -353,7 +355,10 @@
         self._log.write(
             LogEvent.PROMPT_SUSPECTED, request=attempt.message.request, death=death
         )
-        self._on_death(death, Fingerprint(attempt.message.fingerprint))
+        fingerprints = [attempt.message.fingerprint]
+        self._deaths.take_death(
+            EngineDeath(death=death, fingerprints=fingerprints), None
+        )
 
     def _fail_running(self) -> None:
         for attempt in tuple(self._attempts.values()):
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -1879,6 +1879,94 @@
         return not (self == other)
 
 
+class PromptCleared(object):
+    """
+    Attributes:
+     - fingerprint
+     - deaths
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'deaths',
+    )
+
+
+    def __init__(self, fingerprint=None, deaths=None,):
+        self.fingerprint = fingerprint
+        self.deaths = deaths
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.deaths = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.deaths.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PromptCleared')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.deaths is not None:
+            oprot.writeFieldBegin('deaths', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.deaths))
+            for iter57 in self.deaths:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1898,6 +1986,7 @@
      - engine_death
      - beat
      - held
+     - prompt_cleared
 
     """
 
@@ -1918,10 +2007,11 @@
         'engine_death',
         'beat',
         'held',
+        'prompt_cleared',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None,):
+    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None, prompt_cleared=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.set_notice = set_notice
@@ -1938,6 +2028,7 @@
         self.engine_death = engine_death
         self.beat = beat
         self.held = held
+        self.prompt_cleared = prompt_cleared
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2044,6 +2135,12 @@
                     self.held.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.prompt_cleared = PromptCleared()
+                    self.prompt_cleared.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2118,6 +2215,10 @@
             oprot.writeFieldBegin('held', TType.STRUCT, 16)
             self.held.write(oprot)
             oprot.writeFieldEnd()
+        if self.prompt_cleared is not None:
+            oprot.writeFieldBegin('prompt_cleared', TType.STRUCT, 17)
+            self.prompt_cleared.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2280,6 +2381,12 @@
     (1, TType.STRING, 'death', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
+all_structs.append(PromptCleared)
+PromptCleared.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'deaths', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -2299,6 +2406,7 @@
     (14, TType.STRUCT, 'engine_death', [EngineDeath, None], None, ),  # 14
     (15, TType.STRUCT, 'beat', [Beat, None], None, ),  # 15
     (16, TType.STRUCT, 'held', [Held, None], None, ),  # 16
+    (17, TType.STRUCT, 'prompt_cleared', [PromptCleared, None], None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -128,6 +128,11 @@
   2: list<string> fingerprints,
 }
 
+struct PromptCleared {
+  1: string fingerprint,
+  2: list<string> deaths,
+}
+
 struct Envelope {
   1: optional Hello hello,
   2: optional Heartbeat heartbeat,
@@ -145,4 +150,5 @@
   14: optional EngineDeath engine_death,
   15: optional Beat beat,
   16: optional Held held,
+  17: optional PromptCleared prompt_cleared,
 }
