--- a/bilberryring/demo/main.py
+++ b/bilberryring/demo/main.py
@@ -7,7 +7,8 @@
 from bilberryring.demo.report import Tally, print_table
 from bilberryring.demo.work import DemoWork
 from bilberryring.objects import DomainState
-from bilberryring.testing.fleet import Fleet, FleetPlan
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import FleetPlan
 from bilberryring.testing.processes import pause
 
 OUT_AT_SECONDS = 5.0
--- a/bilberryring/demo/work.py
+++ b/bilberryring/demo/work.py
@@ -9,7 +9,8 @@
 from bilberryring.admission import length_class_of
 from bilberryring.demo.report import Tally
 from bilberryring.standins.engine_model import CHARACTERS_PER_TOKEN, prompt_tokens_of
-from bilberryring.testing.fleet import MODEL, SERVICE, Fleet
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, SERVICE
 
 FILLER = "llenado de sifones, carga de cartuchos y alquiler de luminarias; "
 
--- a/bilberryring/entry/caller_site.py
+++ b/bilberryring/entry/caller_site.py
@@ -21,6 +21,7 @@
     StreamSink,
     WholeSink,
 )
+from bilberryring.entry.caller_prompt import CallerPrompt
 from bilberryring.entry.entry_state import EntryState
 from bilberryring.entry.openai_messages import (
     DEFAULT_MAX_TOKENS,
@@ -29,7 +30,7 @@
     ModelEntry,
     ModelList,
 )
-from bilberryring.entry.prompt_request import CallerPrompt, PromptRequest
+from bilberryring.entry.prompt_request import PromptRequest
 from bilberryring.entry.service_request import (
     CallerCall,
     ServiceRequest,
--- a/bilberryring/entry/entry_state.py
+++ b/bilberryring/entry/entry_state.py
@@ -3,17 +3,14 @@
 from bilberryring.admission import LENGTH_CLASSES
 from bilberryring.core import ErrorCode
 from bilberryring.entry.answer_sinks import AnswerSink
-from bilberryring.entry.prompt_request import (
-    AnswerTimes,
-    CallerPrompt,
-    PromptRequest,
-)
+from bilberryring.entry.caller_prompt import AnswerTimes, CallerPrompt
+from bilberryring.entry.prompt_placement import PromptPlacement
+from bilberryring.entry.prompt_request import PromptRequest
 from bilberryring.entry.service_request import CallerCall, ServiceRequest
 from bilberryring.entry.sidecar_links import SidecarLinks
 from bilberryring.execution import RetryBudget
 from bilberryring.objects import ObjectSet
 from bilberryring.process.configuration import ConfigurationTask
-from bilberryring.routing import LengthAware, Placement
 from bilberryring.telemetry import (
     FIRST_TOKEN_BOUNDS,
     TOKEN_GAP_BOUNDS,
@@ -42,7 +39,7 @@
         self.log = log
         self.links = links
         self._configuration = configuration
-        self._placement = Placement(policy=LengthAware())
+        self._placement = PromptPlacement(links=links)
         self._budget = RetryBudget()
         self._in_progress = 0
         self._is_draining = False
--- a/bilberryring/entry/prompt_request.py
+++ b/bilberryring/entry/prompt_request.py
@@ -6,36 +6,29 @@
 from twisted.internet.defer import DeferredQueue
 from twisted.internet.task import deferLater
 
-from bilberryring.admission import (
-    INITIAL_PREFILL_RATE,
-    Span,
-    SpanCandidate,
-    choose_span,
-)
 from bilberryring.core import (
     ErrorCode,
-    Fingerprint,
-    RequestId,
     RunOutcome,
     ServingError,
     from_micros,
     to_micros,
 )
 from bilberryring.entry.answer_sinks import AnswerSink
-from bilberryring.entry.sidecar_links import (
+from bilberryring.entry.attempt_channel import (
     AttemptChannel,
     CallerGone,
     CallerTooSlow,
     DeadlinePassed,
     EndpointSilent,
     LinkLost,
-    SidecarLinks,
 )
+from bilberryring.entry.caller_prompt import AnswerTimes, CallerPrompt
+from bilberryring.entry.prompt_placement import PromptPlacement
+from bilberryring.entry.sidecar_links import SidecarLinks
 from bilberryring.execution import AnswerAssembly, AnswerGapError, RetryBudget
 from bilberryring.membership import Standing
-from bilberryring.objects import Model, ObjectSet, Priority, Workspace
+from bilberryring.objects import ObjectSet
 from bilberryring.quarantine import PromptStanding
-from bilberryring.routing import EndpointLoad, FewestOutstanding, Placement, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
     Cancel,
@@ -49,11 +42,8 @@
 PART_BYTES = 64 * 1024
 MAX_FREE_MOVES = 3
 MAX_ATTEMPTS = 6
-PREFILL_PATIENCE = 4.0
-"""How many times its own prefill time a prompt may wait beyond its priority's."""
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 SUSPECT_PAUSE_SECONDS = 0.3
-_ISOLATED_PLACEMENT = Placement(policy=FewestOutstanding())
 
 FREE_MOVE_CODES = frozenset(
     {
@@ -67,28 +57,6 @@
 """Refusals that say "go elsewhere"; following them costs no retry budget."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CallerPrompt:
-    """A caller's prompt with the objects that govern it."""
-
-    request_id: RequestId
-    workspace: Workspace
-    priority: Priority
-    model: Model
-    text: bytes
-    shape: PromptShape
-    fingerprint: Fingerprint
-    received_at: float
-    deadline: float
-
-    @property
-    def start_by(self) -> float:
-        """The time by which the first token must be expected."""
-        patience = PREFILL_PATIENCE * self.shape.prompt_tokens / INITIAL_PREFILL_RATE
-        limit = self.received_at + self.priority.first_token_seconds + patience
-        return min(limit, self.deadline)
-
-
 @dataclass(slots=True, kw_only=True)
 class _Progress:
     excluded: set[str] = field(default_factory=set)
@@ -98,15 +66,6 @@
     last_error: ServingError | None = None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AnswerTimes:
-    """When the first token and the end came, in seconds of the process."""
-
-    first_token: float | None
-    end: float
-    token_count: int
-
-
 class PromptRequest:
     """Owns one prompt from its admission by the entry to its one answer."""
 
@@ -117,7 +76,7 @@
         prompt: CallerPrompt,
         sink: AnswerSink,
         links: SidecarLinks,
-        placement: Placement,
+        placement: PromptPlacement,
         budget: RetryBudget,
         objects: Callable[[], ObjectSet],
         log: EventLog,
@@ -135,7 +94,7 @@
         self._mailbox = DeferredQueue()
         self._assembly = AnswerAssembly()
         self._progress = _Progress()
-        self._span: Span | None = None
+        self._helpers: tuple[str, ...] = ()
         self._first_token_at: float | None = None
         self._last_token_at = 0.0
 
@@ -223,45 +182,24 @@
             raise self._error(ErrorCode.DEADLINE_PASSED)
         if progress.attempts >= MAX_ATTEMPTS:
             raise progress.last_error
-        names = [
-            endpoint.name
-            for endpoint in self._objects().endpoints_of_version.get(
-                prompt.model.default_version, ()
-            )
-        ]
-        loads = self._links.loads(names, excluded=frozenset(progress.excluded))
-        placement = _ISOLATED_PLACEMENT if is_isolated else self._placement
-        chosen = placement.choose(prompt.shape, loads)
-        self._span = None
-        if chosen is None:
-            self._span = self._choose_span(loads)
-        name = chosen.endpoint if chosen else self._span and self._span.lead
+        chosen = self._placement.choose(
+            prompt,
+            self._objects(),
+            excluded=frozenset(progress.excluded),
+            is_isolated=is_isolated,
+        )
+        self._helpers = chosen.helpers if chosen else ()
         channel = None
-        if name is not None:
-            channel = self._links.open_attempt(name, self._mailbox, shape=prompt.shape)
+        if chosen is not None:
+            channel = self._links.open_attempt(
+                chosen.endpoint, self._mailbox, shape=prompt.shape
+            )
         if channel is None:
             raise progress.last_error or self._error(
                 ErrorCode.NO_ENDPOINT, retry_after=NO_ENDPOINT_RETRY_SECONDS
             )
         return channel
 
-    def _choose_span(self, loads: list[EndpointLoad]) -> Span | None:
-        """Return engines that hold together what none holds alone."""
-        shape = self._prompt.shape
-        if any(load.kv_tokens >= shape.kv_tokens for load in loads):
-            return None
-        candidates = [
-            SpanCandidate(
-                endpoint=load.endpoint,
-                failure_domain=self._links.domain_of(load.endpoint),
-                kv_tokens=load.kv_tokens,
-                backlog_tokens=load.all_tokens,
-            )
-            for load in loads
-            if not load.is_cold
-        ]
-        return choose_span(shape.kv_tokens, candidates)
-
     async def _send_prompt(self, channel: AttemptChannel, is_isolated: bool) -> None:
         """Send the prompt in parts, and let other streams go between them."""
         prompt = self._prompt
@@ -284,7 +222,7 @@
                 fingerprint=prompt.fingerprint,
                 prompt_parts=len(starts),
                 isolated=is_isolated,
-                span_members=list(self._span.helpers) if self._span else [],
+                span_members=list(self._helpers),
             )
         )
         for index, start in enumerate(starts):
--- a/bilberryring/entry/service_request.py
+++ b/bilberryring/entry/service_request.py
@@ -13,14 +13,13 @@
     from_micros,
     to_micros,
 )
-from bilberryring.entry.sidecar_links import (
+from bilberryring.entry.attempt_channel import (
     AttemptChannel,
     CallerGone,
     DeadlinePassed,
     LinkLost,
-    SidecarLinks,
-    objects_endpoint,
 )
+from bilberryring.entry.sidecar_links import SidecarLinks, objects_endpoint
 from bilberryring.execution import RetryBudget, Ticket, new_ticket, parse_ticket
 from bilberryring.objects import ObjectSet, Service, Workspace
 from bilberryring.telemetry import EventLog, LogEvent
--- /dev/null
+++ b/bilberryring/entry/sidecar_link.py
@@ -0,0 +1,164 @@
+"""The connection to one sidecar, which is opened again whenever it closes."""
+
+import random
+from typing import Protocol
+
+from twisted.internet.protocol import ClientFactory
+
+from bilberryring.core import AttemptId
+from bilberryring.entry.attempt_channel import AttemptChannel, LinkLost
+from bilberryring.entry.endpoint_record import EndpointRecord
+from bilberryring.process.death_spread import DeathSpread
+from bilberryring.process.settings import host_and_port
+from bilberryring.wire import (
+    Beat,
+    EngineDeath,
+    Finished,
+    Heartbeat,
+    Hello,
+    LinkProtocol,
+    PromptCleared,
+    Refused,
+    ServiceAnswer,
+    TokenBatch,
+)
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+RECONNECT_MIN_SECONDS = 0.1
+RECONNECT_MAX_SECONDS = 1.0
+RECONNECT_FACTOR = 1.6
+
+
+class LinkOwner(Protocol):
+    """Who is told what happens on the links."""
+
+    deaths: DeathSpread
+
+    def link_opened(self, link: LinkProtocol) -> None:
+        """A connection opened."""
+
+    def link_closed(self, sidecar: "SidecarLink", link: LinkProtocol) -> None:
+        """A connection closed."""
+
+    def greeted(self, sidecar: "SidecarLink", hello: Hello) -> None:
+        """A sidecar said who it is."""
+
+    def heartbeat_taken(
+        self, sidecar: "SidecarLink", link: LinkProtocol, heartbeat: Heartbeat
+    ) -> None:
+        """A whole report came."""
+
+    def beat_taken(self) -> None:
+        """A sign of life came."""
+
+    def set_message(self, link: LinkProtocol, message: object) -> None:
+        """A message about sets came."""
+
+
+class SidecarLink:
+    """Keeps one connection open, with pauses that grow and vary."""
+
+    def __init__(self, *, reactor, owner: LinkOwner, record: EndpointRecord):
+        self._reactor = reactor
+        self._owner = owner
+        self._record = record
+        self._protocol: LinkProtocol | None = None
+        self._pause = RECONNECT_MIN_SECONDS
+        self._is_stopped = False
+        self._connector = None
+        self._channels: dict[AttemptId, AttemptChannel] = {}
+
+    @property
+    def record(self) -> EndpointRecord:
+        """The endpoint's record."""
+        return self._record
+
+    @property
+    def protocol(self) -> LinkProtocol | None:
+        """The open link, once the sidecar has greeted."""
+        if self._protocol is not None and self._record.incarnation:
+            return self._protocol
+        return None
+
+    @property
+    def channels(self) -> tuple[AttemptChannel, ...]:
+        """The attempts that are open on the link."""
+        return tuple(self._channels.values())
+
+    def add_channel(self, channel: AttemptChannel) -> None:
+        """Hand the messages of an attempt to its channel from now on."""
+        self._channels[channel.attempt] = channel
+
+    def remove_channel(self, channel: AttemptChannel) -> None:
+        """Drop the messages of an attempt from now on."""
+        self._channels.pop(channel.attempt, None)
+
+    def connect(self) -> None:
+        """Open the connection now."""
+        if self._is_stopped:
+            return
+        factory = ClientFactory()
+        factory.noisy = False
+        factory.buildProtocol = lambda address: LinkProtocol(
+            on_open=self._opened,
+            on_message=self._received,
+            on_closed=self._closed,
+        )
+        factory.clientConnectionFailed = lambda connector, reason: self._retry()
+        host, port = host_and_port(self._record.endpoint.sidecar)
+        self._connector = self._reactor.connectTCP(
+            host, port, factory, timeout=CONNECT_TIMEOUT_SECONDS
+        )
+
+    def stop(self) -> None:
+        """Close the connection for good."""
+        self._is_stopped = True
+        if self._connector is not None:
+            self._connector.disconnect()
+
+    def _retry(self) -> None:
+        if self._is_stopped:
+            return
+        self._reactor.callLater(self._pause * random.uniform(0.7, 1.3), self.connect)
+        self._pause = min(self._pause * RECONNECT_FACTOR, RECONNECT_MAX_SECONDS)
+
+    def _opened(self, link: LinkProtocol) -> None:
+        self._protocol = link
+        self._pause = RECONNECT_MIN_SECONDS
+        self._owner.link_opened(link)
+
+    def _closed(self, link: LinkProtocol) -> None:
+        self._protocol = None
+        self._record.link_closed()
+        self._owner.link_closed(self, link)
+        for channel in tuple(self._channels.values()):
+            channel.deliver(LinkLost())
+        self._retry()
+
+    def _received(self, link: LinkProtocol, message: object) -> None:
+        match message:
+            case TokenBatch():
+                for tokens in message.items:
+                    channel = self._channels.get(tokens.attempt)
+                    if channel is not None:
+                        channel.deliver(tokens)
+            case Finished() | Refused() | ServiceAnswer():
+                channel = self._channels.get(message.attempt)
+                if channel is not None:
+                    channel.deliver(message)
+            case Beat():
+                self._record.take_beat(message, now=self._reactor.seconds())
+                self._owner.beat_taken()
+            case Heartbeat():
+                now = self._reactor.seconds()
+                self._record.take_heartbeat(message, now=now)
+                self._owner.heartbeat_taken(self, link, message)
+            case Hello():
+                self._record.link_opened(message.incarnation)
+                self._owner.greeted(self, message)
+            case EngineDeath():
+                self._owner.deaths.take_death(message, link)
+            case PromptCleared():
+                self._owner.deaths.take_cleared(message, link)
+            case _:
+                self._owner.set_message(link, message)
--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -1,223 +1,34 @@
 """The task that owns the entry's links to sidecars and the attempts on them."""
 
 import itertools
-import random
-from collections.abc import Callable
-from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred, DeferredQueue
-from twisted.internet.protocol import ClientFactory
 from twisted.internet.task import LoopingCall
 
 from bilberryring.core import AttemptId
+from bilberryring.entry.attempt_channel import AttemptChannel, EndpointSilent
 from bilberryring.entry.endpoint_record import EndpointRecord
+from bilberryring.entry.sidecar_link import SidecarLink
 from bilberryring.membership import Standing
 from bilberryring.objects import ObjectSet
 from bilberryring.process.death_spread import DeathSpread
-from bilberryring.process.settings import host_and_port
 from bilberryring.routing import Endpoint, EndpointLoad, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
-    Beat,
-    EngineDeath,
-    Finished,
     Heartbeat,
     Hello,
     LinkProtocol,
-    PromptCleared,
-    Refused,
-    ServiceAnswer,
     SetAnswer,
     SetNotice,
     SetQuery,
-    TokenBatch,
 )
 
-CONNECT_TIMEOUT_SECONDS = 1.0
-RECONNECT_MIN_SECONDS = 0.1
-RECONNECT_MAX_SECONDS = 1.0
-RECONNECT_FACTOR = 1.6
 FORGET_SECONDS = 600.0
 SILENCE_CHECK_SECONDS = 0.5
 FAR_SECONDS = 0.01
 """The way to an endpoint of another failure domain and back."""
 
 
-@dataclass(frozen=True, slots=True)
-class LinkLost:
-    """The link closed while the attempt was open."""
-
-
-@dataclass(frozen=True, slots=True)
-class EndpointSilent:
-    """No word came from the sidecar for too long, though its link is open."""
-
-
-@dataclass(frozen=True, slots=True)
-class DeadlinePassed:
-    """The request's deadline passed."""
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGone:
-    """The caller closed its connection."""
-
-
-@dataclass(frozen=True, slots=True)
-class CallerTooSlow:
-    """The caller does not read its stream."""
-
-
-class AttemptChannel:
-    """One attempt at one endpoint: messages go out, and come into a mailbox."""
-
-    def __init__(
-        self,
-        *,
-        attempt: AttemptId,
-        record: EndpointRecord,
-        link: LinkProtocol,
-        mailbox: DeferredQueue,
-        on_close: Callable[["AttemptChannel"], None],
-    ):
-        self._attempt = attempt
-        self._record = record
-        self._link = link
-        self._mailbox = mailbox
-        self._on_close = on_close
-        self._is_closed = False
-
-    @property
-    def attempt(self) -> AttemptId:
-        """The number of the attempt."""
-        return self._attempt
-
-    @property
-    def record(self) -> EndpointRecord:
-        """The endpoint of the attempt."""
-        return self._record
-
-    @property
-    def link(self) -> LinkProtocol:
-        """The link that carries the attempt."""
-        return self._link
-
-    def send(self, message: object) -> bool:
-        """Send a message of the attempt; `False` when the link is closed."""
-        return self._link.send(message)
-
-    def deliver(self, message: object) -> None:
-        """Put a message into the mailbox of the request."""
-        if not self._is_closed:
-            self._mailbox.put(message)
-
-    def close(self) -> None:
-        """End the attempt here; later messages of it are dropped."""
-        if not self._is_closed:
-            self._is_closed = True
-            self._record.end_attempt()
-            self._on_close(self)
-
-
-class _SidecarLink:
-    """Keeps one connection open, with pauses that grow and vary."""
-
-    def __init__(self, *, owner: "SidecarLinks", record: EndpointRecord):
-        self._owner = owner
-        self._record = record
-        self._protocol: LinkProtocol | None = None
-        self._pause = RECONNECT_MIN_SECONDS
-        self._is_stopped = False
-        self._connector = None
-        self.channels: dict[AttemptId, AttemptChannel] = {}
-        self.last_standing: Standing | None = None
-        self.tracked_until: float | None = None
-
-    @property
-    def record(self) -> EndpointRecord:
-        """The endpoint's record."""
-        return self._record
-
-    @property
-    def protocol(self) -> LinkProtocol | None:
-        """The open link, once the sidecar has greeted."""
-        if self._protocol is not None and self._record.incarnation:
-            return self._protocol
-        return None
-
-    def connect(self) -> None:
-        """Open the connection now."""
-        if self._is_stopped:
-            return
-        factory = ClientFactory()
-        factory.noisy = False
-        factory.buildProtocol = lambda address: LinkProtocol(
-            on_open=self._opened,
-            on_message=self._received,
-            on_closed=self._closed,
-        )
-        factory.clientConnectionFailed = lambda connector, reason: self._retry()
-        host, port = host_and_port(self._record.endpoint.sidecar)
-        self._connector = self._owner.reactor.connectTCP(
-            host, port, factory, timeout=CONNECT_TIMEOUT_SECONDS
-        )
-
-    def stop(self) -> None:
-        """Close the connection for good."""
-        self._is_stopped = True
-        if self._connector is not None:
-            self._connector.disconnect()
-
-    def _retry(self) -> None:
-        if self._is_stopped:
-            return
-        self._owner.reactor.callLater(
-            self._pause * random.uniform(0.7, 1.3), self.connect
-        )
-        self._pause = min(self._pause * RECONNECT_FACTOR, RECONNECT_MAX_SECONDS)
-
-    def _opened(self, link: LinkProtocol) -> None:
-        self._protocol = link
-        self._pause = RECONNECT_MIN_SECONDS
-        self._owner.link_opened(link)
-
-    def _closed(self, link: LinkProtocol) -> None:
-        self._protocol = None
-        self._record.link_closed()
-        self._owner.link_closed(self, link)
-        for channel in tuple(self.channels.values()):
-            channel.deliver(LinkLost())
-        self._retry()
-
-    def _received(self, link: LinkProtocol, message: object) -> None:
-        match message:
-            case TokenBatch():
-                for tokens in message.items:
-                    channel = self.channels.get(tokens.attempt)
-                    if channel is not None:
-                        channel.deliver(tokens)
-            case Finished() | Refused() | ServiceAnswer():
-                channel = self.channels.get(message.attempt)
-                if channel is not None:
-                    channel.deliver(message)
-            case Beat():
-                self._record.take_beat(message, now=self._owner.reactor.seconds())
-                self._owner.beat_taken()
-            case Heartbeat():
-                now = self._owner.reactor.seconds()
-                self._record.take_heartbeat(message, now=now)
-                self._owner.heartbeat_taken(self, link, message)
-            case Hello():
-                self._record.link_opened(message.incarnation)
-                self._owner.greeted(self, message)
-            case EngineDeath():
-                self._owner.deaths.take_death(message, link)
-            case PromptCleared():
-                self._owner.deaths.take_cleared(message, link)
-            case _:
-                self._owner.set_message(link, message)
-
-
 class SidecarLinks:
     """Tracks endpoints, keeps a link to each, and opens attempts on them."""
 
@@ -236,7 +47,9 @@
         self._failure_domain = failure_domain
         self._hello = hello
         self._configuration = configuration
-        self._links: dict[str, _SidecarLink] = {}
+        self._links: dict[str, SidecarLink] = {}
+        self._standings: dict[str, Standing] = {}
+        self._tracked_until: dict[str, float] = {}
         self._attempts = itertools.count(1)
         self._waiting_for_greeting: list[Deferred[None]] = []
         self._silence_loop = LoopingCall(self._look_for_silence)
@@ -314,9 +127,9 @@
             record=link.record,
             link=link.protocol,
             mailbox=mailbox,
-            on_close=lambda closed: link.channels.pop(closed.attempt, None),
+            on_close=link.remove_channel,
         )
-        link.channels[channel.attempt] = channel
+        link.add_channel(channel)
         link.record.begin_attempt(shape, now=self.reactor.seconds())
         return channel
 
@@ -343,13 +156,13 @@
         link.send(self._hello)
         self._configuration.add_link(link)
 
-    def link_closed(self, sidecar: _SidecarLink, link: LinkProtocol) -> None:
+    def link_closed(self, sidecar: SidecarLink, link: LinkProtocol) -> None:
         """Note that a link is gone."""
         self._configuration.remove_link(link)
         self._log.write(LogEvent.LINK_CLOSED, endpoint=sidecar.record.endpoint.name)
         self._note_standing(sidecar)
 
-    def greeted(self, sidecar: _SidecarLink, hello: Hello) -> None:
+    def greeted(self, sidecar: SidecarLink, hello: Hello) -> None:
         """Note the incarnation that greeted."""
         self._log.write(
             LogEvent.LINK_OPENED,
@@ -360,7 +173,7 @@
             self._release_waiting(waiting)
 
     def heartbeat_taken(
-        self, sidecar: _SidecarLink, link: LinkProtocol, heartbeat: Heartbeat
+        self, sidecar: SidecarLink, link: LinkProtocol, heartbeat: Heartbeat
     ) -> None:
         """Compare sets and note a changed standing."""
         self._configuration.take_notice(link, heartbeat.set_number)
@@ -386,10 +199,10 @@
 
     def _look_for_silence(self) -> None:
         """Tell the attempts of endpoints that fell silent."""
-        for link in self._links.values():
+        for name, link in self._links.items():
             self._note_standing(link)
-            if link.channels and link.last_standing is Standing.SILENT:
-                for channel in tuple(link.channels.values()):
+            if link.channels and self._standings.get(name) is Standing.SILENT:
+                for channel in link.channels:
                     channel.deliver(EndpointSilent())
 
     def _track_one(self, name: str, endpoint: Endpoint) -> None:
@@ -398,28 +211,33 @@
             link.stop()
             link = None
         if link is None:
-            link = _SidecarLink(owner=self, record=EndpointRecord(endpoint=endpoint))
+            link = SidecarLink(
+                reactor=self.reactor,
+                owner=self,
+                record=EndpointRecord(endpoint=endpoint),
+            )
             self._links[name] = link
             link.connect()
             return
-        link.tracked_until = None
+        self._tracked_until.pop(name, None)
         link.record.replace_endpoint(endpoint)
 
     def _forget_later(self, name: str, now: float) -> None:
         link = self._links[name]
-        if link.tracked_until is None:
-            link.tracked_until = now + FORGET_SECONDS
-        if link.tracked_until <= now and not link.channels:
+        until = self._tracked_until.setdefault(name, now + FORGET_SECONDS)
+        if until <= now and not link.channels:
             link.stop()
             del self._links[name]
+            del self._tracked_until[name]
+            self._standings.pop(name, None)
 
-    def _note_standing(self, sidecar: _SidecarLink) -> None:
+    def _note_standing(self, sidecar: SidecarLink) -> None:
         name = sidecar.record.endpoint.name
         if self._links.get(name) is not sidecar:
             return
         standing = self.standing(name)
-        if standing is not sidecar.last_standing:
-            sidecar.last_standing = standing
+        if standing is not self._standings.get(name):
+            self._standings[name] = standing
             self._log.write(
                 LogEvent.ENDPOINT_STANDING_CHANGED,
                 endpoint=name,
--- a/bilberryring/measure/capacity.py
+++ b/bilberryring/measure/capacity.py
@@ -13,6 +13,7 @@
 from bilberryring.acceptance import READERS_PER_DOMAIN, WATCH_SECONDS
 from bilberryring.entry.endpoint_record import EndpointRecord
 from bilberryring.execution import Answer, Call, Ledger, new_ticket
+from bilberryring.measure.idle_fleet import idle_slopes
 from bilberryring.membership import HEARTBEAT_SECONDS
 from bilberryring.objects import (
     CanonicalSet,
@@ -344,4 +345,6 @@
         platform_slopes,
     ):
         for slope in measure():
-            click.echo(f"{slope.name:<32}{slope.value:>14.4g} {slope.unit}")
+            click.echo(f"{slope.name:<44}{slope.value:>12.4g} {slope.unit}")
+    for name, value, unit in idle_slopes():
+        click.echo(f"{name:<44}{value:>12.4g} {unit}")
--- a/bilberryring/measure/relay.py
+++ b/bilberryring/measure/relay.py
@@ -1,6 +1,7 @@
 """The cost of relaying: CPU per token and per request, and the time added."""
 
 import http.client
+import itertools
 import json
 import os
 import threading
@@ -12,13 +13,17 @@
 import msgspec
 
 from bilberryring.measure.statistics import percentile
-from bilberryring.testing.fleet import MODEL, Fleet, FleetPlan, workspace_key
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, FleetPlan, workspace_key
 
 STREAM_COUNTS = (1, 20, 100)
 TOKENS = 200
 PROMPT = "manifiesto " * 400
 ROUNDS = 3
 UPLOAD_BYTES = 5_000_000
+PROBES = 40
+PROBE_TOKENS = 2
+WARM_UP_SECONDS = 1.0
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
 
@@ -74,25 +79,27 @@
     return StreamTimes(first_token=times[0] - started, gaps=gaps)
 
 
-def direct_stream(fleet: Fleet, engine: str, label: str) -> StreamTimes:
+def direct_stream(
+    fleet: Fleet, engine: str, label: str, tokens: int = TOKENS
+) -> StreamTimes:
     """Speak straight to an engine."""
     body = {
         "request": f"direct-{label}",
         "holder": "direct",
         "prompt": f"{label} {PROMPT}",
-        "max_tokens": TOKENS,
+        "max_tokens": tokens,
         "priority": 0,
         "fence": 2**62,
     }
     return read_stream(fleet.target_address(engine), "/v1/generate", body, {})
 
 
-def relayed_stream(fleet: Fleet, label: str, prompt: str = PROMPT) -> StreamTimes:
+def relayed_stream(fleet: Fleet, label: str, tokens: int = TOKENS) -> StreamTimes:
     """Speak through the entry."""
     body = {
         "model": MODEL,
-        "prompt": f"{label} {prompt}",
-        "max_tokens": TOKENS,
+        "prompt": f"{label} {PROMPT}",
+        "max_tokens": tokens,
         "stream": True,
     }
     headers = {"Authorization": f"Bearer {workspace_key('bars')}"}
@@ -116,33 +123,63 @@
     return results
 
 
+def probe_first_token(count: int, stream) -> float:
+    """Return the median time to first token beside `count - 1` other streams.
+
+    `stream` takes a label and a number of tokens. Probes follow one another, so
+    that they do not wait for each other's prefill.
+    """
+    is_over = threading.Event()
+
+    def keep_streaming(index: int) -> None:
+        number = 0
+        while not is_over.is_set():
+            stream(f"background {index} {number}", TOKENS)
+            number += 1
+
+    threads = [
+        threading.Thread(target=keep_streaming, args=(index,))
+        for index in range(count - 1)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(WARM_UP_SECONDS)
+    times = [stream(f"probe {i}", PROBE_TOKENS).first_token for i in range(PROBES)]
+    is_over.set()
+    for thread in threads:
+        thread.join()
+    return percentile(times, 0.5)
+
+
 def measure_streams(fleet: Fleet, direct: Fleet, count: int) -> RelayResult:
     """Compare relayed streams with the same number of direct ones."""
     entry = fleet.process("entry-1").process_id
     sidecars = [fleet.process(f"sidecar-{n}").process_id for n in fleet.engines]
     relayed: list[StreamTimes] = []
-    straight: list[StreamTimes] = []
-    engines = direct.engines
-    cpu_entry = cpu_sidecars = seconds = 0.0
+    before = cpu_seconds(entry), sum(map(cpu_seconds, sidecars))
+    started = time.perf_counter()
     for round_number in range(ROUNDS):
-        before = cpu_seconds(entry), sum(map(cpu_seconds, sidecars))
-        started = time.perf_counter()
         relayed += together(
             count,
             lambda index, r=round_number: relayed_stream(fleet, f"{r} {index} {count}"),
         )
-        seconds += time.perf_counter() - started
-        cpu_entry += cpu_seconds(entry) - before[0]
-        cpu_sidecars += sum(map(cpu_seconds, sidecars)) - before[1]
-        straight += together(
-            count,
-            lambda index, r=round_number: direct_stream(
-                direct, engines[index % len(engines)], f"{r} {index} {count}"
-            ),
-        )
+    seconds = time.perf_counter() - started
+    cpu_entry = cpu_seconds(entry) - before[0]
+    cpu_sidecars = sum(map(cpu_seconds, sidecars)) - before[1]
     tokens = ROUNDS * count * TOKENS
-    relayed_median = percentile([item.first_token for item in relayed], 0.5)
-    direct_median = percentile([item.first_token for item in straight], 0.5)
+    turns = itertools.count()
+    direct_median = probe_first_token(
+        count,
+        lambda label, n: direct_stream(
+            direct,
+            direct.engines[next(turns) % len(direct.engines)],
+            f"{count} {label}",
+            n,
+        ),
+    )
+    relayed_median = probe_first_token(
+        count, lambda label, n: relayed_stream(fleet, f"{count} {label}", n)
+    )
     return RelayResult(
         streams=count,
         tokens_per_second=tokens / seconds,
@@ -175,7 +212,7 @@
 
 
 def _upload(fleet: Fleet, prompt: str) -> None:
-    """Upload a prompt that asks for a model unknown, so that nothing runs."""
+    """Upload a body of 5 MB that holds a long prompt."""
     host, port = fleet.caller_address("entry-1").rsplit(":", 1)
     connection = http.client.HTTPConnection(host, int(port), timeout=60)
     body = json.dumps({"model": MODEL, "prompt": prompt[:3_900_000], "max_tokens": 1})
--- a/bilberryring/scenarios/tests/conftest.py
+++ b/bilberryring/scenarios/tests/conftest.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from bilberryring.testing.fleet import Fleet, FleetPlan
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import FleetPlan
 
 
 @pytest.fixture(scope="module")
--- a/bilberryring/scenarios/tests/test_at_most_once.py
+++ b/bilberryring/scenarios/tests/test_at_most_once.py
@@ -10,7 +10,8 @@
 from bilberryring.execution import parse_ticket
 from bilberryring.objects import DomainState
 from bilberryring.testing.caller import CallResult
-from bilberryring.testing.fleet import SERVICE, Fleet
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import SERVICE
 from bilberryring.testing.processes import pause, wait_until
 
 scenarios("at_most_once.feature")
--- a/bilberryring/scenarios/tests/test_crashing_requests.py
+++ b/bilberryring/scenarios/tests/test_crashing_requests.py
@@ -6,7 +6,8 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from bilberryring.standins.engine_model import CRASH_MARK
-from bilberryring.testing.fleet import MODEL, Fleet, FleetPlan
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, FleetPlan
 from bilberryring.testing.processes import pause, wait_until
 
 scenarios("crashing_requests.feature")
--- a/bilberryring/scenarios/tests/test_failure_domains.py
+++ b/bilberryring/scenarios/tests/test_failure_domains.py
@@ -6,7 +6,8 @@
 from bilberryring.demo.report import Tally
 from bilberryring.demo.work import DemoWork
 from bilberryring.objects import DomainState
-from bilberryring.testing.fleet import Fleet, FleetPlan
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import FleetPlan
 from bilberryring.testing.processes import pause, wait_until
 
 scenarios("failure_domains.feature")
--- a/bilberryring/scenarios/tests/test_in_force.py
+++ b/bilberryring/scenarios/tests/test_in_force.py
@@ -16,7 +16,8 @@
     render_set,
 )
 from bilberryring.telemetry import LogEvent
-from bilberryring.testing.fleet import MODEL, Fleet, FleetPlan
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, FleetPlan
 from bilberryring.testing.processes import pause, wait_until
 from bilberryring.tool.queries import report_status
 
--- a/bilberryring/scenarios/tests/test_openai_client.py
+++ b/bilberryring/scenarios/tests/test_openai_client.py
@@ -9,7 +9,8 @@
 
 from bilberryring.http import MAX_BODY_BYTES
 from bilberryring.standins.engine_model import expected_answer
-from bilberryring.testing.fleet import MODEL, SERVICE, Fleet, FleetPlan, workspace_key
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, SERVICE, FleetPlan, workspace_key
 from bilberryring.testing.processes import wait_until
 
 TOKENS = 12
--- a/bilberryring/scenarios/tests/test_spans.py
+++ b/bilberryring/scenarios/tests/test_spans.py
@@ -10,7 +10,8 @@
 
 from bilberryring.demo.work import filler_prompt
 from bilberryring.testing.caller import PromptResult
-from bilberryring.testing.fleet import MODEL, Fleet, FleetPlan
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, FleetPlan
 from bilberryring.testing.processes import pause, wait_until
 
 scenarios("spans.feature")
--- a/bilberryring/scenarios/tests/test_whole_answers.py
+++ b/bilberryring/scenarios/tests/test_whole_answers.py
@@ -11,7 +11,8 @@
 
 from bilberryring.telemetry import LogEvent
 from bilberryring.testing.caller import PromptResult
-from bilberryring.testing.fleet import MODEL, Fleet, FleetPlan, workspace_key
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, FleetPlan, workspace_key
 from bilberryring.testing.processes import pause, wait_until
 
 scenarios("whole_answers.feature")
--- a/bilberryring/sidecar/prompt_runner.py
+++ b/bilberryring/sidecar/prompt_runner.py
@@ -22,11 +22,18 @@
     Queued,
     WorkKey,
 )
-from bilberryring.core import ErrorCode, Fingerprint, RunOutcome, to_micros
+from bilberryring.core import ErrorCode, Fingerprint, RunOutcome
 from bilberryring.objects import ObjectSet
 from bilberryring.process.death_spread import DeathSpread
 from bilberryring.quarantine import PromptStanding
 from bilberryring.sidecar.attempt import AttemptState, PromptAttempt
+from bilberryring.sidecar.attempt_answers import (
+    outcome_of,
+    send_finished,
+    send_held,
+    send_refused,
+    work_key,
+)
 from bilberryring.sidecar.engine_watch import EngineWatch
 from bilberryring.sidecar.peer import PeerLink
 from bilberryring.sidecar.span_lead import SpanLead, start_gathering
@@ -35,12 +42,9 @@
 from bilberryring.wire import (
     Cancel,
     EngineDeath,
-    Finished,
-    Held,
     Hello,
     LinkProtocol,
     PromptPart,
-    Refused,
     RunPrompt,
 )
 
@@ -119,7 +123,7 @@
         """Take a new attempt; its prompt follows in parts."""
         now = self._reactor.seconds()
         attempt = PromptAttempt(
-            key=_key_of(peer, message.attempt), peer=peer, message=message
+            key=work_key(peer, message.attempt), peer=peer, message=message
         )
         refusal = self._refusal_now(attempt, now)
         if refusal is not None:
@@ -132,7 +136,7 @@
 
     def take_part(self, peer: PeerLink, part: PromptPart) -> None:
         """Take a part of a prompt; the last one hands it to admission."""
-        attempt = self._attempts.get(_key_of(peer, part.attempt))
+        attempt = self._attempts.get(work_key(peer, part.attempt))
         if attempt is None or not attempt.add_part(part):
             return
         if not attempt.is_complete:
@@ -144,7 +148,7 @@
 
     def cancel(self, peer: PeerLink, message: Cancel) -> None:
         """End an attempt, also one that has not arrived yet."""
-        key = _key_of(peer, message.attempt)
+        key = work_key(peer, message.attempt)
         attempt = self._attempts.get(key)
         if attempt is None:
             self._tombstones.add(key, now=self._reactor.seconds())
@@ -240,10 +244,11 @@
         def on_tokens(first_index: int, texts: list[str]) -> None:
             if attempt.state is not AttemptState.RUNNING:
                 return
-            if attempt.tokens_sent == 0:
-                self._first_token(attempt)
+            is_first = attempt.tokens_sent == 0
             attempt.tokens_sent += len(texts)
-            batcher.add(message.attempt, first_index, texts)
+            batcher.add(message.attempt, first_index, texts, is_urgent=is_first)
+            if is_first:
+                self._first_token(attempt)
 
         attempt.generation = Generation(
             on_tokens=on_tokens, on_held=lambda: self._held(attempt)
@@ -275,7 +280,7 @@
         """Tell the lead of a span that its part is held here."""
         if attempt.state is AttemptState.RUNNING:
             self._first_token(attempt)
-            attempt.peer.link.send(Held(attempt=attempt.message.attempt))
+            send_held(attempt)
 
     def _first_token(self, attempt: PromptAttempt) -> None:
         self._admission.record_first_token(attempt.key)
@@ -293,14 +298,7 @@
         message = attempt.message
         match end:
             case GenerationEnd.WHOLE:
-                attempt.peer.batcher.flush()
-                attempt.peer.link.send(
-                    Finished(
-                        attempt=message.attempt,
-                        token_count=attempt.generation.token_count,
-                        reason="length",
-                    )
-                )
+                send_finished(attempt)
                 self._log.write(
                     LogEvent.PROMPT_FINISHED,
                     request=message.request,
@@ -309,12 +307,12 @@
                 self._close(attempt)
                 self._release(attempt, in_time=True)
             case GenerationEnd.OUT_OF_MEMORY:
-                self._refuse(attempt, ErrorCode.OUT_OF_MEMORY, _outcome_of(attempt))
+                self._refuse(attempt, ErrorCode.OUT_OF_MEMORY, outcome_of(attempt))
                 self._release(attempt, in_time=False)
             case GenerationEnd.BROKEN | GenerationEnd.CANCELLED:
                 if end is GenerationEnd.BROKEN and attempt.generation.was_accepted:
                     self._suspect(attempt)
-                self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, _outcome_of(attempt))
+                self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, outcome_of(attempt))
                 self._release(attempt, in_time=False)
                 self._watch.look_again()
 
@@ -322,7 +320,7 @@
         """End an attempt that the engine has not ended."""
         was_running = attempt.state is AttemptState.RUNNING
         self._admission.withdraw(attempt.key)
-        outcome = _outcome_of(attempt) if was_running else RunOutcome.NOT_RUN
+        outcome = outcome_of(attempt) if was_running else RunOutcome.NOT_RUN
         self._refuse(attempt, code, outcome)
         if was_running:
             Deferred.fromCoroutine(self._cancel_in_engine(attempt))
@@ -363,7 +361,7 @@
     def _fail_running(self) -> None:
         for attempt in tuple(self._attempts.values()):
             if attempt.state is AttemptState.RUNNING:
-                self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, _outcome_of(attempt))
+                self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, outcome_of(attempt))
                 attempt.generation.abort()
         self._on_change()
 
@@ -376,22 +374,12 @@
         retry_after: float = 0.0,
     ) -> None:
         """Tell the entry that the attempt ended without a whole answer."""
-        message = attempt.message
-        attempt.peer.batcher.flush()
-        attempt.peer.link.send(
-            Refused(
-                attempt=message.attempt,
-                code=code.value,
-                detail="",
-                outcome=outcome.value,
-                retry_after=to_micros(retry_after),
-            )
-        )
+        send_refused(attempt, code, outcome, retry_after=retry_after)
         self._log.write(
             LogEvent.PROMPT_REFUSED
             if outcome is RunOutcome.NOT_RUN
             else LogEvent.PROMPT_FAILED,
-            request=message.request,
+            request=attempt.message.request,
             code=code.value,
             outcome=outcome.value,
         )
@@ -417,13 +405,3 @@
             for attempt in self._attempts.values()
             if attempt.state is AttemptState.RUNNING
         )
-
-
-def _key_of(peer: PeerLink, attempt: int) -> WorkKey:
-    return WorkKey(f"{peer.incarnation}/{attempt}")
-
-
-def _outcome_of(attempt: PromptAttempt) -> RunOutcome:
-    if attempt.tokens_sent:
-        return RunOutcome.RAN
-    return RunOutcome.UNKNOWN
--- a/bilberryring/sidecar/token_batcher.py
+++ b/bilberryring/sidecar/token_batcher.py
@@ -16,12 +16,16 @@
         self._items: list[Tokens] = []
         self._timer = None
 
-    def add(self, attempt: int, first_index: int, texts: list[str]) -> None:
-        """Send tokens of an attempt soon."""
+    def add(
+        self, attempt: int, first_index: int, texts: list[str], *, is_urgent: bool
+    ) -> None:
+        """Send tokens of an attempt soon, or at once when a caller waits for them."""
         self._items.append(
             Tokens(attempt=attempt, first_index=first_index, texts=texts)
         )
-        if self._timer is None:
+        if is_urgent:
+            self.flush()
+        elif self._timer is None:
             self._timer = self._reactor.callLater(BATCH_SECONDS, self.flush)
 
     def flush(self) -> None:
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -2,11 +2,9 @@
 
 import contextlib
 import json
-import random
 import shutil
-import socket
 import urllib.request
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from bilberryring.adapters import PART_PREFIX, set_key
 from bilberryring.objects import (
@@ -14,83 +12,29 @@
     DomainState,
     FailureDomain,
     Manifest,
-    Model,
-    ModelEndpoint,
     ObjectSet,
-    Priority,
-    Service,
-    ServiceEndpoint,
-    Version,
-    Workspace,
     encode_manifest,
-    key_digest,
     render_set,
 )
 from bilberryring.testing.caller import Caller
+from bilberryring.testing.plan import (
+    ENGINE_PREFIX,
+    SERVICE_PREFIX,
+    AddressBook,
+    FleetPlan,
+    objects_of,
+    workspace_key,
+)
 from bilberryring.testing.processes import (
     ManagedProcess,
     scratch_directory,
     wait_until,
 )
 
-MODEL = "bilberry"
-VERSION = "bilberry-1"
-SERVICE = "booking"
-KEY = "key-of-{workspace}"
 READY_SECONDS = 30.0
 STOP_SECONDS = 20.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FleetPlan:
-    """How many processes of each kind, and how the stand-ins behave."""
-
-    domains: tuple[str, ...] = ("valpo-a", "vina-b", "quilpue-c")
-    region: str = "cl-centro"
-    engines_per_domain: int = 2
-    services_per_domain: int = 1
-    entry_domains: tuple[str, ...] = ("valpo-a", "vina-b")
-    kv_tokens: int = 600_000
-    prefill_rate: float = 40_000.0
-    cold_completions: int = 0
-    cold_bears: int = 2
-    cold_allowance: int = 64
-    concurrency: int = 64
-    honours_fencing: bool = True
-    service_deadline_seconds: float = 5.0
-    total_seconds: float = 60.0
-    first_token_seconds: float = 20.0
-    is_relayed: bool = False
-
-
-def workspace_key(workspace: str) -> str:
-    """Return the caller's key of a workspace of the plan."""
-    return KEY.format(workspace=workspace)
-
-
-class AddressBook:
-    """Hands out free addresses on a loopback number of its own."""
-
-    def __init__(self):
-        self._host = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.1"
-        self._taken: set[int] = set()
-
-    @property
-    def host(self) -> str:
-        """The IP number of all addresses."""
-        return self._host
-
-    def address(self) -> str:
-        """Return an address whose port the kernel chose."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind((self._host, 0))
-                port = probe.getsockname()[1]
-            if port not in self._taken:
-                self._taken.add(port)
-                return f"{self._host}:{port}"
-
-
 class Fleet:
     """Starts the processes of a plan, publishes sets, and causes failures."""
 
@@ -133,12 +77,12 @@
     @property
     def engines(self) -> tuple[str, ...]:
         """The names of the model endpoints."""
-        return tuple(name for name in self._targets if name.startswith("engine-"))
+        return tuple(name for name in self._targets if name.startswith(ENGINE_PREFIX))
 
     @property
     def services(self) -> tuple[str, ...]:
         """The names of the service endpoints."""
-        return tuple(name for name in self._targets if name.startswith("book-"))
+        return tuple(name for name in self._targets if name.startswith(SERVICE_PREFIX))
 
     @property
     def daemons(self) -> tuple[str, ...]:
@@ -174,9 +118,9 @@
         self._platform = self._start_stand_in("platform", ["platform"])
         for domain in self._plan.domains:
             for index in range(self._plan.engines_per_domain):
-                self.start_engine(f"engine-{domain}-{index + 1}")
+                self.start_engine(f"{ENGINE_PREFIX}{domain}-{index + 1}")
             for index in range(self._plan.services_per_domain):
-                self.start_service(f"book-{domain}-{index + 1}")
+                self.start_service(f"{SERVICE_PREFIX}{domain}-{index + 1}")
         for name in self._targets:
             self._sidecars[name] = self._addresses.address()
             self._published_addresses[name] = self._sidecars[name]
@@ -242,8 +186,8 @@
         self._start_daemon(name, "entry", settings)
 
     def domain_of(self, endpoint: str) -> str:
-        """Return the failure domain in an endpoint's name."""
-        return next(domain for domain in self._plan.domains if domain in endpoint)
+        """Return the failure domain of an endpoint."""
+        return self._plan.domain_of(endpoint)
 
     def wait_ready(self) -> None:
         """Wait until every daemon is ready and every endpoint is live."""
@@ -302,55 +246,7 @@
 
     def base_objects(self) -> ObjectSet:
         """Return the objects of the plan."""
-        plan = self._plan
-        domains = [
-            FailureDomain(name=name, region=plan.region) for name in plan.domains
-        ]
-        priorities = [
-            Priority(
-                name=name,
-                rank=rank,
-                first_token_seconds=plan.first_token_seconds,
-                total_seconds=plan.total_seconds,
-            )
-            for rank, name in enumerate(("counter", "office", "archive"))
-        ]
-        workspaces = [
-            Workspace(
-                name=name,
-                priority=priority,
-                models=(MODEL,),
-                services=(SERVICE,),
-                share=0.2,
-                key_digests=(key_digest(workspace_key(name)),),
-            )
-            for name, priority in (
-                ("bars", "counter"),
-                ("fuentes", "counter"),
-                ("tenders", "office"),
-                ("logs", "archive"),
-            )
-        ]
-        return ObjectSet(
-            failure_domains=_by_name(domains),
-            priorities=_by_name(priorities),
-            models=_by_name(
-                [Model(name=MODEL, default_version=VERSION)],
-            ),
-            versions=_by_name(
-                [Version(name=VERSION, model=MODEL, weights_megabytes=14_000)]
-            ),
-            workspaces=_by_name(workspaces),
-            services=_by_name(
-                [Service(name=SERVICE, deadline_seconds=plan.service_deadline_seconds)]
-            ),
-            model_endpoints=_by_name(
-                [self._model_endpoint(name) for name in self.engines]
-            ),
-            service_endpoints=_by_name(
-                [self._service_endpoint(name) for name in self.services]
-            ),
-        )
+        return objects_of(self._plan, self._published_addresses)
 
     def publish(self, objects: ObjectSet) -> int:
         """Publish a set on top of the last one and return its number."""
@@ -446,28 +342,6 @@
                 events.append(json.loads(line))
         return events
 
-    def _model_endpoint(self, name: str) -> ModelEndpoint:
-        plan = self._plan
-        return ModelEndpoint(
-            name=name,
-            failure_domain=self.domain_of(name),
-            sidecar=self._published_addresses[name],
-            versions=(VERSION,),
-            kv_tokens=plan.kv_tokens,
-            cold_allowance=plan.cold_allowance,
-            cold_completions=plan.cold_completions,
-            concurrency=plan.concurrency,
-            checks_fencing=plan.honours_fencing,
-        )
-
-    def _service_endpoint(self, name: str) -> ServiceEndpoint:
-        return ServiceEndpoint(
-            name=name,
-            failure_domain=self.domain_of(name),
-            sidecar=self._published_addresses[name],
-            service=SERVICE,
-        )
-
     def _sees_all_live(self, entry: str) -> bool:
         with contextlib.suppress(OSError):
             endpoints = self.status(entry)["endpoints"]
@@ -540,7 +414,3 @@
         )
         with urllib.request.urlopen(request, timeout=5) as response:
             return response.read()
-
-
-def _by_name(items: list) -> dict:
-    return {item.name: item for item in items}
--- /dev/null
+++ b/bilberryring/testing/mechanisms.py
@@ -0,0 +1,227 @@
+"""Tests that must fail once the mechanism they are for is taken out.
+
+`bin/without` copies the tree, takes one mechanism out, and runs its test there.
+A test that still passes proves nothing, and is reported.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+from bilberryring.testing.processes import scratch_directory
+
+ROOT = Path(__file__).parents[2]
+TEST_SECONDS = 300
+SCENARIOS = "bilberryring/scenarios/tests"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Mechanism:
+    """What to take out of which module, and the test that is for it."""
+
+    name: str
+    module: str
+    present: str
+    absent: str
+    test: str
+
+
+MECHANISMS = (
+    Mechanism(
+        name="ledger joins a running copy",
+        module="execution/ledger.py",
+        present="if record is not None:\n            return self._decide",
+        absent="if record and record.refusal:\n            return self._decide",
+        test=f"{SCENARIOS}/test_at_most_once.py"
+        "::test_one_ticket_goes_through_both_entries_at_the_same_moment",
+    ),
+    Mechanism(
+        name="refusals are recorded",
+        module="execution/ledger.py",
+        present="        return self._open_record(call, now, refusal)",
+        absent="        if refusal:\n"
+        "            return Refuse(code=refusal, outcome=RunOutcome.NOT_RUN)\n"
+        "        return self._open_record(call, now, refusal)",
+        test=f"{SCENARIOS}/test_at_most_once.py"
+        "::test_a_ticket_of_a_failure_domain_that_was_taken_out_meanwhile",
+    ),
+    Mechanism(
+        name="a ticket belongs to one incarnation",
+        module="execution/ledger.py",
+        present="if call.ticket.incarnation != self._incarnation:",
+        absent="if not call.ticket.incarnation:",
+        test="bilberryring/execution/tests/test_ledger.py::test_ledger_machine",
+    ),
+    Mechanism(
+        name="deadlines on the receiver's clock",
+        module="execution/ledger.py",
+        present="if refusal is None and now >= deadline:",
+        absent="if refusal is None and now >= deadline + 999:",
+        test=f"{SCENARIOS}/test_at_most_once.py"
+        "::test_the_sidecar_freezes_past_the_deadline_with_the_call_unread",
+    ),
+    Mechanism(
+        name="the first of a number counts",
+        module="acceptance/published_keys.py",
+        present="return is_created_first and key.created == key.modified",
+        absent="return is_created_first or key.created == key.modified",
+        test="bilberryring/acceptance/tests/test_accepted_sets.py"
+        "::test_spreading_machine",
+    ),
+    Mechanism(
+        name="sets only move forward",
+        module="acceptance/judgement.py",
+        present="    return Verdict.OLDER",
+        absent="    return Verdict.ACCEPTABLE",
+        test="bilberryring/acceptance/tests/test_accepted_sets.py"
+        "::test_spreading_machine",
+    ),
+    Mechanism(
+        name="peers have the first word",
+        module="process/platform_watch.py",
+        present="START_GRACE_SECONDS = 2.0",
+        absent="START_GRACE_SECONDS = 0.0",
+        test=f"{SCENARIOS}/test_in_force.py"
+        "::test_a_process_starts_while_the_platform_is_stale",
+    ),
+    Mechanism(
+        name="peers pull from peers",
+        module="process/configuration.py",
+        present="        if number > self._sets.number:\n",
+        absent="        if number > self._sets.number + 99:\n",
+        test=f"{SCENARIOS}/test_in_force.py::test_a_change_is_published",
+    ),
+    Mechanism(
+        name="broken answers go on elsewhere",
+        module="entry/prompt_request.py",
+        present="        if not self._budget.try_spend():\n",
+        absent="        if self._budget:\n",
+        test=f"{SCENARIOS}/test_whole_answers.py::test_an_engine_dies_in_midstream",
+    ),
+    Mechanism(
+        name="the retry budget",
+        module="execution/retry_budget.py",
+        present="if self._balance < 1.0:",
+        absent="if self._balance < -1e9:",
+        test=f"{SCENARIOS}/test_whole_answers.py::test_every_engine_is_gone",
+    ),
+    Mechanism(
+        name="silence ends an attempt",
+        module="entry/sidecar_links.py",
+        present="channel.deliver(EndpointSilent())",
+        absent="channel.deliver(None)",
+        test=f"{SCENARIOS}/test_whole_answers.py"
+        "::test_a_sidecar_freezes_in_midstream_and_wakes_late",
+    ),
+    Mechanism(
+        name="the audit of the engine's memory",
+        module="sidecar/engine_watch.py",
+        present="            if item.request in owned:",
+        absent="            if item.request:",
+        test=f"{SCENARIOS}/test_whole_answers.py::test_a_sidecar_dies_in_midstream",
+    ),
+    Mechanism(
+        name="vanished callers are cancelled",
+        module="entry/caller_site.py",
+        present="request.notifyFinish().addErrback(lambda _: task.caller_gone())\n"
+        "        await self._run_prompt",
+        absent="request.notifyFinish().addErrback(lambda _: None)\n"
+        "        await self._run_prompt",
+        test=f"{SCENARIOS}/test_whole_answers.py::test_the_caller_goes_away",
+    ),
+    Mechanism(
+        name="an entry drains",
+        module="entry/daemon.py",
+        present="while self._state.in_progress:",
+        absent="while not self._state:",
+        test=f"{SCENARIOS}/test_whole_answers.py"
+        "::test_prompts_go_on_through_a_planned_stop_of_an_entry",
+    ),
+    Mechanism(
+        name="a sidecar drains",
+        module="sidecar/daemon.py",
+        present="if self._in_progress():\n",
+        absent="if self._in_progress() > 9999:\n",
+        test=f"{SCENARIOS}/test_at_most_once.py"
+        "::test_the_sidecar_drains_while_the_service_works",
+    ),
+    Mechanism(
+        name="domains that are out are refused",
+        module="objects/object_set.py",
+        present="if domain.state is DomainState.OUT",
+        absent="if domain.state is None",
+        test=f"{SCENARIOS}/test_failure_domains.py::test_out_and_back_under_load",
+    ),
+    Mechanism(
+        name="the cold allowance",
+        module="admission/allowance.py",
+        present="        return self._limit < self._full",
+        absent="        return self._limit > self._full",
+        test="bilberryring/admission/tests/test_prompt_admission.py"
+        "::test_admission_machine",
+    ),
+    Mechanism(
+        name="the quarantine",
+        module="quarantine/suspicions.py",
+        present="DEATHS_UNTIL_QUARANTINE = 2",
+        absent="DEATHS_UNTIL_QUARANTINE = 99",
+        test=f"{SCENARIOS}/test_crashing_requests.py"
+        "::test_the_caller_sends_it_again_through_both_entries",
+    ),
+    Mechanism(
+        name="short classes are prefilled first",
+        module="admission/work.py",
+        present="self.length_class.prefill_rank * PRIORITIES_PER_CLASS",
+        absent="0 * PRIORITIES_PER_CLASS",
+        test="bilberryring/admission/tests/test_prompt_admission.py"
+        "::test_short_prompts_start_beside_a_long_one_with_a_better_priority",
+    ),
+)
+
+
+def run_without(mechanism: Mechanism) -> bool:
+    """Whether the mechanism's test fails in a copy of the tree without it."""
+    copy = scratch_directory()
+    try:
+        shutil.copytree(ROOT / "bilberryring", copy / "bilberryring")
+        shutil.copytree(ROOT / "docs", copy / "docs")
+        shutil.copy(ROOT / "pyproject.toml", copy)
+        module = copy / "bilberryring" / mechanism.module
+        text = module.read_text("utf-8")
+        if mechanism.present not in text:
+            raise click.ClickException(f"{mechanism.name}: not found; mend the list")
+        module.write_text(text.replace(mechanism.present, mechanism.absent), "utf-8")
+        ended = subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", "-x", mechanism.test],
+            cwd=copy,
+            env=os.environ | {"PYTHONPATH": str(copy)},
+            capture_output=True,
+            timeout=TEST_SECONDS,
+        )
+        return ended.returncode == 1
+    finally:
+        shutil.rmtree(copy, ignore_errors=True)
+
+
+@click.command()
+@click.argument("names", nargs=-1)
+def main(names: tuple[str, ...]) -> None:
+    """Take mechanisms out, one after another, and see their tests fail."""
+    chosen = [m for m in MECHANISMS if not names or any(n in m.name for n in names)]
+    proved = 0
+    for mechanism in chosen:
+        has_failed = run_without(mechanism)
+        proved += has_failed
+        verdict = "fails without it" if has_failed else "STILL PASSES"
+        click.echo(f"{verdict}: {mechanism.name}: {mechanism.test.split('::')[-1]}")
+    click.echo(f"{proved} of {len(chosen)} tests fail without their mechanism")
+    sys.exit(0 if proved == len(chosen) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bilberryring/testing/plan.py
@@ -0,0 +1,164 @@
+"""The plan of a small fleet: its sizes, its addresses and its objects."""
+
+import random
+import socket
+from dataclasses import dataclass
+
+from bilberryring.objects import (
+    FailureDomain,
+    Model,
+    ModelEndpoint,
+    ObjectSet,
+    Priority,
+    Service,
+    ServiceEndpoint,
+    Version,
+    Workspace,
+    key_digest,
+)
+
+MODEL = "bilberry"
+VERSION = "bilberry-1"
+SERVICE = "booking"
+ENGINE_PREFIX = "engine-"
+SERVICE_PREFIX = "book-"
+KEY = "key-of-{workspace}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetPlan:
+    """How many processes of each kind, and how the stand-ins behave."""
+
+    domains: tuple[str, ...] = ("valpo-a", "vina-b", "quilpue-c")
+    region: str = "cl-centro"
+    engines_per_domain: int = 2
+    services_per_domain: int = 1
+    entry_domains: tuple[str, ...] = ("valpo-a", "vina-b")
+    kv_tokens: int = 600_000
+    prefill_rate: float = 40_000.0
+    cold_completions: int = 0
+    cold_bears: int = 2
+    cold_allowance: int = 64
+    concurrency: int = 64
+    honours_fencing: bool = True
+    service_deadline_seconds: float = 5.0
+    total_seconds: float = 60.0
+    first_token_seconds: float = 20.0
+    is_relayed: bool = False
+
+    def domain_of(self, endpoint: str) -> str:
+        """Return the failure domain in an endpoint's name."""
+        return next(domain for domain in self.domains if domain in endpoint)
+
+
+def workspace_key(workspace: str) -> str:
+    """Return the caller's key of a workspace of the plan."""
+    return KEY.format(workspace=workspace)
+
+
+class AddressBook:
+    """Hands out free addresses on a loopback number of its own."""
+
+    def __init__(self):
+        self._host = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.1"
+        self._taken: set[int] = set()
+
+    @property
+    def host(self) -> str:
+        """The IP number of all addresses."""
+        return self._host
+
+    def address(self) -> str:
+        """Return an address whose port the kernel chose."""
+        while True:
+            with socket.socket() as probe:
+                probe.bind((self._host, 0))
+                port = probe.getsockname()[1]
+            if port not in self._taken:
+                self._taken.add(port)
+                return f"{self._host}:{port}"
+
+
+def objects_of(plan: FleetPlan, addresses: dict[str, str]) -> ObjectSet:
+    """Return the objects of a plan, with the sidecars' addresses by endpoint."""
+    domains = [FailureDomain(name=name, region=plan.region) for name in plan.domains]
+    priorities = [
+        Priority(
+            name=name,
+            rank=rank,
+            first_token_seconds=plan.first_token_seconds,
+            total_seconds=plan.total_seconds,
+        )
+        for rank, name in enumerate(("counter", "office", "archive"))
+    ]
+    workspaces = [
+        Workspace(
+            name=name,
+            priority=priority,
+            models=(MODEL,),
+            services=(SERVICE,),
+            share=0.2,
+            key_digests=(key_digest(workspace_key(name)),),
+        )
+        for name, priority in (
+            ("bars", "counter"),
+            ("fuentes", "counter"),
+            ("tenders", "office"),
+            ("logs", "archive"),
+        )
+    ]
+    return ObjectSet(
+        failure_domains=_by_name(domains),
+        priorities=_by_name(priorities),
+        models=_by_name(
+            [Model(name=MODEL, default_version=VERSION)],
+        ),
+        versions=_by_name(
+            [Version(name=VERSION, model=MODEL, weights_megabytes=14_000)]
+        ),
+        workspaces=_by_name(workspaces),
+        services=_by_name(
+            [Service(name=SERVICE, deadline_seconds=plan.service_deadline_seconds)]
+        ),
+        model_endpoints=_by_name(
+            [
+                _model_endpoint(plan, name, address)
+                for name, address in addresses.items()
+                if name.startswith(ENGINE_PREFIX)
+            ]
+        ),
+        service_endpoints=_by_name(
+            [
+                _service_endpoint(plan, name, address)
+                for name, address in addresses.items()
+                if name.startswith(SERVICE_PREFIX)
+            ]
+        ),
+    )
+
+
+def _model_endpoint(plan: FleetPlan, name: str, address: str) -> ModelEndpoint:
+    return ModelEndpoint(
+        name=name,
+        failure_domain=plan.domain_of(name),
+        sidecar=address,
+        versions=(VERSION,),
+        kv_tokens=plan.kv_tokens,
+        cold_allowance=plan.cold_allowance,
+        cold_completions=plan.cold_completions,
+        concurrency=plan.concurrency,
+        checks_fencing=plan.honours_fencing,
+    )
+
+
+def _service_endpoint(plan: FleetPlan, name: str, address: str) -> ServiceEndpoint:
+    return ServiceEndpoint(
+        name=name,
+        failure_domain=plan.domain_of(name),
+        sidecar=address,
+        service=SERVICE,
+    )
+
+
+def _by_name(items: list) -> dict:
+    return {item.name: item for item in items}
