--- a/bilberryring/demo/report.py
+++ b/bilberryring/demo/report.py
@@ -30,6 +30,7 @@
     first_tokens: dict[LengthClass, list[float]] = field(default_factory=dict)
     booked: list[str] = field(default_factory=list)
     unsure: list[str] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
     effects: dict[str, int] = field(default_factory=dict)
     errors: list[str] = field(default_factory=list)
 
@@ -46,8 +47,7 @@
     @property
     def untrue(self) -> int:
         """The effects of bookings that were refused as not run."""
-        known = set(self.booked) | set(self.unsure)
-        return sum(1 for reference in self.effects if reference not in known)
+        return len(self.refused & self.effects.keys())
 
     @property
     def is_good(self) -> bool:
@@ -81,6 +81,7 @@
             self.booked.append(reference)
         elif result.outcome == "not_run":
             tally.refused_not_run += 1
+            self.refused.add(reference)
         else:
             tally.failed += 1
             self.unsure.append(reference)
--- a/bilberryring/demo/work.py
+++ b/bilberryring/demo/work.py
@@ -81,6 +81,11 @@
         self._threads: list[threading.Thread] = []
         self._until = 0.0
 
+    @property
+    def tally(self) -> Tally:
+        """What came back so far."""
+        return self._tally
+
     def start(self, seconds: float) -> None:
         """Begin to send, for a time in seconds."""
         self._until = time.monotonic() + seconds
--- a/bilberryring/entry/entry_state.py
+++ b/bilberryring/entry/entry_state.py
@@ -35,9 +35,9 @@
         configuration: ConfigurationTask,
         links: SidecarLinks,
     ):
-        self.reactor = reactor
-        self.log = log
-        self.links = links
+        self._reactor = reactor
+        self._log = log
+        self._links = links
         self._configuration = configuration
         self._placement = PromptPlacement(links=links)
         self._budget = RetryBudget()
@@ -68,6 +68,21 @@
             name="bilberryring_failures_total", doc="Errors told to callers by code"
         )
 
+    @property
+    def reactor(self):
+        """The reactor of the process."""
+        return self._reactor
+
+    @property
+    def log(self) -> EventLog:
+        """The log of the process."""
+        return self._log
+
+    @property
+    def links(self) -> SidecarLinks:
+        """The links to sidecars."""
+        return self._links
+
     @property
     def objects(self) -> ObjectSet | None:
         """The objects in force, or `None` before the first set."""
@@ -101,32 +116,32 @@
 
     def log_fault(self, error: BaseException) -> None:
         """Log a fault of this process."""
-        self.log.write(LogEvent.INTERNAL_FAULT, detail=repr(error))
+        self._log.write(LogEvent.INTERNAL_FAULT, detail=repr(error))
 
     def prompt_request(self, prompt: CallerPrompt, sink: AnswerSink) -> PromptRequest:
         """Return the task of a prompt."""
         label = (prompt.shape.length_class.label,)
         return PromptRequest(
-            reactor=self.reactor,
+            reactor=self._reactor,
             prompt=prompt,
             sink=sink,
-            links=self.links,
+            links=self._links,
             placement=self._placement,
             budget=self._budget,
             objects=lambda: self._configuration.objects,
-            log=self.log,
+            log=self._log,
             on_token_gap=lambda gap: self._token_gaps.observe(label, gap),
         )
 
     def service_request(self, call: CallerCall) -> ServiceRequest:
         """Return the task of a call."""
         return ServiceRequest(
-            reactor=self.reactor,
+            reactor=self._reactor,
             call=call,
-            links=self.links,
+            links=self._links,
             budget=self._budget,
             objects=lambda: self._configuration.objects,
-            log=self.log,
+            log=self._log,
         )
 
     def observe_answer(self, prompt: CallerPrompt, times: AnswerTimes) -> None:
@@ -137,7 +152,7 @@
             first = times.first_token - prompt.received_at
             self._first_token_by_workspace.observe((prompt.workspace.name,), first)
             self._first_token_by_class.observe((length, prompt.priority.name), first)
-        self.log.write(
+        self._log.write(
             LogEvent.REQUEST_FINISHED,
             request=prompt.request_id,
             first_token_seconds=first,
--- a/bilberryring/entry/sidecar_link.py
+++ b/bilberryring/entry/sidecar_link.py
@@ -32,7 +32,9 @@
 class LinkOwner(Protocol):
     """Who is told what happens on the links."""
 
-    deaths: DeathSpread
+    @property
+    def deaths(self) -> DeathSpread:
+        """The deaths of engines that the process knows of."""
 
     def link_opened(self, link: LinkProtocol) -> None:
         """A connection opened."""
--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -41,8 +41,8 @@
         hello: Hello,
         configuration,
     ):
-        self.deaths = DeathSpread(reactor=reactor, links=self._open_links)
-        self.reactor = reactor
+        self._deaths = DeathSpread(reactor=reactor, links=self._open_links)
+        self._reactor = reactor
         self._log = log
         self._failure_domain = failure_domain
         self._hello = hello
@@ -56,6 +56,11 @@
         self._silence_loop.clock = reactor
         self._silence_loop.start(SILENCE_CHECK_SECONDS, now=False)
 
+    @property
+    def deaths(self) -> DeathSpread:
+        """The deaths of engines that this process knows of."""
+        return self._deaths
+
     @property
     def names(self) -> tuple[str, ...]:
         """The names of the endpoints tracked."""
@@ -68,7 +73,7 @@
 
     def track(self, endpoints: dict[str, Endpoint]) -> None:
         """Track these endpoints; others are kept until their work has ended."""
-        now = self.reactor.seconds()
+        now = self._reactor.seconds()
         for name, endpoint in endpoints.items():
             self._track_one(name, endpoint)
         for name in tuple(self._links.keys() - endpoints.keys()):
@@ -96,13 +101,13 @@
         objects = self._configuration.objects
         domain = record.endpoint.failure_domain
         is_out = objects is not None and domain in objects.domains_out
-        return record.standing(domain_out=is_out, now=self.reactor.seconds())
+        return record.standing(domain_out=is_out, now=self._reactor.seconds())
 
     def loads(
         self, names: list[str], *, excluded: frozenset[str] = frozenset()
     ) -> list[EndpointLoad]:
         """Return the loads of the named endpoints that take new work."""
-        now = self.reactor.seconds()
+        now = self._reactor.seconds()
         found = []
         for name in names:
             link = self._links.get(name)
@@ -130,14 +135,14 @@
             on_close=link.remove_channel,
         )
         link.add_channel(channel)
-        link.record.begin_attempt(shape, now=self.reactor.seconds())
+        link.record.begin_attempt(shape, now=self._reactor.seconds())
         return channel
 
     def next_greeting(self, timeout: float) -> Deferred[None]:
         """Fire at the next greeting of any sidecar, or after the timeout."""
         waiting: Deferred[None] = Deferred()
         self._waiting_for_greeting.append(waiting)
-        self.reactor.callLater(timeout, self._release_waiting, waiting)
+        self._reactor.callLater(timeout, self._release_waiting, waiting)
         return waiting
 
     def set_listed_leaving(self, addresses: frozenset[str]) -> None:
@@ -212,7 +217,7 @@
             link = None
         if link is None:
             link = SidecarLink(
-                reactor=self.reactor,
+                reactor=self._reactor,
                 owner=self,
                 record=EndpointRecord(endpoint=endpoint),
             )
--- a/bilberryring/sidecar/service_runner.py
+++ b/bilberryring/sidecar/service_runner.py
@@ -6,6 +6,7 @@
 
 import hashlib
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
@@ -30,13 +31,13 @@
 SPENT_DETAIL = "The ticket is spent; take a new one."
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
 class _Waiter:
     """An attempt that waits for the outcome of a call."""
 
-    def __init__(self, *, peer: PeerLink, message: CallService):
-        self.peer = peer
-        self.message = message
-        self.timer = None
+    peer: PeerLink
+    message: CallService
+    timer: object = None
 
 
 class ServiceRunner:
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -185,6 +185,23 @@
         }
         self._start_daemon(name, "entry", settings)
 
+    def restart(self, name: str) -> None:
+        """Start a process again that was killed, and the platform's content."""
+        if name == "platform":
+            self._start_stand_in(name, ["platform"], address=self._platform)
+            self._processes[name].listening_port()
+            self.write_set(self._published)
+            self.publish_vms()
+        elif name in self._callers:
+            index = int(name.removeprefix("entry-")) - 1
+            self.start_entry(name, self._plan.entry_domains[index])
+        elif name.startswith("sidecar-"):
+            self.start_sidecar(name.removeprefix("sidecar-"))
+        elif name.startswith(SERVICE_PREFIX):
+            self.start_service(name)
+        else:
+            self.start_engine(name)
+
     def domain_of(self, endpoint: str) -> str:
         """Return the failure domain of an endpoint."""
         return self._plan.domain_of(endpoint)
