A late end of an earlier attempt no longer ends the next one

Cause: found by reading. An end that lay in a request's mailbox from an attempt that was given up was held against the next attempt: it failed, cost a repeat, and a third attempt was made. A caller that left before an endpoint was found was written to all the same. Change: ends of other attempts are dropped; a caller that left is written nothing more. Tests of the prompt's task with fakes on a test clock. Ruled out: emptying the mailbox between attempts (it also holds the deadline). Conclusion: mended.

--- a/bilberryring/entry/prompt_request.py
+++ b/bilberryring/entry/prompt_request.py
@@ -101,6 +101,7 @@
 
     def caller_gone(self) -> None:
         """Note that the caller closed its connection."""
+        self._sink.abandon()
         self._mailbox.put(CallerGone())
 
     def caller_too_slow(self) -> None:
@@ -236,7 +237,8 @@
                 case Tokens():
                     self._take_tokens(channel, message)
                 case Finished():
-                    return self._take_end(channel, message)
+                    if message.attempt == channel.attempt:
+                        return self._take_end(channel, message)
                 case Refused():
                     if message.attempt == channel.attempt:
                         self._take_refusal(channel, message)
@@ -260,7 +262,6 @@
                     raise self._error(ErrorCode.DEADLINE_PASSED)
                 case CallerGone():
                     channel.send(Cancel(attempt=channel.attempt))
-                    self._sink.abandon()
                     raise self._error(ErrorCode.CANCELLED)
                 case CallerTooSlow():
                     channel.send(Cancel(attempt=channel.attempt))
--- /dev/null
+++ b/bilberryring/entry/tests/test_prompt_request.py
@@ -0,0 +1,216 @@
+"""The task of one prompt, with fakes for links and sidecars on a test clock."""
+
+import io
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from bilberryring.core import Fingerprint, RequestId, ServingError
+from bilberryring.entry.attempt_channel import AttemptChannel, LinkLost
+from bilberryring.entry.caller_prompt import CallerPrompt
+from bilberryring.entry.endpoint_record import EndpointRecord
+from bilberryring.entry.prompt_placement import PlacedPrompt
+from bilberryring.entry.prompt_request import PromptRequest
+from bilberryring.execution import RetryBudget
+from bilberryring.objects import (
+    Model,
+    ModelEndpoint,
+    ObjectSet,
+    Priority,
+    Workspace,
+)
+from bilberryring.quarantine import PromptStanding
+from bilberryring.routing import PromptShape
+from bilberryring.telemetry import EventLog
+from bilberryring.wire import Beat, Cancel, Finished, Refused, RunPrompt, Tokens
+
+
+class FakeLink:
+    """Keeps what was sent."""
+
+    def __init__(self):
+        self.sent: list[object] = []
+        self.is_open = True
+
+    def send(self, message: object) -> bool:
+        self.sent.append(message)
+        return self.is_open
+
+
+class FakeDeaths:
+    """Suspects nothing."""
+
+    def standing(self, fingerprint):
+        return PromptStanding.CLEAR
+
+    def clear(self, fingerprint):
+        pass
+
+
+class FakeSink:
+    """Keeps what the caller would see."""
+
+    def __init__(self):
+        self.texts: list[str] = []
+        self.end = ""
+        self.is_abandoned = False
+
+    def tokens(self, texts):
+        self.texts += texts
+
+    def finish(self, text, completion_tokens):
+        self.end = text
+
+    def abandon(self):
+        self.is_abandoned = True
+
+
+class Driven:
+    """A prompt whose attempts the test answers by hand."""
+
+    def __init__(self, *, max_tokens: int = 3):
+        self.clock = Clock()
+        self.sink = FakeSink()
+        self.channels: list[AttemptChannel] = []
+        self.deaths = FakeDeaths()
+        model = Model(name="m", default_version="v")
+        prompt = CallerPrompt(
+            request_id=RequestId("r"),
+            workspace=Workspace(name="w", priority="p", key_digests=()),
+            priority=Priority(name="p", rank=0),
+            model=model,
+            text=b"hola",
+            shape=PromptShape(prompt_tokens=1, max_tokens=max_tokens),
+            fingerprint=Fingerprint("f"),
+            received_at=0.0,
+            deadline=30.0,
+        )
+        self.request = PromptRequest(
+            reactor=self.clock,
+            prompt=prompt,
+            sink=self.sink,
+            links=self,
+            placement=self,
+            budget=RetryBudget(),
+            objects=ObjectSet,
+            log=EventLog(process="p", role="entry", stream=io.StringIO()),
+            on_token_gap=lambda gap: None,
+        )
+        self.outcome: list[object] = []
+        Deferred.fromCoroutine(self.request.run()).addBoth(self.outcome.append)
+
+    def choose(self, prompt, objects, *, excluded, is_isolated):
+        return PlacedPrompt(endpoint=f"e{len(self.channels)}")
+
+    def open_attempt(self, name, mailbox, *, shape):
+        endpoint = ModelEndpoint(
+            name=name, failure_domain="d", sidecar="10.0.0.1:9", versions=()
+        )
+        record = EndpointRecord(endpoint=endpoint)
+        record.take_beat(Beat(sender_clock=0), now=0.0)
+        channel = AttemptChannel(
+            attempt=len(self.channels) + 1,
+            record=record,
+            link=FakeLink(),
+            mailbox=mailbox,
+            on_close=lambda closed: None,
+        )
+        self.channels.append(channel)
+        return channel
+
+    def sent(self, index: int) -> list[type]:
+        return [type(message) for message in self.channels[index].link.sent]
+
+
+def tokens(attempt: int, first_index: int, *texts: str) -> Tokens:
+    return Tokens(attempt=attempt, first_index=first_index, texts=list(texts))
+
+
+def finished(attempt: int, count: int) -> Finished:
+    return Finished(attempt=attempt, token_count=count, reason="length")
+
+
+def test_an_answer_is_whole():
+    driven = Driven()
+    driven.channels[0].deliver(tokens(1, 0, "a", "b", "c"))
+    driven.channels[0].deliver(finished(1, 3))
+    assert driven.sink.end == "abc"
+    assert driven.outcome[0].token_count == 3
+
+
+def test_an_answer_goes_on_elsewhere_from_what_was_delivered():
+    driven = Driven()
+    driven.channels[0].deliver(tokens(1, 0, "a"))
+    driven.channels[0].link.is_open = False
+    driven.channels[0].deliver(LinkLost())
+    asked = driven.channels[1].link.sent[0]
+    assert isinstance(asked, RunPrompt) and asked.delivered_tokens == 1
+    driven.channels[1].deliver(tokens(2, 1, "b", "c"))
+    driven.channels[1].deliver(finished(2, 3))
+    assert driven.sink.end == "abc"
+
+
+def test_late_and_crossed_messages_of_an_attempt_given_up_are_dropped():
+    driven = Driven()
+    first = driven.channels[0]
+    first.link.is_open = False
+    mailbox = first._mailbox
+    first.deliver(LinkLost())
+    mailbox.put(tokens(1, 0, "x"))
+    mailbox.put(finished(1, 1))
+    driven.channels[1].deliver(tokens(2, 0, "a", "b", "c"))
+    driven.channels[1].deliver(finished(2, 3))
+    assert driven.sink.end == "abc"
+    assert len(driven.channels) == 2
+
+
+def test_an_end_before_all_tokens_is_no_end():
+    driven = Driven()
+    driven.channels[0].deliver(tokens(1, 0, "a"))
+    driven.channels[0].deliver(finished(1, 3))
+    assert Cancel in driven.sent(0)
+    assert len(driven.channels) == 2 and not driven.sink.end
+
+
+def test_an_end_that_was_lost_after_the_last_token_costs_no_attempt():
+    driven = Driven()
+    driven.channels[0].deliver(tokens(1, 0, "a", "b", "c"))
+    driven.channels[0].link.is_open = False
+    driven.channels[0].deliver(LinkLost())
+    assert driven.sink.end == "abc"
+    assert len(driven.channels) == 1
+
+
+def test_the_deadline_ends_it_and_cancels():
+    driven = Driven()
+    driven.clock.advance(31.0)
+    error = driven.outcome[0].value
+    assert isinstance(error, ServingError)
+    assert error.code.value == "deadline_passed"
+    assert Cancel in driven.sent(0)
+
+
+def test_a_caller_that_went_away_is_written_nothing_more():
+    driven = Driven()
+    driven.request.caller_gone()
+    assert driven.sink.is_abandoned
+    assert Cancel in driven.sent(0)
+
+
+def test_repeats_end_with_the_budget_and_the_last_reason():
+    driven = Driven()
+    while not driven.outcome:
+        channel = driven.channels[-1]
+        channel.deliver(
+            Refused(
+                attempt=channel.attempt,
+                code="too_late",
+                detail="",
+                outcome="not_run",
+                retry_after=2_000_000,
+            )
+        )
+    error = driven.outcome[0].value
+    assert error.code.value == "too_late" and error.outcome.value == "not_run"
+    assert error.retry_after == 2.0
+    assert len(driven.channels) == 6
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -103,6 +103,16 @@
         absent="        if self._budget:\n",
         test=f"{SCENARIOS}/test_whole_answers.py::test_an_engine_dies_in_midstream",
     ),
+    Mechanism(
+        name="messages of other attempts are dropped",
+        module="entry/prompt_request.py",
+        present="                    if message.attempt == channel.attempt:\n"
+        "                        return self._take_end(",
+        absent="                    if message.attempt:\n"
+        "                        return self._take_end(",
+        test="bilberryring/entry/tests/test_prompt_request.py"
+        "::test_late_and_crossed_messages_of_an_attempt_given_up_are_dropped",
+    ),
     Mechanism(
         name="the retry budget",
         module="execution/retry_budget.py",
