Only a ledger says 'not run' about a ticket; drained sidecars linger 2 s

Cause: found by reading. An entry that drains refused a call under a ticket as 'not run', though another copy of it may have run through another entry. A sidecar that had drained for 0.5 s was gone when a ticket handed out before came, which then could only be told 'unknown'. Change: such refusals say 'unknown' when a ticket is given; a sidecar stays for 2 s after its last work and answers late tickets with a true 'not run'. Ruled out: lingering for the 600 s of a ticket (stops would take too long). Conclusion: mended; tickets presented later than 2 s after a stop stay unknown.

--- a/bilberryring/entry/caller_site.py
+++ b/bilberryring/entry/caller_site.py
@@ -43,6 +43,7 @@
 
 BYTES_PER_TOKEN = 4
 MAX_DEADLINE_SECONDS = 3600.0
+RETRY_SECONDS = 1.0
 IDEMPOTENCY_HEADER = "idempotency-key"
 REPLAYED_HEADER = b"x-bilberryring-replayed"
 
@@ -95,10 +96,10 @@
     def _caller_of(self, request: BoundedRequest, request_id: RequestId) -> _Caller:
         """Return who calls; `ServingError` when that cannot be served."""
         if self._state.is_draining:
-            raise _refusal(ErrorCode.LEAVING, retry_after=1.0)
+            raise _unheard(request, ErrorCode.LEAVING)
         objects = self._state.objects
         if objects is None:
-            raise _refusal(ErrorCode.NO_SET, retry_after=1.0)
+            raise _unheard(request, ErrorCode.NO_SET)
         header = request.getHeader("authorization") or ""
         key = header.removeprefix("Bearer ").strip()
         workspace = objects.workspace_of_key(key)
@@ -296,6 +297,17 @@
     return Fingerprint(mixed.hexdigest())
 
 
+def _unheard(request: BoundedRequest, code: ErrorCode) -> ServingError:
+    """Return a refusal for which no ledger was asked.
+
+    Another copy of a call under a ticket may have run, so that only the ledger
+    that the ticket names can say "not run" about it.
+    """
+    has_ticket = request.getHeader(IDEMPOTENCY_HEADER) is not None
+    outcome = RunOutcome.UNKNOWN if has_ticket else RunOutcome.NOT_RUN
+    return ServingError(code=code, outcome=outcome, retry_after=RETRY_SECONDS)
+
+
 def _refusal(
     code: ErrorCode, *, detail: str = "", retry_after: float | None = None
 ) -> ServingError:
--- a/bilberryring/sidecar/daemon.py
+++ b/bilberryring/sidecar/daemon.py
@@ -47,8 +47,11 @@
 
 ROLE = "sidecar"
 DRAIN_CHECK_SECONDS = 0.1
-DRAIN_QUIET_SECONDS = 0.5
-"""How long nothing may have run before a drained sidecar ends."""
+DRAIN_QUIET_SECONDS = 2.0
+"""How long nothing may have run before a drained sidecar ends.
+
+Meanwhile it answers tickets handed out before with a true "not run".
+"""
 
 
 class SidecarDaemon:
