Pages say what is checked and has no effect yet

Cause: a model's fallback and a workspace's adapters are published and checked, and nothing told that they have no effect. Ruled out: removing the fields (the published form would change twice).

--- a/bilberryring/objects/kinds.py
+++ b/bilberryring/objects/kinds.py
@@ -111,7 +111,10 @@
 
 
 class Model(PublishedObject):
-    """A model that callers name; lengths are in tokens."""
+    """A model that callers name; lengths are in tokens.
+
+    `fallback` is checked, and not followed yet.
+    """
 
     default_version: VersionName
     max_prompt_tokens: int = 1_000_000
@@ -138,7 +141,10 @@
 
 
 class Adapter(PublishedObject):
-    """Weights that change a model for some workspaces."""
+    """Weights that change a model for some workspaces.
+
+    Adapters are checked, and not applied to prompts yet.
+    """
 
     model: ModelName
     weights_megabytes: int
