--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -168,6 +168,14 @@
         absent="if domain.state is None",
         test=f"{SCENARIOS}/test_failure_domains.py::test_out_and_back_under_load",
     ),
+    Mechanism(
+        name="a leaving sidecar refuses new work",
+        module="sidecar/daemon.py",
+        present="if self._is_draining or self._is_superseded:",
+        absent="if self._is_superseded:",
+        test=f"{SCENARIOS}/test_failure_domains.py"
+        "::test_an_endpoint_that_leaves_gets_no_new_work_though_the_list_is_late",
+    ),
     Mechanism(
         name="the cold allowance",
         module="admission/allowance.py",
