--- a/bilberryring/admission/__init__.py
+++ b/bilberryring/admission/__init__.py
@@ -38,9 +38,12 @@
     choose_span,
     span_shares,
 )
+from bilberryring.admission.start_rate import StartRate, share_of_rate
 from bilberryring.admission.work import PRIORITIES_PER_CLASS, PromptWork, WorkKey
 
 __all__ = [
+    "StartRate",
+    "share_of_rate",
     "AdmissionLoad",
     "COLD_TOKENS_PER_SLOT",
     "ColdAllowance",
--- a/bilberryring/daemon.py
+++ b/bilberryring/daemon.py
@@ -47,6 +47,17 @@
     _run(settings_path, SidecarSettings, SidecarDaemon, "sidecar")
 
 
+@main.command()
+def gateway() -> None:
+    """Answer callers and speak to the endpoints directly, on the platform.
+
+    The platform's own settings file is used; docs/SETTINGS.md says which keys.
+    """
+    from bilberryring.platform.process import run_gateway
+
+    run_gateway()
+
+
 def _run(path: Path, shape: type[CommonSettings], daemon_type, role: str) -> None:
     use_monotonic_time(reactor)
     try:
--- a/bilberryring/execution/__init__.py
+++ b/bilberryring/execution/__init__.py
@@ -18,6 +18,7 @@
     Run,
 )
 from bilberryring.execution.retry_budget import RETRY_RESERVE, RETRY_SHARE, RetryBudget
+from bilberryring.execution.retry_window import RetryWindow
 from bilberryring.execution.ticket import (
     FIELD_COUNT,
     MAX_TICKET_LENGTH,
@@ -30,6 +31,7 @@
 )
 
 __all__ = [
+    "RetryWindow",
     "Answer",
     "AnswerAssembly",
     "AnswerGapError",
--- /dev/null
+++ b/bilberryring/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""An entry that speaks to the endpoints directly."""
--- /dev/null
+++ b/bilberryring/gateway/daemon.py
@@ -0,0 +1,221 @@
+"""The gateway's process: its listeners, its tasks, and its end."""
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import LoopingCall, deferLater
+from twisted.web import http
+
+from bilberryring.core import ErrorCode, SettingsError, new_incarnation
+from bilberryring.fleet import AnnouncedEndpoint, FleetState, Workspace
+from bilberryring.gateway.caller_site import CallerExchange, CallerSite
+from bilberryring.gateway.endpoint_choice import EndpointChooser
+from bilberryring.gateway.endpoint_pool import EndpointPool
+from bilberryring.gateway.forwarding import Forwarder, HeaderCodec
+from bilberryring.gateway.peer_view import PeerView
+from bilberryring.gateway.peers import PeerExchange
+from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.membership import EndpointHealth
+from bilberryring.process.running import Listeners
+from bilberryring.routing import WorkBook
+from bilberryring.telemetry import (
+    FIRST_TOKEN_BOUNDS,
+    EventLog,
+    LogEvent,
+    Metrics,
+)
+
+HOUSEKEEPING_SECONDS = 0.25
+"""Seconds between checks for what has expired."""
+LEAVE_BALANCER_SECONDS = 3.0
+"""Seconds after a stop signal in which callers still arrive. Source: the
+balancer asks once a second and needs two failed answers."""
+EXIT_MARGIN_SECONDS = 0.7
+"""Seconds before the platform's kill at which the process ends by itself."""
+DRAIN_CHECK_SECONDS = 0.05
+MAX_SERIES = 256
+"""Series of one histogram; further ones are counted together."""
+ACCEPT_BACKLOG = 512
+
+
+class GatewayDaemon:
+    """Builds the parts of a gateway and runs them."""
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        settings: GatewaySettings,
+        log: EventLog,
+        codec: HeaderCodec,
+        adapter_type,
+        reload_settings=None,
+    ):
+        self._reactor = reactor
+        self._settings = settings
+        self._log = log
+        self._reload_settings = reload_settings
+        self._fleet = FleetState()
+        self._book = WorkBook()
+        self._health = EndpointHealth()
+        self._pool = EndpointPool(reactor=reactor)
+        self._copies = PublishedCopies(prefixes=adapter_type.prefixes)
+        self._view = PeerView(own_host=settings.host, seed_hosts=settings.seed_hosts)
+        self._metrics = Metrics()
+        self._first_answers = self._metrics.histograms(
+            name="first_answer_seconds",
+            doc="Time to the first byte of an answer",
+            labels=("route", "workspace"),
+            bounds=FIRST_TOKEN_BOUNDS,
+            max_series=MAX_SERIES,
+        )
+        self._peers = PeerExchange(
+            reactor=reactor,
+            settings=settings,
+            incarnation=new_incarnation(),
+            view=self._view,
+            book=self._book,
+            copies=self._copies,
+            log=log,
+        )
+        self._adapter = adapter_type(
+            reactor=reactor,
+            settings=settings,
+            fleet=self._fleet,
+            copies=self._copies,
+            log=log,
+            entry_count=self._entry_count,
+            on_gone=self._endpoint_gone,
+        )
+        self._copies.on_changed(lambda replica, keys: self._peers.changed())
+        self._forwarder = Forwarder(
+            reactor=reactor,
+            settings=settings,
+            codec=codec,
+            fleet=self._fleet,
+            chooser=EndpointChooser(
+                settings=settings,
+                fleet=self._fleet,
+                book=self._book,
+                peers=self._view,
+                health=self._health,
+            ),
+            pool=self._pool,
+            book=self._book,
+            peers=self._view,
+            health=self._health,
+            log=log,
+            on_work_changed=self._peers.changed,
+            observe=self._observe,
+        )
+        self._site = CallerSite(
+            reactor=reactor, on_request=self._forwarder.accept, idle_timeout=15.0
+        )
+        self._ready_site = CallerSite(
+            reactor=reactor, on_request=self._answer_ready, idle_timeout=15.0
+        )
+        self._listeners = Listeners(reactor=reactor)
+        self._loop = LoopingCall(self._keep_house)
+        self._loop.clock = reactor
+        self._is_draining = False
+        self._was_ready = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should come here."""
+        return (
+            not self._is_draining
+            and self._fleet.configuration is not None
+            and bool(self._fleet.endpoints.all)
+        )
+
+    def start(self) -> None:
+        """Bind the addresses and begin to read what is published."""
+        settings = self._settings
+        try:
+            self._listeners.listen(
+                settings.caller_address, self._site, key="caller_address"
+            )
+            self._listeners.listen(
+                settings.ready_address, self._ready_site, key="ready_address"
+            )
+            self._peers.start()
+        except CannotListenError as error:
+            raise SettingsError(
+                code=ErrorCode.ADDRESS_IN_USE, key="peer_port", detail=str(error)
+            )
+        self._adapter.start()
+        self._loop.start(HOUSEKEEPING_SECONDS)
+        self._log.write(
+            LogEvent.PROCESS_STARTED,
+            caller_address=settings.caller_address,
+            failure_domain=settings.failure_domain,
+        )
+
+    async def drain(self) -> None:
+        """Leave the balancer, finish what runs, and close."""
+        started = self._reactor.seconds()
+        self._is_draining = True
+        self._forwarder.drain()
+        ends = started + self._settings.bounds.drain_seconds - EXIT_MARGIN_SECONDS
+        await deferLater(self._reactor, LEAVE_BALANCER_SECONDS)
+        self._forwarder.refuse_new()
+        self._site.close_idle()
+        while self._reactor.seconds() < ends:
+            if not self._forwarder.in_progress and not self._site.open_connections:
+                break
+            self._site.close_idle()
+            await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
+        if self._forwarder.in_progress:
+            self._log.write(
+                LogEvent.DRAIN_TIMED_OUT, in_progress=self._forwarder.in_progress
+            )
+        self._adapter.stop()
+        self._peers.stop()
+
+    def reload(self) -> None:
+        """Read the settings again and take what may change while running."""
+        if self._reload_settings is None:
+            return
+        try:
+            settings = self._reload_settings()
+        except SettingsError as error:
+            self._log.write(LogEvent.SETTINGS_REFUSED, detail=str(error))
+            return
+        self._view.set_seeds(settings.seed_hosts)
+        self._log.write(LogEvent.SETTINGS_RELOADED, seeds=settings.seed_hosts)
+
+    def _entry_count(self) -> int:
+        return self._view.entry_count(now=self._reactor.seconds())
+
+    def _endpoint_gone(self, endpoint: AnnouncedEndpoint) -> None:
+        self._health.forget(endpoint.id)
+        self._pool.close_address(endpoint.address)
+
+    def _answer_ready(self, exchange: CallerExchange) -> None:
+        if exchange.path != self._adapter.ready_path:
+            status, body = http.NOT_FOUND, b"not found\n"
+        elif self.is_ready:
+            status, body = http.OK, b"ready\n"
+        else:
+            status, body = http.SERVICE_UNAVAILABLE, b"not ready\n"
+        exchange.start(status, b"", ((b"Content-Length", b"%d" % len(body)),))
+        exchange.write(body)
+        exchange.end()
+
+    def _keep_house(self) -> None:
+        self._adapter.expire()
+        self._pool.close_expired()
+        configuration = self._fleet.configuration
+        if configuration is not None:
+            self._site.set_idle_timeout(configuration.limits.idle_timeout)
+        if self.is_ready and not self._was_ready:
+            self._was_ready = True
+            self._log.write(
+                LogEvent.PROCESS_READY,
+                configuration=configuration.version,
+                endpoints=len(self._fleet.endpoints.all),
+            )
+
+    def _observe(self, route: str, workspace: Workspace | None, seconds: float) -> None:
+        name = workspace.name if workspace else ""
+        self._first_answers.observe((route, name), seconds)
--- /dev/null
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -0,0 +1,190 @@
+"""Which endpoint gets a request: rules first, then the least expected harm."""
+
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from bilberryring.admission import StartRate, share_of_rate
+from bilberryring.fleet import (
+    MILLISECONDS,
+    AnnouncedEndpoint,
+    EndpointId,
+    FleetState,
+    Route,
+    Service,
+)
+from bilberryring.gateway.messages import CallerFacts
+from bilberryring.gateway.peer_view import PeerView
+from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.membership import EndpointHealth
+from bilberryring.routing import (
+    Candidate,
+    PlacedRequest,
+    PromptDemand,
+    WorkBook,
+    plan_prompt,
+)
+
+NEAR_GAIN_MS = 5.0
+"""Milliseconds that an endpoint of another failure domain counts as slower."""
+FAILURE_COST = 3.0
+"""Requests in progress that weigh as much as failing every time."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Choice:
+    """An endpoint for one attempt, and the engines that help it to read."""
+
+    endpoint: AnnouncedEndpoint
+    helpers: tuple[AnnouncedEndpoint, ...]
+    placed: PlacedRequest
+    predicted_ms: float
+
+
+class EndpointChooser:
+    """Chooses by what this process knows now; keeps no sockets."""
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        fleet: FleetState,
+        book: WorkBook,
+        peers: PeerView,
+        health: EndpointHealth,
+        seed: int | None = None,
+    ):
+        self._settings = settings
+        self._fleet = fleet
+        self._book = book
+        self._peers = peers
+        self._health = health
+        self._starts = StartRate()
+        self._random = random.Random(seed)
+
+    def choose(
+        self,
+        *,
+        route: Route,
+        service: Service,
+        facts: CallerFacts,
+        excluded: frozenset[EndpointId],
+        now: float,
+    ) -> Choice | None:
+        """Return an endpoint, or `None` when none may take the request."""
+        usable = self._usable(route, service, excluded, now)
+        if not usable:
+            return None
+        self._random.shuffle(usable)
+        if service.engine is None or not facts.prompt_tokens:
+            return self._choose_plain(usable, now)
+        return self._choose_engines(route, service, facts, usable, now)
+
+    def record_start(self, endpoint: EndpointId, *, now: float) -> None:
+        """Count a send against the endpoint's rate."""
+        self._starts.record_start(endpoint, now=now)
+
+    def _usable(
+        self,
+        route: Route,
+        service: Service,
+        excluded: frozenset[EndpointId],
+        now: float,
+    ) -> list[AnnouncedEndpoint]:
+        per_second = self._rate_share(service, now)
+        allowed = [
+            endpoint
+            for endpoint in self._fleet.endpoints.usable(service.name)
+            if endpoint.id not in excluded
+            and self._is_home(route, endpoint)
+            and (
+                per_second is None
+                or self._starts.may_start(endpoint.id, now=now, per_second=per_second)
+            )
+        ]
+        sound = [
+            endpoint
+            for endpoint in allowed
+            if not self._health.is_avoided(endpoint.id, now=now)
+        ]
+        return sound or allowed
+
+    def _rate_share(self, service: Service, now: float) -> int | None:
+        """Return the starts a second on one endpoint, or `None` without a bound."""
+        if service.cold_requests_per_second <= 0:
+            return None
+        bounds = self._settings.bounds
+        bound = service.cold_requests_per_second * bounds.cold_ratio
+        return share_of_rate(
+            per_second=bound + bounds.cold_slack,
+            entries=self._peers.entry_count(now=now),
+        )
+
+    def _is_home(self, route: Route, endpoint: AnnouncedEndpoint) -> bool:
+        if not route.regions:
+            return True
+        return self._settings.region_of(endpoint.failure_domain) in route.regions
+
+    def _choose_plain(self, usable: Sequence[AnnouncedEndpoint], now: float) -> Choice:
+        def cost(endpoint: AnnouncedEndpoint) -> float:
+            work = self._work(endpoint.id, now)
+            busy = work.requests + FAILURE_COST * self._health.failure_share(
+                endpoint.id
+            )
+            is_far = endpoint.failure_domain != self._settings.failure_domain
+            return (busy + 0.5 * is_far) / endpoint.slots
+
+        best = min(usable, key=cost)
+        placed = PlacedRequest(lead=best.id)
+        return Choice(endpoint=best, helpers=(), placed=placed, predicted_ms=0.0)
+
+    def _choose_engines(
+        self,
+        route: Route,
+        service: Service,
+        facts: CallerFacts,
+        usable: Sequence[AnnouncedEndpoint],
+        now: float,
+    ) -> Choice | None:
+        gap = route.gap_objective
+        demand = PromptDemand(
+            prompt_tokens=facts.prompt_tokens,
+            max_tokens=facts.max_tokens,
+            first_ms=route.first_answer_objective * MILLISECONDS,
+            gap_ms=None if gap is None else gap * MILLISECONDS,
+        )
+        candidates = [self._candidate(endpoint, now) for endpoint in usable]
+        plan = plan_prompt(demand, service.engine, candidates)
+        if plan is None:
+            return None
+        by_id = {endpoint.id: endpoint for endpoint in usable}
+        placed = PlacedRequest(
+            lead=plan.lead,
+            helpers=plan.helpers,
+            part_ms=plan.part_ms,
+            kv_tokens=demand.kv_tokens,
+            gap_ms=None if demand.gap_ms is None else int(demand.gap_ms),
+        )
+        return Choice(
+            endpoint=by_id[plan.lead],
+            helpers=tuple(by_id[helper] for helper in plan.helpers),
+            placed=placed,
+            predicted_ms=plan.predicted_ms,
+        )
+
+    def _candidate(self, endpoint: AnnouncedEndpoint, now: float) -> Candidate:
+        is_far = endpoint.failure_domain != self._settings.failure_domain
+        return Candidate(
+            endpoint=endpoint.id,
+            work=self._work(endpoint.id, now),
+            delay_ms=NEAR_GAIN_MS if is_far else 0.0,
+            failure_share=self._health.failure_share(endpoint.id),
+        )
+
+    def _work(self, endpoint: EndpointId, now: float):
+        return self._book.work(endpoint) + self._peers.work(endpoint, now=now)
+
+
+def addresses(endpoints: Iterable[AnnouncedEndpoint]) -> tuple[str, ...]:
+    """Return the addresses of endpoints in their order."""
+    return tuple(endpoint.address for endpoint in endpoints)
--- /dev/null
+++ b/bilberryring/gateway/peers.py
@@ -0,0 +1,282 @@
+"""Reports between entries, and published items from entries that are ahead.
+
+Reports go as datagrams: each one is whole, so a lost one needs no repetition.
+Published items go over a connection, since they are large.
+"""
+
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ClientCreator, DatagramProtocol, Factory
+from twisted.internet.task import LoopingCall
+
+from bilberryring.core import Incarnation
+from bilberryring.fleet import PublishedItem
+from bilberryring.gateway.peer_view import PeerReport, PeerView
+from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.routing import EndpointWork, WorkBook, WriterGroup
+from bilberryring.telemetry import EventLog, LogEvent
+from bilberryring.wire import (
+    CopyAnswer,
+    CopyItem,
+    CopyQuery,
+    CopyRevision,
+    EntryReport,
+    FrameError,
+    LinkProtocol,
+    WorkReport,
+    WriterCount,
+    decode_message,
+    encode_message,
+)
+
+REPORT_SECONDS = 0.4
+"""Seconds between reports of an entry on which nothing changes."""
+COALESCE_SECONDS = 0.015
+"""Seconds for which changes are gathered into one report."""
+COPY_SECONDS = 1.0
+"""Seconds in which a peer must hand over its published items."""
+
+
+class PeerExchange(DatagramProtocol):
+    """Owns the datagram socket and the copying between entries."""
+
+    def __init__(
+        self,
+        *,
+        reactor,
+        settings: GatewaySettings,
+        incarnation: Incarnation,
+        view: PeerView,
+        book: WorkBook,
+        copies: PublishedCopies,
+        log: EventLog,
+    ):
+        self._reactor = reactor
+        self._settings = settings
+        self._incarnation = incarnation
+        self._view = view
+        self._book = book
+        self._copies = copies
+        self._log = log
+        self._sequence = 0
+        self._pending = None
+        self._is_copying = False
+        self._loop = LoopingCall(self._tick)
+        self._loop.clock = reactor
+        self._sent = 0
+        self._listener = None
+
+    @property
+    def sent(self) -> int:
+        """The datagrams sent so far."""
+        return self._sent
+
+    def start(self) -> None:
+        """Bind the port, for datagrams and for connections."""
+        port, host = self._settings.peer_port, self._settings.host
+        self._reactor.listenUDP(port, self, interface=host)
+        self._listener = self._reactor.listenTCP(
+            port, _CopyFactory(copies=self._copies), interface=host
+        )
+        self._loop.start(REPORT_SECONDS)
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def changed(self) -> None:
+        """Report soon: the work or the published items changed."""
+        if self._pending is None:
+            self._pending = self._reactor.callLater(COALESCE_SECONDS, self._report)
+
+    def datagramReceived(self, datagram: bytes, addr) -> None:
+        try:
+            message = decode_message(datagram)
+        except FrameError as error:
+            self._log.write(LogEvent.PEER_REPORT_MALFORMED, detail=str(error))
+            return
+        match message:
+            case EntryReport():
+                self._take(_report_of(message))
+
+    def _take(self, report: PeerReport) -> None:
+        now = self._reactor.seconds()
+        if report.host == self._settings.host:
+            return
+        if self._view.take(report, now=now):
+            self._log.write(
+                LogEvent.PEER_HEARD, peer=report.host, peer_process=report.process
+            )
+        self._copy_from_peers()
+
+    def _tick(self) -> None:
+        now = self._reactor.seconds()
+        for host in self._view.expire(now=now):
+            self._log.write(LogEvent.PEER_LOST, peer=host)
+        self._report()
+        self._copy_from_peers()
+
+    def _report(self) -> None:
+        if self._pending is not None and self._pending.active():
+            self._pending.cancel()
+        self._pending = None
+        if self.transport is None:
+            return
+        now = self._reactor.seconds()
+        self._sequence += 1
+        datagram = encode_message(self._own_report(now))
+        for host in self._view.hosts(now=now):
+            self._send(datagram, host)
+
+    def _send(self, datagram: bytes, host: str) -> None:
+        try:
+            self.transport.write(datagram, (host, self._settings.peer_port))
+            self._sent += 1
+        except OSError as error:
+            self._log.write(LogEvent.PEER_UNREACHABLE, peer=host, detail=str(error))
+
+    def _own_report(self, now: float) -> EntryReport:
+        return EntryReport(
+            process=self._settings.process,
+            incarnation=self._incarnation,
+            host=self._settings.host,
+            sequence=self._sequence,
+            known_hosts=list(self._view.live_hosts(now=now)),
+            revisions=[
+                CopyRevision(prefix=prefix, revision=revision)
+                for prefix, revision in self._copies.revisions
+            ],
+            work=[
+                _work_message(endpoint, self._book.work(endpoint))
+                for endpoint in self._book.endpoints
+            ],
+        )
+
+    def _copy_from_peers(self) -> None:
+        if self._is_copying:
+            return
+        now = self._reactor.seconds()
+        for prefix, revision in self._copies.revisions:
+            host = self._view.ahead(prefix, revision=revision, now=now)
+            if host is not None:
+                self._is_copying = True
+                Deferred.fromCoroutine(self._copy(host, prefix))
+                return
+
+    async def _copy(self, host: str, prefix: str) -> None:
+        """Take published items from a peer that has later ones."""
+        answered: Deferred[CopyAnswer] = Deferred()
+        link = None
+        try:
+            creator = ClientCreator(
+                self._reactor,
+                LinkProtocol,
+                on_open=lambda link: None,
+                on_message=lambda link, message: _fire(answered, message),
+                on_closed=lambda link: _fire(answered, None),
+            )
+            link = await creator.connectTCP(
+                host, self._settings.peer_port, timeout=COPY_SECONDS
+            )
+            revision = dict(self._copies.revisions)[prefix]
+            link.send(CopyQuery(prefix=prefix, revision=revision))
+            answered.addTimeout(COPY_SECONDS, self._reactor)
+            answer = await answered
+            if isinstance(answer, CopyAnswer) and answer.prefix == prefix:
+                self._take_copy(host, answer)
+        except Exception as error:
+            # The library raises many kinds for a connection that failed.
+            self._log.write(LogEvent.PEER_UNREACHABLE, peer=host, detail=repr(error))
+        finally:
+            self._is_copying = False
+            if link is not None:
+                link.transport.abortConnection()
+
+    def _take_copy(self, host: str, answer: CopyAnswer) -> None:
+        items = tuple(
+            PublishedItem(key=item.key, revision=item.revision, value=item.value)
+            for item in answer.items
+        )
+        changed = self._copies.replace(answer.prefix, items, revision=answer.revision)
+        self._log.write(
+            LogEvent.COPY_TAKEN,
+            peer=host,
+            prefix=answer.prefix,
+            revision=answer.revision,
+            changed=changed,
+        )
+
+
+class _CopyFactory(Factory):
+    """Hands the published items to peers that ask for later ones."""
+
+    def __init__(self, *, copies: PublishedCopies):
+        self._copies = copies
+
+    def buildProtocol(self, addr):
+        return LinkProtocol(
+            on_open=lambda link: None,
+            on_message=self._answer,
+            on_closed=lambda link: None,
+        )
+
+    def _answer(self, link: LinkProtocol, message: object) -> None:
+        match message:
+            case CopyQuery(prefix=prefix):
+                replica = self._copies.replica(prefix)
+                if replica is None:
+                    link.transport.abortConnection()
+                    return
+                items = [
+                    CopyItem(key=item.key, revision=item.revision, value=item.value)
+                    for item in replica.items
+                ]
+                link.send(
+                    CopyAnswer(prefix=prefix, revision=replica.revision, items=items)
+                )
+
+
+def _fire(waiting: Deferred, message: object) -> None:
+    if not waiting.called:
+        waiting.callback(message)
+
+
+def _work_message(endpoint: str, work: EndpointWork) -> WorkReport:
+    return WorkReport(
+        endpoint=endpoint,
+        requests=work.requests,
+        reading_ms=work.reading_ms,
+        kv_tokens=work.kv_tokens,
+        writers=[
+            WriterCount(gap_ms=group.gap_ms, count=group.count)
+            for group in work.writers
+        ],
+    )
+
+
+def _report_of(message: EntryReport) -> PeerReport:
+    return PeerReport(
+        process=message.process,
+        incarnation=message.incarnation,
+        host=message.host,
+        sequence=message.sequence,
+        known_hosts=tuple(message.known_hosts or ()),
+        revisions=tuple(
+            (item.prefix, item.revision) for item in message.revisions or ()
+        ),
+        work=tuple((item.endpoint, _work_of(item)) for item in message.work or ()),
+    )
+
+
+def _work_of(message: WorkReport) -> EndpointWork:
+    return EndpointWork(
+        requests=message.requests,
+        reading_ms=message.reading_ms,
+        kv_tokens=message.kv_tokens,
+        writers=tuple(
+            WriterGroup(gap_ms=item.gap_ms, count=item.count)
+            for item in message.writers or ()
+        ),
+    )
--- a/bilberryring/membership/__init__.py
+++ b/bilberryring/membership/__init__.py
@@ -1,5 +1,6 @@
 """What an entry knows about endpoints, and how it treats them."""
 
+from bilberryring.membership.endpoint_health import EndpointHealth
 from bilberryring.membership.evidence import (
     HEARTBEAT_SECONDS,
     REPORT_FRESH_SECONDS,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "EndpointHealth",
     "EndpointEvidence",
     "HEARTBEAT_SECONDS",
     "REPORT_FRESH_SECONDS",
--- /dev/null
+++ b/bilberryring/platform/process.py
@@ -0,0 +1,44 @@
+"""The gateway's process on the platform."""
+
+import sys
+
+import click
+from twisted.internet import reactor
+
+from bilberryring.core import SettingsError, use_monotonic_time
+from bilberryring.gateway.daemon import GatewayDaemon
+from bilberryring.platform.adapter import (
+    HttpHeaderCodec,
+    PlatformAdapter,
+    load_settings,
+)
+from bilberryring.process.running import run_until_drained
+from bilberryring.telemetry import EventLog, standard_output
+
+SETTINGS_STATUS = 2
+
+
+def run_gateway() -> None:
+    """Run one gateway until a signal has drained it."""
+    use_monotonic_time(reactor)
+    try:
+        settings = load_settings()
+        output = standard_output(seconds=reactor.seconds)
+        log = EventLog(process=settings.process, role="gateway", stream=output)
+        daemon = GatewayDaemon(
+            reactor=reactor,
+            settings=settings,
+            log=log,
+            codec=HttpHeaderCodec(),
+            adapter_type=PlatformAdapter,
+            reload_settings=load_settings,
+        )
+        daemon.start()
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(SETTINGS_STATUS)
+    run_until_drained(reactor=reactor, daemon=daemon, log=log)
+
+
+if __name__ == "__main__":
+    run_gateway()
--- /dev/null
+++ b/bilberryring/platform/settings.py
@@ -0,0 +1,99 @@
+"""The settings file of the platform, decoded into the gateway's settings."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from bilberryring.core import ErrorCode, SettingsError
+from bilberryring.gateway.settings import GatewayBounds, GatewaySettings
+
+DEFAULT_INTERNAL_PORT = 7340
+METRICS_PORT_OFFSET = 1
+
+
+class _Listen(msgspec.Struct, kw_only=True):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Platform(msgspec.Struct, kw_only=True):
+    address: str
+
+
+class _Bounds(msgspec.Struct, kw_only=True):
+    drain_ms: float = 2_000
+    grace_s: float = 8.0
+    budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    retry_slack: float = 100.0
+    cold_overage: float = 1.5
+    cold_slack: float = 5.0
+    hold_max_ms: float = 20_000
+    free_ms: float = 4_000
+
+
+class _File(msgspec.Struct, kw_only=True):
+    node: str
+    ip: str
+    zone: str
+    listen: _Listen
+    platform: _Platform
+    role: str = ""
+    region: str = ""
+    # The first port carries messages between entries, the second one metrics.
+    internal_ports: tuple[int, ...] = (DEFAULT_INTERNAL_PORT,)
+    # Control addresses of a few machines; only their hosts are of use here.
+    seeds: tuple[str, ...] = ()
+    zones: dict[str, str] = {}
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def read_settings(path: Path) -> GatewaySettings:
+    """Return checked settings; `SettingsError` names the file and the remedy."""
+    try:
+        return decode_settings(path.read_text("utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise _error(str(path), str(error))
+
+
+def decode_settings(text: str) -> GatewaySettings:
+    """Return the settings in a text."""
+    try:
+        content = msgspec.convert(tomllib.loads(text), _File)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise _error("file", str(error))
+    if not content.listen.front:
+        raise _error("listen.front", "an entry needs an address for callers")
+    first_port = content.internal_ports[0]
+    return GatewaySettings(
+        process=content.node,
+        failure_domain=content.zone,
+        region=content.region,
+        host=content.ip,
+        caller_address=content.listen.front,
+        ready_address=content.listen.ready,
+        peer_port=first_port,
+        metrics_port=first_port + METRICS_PORT_OFFSET,
+        platform_address=content.platform.address,
+        seed_hosts=tuple(seed.rsplit(":", 1)[0] for seed in content.seeds),
+        regions_by_domain=tuple(content.zones.items()),
+        bounds=_bounds(content.bounds),
+    )
+
+
+def _bounds(bounds: _Bounds) -> GatewayBounds:
+    return GatewayBounds(
+        drain_seconds=bounds.grace_s,
+        retry_ratio=bounds.budget_ratio,
+        retry_slack=bounds.retry_slack,
+        retry_window=bounds.budget_window_s,
+        cold_ratio=bounds.cold_overage,
+        cold_slack=bounds.cold_slack,
+        max_hold_seconds=bounds.hold_max_ms / 1_000.0,
+    )
+
+
+def _error(key: str, detail: str) -> SettingsError:
+    return SettingsError(code=ErrorCode.SETTINGS_INVALID, key=key, detail=detail)
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -77,6 +77,11 @@
         if reactor.running:
             reactor.stop()
 
+    def on_hangup(_number: int, _frame) -> None:
+        reactor.callFromThread(daemon.reload)
+
+    if hasattr(daemon, "reload"):
+        signal.signal(signal.SIGHUP, on_hangup)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     reactor.run(installSignalHandlers=False)
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -6,6 +6,14 @@
     PromptShape,
     drained_backlog,
 )
+from bilberryring.routing.endpoint_work import (
+    NO_WORK,
+    EndpointWork,
+    PlacedRequest,
+    WorkBook,
+    WriterGroup,
+)
+from bilberryring.routing.engine_figures import EngineFigures
 from bilberryring.routing.placement import (
     LONG_NEIGHBOUR_SECONDS,
     SAMPLED_ENDPOINTS,
@@ -18,9 +26,25 @@
     TwoChoices,
     first_token_seconds,
 )
+from bilberryring.routing.prompt_plan import (
+    Candidate,
+    PromptDemand,
+    PromptPlan,
+    plan_prompt,
+)
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
 __all__ = [
+    "Candidate",
+    "EndpointWork",
+    "EngineFigures",
+    "NO_WORK",
+    "PlacedRequest",
+    "PromptDemand",
+    "PromptPlan",
+    "WorkBook",
+    "WriterGroup",
+    "plan_prompt",
     "Endpoint",
     "EndpointLoad",
     "FewestOutstanding",
--- a/bilberryring/telemetry/__init__.py
+++ b/bilberryring/telemetry/__init__.py
@@ -1,5 +1,6 @@
 """Numbered log events and metrics."""
 
+from bilberryring.telemetry.bounded_output import BoundedOutput, standard_output
 from bilberryring.telemetry.event_log import EventLog
 from bilberryring.telemetry.events import LogEvent
 from bilberryring.telemetry.histograms import (
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "BoundedOutput",
     "EventLog",
     "FIRST_TOKEN_BOUNDS",
     "LabelledHistograms",
@@ -20,4 +22,5 @@
     "OTHER_LABEL",
     "SERIES_PER_SLICE",
     "TOKEN_GAP_BOUNDS",
+    "standard_output",
 ]
--- a/bilberryring/wire/__init__.py
+++ b/bilberryring/wire/__init__.py
@@ -1,11 +1,22 @@
 """The protocol between the system's own processes."""
 
-from bilberryring.wire.codec import FrameError, decode, encode
+from bilberryring.wire.codec import (
+    FrameError,
+    decode,
+    decode_message,
+    encode,
+    encode_message,
+)
 from bilberryring.wire.gen.ttypes import (
     Beat,
     CallService,
     Cancel,
+    CopyAnswer,
+    CopyItem,
+    CopyQuery,
+    CopyRevision,
     EngineDeath,
+    EntryReport,
     Envelope,
     Finished,
     Heartbeat,
@@ -21,6 +32,8 @@
     SetQuery,
     TokenBatch,
     Tokens,
+    WorkReport,
+    WriterCount,
 )
 from bilberryring.wire.link import LinkProtocol
 
@@ -28,7 +41,12 @@
     "Beat",
     "CallService",
     "Cancel",
+    "CopyAnswer",
+    "CopyItem",
+    "CopyQuery",
+    "CopyRevision",
     "EngineDeath",
+    "EntryReport",
     "Envelope",
     "Finished",
     "FrameError",
@@ -46,6 +64,10 @@
     "SetQuery",
     "TokenBatch",
     "Tokens",
+    "WorkReport",
+    "WriterCount",
     "decode",
+    "decode_message",
     "encode",
+    "encode_message",
 ]
--- a/bilberryring/wire/codec.py
+++ b/bilberryring/wire/codec.py
@@ -7,6 +7,10 @@
 
 MAX_STRING_BYTES = 64 * 1024 * 1024
 ENVELOPE_SPEC = (Envelope, Envelope.thrift_spec)
+_FIELD_OF_TYPE: dict[type, str] = {
+    spec[3][0]: spec[2] for spec in Envelope.thrift_spec if spec is not None
+}
+_FIELDS = tuple(Envelope.__slots__)
 
 
 class FrameError(Exception):
@@ -32,3 +36,20 @@
         # The compiled decoder raises many kinds for bytes that are not a frame.
         raise FrameError(f"frame_malformed: {error}. Remedy: close the link.")
     return envelope
+
+
+def encode_message(message: object) -> bytes:
+    """Return the bytes of the Envelope that holds one message."""
+    envelope = Envelope()
+    setattr(envelope, _FIELD_OF_TYPE[type(message)], message)
+    return encode(envelope)
+
+
+def decode_message(frame: bytes) -> object | None:
+    """Return the message in a frame, or `None` for one that is not known."""
+    envelope = decode(frame)
+    for field in _FIELDS:
+        message = getattr(envelope, field)
+        if message is not None:
+            return message
+    return None
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -1967,6 +1967,730 @@
         return not (self == other)
 
 
+class WriterCount(object):
+    """
+    Attributes:
+     - gap_ms
+     - count
+
+    """
+
+    __slots__ = (
+        'gap_ms',
+        'count',
+    )
+
+
+    def __init__(self, gap_ms=None, count=None,):
+        self.gap_ms = gap_ms
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.gap_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WriterCount')
+        if self.gap_ms is not None:
+            oprot.writeFieldBegin('gap_ms', TType.I32, 1)
+            oprot.writeI32(self.gap_ms)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 2)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkReport(object):
+    """
+    Attributes:
+     - endpoint
+     - requests
+     - reading_ms
+     - kv_tokens
+     - writers
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'requests',
+        'reading_ms',
+        'kv_tokens',
+        'writers',
+    )
+
+
+    def __init__(self, endpoint=None, requests=None, reading_ms=None, kv_tokens=None, writers=None,):
+        self.endpoint = endpoint
+        self.requests = requests
+        self.reading_ms = reading_ms
+        self.kv_tokens = kv_tokens
+        self.writers = writers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.reading_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.kv_tokens = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.writers = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = WriterCount()
+                        _elem63.read(iprot)
+                        self.writers.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkReport')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 2)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.reading_ms is not None:
+            oprot.writeFieldBegin('reading_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.reading_ms)
+            oprot.writeFieldEnd()
+        if self.kv_tokens is not None:
+            oprot.writeFieldBegin('kv_tokens', TType.I64, 4)
+            oprot.writeI64(self.kv_tokens)
+            oprot.writeFieldEnd()
+        if self.writers is not None:
+            oprot.writeFieldBegin('writers', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.writers))
+            for iter64 in self.writers:
+                iter64.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyRevision(object):
+    """
+    Attributes:
+     - prefix
+     - revision
+
+    """
+
+    __slots__ = (
+        'prefix',
+        'revision',
+    )
+
+
+    def __init__(self, prefix=None, revision=None,):
+        self.prefix = prefix
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyRevision')
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 1)
+            oprot.writeString(self.prefix.encode('utf-8') if sys.version_info[0] == 2 else self.prefix)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EntryReport(object):
+    """
+    Attributes:
+     - process
+     - incarnation
+     - host
+     - sequence
+     - known_hosts
+     - revisions
+     - work
+
+    """
+
+    __slots__ = (
+        'process',
+        'incarnation',
+        'host',
+        'sequence',
+        'known_hosts',
+        'revisions',
+        'work',
+    )
+
+
+    def __init__(self, process=None, incarnation=None, host=None, sequence=None, known_hosts=None, revisions=None, work=None,):
+        self.process = process
+        self.incarnation = incarnation
+        self.host = host
+        self.sequence = sequence
+        self.known_hosts = known_hosts
+        self.revisions = revisions
+        self.work = work
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.known_hosts = []
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_hosts.append(_elem70)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.revisions = []
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = CopyRevision()
+                        _elem76.read(iprot)
+                        self.revisions.append(_elem76)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = WorkReport()
+                        _elem82.read(iprot)
+                        self.work.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryReport')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 4)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.known_hosts is not None:
+            oprot.writeFieldBegin('known_hosts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRING, len(self.known_hosts))
+            for iter83 in self.known_hosts:
+                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.revisions is not None:
+            oprot.writeFieldBegin('revisions', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.revisions))
+            for iter84 in self.revisions:
+                iter84.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter85 in self.work:
+                iter85.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyItem(object):
+    """
+    Attributes:
+     - key
+     - revision
+     - value
+
+    """
+
+    __slots__ = (
+        'key',
+        'revision',
+        'value',
+    )
+
+
+    def __init__(self, key=None, revision=None, value=None,):
+        self.key = key
+        self.revision = revision
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyItem')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 3)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyQuery(object):
+    """
+    Attributes:
+     - prefix
+     - revision
+
+    """
+
+    __slots__ = (
+        'prefix',
+        'revision',
+    )
+
+
+    def __init__(self, prefix=None, revision=None,):
+        self.prefix = prefix
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyQuery')
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 1)
+            oprot.writeString(self.prefix.encode('utf-8') if sys.version_info[0] == 2 else self.prefix)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CopyAnswer(object):
+    """
+    Attributes:
+     - prefix
+     - revision
+     - items
+
+    """
+
+    __slots__ = (
+        'prefix',
+        'revision',
+        'items',
+    )
+
+
+    def __init__(self, prefix=None, revision=None, items=None,):
+        self.prefix = prefix
+        self.revision = revision
+        self.items = items
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.prefix = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.items = []
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = CopyItem()
+                        _elem91.read(iprot)
+                        self.items.append(_elem91)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CopyAnswer')
+        if self.prefix is not None:
+            oprot.writeFieldBegin('prefix', TType.STRING, 1)
+            oprot.writeString(self.prefix.encode('utf-8') if sys.version_info[0] == 2 else self.prefix)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter92 in self.items:
+                iter92.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1987,6 +2711,9 @@
      - beat
      - held
      - prompt_cleared
+     - entry_report
+     - copy_query
+     - copy_answer
 
     """
 
@@ -2008,10 +2735,13 @@
         'beat',
         'held',
         'prompt_cleared',
+        'entry_report',
+        'copy_query',
+        'copy_answer',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None, prompt_cleared=None,):
+    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None, prompt_cleared=None, entry_report=None, copy_query=None, copy_answer=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.set_notice = set_notice
@@ -2029,6 +2759,9 @@
         self.beat = beat
         self.held = held
         self.prompt_cleared = prompt_cleared
+        self.entry_report = entry_report
+        self.copy_query = copy_query
+        self.copy_answer = copy_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2141,6 +2874,24 @@
                     self.prompt_cleared.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.entry_report = EntryReport()
+                    self.entry_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.copy_query = CopyQuery()
+                    self.copy_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.copy_answer = CopyAnswer()
+                    self.copy_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2219,6 +2970,18 @@
             oprot.writeFieldBegin('prompt_cleared', TType.STRUCT, 17)
             self.prompt_cleared.write(oprot)
             oprot.writeFieldEnd()
+        if self.entry_report is not None:
+            oprot.writeFieldBegin('entry_report', TType.STRUCT, 18)
+            self.entry_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.copy_query is not None:
+            oprot.writeFieldBegin('copy_query', TType.STRUCT, 19)
+            self.copy_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.copy_answer is not None:
+            oprot.writeFieldBegin('copy_answer', TType.STRUCT, 20)
+            self.copy_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2387,6 +3150,58 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'deaths', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
+all_structs.append(WriterCount)
+WriterCount.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'gap_ms', None, None, ),  # 1
+    (2, TType.I32, 'count', None, None, ),  # 2
+)
+all_structs.append(WorkReport)
+WorkReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'requests', None, None, ),  # 2
+    (3, TType.DOUBLE, 'reading_ms', None, None, ),  # 3
+    (4, TType.I64, 'kv_tokens', None, None, ),  # 4
+    (5, TType.LIST, 'writers', (TType.STRUCT, [WriterCount, None], False), None, ),  # 5
+)
+all_structs.append(CopyRevision)
+CopyRevision.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+)
+all_structs.append(EntryReport)
+EntryReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'sequence', None, None, ),  # 4
+    (5, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'revisions', (TType.STRUCT, [CopyRevision, None], False), None, ),  # 6
+    (7, TType.LIST, 'work', (TType.STRUCT, [WorkReport, None], False), None, ),  # 7
+)
+all_structs.append(CopyItem)
+CopyItem.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+)
+all_structs.append(CopyQuery)
+CopyQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+)
+all_structs.append(CopyAnswer)
+CopyAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.LIST, 'items', (TType.STRUCT, [CopyItem, None], False), None, ),  # 3
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -2407,6 +3222,9 @@
     (15, TType.STRUCT, 'beat', [Beat, None], None, ),  # 15
     (16, TType.STRUCT, 'held', [Held, None], None, ),  # 16
     (17, TType.STRUCT, 'prompt_cleared', [PromptCleared, None], None, ),  # 17
+    (18, TType.STRUCT, 'entry_report', [EntryReport, None], None, ),  # 18
+    (19, TType.STRUCT, 'copy_query', [CopyQuery, None], None, ),  # 19
+    (20, TType.STRUCT, 'copy_answer', [CopyAnswer, None], None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/bilberryring/wire/link.py
+++ b/bilberryring/wire/link.py
@@ -5,13 +5,12 @@
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.basic import Int32StringReceiver
 
-from bilberryring.wire.codec import MAX_STRING_BYTES, FrameError, decode, encode
-from bilberryring.wire.gen.ttypes import Envelope
-
-_FIELD_OF_TYPE: dict[type, str] = {
-    spec[3][0]: spec[2] for spec in Envelope.thrift_spec if spec is not None
-}
-_FIELDS = tuple(Envelope.__slots__)
+from bilberryring.wire.codec import (
+    MAX_STRING_BYTES,
+    FrameError,
+    decode_message,
+    encode_message,
+)
 
 
 class LinkProtocol(Int32StringReceiver):
@@ -52,9 +51,7 @@
         """Send one message; `False` when the link is closed."""
         if not self._is_open:
             return False
-        envelope = Envelope()
-        setattr(envelope, _FIELD_OF_TYPE[type(message)], message)
-        frame = encode(envelope)
+        frame = encode_message(message)
         self._bytes_sent += len(frame) + self.prefixLength
         self.sendString(frame)
         return True
@@ -68,15 +65,12 @@
     def stringReceived(self, string: bytes):
         self._bytes_received += len(string) + self.prefixLength
         try:
-            envelope = decode(string)
+            message = decode_message(string)
         except FrameError:
             self.transport.abortConnection()
             return
-        for field in _FIELDS:
-            message = getattr(envelope, field)
-            if message is not None:
-                self._on_message(self, message)
-                return
+        if message is not None:
+            self._on_message(self, message)
 
     def lengthLimitExceeded(self, length: int):
         self.transport.abortConnection()
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -133,6 +133,51 @@
   2: list<string> deaths,
 }
 
+struct WriterCount {
+  1: i32 gap_ms,
+  2: i32 count,
+}
+
+struct WorkReport {
+  1: string endpoint,
+  2: i32 requests,
+  3: double reading_ms,
+  4: i64 kv_tokens,
+  5: list<WriterCount> writers,
+}
+
+struct CopyRevision {
+  1: string prefix,
+  2: i64 revision,
+}
+
+struct EntryReport {
+  1: string process,
+  2: string incarnation,
+  3: string host,
+  4: i64 sequence,
+  5: list<string> known_hosts,
+  6: list<CopyRevision> revisions,
+  7: list<WorkReport> work,
+}
+
+struct CopyItem {
+  1: string key,
+  2: i64 revision,
+  3: binary value,
+}
+
+struct CopyQuery {
+  1: string prefix,
+  2: i64 revision,
+}
+
+struct CopyAnswer {
+  1: string prefix,
+  2: i64 revision,
+  3: list<CopyItem> items,
+}
+
 struct Envelope {
   1: optional Hello hello,
   2: optional Heartbeat heartbeat,
@@ -151,4 +196,7 @@
   15: optional Beat beat,
   16: optional Held held,
   17: optional PromptCleared prompt_cleared,
+  18: optional EntryReport entry_report,
+  19: optional CopyQuery copy_query,
+  20: optional CopyAnswer copy_answer,
 }
