A removal that may be a lapse is in force within the drain time

Change: such an endpoint is kept for 1.6 s. Ruled out: asking peers whether the store was down for all; it needs one more message and decides no sooner.

--- a/bilberryring/fleet/endpoints.py
+++ b/bilberryring/fleet/endpoints.py
@@ -11,9 +11,12 @@
 """Name of one run of an endpoint; another run mostly has another."""
 
 RETURN_GRACE = 2.5
-"""Seconds in which endpoints whose announcements lapsed with the platform's
-service may announce themselves again. Source: two seconds in the platform's
-description, and the time of a watch."""
+"""Seconds after an outage of the platform's service in which a missing
+announcement may have lapsed with it. Source: two seconds in the platform's
+description, and the time of a list."""
+LAPSE_HOLD = 1.6
+"""Seconds for which such an endpoint is still used. Source: an endpoint that left
+must get nothing two seconds later, and a removal can also mean that."""
 
 
 class EndpointState(Enum):
@@ -45,15 +48,15 @@
     """The endpoints that may get work, from announcements that can be late.
 
     An announcement that disappears takes the endpoint out at once. One that
-    disappeared while the platform's service was out of reach is kept for
-    `RETURN_GRACE` seconds, since its endpoint may not have been able to renew.
+    disappeared with the platform's service is kept for `LAPSE_HOLD` seconds,
+    since its endpoint may not have been able to renew.
 
     >>> endpoints = EndpointList()
     >>> endpoints.announce(AnnouncedEndpoint(id="a", service="s",
     ...     address="127.0.0.1:1", failure_domain="d", slots=1,
     ...     state=EndpointState.READY))
     >>> endpoints.withdraw("a", now=5.0, is_lapse=True)
-    >>> endpoints.expire_lapsed(now=6.0), endpoints.expire_lapsed(now=8.0)
+    >>> endpoints.expire_lapsed(now=6.0), endpoints.expire_lapsed(now=6.7)
     ((), ('a',))
     """
 
@@ -110,7 +113,7 @@
         if endpoint is None:
             return
         if is_lapse and endpoint.state is EndpointState.READY:
-            self._lapsed.setdefault(endpoint_id, now + RETURN_GRACE)
+            self._lapsed.setdefault(endpoint_id, now + LAPSE_HOLD)
             return
         self._remove(endpoint_id)
 
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -4,7 +4,6 @@
 Published items go over a connection, since they are large.
 """
 
-
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientCreator, DatagramProtocol, Factory
 from twisted.internet.task import LoopingCall
