Gateways tested with scripted endpoints and a stand-in for the operators' store

Change: a store stand-in with a history and watches, endpoints whose behaviour a test scripts, gateways as processes; answers get no content type that the endpoint did not send. Failing first: the content type (text/html was added).

--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -35,6 +35,9 @@
 class CallerExchange(BoundedRequest):
     """One request of a caller and its answer."""
 
+    defaultContentType = None
+    """No type is added to an endpoint's answer that has none."""
+
     def __init__(self, channel, *args, on_request: OnRequest, reactor, **kwargs):
         super().__init__(channel, *args, **kwargs)
         self._on_request = on_request
--- /dev/null
+++ b/bilberryring/gateway/tests/test_answers.py
@@ -0,0 +1,230 @@
+"""Answers of endpoints that are whole, cut, doubled, crossed or spoilt."""
+
+import threading
+
+import pytest
+
+from bilberryring.testing.gateway_site import MODEL_SERVICE
+from bilberryring.testing.processes import pause, wait_until
+from bilberryring.testing.scripted_endpoint import (
+    NOT_EXECUTED,
+    STAMP,
+    answer_all,
+    chunk,
+    event,
+    reset,
+    stream_head,
+    whole_answer,
+)
+
+
+def start_with(site, script, **changes):
+    endpoint = site.add_endpoint("a", script, **changes)
+    site.start_gateway()
+    return endpoint
+
+
+def test_an_answer_and_its_headers_arrive_unchanged(site):
+    endpoint = start_with(site, answer_all)
+    answer = site.call("/look/7?x=1", body=b"hello")
+    assert (answer.status, answer.body) == (200, b"ok hello")
+    assert answer.headers["bilberryring-response-stamp"] == "s-1"
+    seen = endpoint.seen[0]
+    assert (seen.target, seen.headers["bilberryring-tenant"]) == ("/look/7?x=1", "bars")
+    assert seen.headers["bilberryring-target-instance"] == "a"
+    assert "authorization" not in seen.headers
+    assert 3_000 < int(seen.headers["bilberryring-deadline-ms"]) <= 4_000
+
+
+def test_a_workspace_that_the_caller_names_is_replaced(site):
+    endpoint = start_with(site, answer_all)
+    site.call("/look/", Bilberryring_Tenant="another")
+    assert endpoint.seen[0].headers["bilberryring-tenant"] == "bars"
+
+
+def cut_in_the_middle(request, connection):
+    connection.sendall(whole_answer(request.request_id, b"x" * 800)[:-300])
+    reset(connection)
+
+
+def not_http(request, connection):
+    connection.sendall(b"\x00\x01 nonsense\r\n\r\n")
+    reset(connection)
+
+
+def without_stamp(request, connection):
+    connection.sendall(whole_answer(request.request_id, b"x", extra=""))
+
+
+def encoded(request, connection):
+    extra = f"{STAMP}\r\nContent-Encoding: gzip"
+    connection.sendall(whole_answer(request.request_id, b"x", extra=extra))
+
+
+SPOILT = [cut_in_the_middle, not_http, without_stamp, encoded]
+
+
+@pytest.mark.parametrize("script", SPOILT)
+def test_a_spoilt_answer_is_repeated_where_that_is_allowed(site, script):
+    spoilt = site.add_endpoint("a", script)
+    sound = site.add_endpoint("b", answer_all, zone="south")
+    site.start_gateway()
+    answers = [site.call("/look/", body=b"q") for _ in range(4)]
+    assert {answer.body for answer in answers} == {b"ok q"}
+    assert spoilt.seen
+    assert len(sound.seen) == 4
+
+
+@pytest.mark.parametrize("script", SPOILT)
+def test_a_spoilt_answer_to_a_call_that_runs_once_is_an_unknown_outcome(site, script):
+    spoilt = site.add_endpoint("a", script)
+    sound = site.add_endpoint("b", answer_all, zone="south")
+    site.start_gateway()
+    answer = site.call("/charge/")
+    assert answer.status == 502
+    assert b"outcome_unknown" in answer.body
+    assert len(spoilt.seen) == 1
+    assert not sound.seen
+
+
+def test_a_refusal_of_the_endpoint_tells_the_caller_that_nothing_ran(site):
+    def refuse(request, connection):
+        connection.sendall(
+            whole_answer(
+                request.request_id,
+                b"",
+                status="503 Service Unavailable",
+                extra=NOT_EXECUTED,
+            )
+        )
+
+    start_with(site, refuse)
+    answer = site.call("/charge/")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert b"not_run" in answer.body
+
+
+def test_a_late_second_answer_never_reaches_another_request(site):
+    """The answer that belongs to an earlier request is skipped by its id."""
+
+    def twice(request, connection):
+        answer = whole_answer(request.request_id, b"mine " + request.body)
+        connection.sendall(whole_answer("0000", b"theirs") + answer)
+
+    start_with(site, twice)
+    connection = site.connect()
+    for number in range(3):
+        body = b"%d" % number
+        answer = site.call("/look/", body=body, connection=connection)
+        assert answer.body == b"mine " + body
+
+
+def test_bytes_after_an_answer_belong_to_no_request(site):
+    def trailing(request, connection):
+        answer = whole_answer(request.request_id, b"mine")
+        connection.sendall(answer + whole_answer(request.request_id, b"again"))
+
+    endpoint = start_with(site, trailing)
+    assert [site.call("/look/").body for _ in range(3)] == [b"mine"] * 3
+    assert len(endpoint.seen) == 3
+
+
+def test_an_answer_without_a_length_is_whole_when_its_connection_closes_well(site):
+    def unframed(request, connection):
+        head = f"HTTP/1.1 200 OK\r\nBilberryring-Request-Id: {request.request_id}\r\n"
+        connection.sendall(f"{head}{STAMP}\r\n\r\nall of it".encode())
+        connection.shutdown(1)
+
+    start_with(site, unframed)
+    assert site.call("/look/").body == b"all of it"
+
+
+def test_an_answer_without_a_length_that_is_reset_is_not_whole(site):
+    def unframed(request, connection):
+        head = f"HTTP/1.1 200 OK\r\nBilberryring-Request-Id: {request.request_id}\r\n"
+        connection.sendall(f"{head}{STAMP}\r\n\r\npart of it".encode())
+        pause(0.05)
+        reset(connection)
+
+    start_with(site, unframed)
+    assert site.call("/charge/").status == 502
+
+
+def test_an_early_answer_does_not_disturb_the_rest_of_a_long_body(site):
+    """The body goes out whole, so the next request begins at a request line."""
+    endpoint = start_with(site, answer_all)
+    for size in (200_000, 3, 100_000):
+        assert site.call("/look/", body=b"b" * size).status == 200
+    assert [len(seen.body) for seen in endpoint.seen] == [200_000, 3, 100_000]
+
+
+def stream_of(numbers, *, is_whole=True, partial=b""):
+    def script(request, connection):
+        connection.sendall(stream_head(request.request_id))
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in numbers:
+            if number >= first:
+                connection.sendall(chunk(event(number)))
+                pause(0.01)
+        if partial:
+            connection.sendall(chunk(partial))
+            pause(0.05)
+        if is_whole:
+            connection.sendall(chunk(b""))
+        else:
+            reset(connection)
+
+    return script
+
+
+def test_a_stream_goes_on_at_another_endpoint_after_the_last_whole_event(site):
+    broken = stream_of(range(1, 4), is_whole=False, partial=b"id: 4\nda")
+    site.add_endpoint("a", broken, service=MODEL_SERVICE)
+    site.start_gateway()
+    wait_until(lambda: site.is_ready(), 5, "ready")
+    second = {}
+
+    def add_second():
+        second["b"] = site.add_endpoint(
+            "b", stream_of(range(1, 8)), service=MODEL_SERVICE
+        )
+
+    add_second()
+    answers = [site.call("/chat/") for _ in range(4)]
+    for answer in answers:
+        assert not answer.is_cut
+        assert answer.body == b"".join(event(number) for number in range(1, 8))
+    resumed = [seen.headers.get("last-event-id") for seen in second["b"].seen]
+    assert "3" in resumed
+
+
+def test_a_cut_stream_never_looks_whole(site):
+    broken = stream_of(range(1, 4), is_whole=False)
+    start_with(site, broken, service=MODEL_SERVICE)
+    answer = site.call("/chat/")
+    assert answer.is_cut
+
+
+def test_a_caller_that_leaves_ends_the_work_for_it(site):
+    ended = threading.Event()
+
+    def endless(request, connection):
+        connection.sendall(stream_head(request.request_id))
+        try:
+            for number in range(1, 2_000):
+                connection.sendall(chunk(event(number)))
+                pause(0.01)
+        except OSError:
+            ended.set()
+
+    start_with(site, endless, service=MODEL_SERVICE)
+    caller = site.caller_socket()
+    caller.sendall(
+        b"POST /chat/ HTTP/1.1\r\nHost: site.example\r\nContent-Length: 1\r\n"
+        b"Authorization: Bearer key-1\r\nBilberryring-Request-Id: r1\r\n"
+        b"Bilberryring-Deadline-Ms: 4000\r\n\r\nx"
+    )
+    assert caller.recv(100)
+    caller.close()
+    assert ended.wait(0.5)
--- a/bilberryring/standins/main.py
+++ b/bilberryring/standins/main.py
@@ -9,6 +9,7 @@
 from bilberryring.standins.engine_server import EngineServer
 from bilberryring.standins.plain_server import PlainServer
 from bilberryring.standins.platform_server import PlatformServer
+from bilberryring.standins.store_server import StoreServer
 
 
 @click.group()
@@ -52,6 +53,14 @@
     _serve(server.resource(), host, port)
 
 
+@main.command()
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", default=0)
+def store(host: str, port: int) -> None:
+    """Run the operators' store: items to list and to watch."""
+    _serve(StoreServer(reactor=reactor).resource(), host, port)
+
+
 @main.command()
 @click.option("--host", default="127.0.0.1")
 @click.option("--port", default=0)
--- /dev/null
+++ b/bilberryring/standins/store_server.py
@@ -0,0 +1,155 @@
+"""The operators' store over HTTP, with the faults that scenarios ask for.
+
+Readers use `GET /v1/kv-range` and `GET /v1/kv-watch`. Scenarios use
+`/control/...` to write, to forget the history, and to set a mode.
+"""
+
+import base64
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.resource import Resource
+from twisted.web.server import Request
+
+from bilberryring.http import AsyncResource, write_json
+from bilberryring.standins.operator_store import OperatorStore, StoreChange
+
+PAGE_ITEMS = 500
+MILLISECONDS = 1_000.0
+
+
+class StoreMode(msgspec.Struct, frozen=True, kw_only=True):
+    """How the stand-in misbehaves: `refusing` with 503, or `silent`."""
+
+    refusing: bool = False
+    silent: bool = False
+    page_items: int = PAGE_ITEMS
+
+
+class StoreServer:
+    """Answers readers and scenarios from one store."""
+
+    def __init__(self, *, reactor):
+        self._reactor = reactor
+        self._store = OperatorStore()
+        self._mode = StoreMode()
+        self._waiting: list[Deferred[None]] = []
+        self._calls = 0
+
+    def resource(self) -> Resource:
+        """Return the root of the site."""
+        root, reads, control = Resource(), Resource(), Resource()
+        root.putChild(b"v1", reads)
+        root.putChild(b"control", control)
+        reads.putChild(b"kv-range", self._leaf(self._range, is_read=True))
+        reads.putChild(b"kv-watch", self._leaf(self._watch, is_read=True))
+        for name, handle in (
+            (b"put", self._put),
+            (b"remove", self._remove),
+            (b"forget", self._forget),
+            (b"mode", self._set_mode),
+            (b"calls", self._count),
+        ):
+            control.putChild(name, self._leaf(handle, is_read=False))
+        return root
+
+    def _leaf(self, handle, *, is_read: bool) -> AsyncResource:
+        async def guarded(request: Request) -> None:
+            if is_read:
+                self._calls += 1
+            if is_read and self._mode.silent:
+                return
+            if is_read and self._mode.refusing:
+                write_json(request, {"error": "busy"}, status=503)
+                return
+            await handle(request)
+
+        return AsyncResource(handle=guarded, on_fault=lambda error: None)
+
+    async def _range(self, request: Request) -> None:
+        items = self._store.items(
+            _argument(request, b"prefix"), after=_argument(request, b"after")
+        )
+        page = items[: self._mode.page_items]
+        body = {
+            "items": [_encoded(item) for item in page],
+            "has_more": len(items) > len(page),
+            "store_revision": self._store.revision,
+        }
+        write_json(request, body)
+
+    async def _watch(self, request: Request) -> None:
+        prefix = _argument(request, b"prefix")
+        after = int(_argument(request, b"after") or 0)
+        wait = int(_argument(request, b"wait_ms") or 0) / MILLISECONDS
+        until = self._reactor.seconds() + wait
+        closed: list[object] = []
+        request.notifyFinish().addBoth(closed.append)
+        while not closed:
+            changes = self._store.changes(prefix, after=after)
+            if changes is None:
+                write_json(request, {"error": "history is gone"}, status=410)
+                return
+            if changes or self._reactor.seconds() >= until:
+                body = {
+                    "events": [_encoded(change) for change in changes],
+                    "store_revision": self._store.revision,
+                }
+                write_json(request, body)
+                return
+            await self._next_change(until - self._reactor.seconds())
+
+    async def _next_change(self, timeout: float) -> None:
+        woken: Deferred[None] = Deferred()
+        self._waiting.append(woken)
+        timer = self._reactor.callLater(timeout, self._wake, woken)
+        await woken
+        if timer.active():
+            timer.cancel()
+
+    def _wake(self, woken: Deferred[None]) -> None:
+        if woken in self._waiting:
+            self._waiting.remove(woken)
+            woken.callback(None)
+
+    def _wake_all(self) -> None:
+        for woken in tuple(self._waiting):
+            self._wake(woken)
+
+    async def _put(self, request: Request) -> None:
+        key = _argument(request, b"key")
+        revision = self._store.put(key, request.read_body())
+        self._wake_all()
+        write_json(request, {"revision": revision})
+
+    async def _remove(self, request: Request) -> None:
+        revision = self._store.remove(_argument(request, b"key"))
+        self._wake_all()
+        write_json(request, {"revision": revision})
+
+    async def _forget(self, request: Request) -> None:
+        self._store.forget_history()
+        write_json(request, {"revision": self._store.revision})
+
+    async def _set_mode(self, request: Request) -> None:
+        self._mode = msgspec.json.decode(request.read_body(), type=StoreMode)
+        write_json(request, self._mode)
+
+    async def _count(self, request: Request) -> None:
+        write_json(request, {"calls": self._calls})
+
+
+def _encoded(change: StoreChange) -> dict[str, object]:
+    if change.value is None:
+        return {"key": change.key, "revision": change.revision, "tombstone": True}
+    return {
+        "key": change.key,
+        "revision": change.revision,
+        "create_rev": change.created,
+        "lease": 0,
+        "value": base64.b64encode(change.value).decode(),
+    }
+
+
+def _argument(request: Request, name: bytes) -> str:
+    return request.args.get(name, [b""])[0].decode()
--- /dev/null
+++ b/bilberryring/testing/gateway_site.py
@@ -0,0 +1,294 @@
+"""Gateways as processes with the stand-in store, for tests on loopback.
+
+Each gateway has a loopback address of its own, so that all use the same ports,
+as VMs do.
+"""
+
+import http.client
+import json
+import os
+import shutil
+import socket
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from bilberryring.testing.processes import (
+    ManagedProcess,
+    scratch_directory,
+    wait_until,
+)
+from bilberryring.testing.scripted_endpoint import ScriptedEndpoint
+
+HOST_NAME = "site.example"
+KEY = "key-1"
+WORKSPACE = "bars"
+READY_SECONDS = 15.0
+ANSWER_SECONDS = 15.0
+MODEL_SERVICE = "model"
+PLAIN_SERVICE = "orders"
+ENGINE = {
+    "slots": 8,
+    "kv_tokens": 315_000,
+    "stride": 51,
+    "step_ms": 0.85,
+    "per_seq_ms": 0.0085,
+    "context_per_k": 0.00285,
+    "read_per_s": 177_000.0,
+    "pairs_per_m": 0.184,
+    "chunk": 2_048,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerAnswer:
+    """What a caller got; `is_cut` says that the answer ended early."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_cut: bool = False
+
+
+def free_port() -> int:
+    """Return a port that is free on all loopback addresses."""
+    with socket.create_server(("0.0.0.0", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def a_route(prefix: str, kind: str, service: str, **changes) -> dict:
+    """Return a route as operators publish it."""
+    route = {
+        "name": f"r-{prefix.strip('/')}",
+        "host": HOST_NAME,
+        "prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 4_000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "attempts": 2 if kind != "non_idempotent" else 1,
+        "allow_anonymous": False,
+        "sticky_sessions": kind == "streaming",
+        "stream_resume": kind == "streaming",
+    }
+    if kind == "streaming":
+        route["gap_aim_ms"] = 250
+    return route | changes
+
+
+def a_configuration(version: int = 1, **changes) -> dict:
+    """Return a configuration with one route of each kind."""
+    configuration = {
+        "version": version,
+        "routes": [
+            a_route("/look/", "idempotent", PLAIN_SERVICE),
+            a_route("/charge/", "non_idempotent", PLAIN_SERVICE),
+            a_route("/chat/", "streaming", MODEL_SERVICE),
+        ],
+        "services": [
+            {"name": PLAIN_SERVICE, "max_connections": 100},
+            {
+                "name": MODEL_SERVICE,
+                "max_connections": 400,
+                "cold_start_s": 3.0,
+                "cold_per_s": 36.0,
+                "engine": ENGINE,
+            },
+        ],
+        "limits": {"idle_timeout_ms": 5_000},
+        "tenants": [{"name": WORKSPACE, "api_keys": [KEY], "priority": 1}],
+    }
+    return configuration | changes
+
+
+class GatewaySite:
+    """One store, some gateways, and scripted endpoints."""
+
+    def __init__(self, *, gateways: int = 1):
+        self._directory = scratch_directory()
+        self._count = gateways
+        self._peer_port = free_port()
+        self._processes: dict[str, ManagedProcess] = {}
+        self._endpoints: list[ScriptedEndpoint] = []
+        self._store = ""
+        self._caller_port = free_port()
+        self._ready_port = free_port()
+
+    def start(self) -> "GatewaySite":
+        """Start the store; gateways follow with `start_gateway`."""
+        store = ManagedProcess(
+            name="store",
+            arguments=["bilberryring.standins.main", "store"],
+            directory=self._directory,
+        )
+        self._processes["store"] = store
+        self._store = f"127.0.0.1:{store.listening_port()}"
+        return self
+
+    def stop(self) -> None:
+        """End all that this site started."""
+        for process in self._processes.values():
+            if process.is_running:
+                process.thaw()
+                process.kill()
+        for endpoint in self._endpoints:
+            endpoint.close()
+        shutil.rmtree(self._directory, ignore_errors=True)
+
+    def process(self, name: str) -> ManagedProcess:
+        """Return a process by name: `store` or `gateway-1`."""
+        return self._processes[name]
+
+    def start_gateway(self, number: int = 1, *, is_awaited: bool = True) -> None:
+        """Start a gateway, and wait until it is ready."""
+        name = f"gateway-{number}"
+        host = self._host(number)
+        seeds = [f"{self._host(other + 1)}:1" for other in range(self._count)]
+        text = (
+            f'node = "{name}"\nip = "{host}"\nzone = "north"\nregion = "here"\n'
+            f"internal_ports = [{self._peer_port}, {self._peer_port + 9}]\n"
+            f"seeds = {json.dumps(seeds)}\n"
+            f'[zones]\nnorth = "here"\nsouth = "here"\n'
+            f'[listen]\nfront = "{host}:{self._caller_port}"\n'
+            f'ready = "{host}:{self._ready_port}"\n'
+            f'[platform]\naddress = "{self._store}"\n'
+            "[bounds]\ngrace_s = 6.0\nretry_slack = 100\n"
+        )
+        path = self._directory / f"{name}.toml"
+        path.write_text(text, "utf-8")
+        os.environ["BILBERRYRING_NODE_FILE"] = str(path)
+        try:
+            self._processes[name] = ManagedProcess(
+                name=name,
+                arguments=["bilberryring.platform.process"],
+                directory=self._directory,
+            )
+        finally:
+            del os.environ["BILBERRYRING_NODE_FILE"]
+        if is_awaited:
+            wait_until(
+                lambda: self.is_ready(number), READY_SECONDS, f"{name} to be ready"
+            )
+
+    def add_endpoint(self, name: str, script, **changes) -> ScriptedEndpoint:
+        """Start an endpoint and announce it."""
+        endpoint = ScriptedEndpoint(script=script)
+        self._endpoints.append(endpoint)
+        self.announce(name, endpoint.address, **changes)
+        return endpoint
+
+    def announce(self, name: str, address: str, **changes) -> None:
+        """Announce an endpoint as it would itself."""
+        entry = {
+            "service": PLAIN_SERVICE,
+            "address": address,
+            "zone": "north",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+        }
+        self.put(f"servers/{name}", json.dumps(entry | changes).encode())
+
+    def publish(self, configuration: dict) -> None:
+        """Publish a configuration."""
+        self.put("op/config", json.dumps(configuration).encode())
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write an item."""
+        self._control("put", f"?key={quote(key, safe='')}", value)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self._control("remove", f"?key={quote(key, safe='')}", b"")
+
+    def set_store(self, **mode) -> None:
+        """Make the store misbehave; no argument: make it well again."""
+        self._control("mode", "", json.dumps(mode).encode())
+
+    def forget_history(self) -> None:
+        """Make the store forget its history."""
+        self._control("forget", "", b"")
+
+    def is_ready(self, number: int = 1) -> bool:
+        """Whether a gateway says that it is ready."""
+        try:
+            connection = http.client.HTTPConnection(
+                self._host(number), self._ready_port, timeout=1.0
+            )
+            connection.request("GET", "/v1/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def connect(self, number: int = 1) -> http.client.HTTPConnection:
+        """Open a caller's connection."""
+        return http.client.HTTPConnection(
+            self._host(number), self._caller_port, timeout=ANSWER_SECONDS
+        )
+
+    def caller_socket(self, number: int = 1) -> socket.socket:
+        """Open a caller's connection as a plain socket."""
+        return socket.create_connection(
+            (self._host(number), self._caller_port), timeout=ANSWER_SECONDS
+        )
+
+    def call(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        number: int = 1,
+        body: bytes = b"x",
+        connection: http.client.HTTPConnection | None = None,
+        **headers: str,
+    ) -> CallerAnswer:
+        """Send one request and read its answer."""
+        connection = connection or self.connect(number)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        connection.request(method, path, body, request_headers() | named)
+        return read_answer(connection)
+
+    def log_events(self, number: int = 1, event: str | None = None) -> list[dict]:
+        """Return the log lines of a gateway."""
+        text = (self._directory / f"gateway-{number}.out").read_text("utf-8")
+        lines = [json.loads(line) for line in text.splitlines()]
+        return [line for line in lines if event is None or line["event"] == event]
+
+    def _host(self, number: int) -> str:
+        return f"127.0.1.{number}"
+
+    def _control(self, action: str, query: str, body: bytes) -> None:
+        connection = http.client.HTTPConnection(self._store, timeout=ANSWER_SECONDS)
+        connection.request("POST", f"/control/{action}{query}", body)
+        connection.getresponse().read()
+
+
+def request_headers() -> dict[str, str]:
+    """Return the headers of a proper request with an id of its own."""
+    return {
+        "Host": HOST_NAME,
+        "Authorization": f"Bearer {KEY}",
+        "Bilberryring-Request-Id": os.urandom(8).hex(),
+        "Bilberryring-Deadline-Ms": "4000",
+        "Bilberryring-Token-Usage": "1000,80",
+    }
+
+
+def read_answer(connection: http.client.HTTPConnection) -> CallerAnswer:
+    """Read an answer to its end."""
+    try:
+        response = connection.getresponse()
+    except (OSError, http.client.HTTPException):
+        return CallerAnswer(status=0, headers={}, body=b"", is_cut=True)
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    try:
+        body, is_cut = response.read(), False
+    except http.client.IncompleteRead as error:
+        body, is_cut = error.partial, True
+    except OSError:
+        body, is_cut = b"", True
+    return CallerAnswer(
+        status=response.status, headers=headers, body=body, is_cut=is_cut
+    )
