--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -13,6 +13,7 @@
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.peers import PeerExchange
 from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.reservations import Reservations
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.membership import EndpointHealth
 from bilberryring.process.running import Listeners
@@ -68,10 +69,11 @@
             bounds=FIRST_TOKEN_BOUNDS,
             max_series=MAX_SERIES,
         )
+        incarnation = new_incarnation()
         self._peers = PeerExchange(
             reactor=reactor,
             settings=settings,
-            incarnation=new_incarnation(),
+            incarnation=incarnation,
             view=self._view,
             book=self._book,
             copies=self._copies,
@@ -103,6 +105,13 @@
             book=self._book,
             peers=self._view,
             health=self._health,
+            reservations=Reservations(
+                reactor=reactor,
+                pool=self._pool,
+                codec=codec,
+                log=log,
+                run=incarnation[:8],
+            ),
             log=log,
             on_work_changed=self._peers.changed,
             observe=self._observe,
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -1,7 +1,7 @@
 """Which endpoint gets a request: rules first, then the least expected harm."""
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from bilberryring.admission import StartRate, share_of_rate
@@ -21,8 +21,11 @@
     Candidate,
     PlacedRequest,
     PromptDemand,
+    SpanPlan,
     WorkBook,
+    needs_span,
     plan_prompt,
+    plan_span,
 )
 
 NEAR_GAIN_MS = 5.0
@@ -39,6 +42,12 @@
     helpers: tuple[AnnouncedEndpoint, ...]
     placed: PlacedRequest
     predicted_ms: float
+    holders: tuple[AnnouncedEndpoint, ...] = ()
+
+    @property
+    def holder_tokens(self) -> int:
+        """The memory that each holder keeps, in tokens."""
+        return self.placed.holder_tokens
 
 
 class EndpointChooser:
@@ -154,10 +163,13 @@
             gap_ms=None if gap is None else gap * MILLISECONDS,
         )
         candidates = [self._candidate(endpoint, now) for endpoint in usable]
+        by_id = {endpoint.id: endpoint for endpoint in usable}
+        if needs_span(demand, service.engine):
+            span = plan_span(demand, service.engine, candidates)
+            return None if span is None else _span_choice(demand, span, by_id)
         plan = plan_prompt(demand, service.engine, candidates)
         if plan is None:
             return None
-        by_id = {endpoint.id: endpoint for endpoint in usable}
         placed = PlacedRequest(
             lead=plan.lead,
             helpers=plan.helpers,
@@ -185,6 +197,26 @@
         return self._book.work(endpoint) + self._peers.work(endpoint, now=now)
 
 
-def addresses(endpoints: Iterable[AnnouncedEndpoint]) -> tuple[str, ...]:
-    """Return the addresses of endpoints in their order."""
-    return tuple(endpoint.address for endpoint in endpoints)
+def _span_choice(
+    demand: PromptDemand,
+    span: SpanPlan,
+    by_id: dict[EndpointId, AnnouncedEndpoint],
+) -> Choice:
+    helpers = (*span.holders, *span.helpers)
+    held = span.holder_tokens * len(span.holders)
+    placed = PlacedRequest(
+        lead=span.lead,
+        helpers=helpers,
+        holders=span.holders,
+        holder_tokens=span.holder_tokens,
+        part_ms=span.part_ms,
+        kv_tokens=max(0, demand.kv_tokens - held),
+        gap_ms=None if demand.gap_ms is None else int(demand.gap_ms),
+    )
+    return Choice(
+        endpoint=by_id[span.lead],
+        helpers=tuple(by_id[helper] for helper in helpers),
+        holders=tuple(by_id[holder] for holder in span.holders),
+        placed=placed,
+        predicted_ms=span.part_ms,
+    )
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -18,7 +18,7 @@
     Workspace,
 )
 from bilberryring.gateway.caller_site import CallerExchange
-from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser, addresses
+from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.endpoint_connection import EndpointAnswer
 from bilberryring.gateway.endpoint_pool import EndpointPool
 from bilberryring.gateway.event_stream import EventStream
@@ -32,6 +32,7 @@
     CallerFacts,
     CallerRequest,
     HeaderPairs,
+    MemoryOrder,
     SendFacts,
 )
 from bilberryring.gateway.peer_view import PeerView
@@ -41,6 +42,7 @@
     not_run,
     unknown,
 )
+from bilberryring.gateway.reservations import Hold, Reservations
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.membership import EndpointHealth
 from bilberryring.routing import WorkBook
@@ -82,6 +84,8 @@
 
     def encode_answer(self, headers: HeaderPairs) -> HeaderPairs: ...
 
+    def encode_order(self, order: MemoryOrder) -> tuple[bytes, HeaderPairs, bytes]: ...
+
 
 @dataclass(slots=True, kw_only=True)
 class RequestRun:
@@ -144,6 +148,7 @@
         book: WorkBook,
         peers: PeerView,
         health: EndpointHealth,
+        reservations: Reservations,
         log: EventLog,
         on_work_changed,
         observe,
@@ -157,6 +162,7 @@
         self._book = book
         self._peers = peers
         self._health = health
+        self._reservations = reservations
         self._log = log
         self._on_work_changed = on_work_changed
         self._observe = observe
@@ -312,9 +318,14 @@
         self._book.place(choice.placed)
         self._on_work_changed()
         answer: EndpointAnswer | None = None
+        hold: Hold | None = None
         is_whole = False
         try:
-            answer = await self._send(run, choice)
+            if choice.holders:
+                hold = await self._reservations.hold(
+                    run.request_id, choice.holders, choice.holder_tokens
+                )
+            answer = await self._send(run, choice, hold)
             await self._relay(run, choice, answer)
             is_whole = True
             self._health.record_success(endpoint.id)
@@ -326,12 +337,16 @@
             self._on_work_changed()
             if answer is not None and not is_whole and self._may_abort(run):
                 answer.abort()
+            if hold is not None:
+                hold.release()
 
     def _may_abort(self, run: RequestRun) -> bool:
         """Whether the endpoint may stop: a call that runs once may have begun."""
         return run.route.kind is not RequestKind.NON_IDEMPOTENT
 
-    async def _send(self, run: RequestRun, choice: Choice) -> EndpointAnswer:
+    async def _send(
+        self, run: RequestRun, choice: Choice, hold: Hold | None
+    ) -> EndpointAnswer:
         may_repeat = run.route.may_repeat
         connection = await self._pool.acquire(
             choice.endpoint.address,
@@ -346,7 +361,7 @@
             endpoint=choice.endpoint.id,
             seconds_left=left,
             workspace=run.workspace.name if run.workspace else None,
-            helpers=addresses(choice.helpers),
+            helpers=_helper_names(choice, hold),
             resume_after=run.events.last_id if run.events else "",
         )
         run.sends += 1
@@ -543,7 +558,7 @@
         self, run: RequestRun, choice: Choice, broken: AttemptBroken
     ) -> None:
         self._log_attempt_failed(run, choice, broken.reason.value)
-        if broken.reason is not BreakReason.DEADLINE:
+        if broken.reason not in (BreakReason.DEADLINE, BreakReason.NO_MEMORY):
             self._health.record_break(choice.endpoint.id, now=self._reactor.seconds())
 
     def _window(self, service: ServiceName) -> RetryWindow:
@@ -607,3 +622,14 @@
             retry_after=error.retry_after,
             detail=error.detail,
         )
+
+
+def _helper_names(choice: Choice, hold: Hold | None) -> tuple[str, ...]:
+    """Return the helpers' addresses, with the reservations that they keep."""
+    tickets = hold.tickets if hold else {}
+    return tuple(
+        f"{helper.address}/{tickets[helper.address]}"
+        if helper.address in tickets
+        else helper.address
+        for helper in choice.helpers
+    )
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -81,6 +81,20 @@
     """The answer is whole."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemoryOrder:
+    """An order to keep or to give back memory under a name.
+
+    `tokens` is 0 to give it back; `hold_seconds` is how long it is kept unless
+    the order comes again.
+    """
+
+    endpoint: str
+    ticket: str
+    tokens: int = 0
+    hold_seconds: float = 0.0
+
+
 class BreakReason(Enum):
     """Why an attempt ended without a whole answer."""
 
@@ -89,6 +103,7 @@
     MALFORMED = "malformed"
     SILENT = "silent"
     DEADLINE = "deadline"
+    NO_MEMORY = "no_memory"
 
 
 class AttemptBroken(Exception):
--- a/bilberryring/platform/adapter.py
+++ b/bilberryring/platform/adapter.py
@@ -9,6 +9,7 @@
     AnswerFacts,
     CallerFacts,
     HeaderPairs,
+    MemoryOrder,
     SendFacts,
 )
 from bilberryring.gateway.published_copies import PublishedCopies
@@ -51,6 +52,10 @@
         """Return the headers of a request to an endpoint."""
         return header_codec.encode_send(headers, send)
 
+    def encode_order(self, order: MemoryOrder) -> tuple[bytes, HeaderPairs, bytes]:
+        """Return the target, headers and body of an order about memory."""
+        return header_codec.encode_order(order)
+
     def decode_answer(self, status: int, headers: HeaderPairs) -> AnswerFacts:
         """Return what an endpoint's headers say."""
         return header_codec.decode_answer(status, headers)
--- a/bilberryring/platform/headers.py
+++ b/bilberryring/platform/headers.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from bilberryring.core import RequestId
 from bilberryring.fleet import MILLISECONDS, WorkspaceName
 from bilberryring.gateway.messages import (
     AnswerFacts,
     CallerFacts,
     HeaderPairs,
+    MemoryOrder,
     SendFacts,
 )
 from bilberryring.platform.names import (
@@ -17,6 +20,7 @@
     HELPERS,
     LAST_EVENT_ID,
     NOT_EXECUTED,
+    ORDER_PATH,
     REQUEST_ID,
     REQUEST_PRIORITY,
     RETRY_AFTER,
@@ -28,6 +32,8 @@
 )
 
 MISDIRECTED = 421
+RequestParts = tuple[bytes, HeaderPairs, bytes]
+"""Target, headers and body of a request."""
 BEARER = b"bearer "
 _CONNECTION_HEADERS = frozenset(
     {
@@ -92,6 +98,25 @@
     return tuple(kept)
 
 
+def encode_order(order: MemoryOrder) -> RequestParts:
+    """Return the target, headers and body of an order about memory."""
+    if order.tokens:
+        content = {
+            "op": "reserve",
+            "id": order.ticket,
+            "tokens": order.tokens,
+            "hold_ms": int(order.hold_seconds * MILLISECONDS),
+            "wait": False,
+        }
+    else:
+        content = {"op": "release", "id": order.ticket}
+    headers = (
+        (b"Content-Type", b"application/json"),
+        (TARGET_INSTANCE, order.endpoint.encode("latin-1")),
+    )
+    return ORDER_PATH.encode(), headers, msgspec.json.encode(content)
+
+
 def decode_answer(status: int, headers: HeaderPairs) -> AnswerFacts:
     """Return what an endpoint's headers say of its answer."""
     fields = {name.lower(): value for name, value in headers}
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -32,9 +32,13 @@
     PromptPlan,
     plan_prompt,
 )
+from bilberryring.routing.span_plan import SpanPlan, needs_span, plan_span
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
 __all__ = [
+    "SpanPlan",
+    "needs_span",
+    "plan_span",
     "Candidate",
     "EndpointWork",
     "EngineFigures",
--- a/bilberryring/routing/endpoint_work.py
+++ b/bilberryring/routing/endpoint_work.py
@@ -54,10 +54,15 @@
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class PlacedRequest:
-    """One request on its endpoints; `part_ms` is what each of them reads."""
+    """One request on its endpoints; `part_ms` is what each of them reads.
+
+    `holders` are the helpers that keep `holder_tokens` each until the end.
+    """
 
     lead: str
     helpers: tuple[str, ...] = ()
+    holders: tuple[str, ...] = ()
+    holder_tokens: int = 0
     part_ms: float = 0.0
     kv_tokens: int = 0
     gap_ms: int | None = None
@@ -66,7 +71,8 @@
     @property
     def endpoints(self) -> tuple[str, ...]:
         """The endpoints that the request concerns now."""
-        return (self.lead, *self.helpers) if self.is_reading else (self.lead,)
+        helpers = self.helpers if self.is_reading else self.holders
+        return (self.lead, *helpers)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -127,10 +133,12 @@
         if not request.is_reading:
             return
         for helper in request.helpers:
-            self._drop(helper, request)
+            if helper not in request.holders:
+                self._drop(helper, request)
         request.is_reading = False
-        if request.lead in self._tallies:
-            self._tallies[request.lead].work = None
+        for endpoint in request.endpoints:
+            if endpoint in self._tallies:
+                self._tallies[endpoint].work = None
         self._version += 1
 
     def remove(self, request: PlacedRequest) -> None:
@@ -156,6 +164,8 @@
     for request in requests:
         if request.is_reading:
             reading_ms += request.part_ms
+        if endpoint in request.holders:
+            kv_tokens += request.holder_tokens
         if request.lead != endpoint:
             continue
         count += 1
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -60,6 +60,8 @@
     ENGINE_RESTARTED = (501, "warning", "The engine is another incarnation; cold")
     ENGINE_FOUND = (502, "info", "The engine answers")
     MEMORY_FREED = (510, "warning", "The audit freed memory that had no owner")
+    MEMORY_ORDERED = (511, "info", "An engine answered an order about memory")
+    MEMORY_ORDER_FAILED = (512, "warning", "An order about memory had no answer")
     PROMPT_SUSPECTED = (520, "warning", "A prompt ran when its engine died")
     PROMPT_QUARANTINED = (521, "error", "A prompt ended engines twice; refused")
     INTERNAL_FAULT = (900, "error", "The process met a fault of its own")
