Requests that end endpoints are held back; a store that returns is noticed at once

A request that ends each endpoint that runs it was repeated without end.

Change: the first watch after a failure does not wait. A break counts as an endpoint's death only once the endpoint refuses a connection; three deaths hold a request back, at all entries.

--- a/bilberryring/core/errors.py
+++ b/bilberryring/core/errors.py
@@ -189,6 +189,12 @@
         "The same prompt ended engines before",
         "change the prompt, or wait until the quarantine expires",
     )
+    HELD_BACK = (
+        "held_back",
+        503,
+        "The same request ended several endpoints before",
+        "change the request, or retry after the given time",
+    )
     TICKET_REQUIRED = (
         "ticket_required",
         428,
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -7,6 +7,7 @@
 from bilberryring.core import ErrorCode, SettingsError, new_incarnation
 from bilberryring.fleet import AnnouncedEndpoint, FleetState, Workspace
 from bilberryring.gateway.caller_site import CallerExchange, CallerSite
+from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.endpoint_pool import EndpointPool
 from bilberryring.gateway.forwarding import Forwarder, HeaderCodec
@@ -70,6 +71,7 @@
             max_series=MAX_SERIES,
         )
         incarnation = new_incarnation()
+        crashes = CrashRecord(clock=reactor)
         self._peers = PeerExchange(
             reactor=reactor,
             settings=settings,
@@ -77,6 +79,7 @@
             view=self._view,
             book=self._book,
             copies=self._copies,
+            crashes=crashes,
             log=log,
         )
         self._adapter = adapter_type(
@@ -112,6 +115,7 @@
                 log=log,
                 run=incarnation[:8],
             ),
+            crashes=crashes,
             log=log,
             on_work_changed=self._peers.changed,
             observe=self._observe,
--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -152,6 +152,7 @@
 
     def connectionMade(self) -> None:
         self._is_open = True
+        self._idle_since = self._reactor.seconds()
         set_tcp_options(self.transport)
 
     def send(
--- a/bilberryring/gateway/endpoint_pool.py
+++ b/bilberryring/gateway/endpoint_pool.py
@@ -43,6 +43,15 @@
             connection.abort()
         return await self._open(address, min(timeout, CONNECT_SECONDS))
 
+    async def can_connect(self, address: str) -> bool:
+        """Whether an endpoint takes a new connection, which is kept."""
+        try:
+            connection = await self._open(address, CONNECT_SECONDS)
+        except AttemptBroken:
+            return False
+        self._keep(connection)
+        return True
+
     def close_address(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -6,9 +6,10 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 
-from bilberryring.core import ErrorCode, RequestId, ServingError
+from bilberryring.core import ErrorCode, Fingerprint, RequestId, ServingError
 from bilberryring.execution import RetryWindow
 from bilberryring.fleet import (
+    AnnouncedEndpoint,
     EndpointId,
     FleetState,
     RequestKind,
@@ -18,6 +19,7 @@
     Workspace,
 )
 from bilberryring.gateway.caller_site import CallerExchange
+from bilberryring.gateway.crash_record import CrashRecord, fingerprint_of
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.endpoint_connection import EndpointAnswer
 from bilberryring.gateway.endpoint_pool import EndpointPool
@@ -35,7 +37,7 @@
     MemoryOrder,
     SendFacts,
 )
-from bilberryring.gateway.peer_view import PeerView
+from bilberryring.gateway.peer_view import EndpointDeath, PeerView
 from bilberryring.gateway.refusals import (
     SOON_SECONDS,
     answer_failure,
@@ -69,6 +71,8 @@
 GAP_SILENCE_FACTOR = 4.0
 """Multiple of the gap objective after which a silent stream is given up."""
 GAP_SILENCE_SECONDS = 0.5
+HELD_BACK_SECONDS = 60.0
+"""Seconds after which a request that ended endpoints may come again."""
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
@@ -99,10 +103,13 @@
     workspace: Workspace | None
     ends_at: float
     events: EventStream | None
+    fingerprint: Fingerprint
     sends: int = 0
     unknown_sends: int = 0
     tried: set[EndpointId] = field(default_factory=set)
     first_answer_at: float | None = None
+    last_data_at: float | None = None
+    longest_gap: float = 0.0
     status: int = 0
 
     @property
@@ -149,6 +156,7 @@
         peers: PeerView,
         health: EndpointHealth,
         reservations: Reservations,
+        crashes: CrashRecord,
         log: EventLog,
         on_work_changed,
         observe,
@@ -163,6 +171,7 @@
         self._peers = peers
         self._health = health
         self._reservations = reservations
+        self._crashes = crashes
         self._log = log
         self._on_work_changed = on_work_changed
         self._observe = observe
@@ -232,6 +241,9 @@
         if route is None:
             raise self._unknown(ErrorCode.PATH_UNKNOWN)
         workspace = self._workspace(facts, route)
+        fingerprint = fingerprint_of(request, facts.key)
+        if self._crashes.is_refused(fingerprint):
+            raise not_run(ErrorCode.HELD_BACK, retry_after=HELD_BACK_SECONDS)
         service = self._service(route)
         patience = DEFAULT_PATIENCE if facts.patience is None else facts.patience
         is_stream = route.kind is RequestKind.STREAMING
@@ -244,6 +256,7 @@
             workspace=workspace,
             ends_at=request.received_at + min(patience, route.timeout),
             events=EventStream(last_id=facts.last_event_id) if is_stream else None,
+            fingerprint=fingerprint,
         )
 
     def _unknown(self, code: ErrorCode) -> ServingError:
@@ -329,6 +342,7 @@
             await self._relay(run, choice, answer)
             is_whole = True
             self._health.record_success(endpoint.id)
+            self._crashes.clear(run.fingerprint)
         except (_NotRun, _Repeatable):
             is_whole = True
             raise
@@ -458,6 +472,7 @@
 
     def _relay_data(self, run: RequestRun, choice: Choice, data: bytes) -> None:
         whole = run.events.feed(data)
+        self._note_gap(run)
         if choice.placed.is_reading:
             self._note_first_answer(run)
             self._book.mark_read(choice.placed)
@@ -469,6 +484,12 @@
         if run.first_answer_at is None:
             run.first_answer_at = self._reactor.seconds()
 
+    def _note_gap(self, run: RequestRun) -> None:
+        now = self._reactor.seconds()
+        if run.last_data_at is not None:
+            run.longest_gap = max(run.longest_gap, now - run.last_data_at)
+        run.last_data_at = now
+
     def _time_left(self, run: RequestRun) -> float:
         return run.ends_at - self._reactor.seconds() + LAST_WORD_SECONDS
 
@@ -558,9 +579,23 @@
         self, run: RequestRun, choice: Choice, broken: AttemptBroken
     ) -> None:
         self._log_attempt_failed(run, choice, broken.reason.value)
+        if broken.was_sent and broken.reason is BreakReason.CLOSED:
+            Deferred.fromCoroutine(self._check_death(run, choice.endpoint))
         if broken.reason not in (BreakReason.DEADLINE, BreakReason.NO_MEMORY):
             self._health.record_break(choice.endpoint.id, now=self._reactor.seconds())
 
+    async def _check_death(self, run: RequestRun, endpoint: AnnouncedEndpoint) -> None:
+        """Hold the request against its endpoint's end, if it has ended."""
+        if await self._pool.can_connect(endpoint.address):
+            return
+        death = EndpointDeath(
+            death=f"{endpoint.id}/{endpoint.born}", fingerprints=(run.fingerprint,)
+        )
+        self._crashes.record(death)
+        self._log.write(
+            LogEvent.PROMPT_SUSPECTED, request=run.request_id, endpoint=endpoint.id
+        )
+
     def _window(self, service: ServiceName) -> RetryWindow:
         window = self._windows.get(service)
         if window is None:
@@ -606,6 +641,7 @@
             request=run.request_id,
             status=run.status,
             first_ms=round(first_seconds * 1_000),
+            gap_ms=round(run.longest_gap * 1_000),
             total_ms=round((now - run.request.received_at) * 1_000),
         )
 
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from bilberryring.core import Fingerprint
 from bilberryring.routing import NO_WORK, EndpointWork
 
 ALIVE_SECONDS = 1.5
@@ -10,6 +11,14 @@
 """Seconds for which a silent peer still counts as one that shares bounds."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointDeath:
+    """An endpoint that ended, and the requests that ran there."""
+
+    death: str
+    fingerprints: tuple[Fingerprint, ...]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerReport:
     """One entry's report of itself."""
@@ -21,6 +30,7 @@
     known_hosts: tuple[str, ...] = ()
     revisions: tuple[tuple[str, int], ...] = ()
     work: tuple[tuple[str, EndpointWork], ...] = ()
+    deaths: tuple[EndpointDeath, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -8,9 +8,10 @@
 from twisted.internet.protocol import ClientCreator, DatagramProtocol, Factory
 from twisted.internet.task import LoopingCall
 
-from bilberryring.core import Incarnation
+from bilberryring.core import Fingerprint, Incarnation
 from bilberryring.fleet import PublishedItem
-from bilberryring.gateway.peer_view import PeerReport, PeerView
+from bilberryring.gateway.crash_record import CrashRecord
+from bilberryring.gateway.peer_view import EndpointDeath, PeerReport, PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.routing import EndpointWork, WorkBook, WriterGroup
@@ -20,6 +21,7 @@
     CopyItem,
     CopyQuery,
     CopyRevision,
+    EngineDeath,
     EntryReport,
     FrameError,
     LinkProtocol,
@@ -49,6 +51,7 @@
         view: PeerView,
         book: WorkBook,
         copies: PublishedCopies,
+        crashes: CrashRecord,
         log: EventLog,
     ):
         self._reactor = reactor
@@ -57,6 +60,7 @@
         self._view = view
         self._book = book
         self._copies = copies
+        self._crashes = crashes
         self._log = log
         self._sequence = 0
         self._pending = None
@@ -108,6 +112,7 @@
             self._log.write(
                 LogEvent.PEER_HEARD, peer=report.host, peer_process=report.process
             )
+        self._crashes.take(report.deaths)
         self._copy_from_peers()
 
     def _tick(self) -> None:
@@ -151,6 +156,10 @@
                 _work_message(endpoint, self._book.work(endpoint))
                 for endpoint in self._book.endpoints
             ],
+            deaths=[
+                EngineDeath(death=item.death, fingerprints=list(item.fingerprints))
+                for item in self._crashes.recent()
+            ],
         )
 
     def _copy_from_peers(self) -> None:
@@ -266,6 +275,13 @@
             (item.prefix, item.revision) for item in message.revisions or ()
         ),
         work=tuple((item.endpoint, _work_of(item)) for item in message.work or ()),
+        deaths=tuple(
+            EndpointDeath(
+                death=item.death,
+                fingerprints=tuple(Fingerprint(one) for one in item.fingerprints),
+            )
+            for item in message.deaths or ()
+        ),
     )
 
 
--- /dev/null
+++ b/bilberryring/gateway/tests/test_published_state.py
@@ -0,0 +1,181 @@
+"""Configurations and announcements that change while requests arrive."""
+
+import json
+
+from bilberryring.testing.gateway_site import (
+    HOST_NAME,
+    a_configuration,
+    a_route,
+)
+from bilberryring.testing.processes import pause, wait_until
+from bilberryring.testing.scripted_endpoint import answer_all
+
+IN_FORCE_SECONDS = 2.0
+STRETCHED_SECONDS = 7.0
+
+
+def without_key(version):
+    tenants = [{"name": "bars", "api_keys": ["another"], "priority": 1}]
+    return a_configuration(version, tenants=tenants)
+
+
+def status_of(site, number=1, path="/look/"):
+    return site.call(path, number=number).status
+
+
+def wait_for_status(site, status, seconds, number=1, path="/look/"):
+    wait_until(
+        lambda: status_of(site, number, path) == status, seconds, f"status {status}"
+    )
+
+
+def test_a_process_without_a_configuration_says_that_nothing_ran(empty_site):
+    empty_site.start_gateway(is_awaited=False)
+    pause(2.0)
+    assert not empty_site.is_ready()
+    answer = empty_site.call("/look/")
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+
+
+def test_a_revoked_key_is_refused_within_the_bound(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    assert status_of(site) == 200
+    site.publish(without_key(2))
+    wait_for_status(site, 401, IN_FORCE_SECONDS)
+
+
+def test_an_older_version_never_takes_a_newer_one_back(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.publish(without_key(5))
+    wait_for_status(site, 401, IN_FORCE_SECONDS)
+    site.publish(a_configuration(4))
+    pause(0.5)
+    assert status_of(site) == 401
+
+
+def test_a_configuration_that_cannot_be_read_leaves_the_last_one(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.put("op/config", b'{"version": 9, "routes": 7}')
+    pause(0.3)
+    assert status_of(site) == 200
+    assert site.log_events(event="set_refused")
+
+
+def test_fields_and_entries_that_are_unknown_do_no_harm(site):
+    site.publish(a_configuration(2, surprise={"a": [1]}))
+    site.add_endpoint("a", answer_all, surprise=[1])
+    for number, broken in enumerate(
+        (
+            b"\xff\xfe",
+            b"{}",
+            b"[1]",
+            json.dumps({"service": 4, "address": "127.0.0.1:1"}).encode(),
+        )
+    ):
+        site.put(f"servers/broken-{number}", broken)
+    site.announce("odd", "127.0.0.1:1", state="dreaming")
+    site.start_gateway()
+    assert [status_of(site) for _ in range(5)] == [200] * 5
+
+
+def test_the_longest_prefix_of_the_host_selects_the_route(site):
+    routes = [
+        a_route("/a/", "idempotent", "orders"),
+        a_route("/a/b/", "idempotent", "nowhere"),
+        a_route("/", "idempotent", "orders", host="other.example"),
+    ]
+    site.publish(a_configuration(2, routes=routes))
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    assert status_of(site, path="/a/c") == 200
+    assert status_of(site, path="/a/b/c") == 503
+    assert status_of(site, path="/z/") == 404
+    assert HOST_NAME != "other.example"
+
+
+def test_changes_are_in_force_after_the_store_forgot_its_history(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.forget_history()
+    site.publish(without_key(2))
+    wait_for_status(site, 401, IN_FORCE_SECONDS)
+
+
+def test_a_list_of_many_pages_is_read_to_its_end(empty_site):
+    empty_site.set_store(page_items=2)
+    empty_site.publish(a_configuration())
+    for number in range(7):
+        empty_site.add_endpoint(f"e{number}", answer_all)
+    empty_site.start_gateway()
+    listed = empty_site.log_events(event="items_listed")
+    assert max(line["items"] for line in listed) == 7
+
+
+def test_the_last_state_is_kept_while_the_store_refuses(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.set_store(refusing=True)
+    pause(3.0)
+    assert status_of(site) == 200
+
+
+def test_what_a_process_does_not_know_is_no_error_while_its_view_is_old(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.set_store(refusing=True)
+    wait_until(
+        lambda: status_of(site, path="/new/") == 503, 10, "the view to count as old"
+    )
+    site.set_store()
+    wait_for_status(site, 404, 3.0, path="/new/")
+
+
+def test_a_silent_store_is_noticed_and_asked_again(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.set_store(silent=True)
+    site.publish(without_key(2))
+    pause(1.0)
+    site.set_store()
+    wait_for_status(site, 401, STRETCHED_SECONDS)
+
+
+def test_a_process_that_cannot_read_the_store_takes_its_peers_state(site):
+    """The store turns one VM away and serves the other."""
+    site.add_endpoint("a", answer_all)
+    site.start_gateway(1)
+    site.set_store(refusing=True)
+    site.start_gateway(2)
+    assert status_of(site, number=2) == 200
+    assert site.log_events(2, "copy_taken")
+
+
+def test_a_failure_domain_that_was_taken_out_gets_nothing(site):
+    north = site.add_endpoint("a", answer_all, zone="north")
+    south = site.add_endpoint("b", answer_all, zone="south")
+    site.start_gateway()
+    site.put("op/evacuate/north", b"{}")
+    pause(0.5)
+    before = len(north.seen)
+    assert [status_of(site) for _ in range(6)] == [200] * 6
+    assert len(north.seen) == before
+    assert len(south.seen) == 6
+    site.remove("op/evacuate/north")
+    pause(0.5)
+    assert [status_of(site) for _ in range(6)] == [200] * 6
+    assert len(north.seen) > before
+
+
+def test_an_endpoint_that_leaves_gets_nothing(site):
+    leaving = site.add_endpoint("a", answer_all)
+    staying = site.add_endpoint("b", answer_all, zone="south")
+    site.start_gateway()
+    site.announce("a", leaving.address, state="draining")
+    pause(0.5)
+    assert [status_of(site) for _ in range(4)] == [200] * 4
+    assert not leaving.seen
+    assert len(staying.seen) == 4
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -55,6 +55,10 @@
         if now - since >= STALE_AFTER_SECONDS:
             self._fleet.mark_stale(since)
 
+    def is_failing(self, prefix: str) -> bool:
+        """Whether the last read of a prefix failed."""
+        return prefix in self._failing
+
     def is_returning(self, grace: float) -> bool:
         """Whether the store is out of reach, or was in the last `grace` seconds."""
         if self._failing:
@@ -132,9 +136,7 @@
         self._revision = listing.revision
 
     async def _watch(self, after: int) -> Listing:
-        wait = WATCH_SECONDS_PER_ENTRY * self._entry_count()
-        wait = min(max(wait, SHORTEST_WATCH_SECONDS), LONGEST_WATCH_SECONDS)
-        wait *= random.uniform(0.8, 1.0)
+        wait = 0.0 if self._health.is_failing(self._prefix) else self._wait_seconds()
         listing = await self._store.watch(self._prefix, after=after, wait=wait)
         self._health.record_success(self._prefix)
         self._copies.apply(self._prefix, listing.items)
@@ -142,5 +144,10 @@
             await self._pause(QUICK_WATCH_SECONDS)
         return listing
 
+    def _wait_seconds(self) -> float:
+        wait = WATCH_SECONDS_PER_ENTRY * self._entry_count()
+        wait = min(max(wait, SHORTEST_WATCH_SECONDS), LONGEST_WATCH_SECONDS)
+        return wait * random.uniform(0.8, 1.0)
+
     async def _pause(self, seconds: float) -> None:
         await deferLater(self._reactor, seconds)
--- a/bilberryring/quarantine/suspicions.py
+++ b/bilberryring/quarantine/suspicions.py
@@ -47,7 +47,8 @@
 class Suspicions:
     """The suspects that one process knows of; times are in seconds."""
 
-    def __init__(self):
+    def __init__(self, *, deaths_until_quarantine: int = DEATHS_UNTIL_QUARANTINE):
+        self._deaths_until_quarantine = deaths_until_quarantine
         self._records: OrderedDict[Fingerprint, _Record] = OrderedDict()
         self._voided: OrderedDict[tuple[str, Fingerprint], None] = OrderedDict()
 
@@ -92,7 +93,7 @@
         A quarantined prompt stays so.
         """
         record = self._records.get(fingerprint)
-        if record is not None and len(record.deaths) >= DEATHS_UNTIL_QUARANTINE:
+        if record is not None and len(record.deaths) >= self._deaths_until_quarantine:
             return False
         is_news = False
         for death in deaths:
@@ -113,7 +114,7 @@
         record = self._records.get(fingerprint)
         if record is None:
             return PromptStanding.CLEAR
-        is_quarantined = len(record.deaths) >= DEATHS_UNTIL_QUARANTINE
+        is_quarantined = len(record.deaths) >= self._deaths_until_quarantine
         kept = QUARANTINE_SECONDS if is_quarantined else SUSPECT_SECONDS
         if now - record.last_death > kept:
             del self._records[fingerprint]
--- a/bilberryring/testing/processes.py
+++ b/bilberryring/testing/processes.py
@@ -81,6 +81,10 @@
         """Ask the process to drain."""
         self._process.send_signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Tell the process that its settings changed."""
+        self._process.send_signal(signal.SIGHUP)
+
     def wait(self, timeout: float) -> int:
         """Wait for the end and return the exit status."""
         status = self._process.wait(timeout)
--- a/bilberryring/testing/scripted_endpoint.py
+++ b/bilberryring/testing/scripted_endpoint.py
@@ -55,12 +55,19 @@
         """The requests that arrived so far."""
         return tuple(self._seen)
 
+    @property
+    def connections(self) -> tuple[socket.socket, ...]:
+        """The connections that were accepted."""
+        return tuple(self._connections)
+
     def set_script(self, script: Script) -> None:
         """Behave in another way from the next request on."""
         self._script = script
 
     def close(self) -> None:
         """Refuse connections and reset the open ones."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         for connection in self._connections:
             reset(connection)
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -2262,6 +2262,7 @@
      - known_hosts
      - revisions
      - work
+     - deaths
 
     """
 
@@ -2273,10 +2274,11 @@
         'known_hosts',
         'revisions',
         'work',
+        'deaths',
     )
 
 
-    def __init__(self, process=None, incarnation=None, host=None, sequence=None, known_hosts=None, revisions=None, work=None,):
+    def __init__(self, process=None, incarnation=None, host=None, sequence=None, known_hosts=None, revisions=None, work=None, deaths=None,):
         self.process = process
         self.incarnation = incarnation
         self.host = host
@@ -2284,6 +2286,7 @@
         self.known_hosts = known_hosts
         self.revisions = revisions
         self.work = work
+        self.deaths = deaths
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2346,6 +2349,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.deaths = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = EngineDeath()
+                        _elem88.read(iprot)
+                        self.deaths.append(_elem88)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2375,22 +2389,29 @@
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter83 in self.known_hosts:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter89 in self.known_hosts:
+                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
-            for iter84 in self.revisions:
-                iter84.write(oprot)
+            for iter90 in self.revisions:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter85 in self.work:
-                iter85.write(oprot)
+            for iter91 in self.work:
+                iter91.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.deaths is not None:
+            oprot.writeFieldBegin('deaths', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.deaths))
+            for iter92 in self.deaths:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2633,11 +2654,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = CopyItem()
-                        _elem91.read(iprot)
-                        self.items.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = CopyItem()
+                        _elem98.read(iprot)
+                        self.items.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2662,8 +2683,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter92 in self.items:
-                iter92.write(oprot)
+            for iter99 in self.items:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3181,6 +3202,7 @@
     (5, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.LIST, 'revisions', (TType.STRUCT, [CopyRevision, None], False), None, ),  # 6
     (7, TType.LIST, 'work', (TType.STRUCT, [WorkReport, None], False), None, ),  # 7
+    (8, TType.LIST, 'deaths', (TType.STRUCT, [EngineDeath, None], False), None, ),  # 8
 )
 all_structs.append(CopyItem)
 CopyItem.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -159,6 +159,7 @@
   5: list<string> known_hosts,
   6: list<CopyRevision> revisions,
   7: list<WorkReport> work,
+  8: list<EngineDeath> deaths,
 }
 
 struct CopyItem {
