The number of engines that read a prompt weighs the streams to come

Change: a plan also costs the streams that will find no engine which is not being read on, and what an answer past its deadline loses; spans use the same costs.

--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -21,7 +21,6 @@
     Candidate,
     PlacedRequest,
     PromptDemand,
-    SpanPlan,
     WorkBook,
     needs_span,
     plan_prompt,
@@ -79,6 +78,7 @@
         facts: CallerFacts,
         excluded: frozenset[EndpointId],
         now: float,
+        seconds_left: float,
     ) -> Choice | None:
         """Return an endpoint, or `None` when none may take the request."""
         usable = self._usable(route, service, excluded, now)
@@ -87,7 +87,7 @@
         self._random.shuffle(usable)
         if service.engine is None or not facts.prompt_tokens:
             return self._choose_plain(usable, now)
-        return self._choose_engines(route, service, facts, usable, now)
+        return self._choose_engines(route, service, facts, usable, now, seconds_left)
 
     def record_start(self, endpoint: EndpointId, *, now: float) -> None:
         """Count a send against the endpoint's rate."""
@@ -154,6 +154,7 @@
         facts: CallerFacts,
         usable: Sequence[AnnouncedEndpoint],
         now: float,
+        seconds_left: float,
     ) -> Choice | None:
         gap = route.gap_objective
         demand = PromptDemand(
@@ -161,25 +162,29 @@
             max_tokens=facts.max_tokens,
             first_ms=route.first_answer_objective * MILLISECONDS,
             gap_ms=None if gap is None else gap * MILLISECONDS,
+            deadline_ms=seconds_left * MILLISECONDS,
         )
         candidates = [self._candidate(endpoint, now) for endpoint in usable]
         by_id = {endpoint.id: endpoint for endpoint in usable}
-        if needs_span(demand, service.engine):
-            span = plan_span(demand, service.engine, candidates)
-            return None if span is None else _span_choice(demand, span, by_id)
-        plan = plan_prompt(demand, service.engine, candidates)
+        is_span = needs_span(demand, service.engine)
+        make_plan = plan_span if is_span else plan_prompt
+        plan = make_plan(demand, service.engine, candidates)
         if plan is None:
             return None
+        held = plan.holder_tokens * len(plan.holders)
         placed = PlacedRequest(
             lead=plan.lead,
             helpers=plan.helpers,
+            holders=plan.holders,
+            holder_tokens=plan.holder_tokens,
             part_ms=plan.part_ms,
-            kv_tokens=demand.kv_tokens,
+            kv_tokens=max(0, demand.kv_tokens - held),
             gap_ms=None if demand.gap_ms is None else int(demand.gap_ms),
         )
         return Choice(
             endpoint=by_id[plan.lead],
             helpers=tuple(by_id[helper] for helper in plan.helpers),
+            holders=tuple(by_id[holder] for holder in plan.holders),
             placed=placed,
             predicted_ms=plan.predicted_ms,
         )
@@ -195,28 +200,3 @@
 
     def _work(self, endpoint: EndpointId, now: float):
         return self._book.work(endpoint) + self._peers.work(endpoint, now=now)
-
-
-def _span_choice(
-    demand: PromptDemand,
-    span: SpanPlan,
-    by_id: dict[EndpointId, AnnouncedEndpoint],
-) -> Choice:
-    helpers = (*span.holders, *span.helpers)
-    held = span.holder_tokens * len(span.holders)
-    placed = PlacedRequest(
-        lead=span.lead,
-        helpers=helpers,
-        holders=span.holders,
-        holder_tokens=span.holder_tokens,
-        part_ms=span.part_ms,
-        kv_tokens=max(0, demand.kv_tokens - held),
-        gap_ms=None if demand.gap_ms is None else int(demand.gap_ms),
-    )
-    return Choice(
-        endpoint=by_id[span.lead],
-        helpers=tuple(by_id[helper] for helper in helpers),
-        holders=tuple(by_id[holder] for holder in span.holders),
-        placed=placed,
-        predicted_ms=span.part_ms,
-    )
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -320,6 +320,7 @@
             facts=run.facts,
             excluded=frozenset(run.tried),
             now=now,
+            seconds_left=run.ends_at - now,
         )
         if choice is None:
             raise self._without_endpoint(run)
--- a/bilberryring/platform/configuration.py
+++ b/bilberryring/platform/configuration.py
@@ -50,6 +50,11 @@
     allowed_regions: tuple[str, ...] = ()
 
 
+class _Usual(msgspec.Struct, kw_only=True):
+    # Mean number of tokens of an answer.
+    answer: float = 1_600
+
+
 class _Engine(msgspec.Struct, kw_only=True):
     slots: int
     kv_tokens: int
@@ -62,6 +67,7 @@
     # Milliseconds for each million pairs of tokens.
     pairs_per_m: float = 0.0
     chunk: int = 1
+    usual: _Usual = msgspec.field(default_factory=_Usual)
 
 
 class _Service(msgspec.Struct, kw_only=True):
@@ -206,6 +212,7 @@
         read_tokens_per_ms=engine.read_per_s / THOUSAND,
         pairs_ms=engine.pairs_per_m,
         chunk_tokens=engine.chunk,
+        usual_answer_tokens=int(engine.usual.answer),
     )
 
 
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -26,17 +26,12 @@
     TwoChoices,
     first_token_seconds,
 )
-from bilberryring.routing.prompt_plan import (
-    Candidate,
-    PromptDemand,
-    PromptPlan,
-    plan_prompt,
-)
-from bilberryring.routing.span_plan import SpanPlan, needs_span, plan_span
+from bilberryring.routing.prompt_plan import PromptPlan, plan_prompt
+from bilberryring.routing.read_cost import Candidate, PromptDemand
+from bilberryring.routing.span_plan import needs_span, plan_span
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
 __all__ = [
-    "SpanPlan",
     "needs_span",
     "plan_span",
     "Candidate",
--- a/bilberryring/routing/engine_figures.py
+++ b/bilberryring/routing/engine_figures.py
@@ -33,6 +33,13 @@
     read_tokens_per_ms: float
     pairs_ms: float
     chunk_tokens: int
+    usual_answer_tokens: int = 1_600
+
+    @property
+    def stream_ms(self) -> float:
+        """The time in which an engine writes the usual answer."""
+        step = self.step_ms + self.sequence_ms * self.slots / 2
+        return max(1.0, self.usual_answer_tokens * step)
 
     def read_ms(self, tokens: int) -> float:
         """Return the time in which one engine reads a prompt."""
