A stop finishes the streams in progress

Change: the callers' site builds the plain channel; a drain that fails is logged. The test of a stream that outlasts the balancer's time failed first.

--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -118,6 +118,9 @@
 class CallerSite(http.HTTPFactory):
     """Listens for callers; knows its open connections."""
 
+    protocol = http.HTTPChannel
+    """HTTP/1.1 alone, whose channel tells the requests in progress."""
+
     def __init__(self, *, reactor, on_request: OnRequest, idle_timeout: float):
         super().__init__(timeout=idle_timeout, reactor=reactor)
         self._request_factory = partial(
--- a/bilberryring/gateway/tests/test_requests.py
+++ b/bilberryring/gateway/tests/test_requests.py
@@ -204,6 +204,34 @@
     assert site.process("gateway-1").wait(7.0) == 0
 
 
+def test_a_stop_cuts_no_stream_that_ends_in_the_time_for_it(site):
+    """The stream lasts longer than callers keep arriving after the signal."""
+
+    def stream(request, connection):
+        connection.sendall(stream_head(request.request_id))
+        for number in range(1, 46):
+            connection.sendall(chunk(event(number)))
+            pause(0.1)
+        connection.sendall(chunk(b""))
+
+    routes = [a_route("/chat/", "streaming", MODEL_SERVICE, timeout_ms=9_000)]
+    site.publish(a_configuration(2, routes=routes))
+    site.add_endpoint("a", stream, service=MODEL_SERVICE)
+    site.start_gateway()
+    answers = []
+
+    def call():
+        answers.append(site.call("/chat/", Bilberryring_Deadline_Ms="9000"))
+
+    thread = threading.Thread(target=call)
+    thread.start()
+    pause(0.3)
+    site.process("gateway-1").terminate()
+    thread.join()
+    assert not answers[0].is_cut
+    assert answers[0].body.endswith(event(45))
+
+
 def test_a_process_that_leaves_serves_late_callers_and_closes_their_connections(site):
     site.add_endpoint("a", answer_all)
     site.start_gateway()
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -6,6 +6,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from bilberryring.core import ErrorCode, SettingsError
 from bilberryring.http import DrainableSite, make_site
@@ -72,7 +73,9 @@
         draining = Deferred.fromCoroutine(daemon.drain())
         draining.addBoth(end)
 
-    def end(_result) -> None:
+    def end(result) -> None:
+        if isinstance(result, Failure):
+            log.write(LogEvent.INTERNAL_FAULT, detail=repr(result.value))
         log.write(LogEvent.DRAIN_FINISHED)
         if reactor.running:
             reactor.stop()
