One head for each answer, also when a stream breaks before its first event

Change: the head that goes out replaces an earlier one that has not. The test with an endpoint that sends its head alone failed first with 's-1, s-1'.

--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -5,6 +5,7 @@
 
 from twisted.internet.interfaces import IPushProducer
 from twisted.web import http
+from twisted.web.http_headers import Headers
 from zope.interface import implementer
 
 from bilberryring.gateway.messages import CallerRequest, HeaderPairs
@@ -70,14 +71,19 @@
         )
 
     def start(self, status: int, reason: bytes, headers: HeaderPairs) -> None:
-        """Send the status line and the headers with the first bytes."""
+        """Send the status line and the headers with the first bytes.
+
+        A second call before those replaces what the first one set.
+        """
         self.setResponseCode(status, reason or None)
+        self.responseHeaders = Headers()
         for name, value in headers:
             self.responseHeaders.addRawHeader(name, value)
+        if not self.channel.persistent:
+            self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
     def close_after(self) -> None:
         """Have the connection closed after this answer, and say so."""
-        self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
         self.channel.persistent = False
 
     def throttle(self, source) -> None:
--- a/bilberryring/gateway/tests/test_answers.py
+++ b/bilberryring/gateway/tests/test_answers.py
@@ -199,6 +199,23 @@
     assert "3" in resumed
 
 
+def test_the_head_of_a_stream_that_broke_before_its_first_event_is_dropped(site):
+    """The caller gets one head: that of the endpoint whose events follow."""
+
+    def head_alone(request, connection):
+        connection.sendall(stream_head(request.request_id))
+        pause(0.05)
+        reset(connection)
+
+    site.add_endpoint("a", head_alone, service=MODEL_SERVICE)
+    site.add_endpoint("b", stream_of(range(1, 3)), service=MODEL_SERVICE)
+    site.start_gateway()
+    for _ in range(3):
+        answer = site.call("/chat/")
+        assert answer.body == event(1) + event(2)
+        assert answer.headers["bilberryring-response-stamp"] == "s-1"
+
+
 def test_a_cut_stream_never_looks_whole(site):
     broken = stream_of(range(1, 4), is_whole=False)
     start_with(site, broken, service=MODEL_SERVICE)
--- a/bilberryring/testing/gateway_site.py
+++ b/bilberryring/testing/gateway_site.py
@@ -282,7 +282,10 @@
         response = connection.getresponse()
     except (OSError, http.client.HTTPException):
         return CallerAnswer(status=0, headers={}, body=b"", is_cut=True)
-    headers = {name.lower(): value for name, value in response.getheaders()}
+    headers = {
+        name.lower(): ", ".join(response.headers.get_all(name))
+        for name in response.headers
+    }
     try:
         body, is_cut = response.read(), False
     except http.client.IncompleteRead as error:
