--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -7,6 +7,7 @@
 from bilberryring.core import ErrorCode, SettingsError, new_incarnation
 from bilberryring.fleet import AnnouncedEndpoint, FleetState, Workspace
 from bilberryring.gateway.caller_site import CallerExchange, CallerSite
+from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.endpoint_pool import EndpointPool
@@ -17,10 +18,12 @@
 from bilberryring.gateway.reservations import Reservations
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.operator_site import metrics_resource
 from bilberryring.process.running import Listeners
 from bilberryring.routing import WorkBook
 from bilberryring.telemetry import (
     FIRST_TOKEN_BOUNDS,
+    BoundedOutput,
     EventLog,
     LogEvent,
     Metrics,
@@ -51,11 +54,13 @@
         codec: HeaderCodec,
         adapter_type,
         reload_settings=None,
+        output: BoundedOutput | None = None,
     ):
         self._reactor = reactor
         self._settings = settings
         self._log = log
         self._reload_settings = reload_settings
+        self._output = output
         self._fleet = FleetState()
         self._book = WorkBook()
         self._health = EndpointHealth()
@@ -72,6 +77,7 @@
         )
         incarnation = new_incarnation()
         crashes = CrashRecord(clock=reactor)
+        self._counters = GatewayCounters(metrics=self._metrics)
         self._peers = PeerExchange(
             reactor=reactor,
             settings=settings,
@@ -119,6 +125,7 @@
             log=log,
             on_work_changed=self._peers.changed,
             observe=self._observe,
+            counters=self._counters,
         )
         self._site = CallerSite(
             reactor=reactor, on_request=self._forwarder.accept, idle_timeout=15.0
@@ -151,6 +158,11 @@
             self._listeners.listen(
                 settings.ready_address, self._ready_site, key="ready_address"
             )
+            self._listeners.listen_http(
+                settings.metrics_address,
+                metrics_resource(self._metrics),
+                key="metrics_address",
+            )
             self._peers.start()
         except CannotListenError as error:
             raise SettingsError(
@@ -161,6 +173,7 @@
         self._log.write(
             LogEvent.PROCESS_STARTED,
             caller_address=settings.caller_address,
+            metrics_address=settings.metrics_address,
             failure_domain=settings.failure_domain,
         )
 
@@ -218,6 +231,13 @@
     def _keep_house(self) -> None:
         self._adapter.expire()
         self._pool.close_expired()
+        self._log_dropped()
+        self._counters.set_totals(
+            store_calls=self._adapter.store_calls,
+            connections=self._pool.opened,
+            reports=self._peers.sent,
+            in_progress=self._forwarder.in_progress,
+        )
         configuration = self._fleet.configuration
         if configuration is not None:
             self._site.set_idle_timeout(configuration.limits.idle_timeout)
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -19,6 +19,7 @@
     Workspace,
 )
 from bilberryring.gateway.caller_site import CallerExchange
+from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.crash_record import CrashRecord, fingerprint_of
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.endpoint_connection import EndpointAnswer
@@ -64,13 +65,13 @@
 MAX_HELD_BYTES = 1024 * 1024
 """Bytes of an answer that are held until it is whole, so that a cut one can be
 repeated; larger answers are passed on as they come."""
-FIRST_SILENCE_FACTOR = 3.0
+FIRST_SILENCE_FACTOR = 2.0
 """Multiple of the first answer's objective after which a silent endpoint is
 given up, where the request may be repeated."""
-FIRST_SILENCE_SECONDS = 0.8
-GAP_SILENCE_FACTOR = 4.0
+FIRST_SILENCE_SECONDS = 0.5
+GAP_SILENCE_FACTOR = 3.0
 """Multiple of the gap objective after which a silent stream is given up."""
-GAP_SILENCE_SECONDS = 0.5
+GAP_SILENCE_SECONDS = 0.25
 HELD_BACK_SECONDS = 60.0
 """Seconds after which a request that ended endpoints may come again."""
 SERVER_ERROR = 500
@@ -160,6 +161,7 @@
         log: EventLog,
         on_work_changed,
         observe,
+        counters: GatewayCounters,
     ):
         self._reactor = reactor
         self._settings = settings
@@ -175,6 +177,7 @@
         self._log = log
         self._on_work_changed = on_work_changed
         self._observe = observe
+        self._counters = counters
         self._windows: dict[ServiceName, RetryWindow] = {}
         self._tasks: set[Deferred] = set()
         self._is_draining = False
@@ -381,6 +384,7 @@
         )
         run.sends += 1
         self._chooser.record_start(choice.endpoint.id, now=now)
+        self._health.record_start(choice.endpoint.id, now=now)
         self._log_send(run, choice, left)
         expected = run.request_id
 
@@ -624,6 +628,7 @@
         )
 
     def _log_attempt_failed(self, run: RequestRun, choice: Choice, reason: str) -> None:
+        self._counters.count_failed_attempt(reason)
         self._log.write(
             LogEvent.ATTEMPT_FAILED,
             request=run.request_id,
@@ -637,6 +642,7 @@
         first = run.first_answer_at or now
         first_seconds = first - run.request.received_at
         self._observe(run.route.name, run.workspace, first_seconds)
+        self._counters.count_request(run.route.name, str(run.status))
         self._log.write(
             LogEvent.REQUEST_FINISHED,
             request=run.request_id,
@@ -649,10 +655,12 @@
     def _log_failure(
         self, facts: CallerFacts, run: RequestRun | None, error: ServingError
     ) -> None:
+        route = run.route.name if run else ""
+        self._counters.count_request(route, error.code.value)
         self._log.write(
             LogEvent.REQUEST_FAILED,
             request=facts.request_id,
-            route=run.route.name if run else "",
+            route=route,
             code=error.code.value,
             outcome=error.outcome.value,
             sends=run.sends if run else 0,
--- a/bilberryring/gateway/settings.py
+++ b/bilberryring/gateway/settings.py
@@ -38,6 +38,11 @@
     regions_by_domain: tuple[tuple[str, str], ...] = ()
     bounds: GatewayBounds = GatewayBounds()
 
+    @property
+    def metrics_address(self) -> str:
+        """Where metrics are served."""
+        return f"{self.host}:{self.metrics_port}"
+
     def region_of(self, failure_domain: str) -> str:
         """Return the region of a failure domain; unknown ones are in ours."""
         return dict(self.regions_by_domain).get(failure_domain, self.region)
--- a/bilberryring/gateway/tests/test_requests.py
+++ b/bilberryring/gateway/tests/test_requests.py
@@ -252,3 +252,14 @@
     site.process("gateway-1").hang_up()
     wait_until(lambda: site.log_events(event="settings_reloaded"), 2.0, "the settings")
     assert site.call("/look/").status == 200
+
+
+def test_counters_and_histograms_are_on_the_metrics_address(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    for path in ("/look/", "/look/", "/nowhere/"):
+        site.call(path)
+    text = site.metrics()
+    assert 'requests_total{ending="200",route="r-look"} 2' in text
+    assert 'requests_total{ending="path_unknown",route=""} 1' in text
+    assert 'first_answer_seconds_count{route="r-look",workspace="bars"} 2' in text
--- a/bilberryring/membership/endpoint_health.py
+++ b/bilberryring/membership/endpoint_health.py
@@ -18,6 +18,8 @@
 
 FIRST_AVOID_SECONDS = 0.5
 LONGEST_AVOID_SECONDS = 4.0
+TRIAL_SECONDS = 1.5
+"""Seconds for which one request alone tries an endpoint that broke off before."""
 MEMORY = 0.8
 """Weight of the earlier attempts against the last one."""
 
@@ -45,6 +47,12 @@
         record = self._records.get(endpoint)
         return record is not None and now < record.avoid_until
 
+    def record_start(self, endpoint: str, *, now: float) -> None:
+        """Note an attempt: after a break it is a trial, and the only one."""
+        record = self._records.get(endpoint)
+        if record is not None and record.breaks_in_row:
+            record.avoid_until = max(record.avoid_until, now + TRIAL_SECONDS)
+
     def record_success(self, endpoint: str) -> None:
         """Note a whole answer."""
         record = self._records.get(endpoint)
--- a/bilberryring/platform/process.py
+++ b/bilberryring/platform/process.py
@@ -32,6 +32,7 @@
             codec=HttpHeaderCodec(),
             adapter_type=PlatformAdapter,
             reload_settings=load_settings,
+            output=output,
         )
         daemon.start()
     except SettingsError as error:
--- a/bilberryring/platform/settings.py
+++ b/bilberryring/platform/settings.py
@@ -1,5 +1,6 @@
 """The settings file of the platform, decoded into the gateway's settings."""
 
+import os
 import tomllib
 from pathlib import Path
 
@@ -10,6 +11,8 @@
 
 DEFAULT_INTERNAL_PORT = 7340
 METRICS_PORT_OFFSET = 1
+METRICS_PORT_VARIABLE = "BILBERRYRING_METRICS_PORT"
+"""Names the metrics port where the deploy file must know it."""
 
 
 class _Listen(msgspec.Struct, kw_only=True):
@@ -75,7 +78,7 @@
         caller_address=content.listen.front,
         ready_address=content.listen.ready,
         peer_port=first_port,
-        metrics_port=first_port + METRICS_PORT_OFFSET,
+        metrics_port=_metrics_port(first_port),
         platform_address=content.platform.address,
         seed_hosts=tuple(seed.rsplit(":", 1)[0] for seed in content.seeds),
         regions_by_domain=tuple(content.zones.items()),
@@ -83,6 +86,15 @@
     )
 
 
+def _metrics_port(first_port: int) -> int:
+    named = os.environ.get(METRICS_PORT_VARIABLE, "")
+    if not named:
+        return first_port + METRICS_PORT_OFFSET
+    if not named.isdigit():
+        raise _error(METRICS_PORT_VARIABLE, f"{named!r} is not a port")
+    return int(named)
+
+
 def _bounds(bounds: _Bounds) -> GatewayBounds:
     return GatewayBounds(
         drain_seconds=bounds.grace_s,
--- a/bilberryring/testing/gateway_site.py
+++ b/bilberryring/testing/gateway_site.py
@@ -250,6 +250,14 @@
         connection.request(method, path, body, request_headers() | named)
         return read_answer(connection)
 
+    def metrics(self, number: int = 1) -> str:
+        """Return what a gateway serves on its metrics address."""
+        connection = http.client.HTTPConnection(
+            self._host(number), self._peer_port + 1, timeout=ANSWER_SECONDS
+        )
+        connection.request("GET", "/metrics")
+        return connection.getresponse().read().decode()
+
     def log_events(self, number: int = 1, event: str | None = None) -> list[dict]:
         """Return the log lines of a gateway."""
         text = (self._directory / f"gateway-{number}.out").read_text("utf-8")
