A prompt that would come too late is refused at once

Change: such a prompt is refused before it is sent, with the time in which the backlog is read as Retry-After; failures count for more in the share that decides where prompts go.

--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -41,6 +41,7 @@
     helpers: tuple[AnnouncedEndpoint, ...]
     placed: PlacedRequest
     predicted_ms: float
+    backlog_ms: float = 0.0
     holders: tuple[AnnouncedEndpoint, ...] = ()
 
     @property
@@ -187,6 +188,7 @@
             holders=tuple(by_id[holder] for holder in plan.holders),
             placed=placed,
             predicted_ms=plan.predicted_ms,
+            backlog_ms=plan.backlog_ms,
         )
 
     def _candidate(self, endpoint: AnnouncedEndpoint, now: float) -> Candidate:
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from bilberryring.core import ErrorCode, Fingerprint, RequestId, ServingError
 from bilberryring.execution import RetryWindow
 from bilberryring.fleet import (
+    MILLISECONDS,
     AnnouncedEndpoint,
     EndpointId,
     FleetState,
@@ -74,6 +75,8 @@
 GAP_SILENCE_SECONDS = 0.25
 HELD_BACK_SECONDS = 60.0
 """Seconds after which a request that ended endpoints may come again."""
+HOPELESS_SHARE = 0.9
+"""Share of the time left after which a predicted first token is refused."""
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
 
@@ -327,6 +330,8 @@
         )
         if choice is None:
             raise self._without_endpoint(run)
+        if not run.sends:
+            _check_in_time(choice, run.ends_at - now)
         return choice
 
     async def _attempt(self, run: RequestRun, choice: Choice) -> None:
@@ -565,7 +570,12 @@
         return not_run(ErrorCode.NO_ENDPOINT, retry_after=2 * SOON_SECONDS)
 
     def _note_refusal(self, run: RequestRun, choice: Choice, refused: _NotRun) -> None:
-        self._log_attempt_failed(run, choice, f"not_run_{refused.facts.status}")
+        self._log_attempt_failed(
+            run,
+            choice,
+            f"not_run_{refused.facts.status}",
+            culprit=refused.facts.culprit,
+        )
         if refused.facts.is_misdirected:
             self._health.record_break(choice.endpoint.id, now=self._reactor.seconds())
             return
@@ -627,7 +637,9 @@
             configuration=self._fleet.configuration.version,
         )
 
-    def _log_attempt_failed(self, run: RequestRun, choice: Choice, reason: str) -> None:
+    def _log_attempt_failed(
+        self, run: RequestRun, choice: Choice, reason: str, culprit: str = ""
+    ) -> None:
         self._counters.count_failed_attempt(reason)
         self._log.write(
             LogEvent.ATTEMPT_FAILED,
@@ -635,6 +647,8 @@
             endpoint=choice.endpoint.id,
             attempt=run.sends,
             reason=reason,
+            culprit=culprit,
+            helpers=[helper.id for helper in choice.helpers],
         )
 
     def _log_end(self, run: RequestRun) -> None:
@@ -669,6 +683,19 @@
         )
 
 
+def _check_in_time(choice: Choice, seconds_left: float) -> None:
+    """Refuse at once what would not begin before its caller gives up."""
+    predicted = choice.predicted_ms / MILLISECONDS
+    if predicted <= HOPELESS_SHARE * seconds_left:
+        return
+    backlog = choice.backlog_ms / MILLISECONDS
+    raise not_run(
+        ErrorCode.TOO_LATE,
+        detail=f"the first token would come in {predicted:.1f} s",
+        retry_after=max(SOON_SECONDS, backlog) if backlog else None,
+    )
+
+
 def _helper_names(choice: Choice, hold: Hold | None) -> tuple[str, ...]:
     """Return the helpers' addresses, with the reservations that they keep."""
     tickets = hold.tickets if hold else {}
--- a/bilberryring/gateway/tests/test_requests.py
+++ b/bilberryring/gateway/tests/test_requests.py
@@ -254,6 +254,17 @@
     assert site.call("/look/").status == 200
 
 
+def test_a_prompt_that_would_come_too_late_is_refused_at_once(site):
+    endpoint = site.add_endpoint("a", never, service=MODEL_SERVICE)
+    site.start_gateway()
+    started = time.monotonic()
+    answer = site.call("/chat/", Bilberryring_Token_Usage="250000,800")
+    assert answer.status == 503
+    assert b"too_late" in answer.body
+    assert time.monotonic() - started < 0.3
+    assert not endpoint.seen
+
+
 def test_counters_and_histograms_are_on_the_metrics_address(site):
     site.add_endpoint("a", answer_all)
     site.start_gateway()
--- a/bilberryring/membership/endpoint_health.py
+++ b/bilberryring/membership/endpoint_health.py
@@ -20,7 +20,7 @@
 LONGEST_AVOID_SECONDS = 4.0
 TRIAL_SECONDS = 1.5
 """Seconds for which one request alone tries an endpoint that broke off before."""
-MEMORY = 0.8
+MEMORY = 0.7
 """Weight of the earlier attempts against the last one."""
 
 
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -43,6 +43,7 @@
 class PromptPlan:
     """The choice: who leads, who helps, and what was predicted.
 
+    `backlog_ms` is the part of the prediction that others' prompts cause.
     `holders` are the helpers that keep `holder_tokens` of memory each.
     """
 
@@ -51,6 +52,7 @@
     part_ms: float
     predicted_ms: float
     cost: float
+    backlog_ms: float = 0.0
     holders: tuple[str, ...] = ()
     holder_tokens: int = 0
 
@@ -96,7 +98,8 @@
         key=lambda item: item.helper_cost,
     )
     helpers = rest[: parts - 1]
-    predicted = predicted_ms(figures, lead, helpers, part_ms)
+    backlog = backlog_ms(lead, helpers)
+    predicted = backlog + part_ms + first_pass_ms(figures, lead)
     cost = sum(item.helper_cost for item in helpers)
     cost += _lead_cost(prompt, figures, lead)
     cost += lateness_cost(prompt, predicted)
@@ -107,19 +110,18 @@
         part_ms=part_ms,
         predicted_ms=predicted,
         cost=cost,
+        backlog_ms=backlog,
     )
 
 
-def predicted_ms(
-    figures: EngineFigures,
-    lead: ScoredCandidate,
-    helpers: Sequence[ScoredCandidate],
-    part_ms: float,
-) -> float:
-    """Return the time to the first token: the last part, then one pass."""
-    slowest = max(item.wait_ms for item in (lead, *helpers))
-    own_pass = pass_ms(figures, lead.candidate.work)
-    return slowest + part_ms + own_pass + lead.candidate.delay_ms
+def backlog_ms(lead: ScoredCandidate, helpers: Sequence[ScoredCandidate]) -> float:
+    """Return the time until the last engine begins to read its part."""
+    return max(item.wait_ms for item in (lead, *helpers))
+
+
+def first_pass_ms(figures: EngineFigures, lead: ScoredCandidate) -> float:
+    """Return the time from the last part to the first token at the caller."""
+    return pass_ms(figures, lead.candidate.work) + lead.candidate.delay_ms
 
 
 def _lead_cost(
--- a/bilberryring/routing/span_plan.py
+++ b/bilberryring/routing/span_plan.py
@@ -10,7 +10,12 @@
 from collections.abc import Sequence
 
 from bilberryring.routing.engine_figures import EngineFigures
-from bilberryring.routing.prompt_plan import PromptPlan, part_counts, predicted_ms
+from bilberryring.routing.prompt_plan import (
+    PromptPlan,
+    backlog_ms,
+    first_pass_ms,
+    part_counts,
+)
 from bilberryring.routing.read_cost import (
     Candidate,
     PromptDemand,
@@ -62,7 +67,8 @@
     lead, holders, tokens = split
     helpers = [item for item in readers if item is not lead and item not in holders]
     others = [*holders, *helpers]
-    predicted = predicted_ms(figures, lead, others, part_ms)
+    backlog = backlog_ms(lead, others)
+    predicted = backlog + part_ms + first_pass_ms(figures, lead)
     cost = sum(item.helper_cost for item in readers)
     cost += lateness_cost(prompt, predicted)
     cost += crowding_cost(figures, candidates, parts=parts, part_ms=part_ms)
@@ -72,6 +78,7 @@
         part_ms=part_ms,
         predicted_ms=predicted,
         cost=cost,
+        backlog_ms=backlog,
         holders=tuple(item.candidate.endpoint for item in holders),
         holder_tokens=tokens,
     )
