Regular work goes on after a fault; pauses and changed settings are noticed

Cause: since the metrics were added, housekeeping called a method that did not exist and its loop ended in silence: endpoints that lapsed were never dropped and idle times never set (found by the test of a settings file that changes without a signal, which failed first).

Change: a fault in regular work is logged and the work goes on; a test wants no fault in the log. A settings file that changed is read without a signal. After a pause of the process or its VM the store is asked anew.

--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -1,7 +1,7 @@
 """The gateway's process: its listeners, its tasks, and its end."""
 
 from twisted.internet.error import CannotListenError
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 from twisted.web import http
 
 from bilberryring.core import ErrorCode, SettingsError, new_incarnation
@@ -18,7 +18,9 @@
 from bilberryring.gateway.reservations import Reservations
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.loops import start_loop
 from bilberryring.process.operator_site import metrics_resource
+from bilberryring.process.pauses import PauseDetector
 from bilberryring.process.running import Listeners
 from bilberryring.routing import WorkBook
 from bilberryring.telemetry import (
@@ -54,13 +56,17 @@
         codec: HeaderCodec,
         adapter_type,
         reload_settings=None,
+        settings_version=None,
         output: BoundedOutput | None = None,
     ):
         self._reactor = reactor
         self._settings = settings
         self._log = log
         self._reload_settings = reload_settings
+        self._settings_version = settings_version
+        self._seen_version = settings_version() if settings_version else 0
         self._output = output
+        self._pauses = PauseDetector()
         self._fleet = FleetState()
         self._book = WorkBook()
         self._health = EndpointHealth()
@@ -134,8 +140,6 @@
             reactor=reactor, on_request=self._answer_ready, idle_timeout=15.0
         )
         self._listeners = Listeners(reactor=reactor)
-        self._loop = LoopingCall(self._keep_house)
-        self._loop.clock = reactor
         self._is_draining = False
         self._was_ready = False
 
@@ -169,7 +173,12 @@
                 code=ErrorCode.ADDRESS_IN_USE, key="peer_port", detail=str(error)
             )
         self._adapter.start()
-        self._loop.start(HOUSEKEEPING_SECONDS)
+        start_loop(
+            reactor=self._reactor,
+            work=self._keep_house,
+            seconds=HOUSEKEEPING_SECONDS,
+            log=self._log,
+        )
         self._log.write(
             LogEvent.PROCESS_STARTED,
             caller_address=settings.caller_address,
@@ -229,6 +238,8 @@
         exchange.end()
 
     def _keep_house(self) -> None:
+        self._check_pause()
+        self._check_settings()
         self._adapter.expire()
         self._pool.close_expired()
         self._log_dropped()
@@ -249,6 +260,27 @@
                 endpoints=len(self._fleet.endpoints.all),
             )
 
+    def _check_pause(self) -> None:
+        """Ask anew for what may have changed while this process stood still."""
+        seconds = self._pauses.tick()
+        if seconds:
+            self._log.write(LogEvent.PROCESS_PAUSED, seconds=round(seconds, 2))
+            self._adapter.refresh()
+
+    def _check_settings(self) -> None:
+        """Take a settings file that changed without a signal."""
+        if self._settings_version is None:
+            return
+        version = self._settings_version()
+        if version not in (0, self._seen_version):
+            self._seen_version = version
+            self.reload()
+
+    def _log_dropped(self) -> None:
+        dropped = self._output.take_dropped() if self._output else 0
+        if dropped:
+            self._log.write(LogEvent.LOG_LINES_DROPPED, lines=dropped)
+
     def _observe(self, route: str, workspace: Workspace | None, seconds: float) -> None:
         name = workspace.name if workspace else ""
         self._first_answers.observe((route, name), seconds)
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -14,6 +14,7 @@
 from bilberryring.gateway.peer_view import EndpointDeath, PeerReport, PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.process.loops import start_loop
 from bilberryring.routing import EndpointWork, WorkBook, WriterGroup
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
@@ -65,8 +66,7 @@
         self._sequence = 0
         self._pending = None
         self._is_copying = False
-        self._loop = LoopingCall(self._tick)
-        self._loop.clock = reactor
+        self._loop: LoopingCall | None = None
         self._sent = 0
         self._listener = None
 
@@ -82,11 +82,16 @@
         self._listener = self._reactor.listenTCP(
             port, _CopyFactory(copies=self._copies), interface=host
         )
-        self._loop.start(REPORT_SECONDS)
+        self._loop = start_loop(
+            reactor=self._reactor,
+            work=self._tick,
+            seconds=REPORT_SECONDS,
+            log=self._log,
+        )
 
     def stop(self) -> None:
         """Send nothing more."""
-        if self._loop.running:
+        if self._loop is not None and self._loop.running:
             self._loop.stop()
 
     def changed(self) -> None:
--- a/bilberryring/gateway/tests/test_requests.py
+++ b/bilberryring/gateway/tests/test_requests.py
@@ -254,6 +254,25 @@
     assert site.call("/look/").status == 200
 
 
+def test_a_settings_file_that_changes_without_a_signal_is_read(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.touch_settings()
+    wait_until(lambda: site.log_events(event="settings_reloaded"), 2.0, "the settings")
+
+
+def test_a_process_that_stood_still_asks_anew(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    site.process("gateway-1").freeze()
+    tenants = [{"name": "bars", "api_keys": ["another"], "priority": 1}]
+    site.publish(a_configuration(2, tenants=tenants))
+    pause(2.0)
+    site.process("gateway-1").thaw()
+    wait_until(lambda: site.call("/look/").status == 401, 1.0, "the revoked key")
+    assert site.log_events(event="process_paused")
+
+
 def test_a_prompt_that_would_come_too_late_is_refused_at_once(site):
     endpoint = site.add_endpoint("a", never, service=MODEL_SERVICE)
     site.start_gateway()
@@ -265,6 +284,15 @@
     assert not endpoint.seen
 
 
+def test_no_fault_of_its_own_is_in_the_log(site):
+    site.add_endpoint("a", answer_all)
+    site.start_gateway()
+    pause(0.6)
+    assert site.call("/look/").status == 200
+    assert site.log_events(event="process_ready")
+    assert not site.log_events(event="internal_fault")
+
+
 def test_counters_and_histograms_are_on_the_metrics_address(site):
     site.add_endpoint("a", answer_all)
     site.start_gateway()
--- a/bilberryring/platform/adapter.py
+++ b/bilberryring/platform/adapter.py
@@ -36,6 +36,14 @@
     return Path(path)
 
 
+def settings_version() -> int:
+    """Return a number that changes with the settings file; 0 when it is gone."""
+    try:
+        return settings_path().stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
 def load_settings() -> GatewaySettings:
     """Return the settings of this process."""
     return read_settings(settings_path())
@@ -124,6 +132,11 @@
         for watch in self._watches:
             watch.stop()
 
+    def refresh(self) -> None:
+        """Ask the store anew: this process was paused."""
+        for watch in self._watches:
+            watch.refresh()
+
     def expire(self) -> None:
         """Drop what has not been renewed; called regularly."""
         self._translator.expire()
--- a/bilberryring/platform/process.py
+++ b/bilberryring/platform/process.py
@@ -11,6 +11,7 @@
     HttpHeaderCodec,
     PlatformAdapter,
     load_settings,
+    settings_version,
 )
 from bilberryring.process.running import run_until_drained
 from bilberryring.telemetry import EventLog, standard_output
@@ -32,6 +33,7 @@
             codec=HttpHeaderCodec(),
             adapter_type=PlatformAdapter,
             reload_settings=load_settings,
+            settings_version=settings_version,
             output=output,
         )
         daemon.start()
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -91,6 +91,7 @@
         self._entry_count = entry_count
         self._revision: int | None = None
         self._task: Deferred | None = None
+        self._call: Deferred[Listing] | None = None
 
     def start(self) -> None:
         """Begin to list and watch."""
@@ -101,6 +102,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    def refresh(self) -> None:
+        """Give the present watch up and ask anew: it may have gone silent."""
+        if self._call is not None:
+            self._call.cancel()
+
     async def _run(self) -> None:
         delay = FIRST_RETRY_SECONDS
         while True:
@@ -137,7 +143,13 @@
 
     async def _watch(self, after: int) -> Listing:
         wait = 0.0 if self._health.is_failing(self._prefix) else self._wait_seconds()
-        listing = await self._store.watch(self._prefix, after=after, wait=wait)
+        self._call = Deferred.fromCoroutine(
+            self._store.watch(self._prefix, after=after, wait=wait)
+        )
+        try:
+            listing = await self._call
+        finally:
+            self._call = None
         self._health.record_success(self._prefix)
         self._copies.apply(self._prefix, listing.items)
         if listing.items:
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -15,6 +15,7 @@
 
     PROCESS_STARTED = (100, "info", "The process listens on its addresses")
     PROCESS_READY = (101, "info", "The process has a set in force and takes work")
+    PROCESS_PAUSED = (102, "warning", "The process or its VM stood still")
     DRAIN_STARTED = (110, "info", "The process refuses new work and ends what runs")
     DRAIN_FINISHED = (111, "info", "Nothing runs any more; the process ends")
     DRAIN_CUT_SHORT = (112, "warning", "A second signal ended the process at once")
--- a/bilberryring/testing/gateway_site.py
+++ b/bilberryring/testing/gateway_site.py
@@ -170,6 +170,11 @@
                 lambda: self.is_ready(number), READY_SECONDS, f"{name} to be ready"
             )
 
+    def touch_settings(self, number: int = 1) -> None:
+        """Write a gateway's settings file again, without a signal."""
+        path = self._directory / f"gateway-{number}.toml"
+        path.write_text(path.read_text("utf-8") + "# again\n", "utf-8")
+
     def add_endpoint(self, name: str, script, **changes) -> ScriptedEndpoint:
         """Start an endpoint and announce it."""
         endpoint = ScriptedEndpoint(script=script)
