--- /dev/null
+++ b/bilberryring/fleet/tests/test_replica.py
@@ -0,0 +1,70 @@
+"""Copies that take changes and whole copies from each other in any order."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from bilberryring.fleet import PublishedItem, Replica
+
+KEYS = st.sampled_from(["a", "b", "c"])
+READERS = st.integers(min_value=0, max_value=2)
+
+
+class ReplicasMachine(RuleBasedStateMachine):
+    """A store with its history, and three readers that fall behind."""
+
+    def __init__(self):
+        super().__init__()
+        self.history: list[PublishedItem] = []
+        self.readers = [Replica() for _ in range(3)]
+        self.read_to = [0, 0, 0]
+        self.seen = [0, 0, 0]
+
+    def state_at(self, revision):
+        state: dict[str, bytes] = {}
+        for item in self.history[:revision]:
+            if item.value is None:
+                state.pop(item.key, None)
+            else:
+                state[item.key] = item.value
+        return state
+
+    @rule(key=KEYS, value=st.one_of(st.none(), st.binary(max_size=2)))
+    def write(self, key, value):
+        revision = len(self.history) + 1
+        self.history.append(PublishedItem(key=key, revision=revision, value=value))
+
+    @rule(reader=READERS)
+    def watch(self, reader):
+        self.readers[reader].apply(self.history[self.read_to[reader] :])
+        self.read_to[reader] = len(self.history)
+
+    @rule(reader=READERS)
+    def list_anew(self, reader):
+        revision = len(self.history)
+        latest = {item.key: item for item in self.history}
+        items = [item for item in latest.values() if item.value is not None]
+        self.readers[reader].replace(items, revision=revision)
+        self.read_to[reader] = revision
+
+    @rule(reader=READERS, peer=READERS)
+    def copy_from_peer(self, reader, peer):
+        mine, theirs = self.readers[reader], self.readers[peer]
+        if theirs.revision > mine.revision:
+            mine.replace(theirs.items, revision=theirs.revision)
+
+    @invariant()
+    def each_reader_holds_one_state_of_the_store(self):
+        for reader in self.readers:
+            held = {item.key: item.value for item in reader.items}
+            assert held == self.state_at(reader.revision)
+
+    @invariant()
+    def no_reader_goes_back(self):
+        for number, reader in enumerate(self.readers):
+            assert reader.revision >= self.seen[number]
+            self.seen[number] = reader.revision
+
+
+TestReplicas = ReplicasMachine.TestCase
+TestReplicas.settings = settings(max_examples=60, deadline=None, derandomize=True)
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -4,17 +4,27 @@
 from twisted.internet.task import deferLater
 from twisted.web import http
 
-from bilberryring.core import ErrorCode, SettingsError, new_incarnation
+from bilberryring.core import (
+    ErrorCode,
+    Incarnation,
+    SettingsError,
+    new_incarnation,
+)
 from bilberryring.fleet import AnnouncedEndpoint, FleetState, Workspace
+from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.caller_site import CallerExchange, CallerSite
 from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.endpoint_pool import EndpointPool
-from bilberryring.gateway.forwarding import Forwarder, HeaderCodec
+from bilberryring.gateway.forwarding import Forwarder
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.peers import PeerExchange
 from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.repeat_rules import RepeatRules
+from bilberryring.gateway.request_gate import RequestGate
+from bilberryring.gateway.request_log import RequestLog
+from bilberryring.gateway.request_run import HeaderCodec
 from bilberryring.gateway.reservations import Reservations
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.membership import EndpointHealth
@@ -104,44 +114,68 @@
             on_gone=self._endpoint_gone,
         )
         self._copies.on_changed(lambda replica, keys: self._peers.changed())
-        self._forwarder = Forwarder(
-            reactor=reactor,
-            settings=settings,
+        self._forwarder = self._build_forwarder(codec, crashes, incarnation)
+        self._site = CallerSite(
+            reactor=reactor, on_request=self._forwarder.accept, idle_timeout=15.0
+        )
+        self._ready_site = CallerSite(
+            reactor=reactor, on_request=self._answer_ready, idle_timeout=15.0
+        )
+        self._listeners = Listeners(reactor=reactor)
+        self._is_draining = False
+        self._was_ready = False
+
+    def _build_forwarder(
+        self, codec: HeaderCodec, crashes: CrashRecord, incarnation: Incarnation
+    ) -> Forwarder:
+        chooser = EndpointChooser(
+            settings=self._settings,
+            fleet=self._fleet,
+            book=self._book,
+            peers=self._view,
+            health=self._health,
+        )
+        rules = RepeatRules(
+            clock=self._reactor, bounds=self._settings.bounds, peers=self._view
+        )
+        log = RequestLog(
+            clock=self._reactor,
+            log=self._log,
+            counters=self._counters,
+            observe=self._observe,
+        )
+        attempts = AttemptRunner(
+            reactor=self._reactor,
             codec=codec,
             fleet=self._fleet,
-            chooser=EndpointChooser(
-                settings=settings,
-                fleet=self._fleet,
-                book=self._book,
-                peers=self._view,
-                health=self._health,
-            ),
+            chooser=chooser,
             pool=self._pool,
             book=self._book,
-            peers=self._view,
             health=self._health,
             reservations=Reservations(
-                reactor=reactor,
+                reactor=self._reactor,
                 pool=self._pool,
                 codec=codec,
-                log=log,
+                log=self._log,
                 run=incarnation[:8],
             ),
             crashes=crashes,
+            rules=rules,
             log=log,
             on_work_changed=self._peers.changed,
-            observe=self._observe,
-            counters=self._counters,
         )
-        self._site = CallerSite(
-            reactor=reactor, on_request=self._forwarder.accept, idle_timeout=15.0
-        )
-        self._ready_site = CallerSite(
-            reactor=reactor, on_request=self._answer_ready, idle_timeout=15.0
+        return Forwarder(
+            reactor=self._reactor,
+            codec=codec,
+            gate=RequestGate(fleet=self._fleet, crashes=crashes),
+            rules=rules,
+            chooser=chooser,
+            attempts=attempts,
+            pool=self._pool,
+            health=self._health,
+            crashes=crashes,
+            log=log,
         )
-        self._listeners = Listeners(reactor=reactor)
-        self._is_draining = False
-        self._was_ready = False
 
     @property
     def is_ready(self) -> bool:
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -12,6 +12,7 @@
     FleetState,
     Route,
     Service,
+    Workspace,
 )
 from bilberryring.gateway.messages import CallerFacts
 from bilberryring.gateway.peer_view import PeerView
@@ -76,13 +77,15 @@
         *,
         route: Route,
         service: Service,
+        workspace: Workspace | None,
         facts: CallerFacts,
         excluded: frozenset[EndpointId],
         now: float,
         seconds_left: float,
     ) -> Choice | None:
         """Return an endpoint, or `None` when none may take the request."""
-        usable = self._usable(route, service, excluded, now)
+        homes = [set(owner.regions) for owner in (route, workspace) if owner]
+        usable = self._usable(homes, service, excluded, now)
         if not usable:
             return None
         self._random.shuffle(usable)
@@ -96,7 +99,7 @@
 
     def _usable(
         self,
-        route: Route,
+        homes: list[set[str]],
         service: Service,
         excluded: frozenset[EndpointId],
         now: float,
@@ -106,7 +109,7 @@
             endpoint
             for endpoint in self._fleet.endpoints.usable(service.name)
             if endpoint.id not in excluded
-            and self._is_home(route, endpoint)
+            and self._is_home(homes, endpoint)
             and (
                 per_second is None
                 or self._starts.may_start(endpoint.id, now=now, per_second=per_second)
@@ -130,10 +133,10 @@
             entries=self._peers.entry_count(now=now),
         )
 
-    def _is_home(self, route: Route, endpoint: AnnouncedEndpoint) -> bool:
-        if not route.regions:
-            return True
-        return self._settings.region_of(endpoint.failure_domain) in route.regions
+    def _is_home(self, homes: list[set[str]], endpoint: AnnouncedEndpoint) -> bool:
+        """Whether route and workspace both allow the endpoint's region."""
+        region = self._settings.region_of(endpoint.failure_domain)
+        return all(region in regions for regions in homes if regions)
 
     def _choose_plain(self, usable: Sequence[AnnouncedEndpoint], now: float) -> Choice:
         def cost(endpoint: AnnouncedEndpoint) -> float:
--- /dev/null
+++ b/bilberryring/platform/tests/test_headers.py
@@ -0,0 +1,99 @@
+"""Headers on their way through."""
+
+from bilberryring.gateway.messages import SendFacts
+from bilberryring.platform.headers import (
+    decode_answer,
+    decode_caller,
+    encode_answer,
+    encode_send,
+)
+
+CALLER = (
+    (b"Host", b"site.example"),
+    (b"Bilberryring-Request-Id", b"r1"),
+    (b"Bilberryring-Token-Usage", b"1460,80"),
+    (b"Bilberryring-Prompt-Prefix", b"5c1e07a2:800"),
+    (b"Bilberryring-Deadline-Ms", b"2500"),
+    (b"Last-Event-Id", b"12"),
+    (b"Authorization", b"Bearer secret"),
+    (b"Bilberryring-Tenant", b"forged"),
+    (b"Connection", b"close, X-Hop"),
+    (b"X-Hop", b"1"),
+    (b"X-Other", b"kept"),
+)
+
+
+def sent(**changes):
+    fields = {"endpoint": "i-1", "seconds_left": 1.5, "workspace": "bars"}
+    return encode_send(CALLER, SendFacts(**(fields | changes)))
+
+
+def values(headers, name):
+    return [value for key, value in headers if key.lower() == name.lower()]
+
+
+def test_what_a_caller_says():
+    facts = decode_caller(CALLER)
+    assert (facts.request_id, facts.key, facts.patience) == ("r1", "secret", 2.5)
+    assert (facts.prompt_tokens, facts.max_tokens) == (1460, 80)
+    assert facts.last_event_id == "12"
+
+
+def test_unreadable_numbers_count_as_absent():
+    broken = (
+        (b"Bilberryring-Deadline-Ms", b"soon"),
+        (b"Bilberryring-Token-Usage", b"1,-2"),
+        (b"Authorization", b"Basic x"),
+    )
+    facts = decode_caller(broken)
+    assert (facts.patience, facts.prompt_tokens, facts.key) == (None, 0, None)
+
+
+def test_the_key_and_forged_names_do_not_go_on():
+    headers = sent()
+    assert not values(headers, b"Authorization")
+    assert values(headers, b"Bilberryring-Tenant") == [b"bars"]
+    assert values(headers, b"Bilberryring-Deadline-Ms") == [b"1500"]
+    assert values(headers, b"Bilberryring-Target-Instance") == [b"i-1"]
+
+
+def test_headers_of_one_connection_do_not_go_on_and_others_do():
+    headers = sent()
+    assert not values(headers, b"Connection") + values(headers, b"X-Hop")
+    assert values(headers, b"X-Other") == [b"kept"]
+    assert values(headers, b"Bilberryring-Prompt-Prefix") == [b"5c1e07a2:800"]
+
+
+def test_a_resumed_stream_names_the_last_event_that_was_passed_on():
+    headers = sent(resume_after="30")
+    assert values(headers, b"Last-Event-Id") == [b"30"]
+
+
+def test_what_an_endpoint_says():
+    facts = decode_answer(
+        503,
+        (
+            (b"Bilberryring-Not-Executed", b"1"),
+            (b"Bilberryring-Server-Load", b"3,0,8"),
+            (b"Retry-After", b"0.5"),
+            (b"At-Server", b"10.0.0.1:80"),
+        ),
+    )
+    assert facts.has_not_run
+    assert (facts.load, facts.retry_after) == ((3, 0, 8), 0.5)
+    assert facts.culprit == "10.0.0.1:80"
+
+
+def test_a_plain_failure_promises_nothing():
+    assert not decode_answer(503, ()).has_not_run
+    assert decode_answer(421, ()).has_not_run
+
+
+def test_an_answer_keeps_its_headers_but_those_of_the_connection():
+    headers = (
+        (b"Bilberryring-Response-Stamp", b"s"),
+        (b"Keep-Alive", b"timeout=5"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"Content-Type", b"text/event-stream"),
+    )
+    assert encode_answer(headers) == (headers[0], headers[3])
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -92,6 +92,7 @@
         self._revision: int | None = None
         self._task: Deferred | None = None
         self._call: Deferred[Listing] | None = None
+        self._is_stopped = False
 
     def start(self) -> None:
         """Begin to list and watch."""
@@ -99,6 +100,7 @@
 
     def stop(self) -> None:
         """Make no more calls."""
+        self._is_stopped = True
         if self._task is not None:
             self._task.cancel()
 
@@ -109,7 +111,7 @@
 
     async def _run(self) -> None:
         delay = FIRST_RETRY_SECONDS
-        while True:
+        while not self._is_stopped:
             try:
                 await self._read_once()
                 delay = FIRST_RETRY_SECONDS
@@ -117,6 +119,8 @@
                 self._log.write(LogEvent.HISTORY_LOST, prefix=self._prefix)
                 self._revision = None
             except StoreError as error:
+                if self._is_stopped:
+                    return
                 self._health.record_failure(self._prefix, error)
                 await self._pause(delay * random.uniform(0.7, 1.3))
                 delay = min(delay * 2, LONGEST_RETRY_SECONDS)
