--- a/bilberryring/measure/main.py
+++ b/bilberryring/measure/main.py
@@ -7,6 +7,7 @@
 from bilberryring.measure import (
     capacity,
     failure_domain_table,
+    gateway,
     head_of_line_table,
     relay,
 )
@@ -50,6 +51,12 @@
     capacity.run_table()
 
 
+@main.command("gateway")
+def gateway_command() -> None:
+    """CPU of a gateway at rest, per request and per event, and of a plan."""
+    gateway.run_table()
+
+
 @main.command("relay")
 def relay_command() -> None:
     """CPU per relayed token and the time that relaying adds."""
--- a/bilberryring/standins/platform_server.py
+++ b/bilberryring/standins/platform_server.py
@@ -8,13 +8,13 @@
 from urllib.parse import unquote
 
 import msgspec
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
 from bilberryring.adapters.platform_protocol import ListedVm
 from bilberryring.http import AsyncResource, write_json
+from bilberryring.standins.change_waiters import ChangeWaiters
 from bilberryring.standins.platform_store import (
     CallLimiter,
     PlatformStore,
@@ -51,7 +51,7 @@
         self._limiter = CallLimiter()
         self._by_reader: dict[str, int] = {}
         self._mode = PlatformMode()
-        self._waiting: list[Deferred[None]] = []
+        self._waiters = ChangeWaiters(reactor=reactor)
 
     def resource(self) -> Resource:
         """Return the root of the site."""
@@ -133,24 +133,7 @@
             if answer.items or left <= 0 or self._mode.down:
                 write_json(request, answer)
                 return
-            await self._next_change(left)
-
-    async def _next_change(self, timeout: float) -> None:
-        woken: Deferred[None] = Deferred()
-        self._waiting.append(woken)
-        timer = self._reactor.callLater(timeout, self._wake, woken)
-        await woken
-        if timer.active():
-            timer.cancel()
-
-    def _wake(self, woken: Deferred[None]) -> None:
-        if woken in self._waiting:
-            self._waiting.remove(woken)
-            woken.callback(None)
-
-    def _wake_all(self) -> None:
-        for woken in tuple(self._waiting):
-            self._wake(woken)
+            await self._waiters.wait(left)
 
     async def _list_vms(self, request: Request) -> None:
         lag = self._mode.list_lag_seconds
@@ -159,12 +142,12 @@
 
     async def _put_value(self, request: Request) -> None:
         revision = self._store.put(_key_of(request), request.read_body())
-        self._wake_all()
+        self._waiters.wake_all()
         write_json(request, {"revision": revision})
 
     async def _set_mode(self, request: Request) -> None:
         self._mode = msgspec.json.decode(request.read_body(), type=PlatformMode)
-        self._wake_all()
+        self._waiters.wake_all()
         write_json(request, self._mode)
 
     async def _set_vms(self, request: Request) -> None:
--- a/bilberryring/standins/store_server.py
+++ b/bilberryring/standins/store_server.py
@@ -7,11 +7,11 @@
 import base64
 
 import msgspec
-from twisted.internet.defer import Deferred
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
 from bilberryring.http import AsyncResource, write_json
+from bilberryring.standins.change_waiters import ChangeWaiters
 from bilberryring.standins.operator_store import OperatorStore, StoreChange
 
 PAGE_ITEMS = 500
@@ -33,7 +33,7 @@
         self._reactor = reactor
         self._store = OperatorStore()
         self._mode = StoreMode()
-        self._waiting: list[Deferred[None]] = []
+        self._waiters = ChangeWaiters(reactor=reactor)
         self._calls = 0
 
     def resource(self) -> Resource:
@@ -97,34 +97,17 @@
                 }
                 write_json(request, body)
                 return
-            await self._next_change(until - self._reactor.seconds())
-
-    async def _next_change(self, timeout: float) -> None:
-        woken: Deferred[None] = Deferred()
-        self._waiting.append(woken)
-        timer = self._reactor.callLater(timeout, self._wake, woken)
-        await woken
-        if timer.active():
-            timer.cancel()
-
-    def _wake(self, woken: Deferred[None]) -> None:
-        if woken in self._waiting:
-            self._waiting.remove(woken)
-            woken.callback(None)
-
-    def _wake_all(self) -> None:
-        for woken in tuple(self._waiting):
-            self._wake(woken)
+            await self._waiters.wait(until - self._reactor.seconds())
 
     async def _put(self, request: Request) -> None:
         key = _argument(request, b"key")
         revision = self._store.put(key, request.read_body())
-        self._wake_all()
+        self._waiters.wake_all()
         write_json(request, {"revision": revision})
 
     async def _remove(self, request: Request) -> None:
         revision = self._store.remove(_argument(request, b"key"))
-        self._wake_all()
+        self._waiters.wake_all()
         write_json(request, {"revision": revision})
 
     async def _forget(self, request: Request) -> None:
