Tests that speak the platform's protocol live in the adapter's folder

Change: the scripted endpoint and the site of gateways are stand-ins; their tests are the adapter's.

--- a/bilberryring/measure/gateway.py
+++ b/bilberryring/measure/gateway.py
@@ -15,19 +15,19 @@
     WriterGroup,
     plan_prompt,
 )
-from bilberryring.testing.gateway_site import (
+from bilberryring.standins.gateway_site import (
     MODEL_SERVICE,
     GatewaySite,
     a_configuration,
 )
-from bilberryring.testing.processes import pause
-from bilberryring.testing.prompt_load import FIGURES
-from bilberryring.testing.scripted_endpoint import (
+from bilberryring.standins.scripted_endpoint import (
     answer_all,
     chunk,
     event,
     stream_head,
 )
+from bilberryring.testing.processes import pause
+from bilberryring.testing.prompt_load import FIGURES
 
 PEER_COUNTS = (1, 4, 8)
 REST_SECONDS = 8.0
--- a/bilberryring/gateway/tests/conftest.py
+++ b/bilberryring/platform/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bilberryring.testing.gateway_site import GatewaySite, a_configuration
+from bilberryring.standins.gateway_site import GatewaySite, a_configuration
 
 
 @pytest.fixture
--- a/bilberryring/gateway/tests/test_answers.py
+++ b/bilberryring/platform/tests/test_answers.py
@@ -4,9 +4,8 @@
 
 import pytest
 
-from bilberryring.testing.gateway_site import MODEL_SERVICE
-from bilberryring.testing.processes import pause, wait_until
-from bilberryring.testing.scripted_endpoint import (
+from bilberryring.standins.gateway_site import MODEL_SERVICE
+from bilberryring.standins.scripted_endpoint import (
     NOT_EXECUTED,
     STAMP,
     answer_all,
@@ -16,6 +15,7 @@
     stream_head,
     whole_answer,
 )
+from bilberryring.testing.processes import pause, wait_until
 
 
 def start_with(site, script, **changes):
--- a/bilberryring/gateway/tests/test_published_state.py
+++ b/bilberryring/platform/tests/test_published_state.py
@@ -2,13 +2,13 @@
 
 import json
 
-from bilberryring.testing.gateway_site import (
+from bilberryring.standins.gateway_site import (
     HOST_NAME,
     a_configuration,
     a_route,
 )
+from bilberryring.standins.scripted_endpoint import answer_all
 from bilberryring.testing.processes import pause, wait_until
-from bilberryring.testing.scripted_endpoint import answer_all
 
 IN_FORCE_SECONDS = 2.0
 STRETCHED_SECONDS = 7.0
--- a/bilberryring/gateway/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -3,15 +3,14 @@
 import threading
 import time
 
-from bilberryring.testing.gateway_site import (
+from bilberryring.standins.gateway_site import (
     MODEL_SERVICE,
     a_configuration,
     a_route,
     read_answer,
     request_headers,
 )
-from bilberryring.testing.processes import pause, wait_until
-from bilberryring.testing.scripted_endpoint import (
+from bilberryring.standins.scripted_endpoint import (
     answer_all,
     chunk,
     event,
@@ -19,6 +18,7 @@
     stream_head,
     whole_answer,
 )
+from bilberryring.testing.processes import pause, wait_until
 
 
 def never(request, connection):
--- a/bilberryring/gateway/tests/test_reservations.py
+++ b/bilberryring/platform/tests/test_reservations.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from bilberryring.testing.gateway_site import MODEL_SERVICE, request_headers
-from bilberryring.testing.processes import pause, wait_until
-from bilberryring.testing.scripted_endpoint import (
+from bilberryring.standins.gateway_site import MODEL_SERVICE, request_headers
+from bilberryring.standins.scripted_endpoint import (
     chunk,
     event,
     stream_head,
     whole_answer,
 )
+from bilberryring.testing.processes import pause, wait_until
 
 LARGE = "340000,800"
 FREE_SECONDS = 4.0
--- a/bilberryring/testing/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -12,12 +12,12 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from bilberryring.standins.scripted_endpoint import ScriptedEndpoint
 from bilberryring.testing.processes import (
     ManagedProcess,
     scratch_directory,
     wait_until,
 )
-from bilberryring.testing.scripted_endpoint import ScriptedEndpoint
 
 HOST_NAME = "site.example"
 KEY = "key-1"
