Rates of cold endpoints, regions and breaks tested on the choice alone

Cause: the bound on cold endpoints and the regions of route and workspace had no test that fails when the mechanism is taken out.

--- /dev/null
+++ b/bilberryring/gateway/tests/test_endpoint_choice.py
@@ -0,0 +1,149 @@
+"""Which endpoints may get a request at all."""
+
+import pytest
+
+from bilberryring.fleet import (
+    AnnouncedEndpoint,
+    EndpointState,
+    FleetState,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from bilberryring.gateway.endpoint_choice import EndpointChooser
+from bilberryring.gateway.messages import CallerFacts
+from bilberryring.gateway.peer_view import PeerView
+from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.membership import EndpointHealth
+from bilberryring.routing import WorkBook
+
+COLD_RATE = 36.0
+BOUND = COLD_RATE * 1.5 + 5.0
+ENTRIES = 4
+SETTINGS = GatewaySettings(
+    process="p",
+    failure_domain="north",
+    region="here",
+    host="h1",
+    caller_address="h1:1",
+    ready_address="h1:2",
+    peer_port=3,
+    metrics_port=4,
+    platform_address="h0:5",
+    regions_by_domain=(("north", "here"), ("far", "there")),
+)
+FACTS = CallerFacts(
+    request_id="r",
+    host="site",
+    key=None,
+    patience=None,
+    prompt_tokens=0,
+    max_tokens=0,
+    last_event_id="",
+)
+
+
+def a_service(cold_rate=0.0):
+    return Service(
+        name="s", max_connections=10, cold_requests_per_second=cold_rate, engine=None
+    )
+
+
+def a_route(regions=()):
+    return Route(
+        name="r",
+        host="site",
+        prefix="/",
+        kind=RequestKind.IDEMPOTENT,
+        shares=(ServiceShare(service="s", weight=1.0),),
+        timeout=1.0,
+        first_answer_objective=0.3,
+        gap_objective=None,
+        max_endpoints=2,
+        may_resume=False,
+        is_anonymous=True,
+        priority=0,
+        regions=regions,
+    )
+
+
+def a_workspace(regions):
+    return Workspace(name="w", priority=None, regions=regions)
+
+
+@pytest.fixture
+def fleet():
+    fleet = FleetState()
+    for name, domain in (("near", "north"), ("distant", "far")):
+        fleet.endpoints.announce(
+            AnnouncedEndpoint(
+                id=name,
+                service="s",
+                address=f"{name}:1",
+                failure_domain=domain,
+                slots=8,
+                state=EndpointState.READY,
+            )
+        )
+    return fleet
+
+
+def a_chooser(fleet):
+    seeds = tuple(f"h{number + 1}" for number in range(ENTRIES))
+    return EndpointChooser(
+        settings=SETTINGS,
+        fleet=fleet,
+        book=WorkBook(),
+        peers=PeerView(own_host="h1", seed_hosts=seeds),
+        health=EndpointHealth(),
+        seed=1,
+    )
+
+
+def choose(chooser, *, route=None, service=None, workspace=None, now=0.0):
+    choice = chooser.choose(
+        route=route or a_route(),
+        service=service or a_service(),
+        workspace=workspace,
+        facts=FACTS,
+        excluded=frozenset(),
+        now=now,
+        seconds_left=1.0,
+    )
+    return choice.endpoint.id if choice else None
+
+
+def test_the_entries_together_keep_to_the_rate_of_a_cold_endpoint(fleet):
+    starts = {"near": 0, "distant": 0}
+    chooser = a_chooser(fleet)
+    service = a_service(COLD_RATE)
+    while (endpoint := choose(chooser, service=service)) is not None:
+        chooser.record_start(endpoint, now=0.0)
+        starts[endpoint] += 1
+    assert starts["near"] > 0
+    assert all(count * ENTRIES <= BOUND for count in starts.values())
+
+
+def test_route_and_workspace_bind_the_region_each_for_itself(fleet):
+    chooser = a_chooser(fleet)
+    assert choose(chooser, route=a_route(("there",))) == "distant"
+    assert choose(chooser, workspace=a_workspace(("there",))) == "distant"
+    both = choose(chooser, route=a_route(("here",)), workspace=a_workspace(("there",)))
+    assert both is None
+
+
+def test_an_endpoint_that_broke_off_is_used_only_when_there_is_no_other(fleet):
+    health = EndpointHealth()
+    chooser = EndpointChooser(
+        settings=SETTINGS,
+        fleet=fleet,
+        book=WorkBook(),
+        peers=PeerView(own_host="h1", seed_hosts=()),
+        health=health,
+    )
+    health.record_break("near", now=0.0)
+    assert {choose(chooser, now=0.1) for _ in range(10)} == {"distant"}
+    fleet.endpoints.withdraw("distant", now=0.1)
+    assert choose(chooser, now=0.2) == "near"
