Gateways answer status and explain on their metrics address

Cause: `bilberryring status` and `explain` spoke to entries of the project's own platform alone, so an operator of a gateway had its log and metrics and nothing that says what it would do now.

Change: the metrics address also serves /status and /explain. The explanation's types and query are shared by entry and gateway (process/explanations.py); the gateway's answer comes from the chooser that places requests, which decides without changing anything. A published configuration that was refused stands in the status until a readable one follows.

Ruled out: a port of its own, since the metrics address is the one that the deployment opens to operators.

Before: status "unreachable", explain 404.

--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -1,5 +1,7 @@
 """The entry: it answers callers, and decides for their requests alone."""
 
+from functools import partial
+
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall, deferLater
 
@@ -7,11 +9,12 @@
 from bilberryring.core import new_incarnation
 from bilberryring.entry.caller_site import CallerSite
 from bilberryring.entry.entry_state import EntryState
-from bilberryring.entry.explain import ExplainQuery
+from bilberryring.entry.explain import explain_prompt
 from bilberryring.entry.sidecar_links import SidecarLinks
 from bilberryring.http import HttpClient
 from bilberryring.objects import ModelEndpoint, ObjectSet
 from bilberryring.process.configuration import ConfigurationTask
+from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.operator_site import (
     EndpointStatus,
     ProcessStatus,
@@ -91,7 +94,9 @@
         operators = operator_resource(
             status=self._status, metrics=self._metrics, is_ready=self._is_ready
         )
-        operators.putChild(b"explain", ExplainQuery(state=self._state))
+        operators.putChild(
+            b"explain", ExplainQuery(explain=partial(explain_prompt, self._state))
+        )
         self._listeners.listen_http(
             self._settings.operator_address, operators, key="operator_address"
         )
--- a/bilberryring/fleet/state.py
+++ b/bilberryring/fleet/state.py
@@ -11,6 +11,7 @@
         self._configuration: FleetConfiguration | None = None
         self._endpoints = EndpointList()
         self._stale_since: float | None = None
+        self._refusal = ""
 
     @property
     def configuration(self) -> FleetConfiguration | None:
@@ -27,10 +28,22 @@
         """When the published state could last be read, if it cannot be now."""
         return self._stale_since
 
+    @property
+    def refusal(self) -> str:
+        """Why the last published configuration was refused; empty if it was not."""
+        return self._refusal
+
+    def refuse(self, reason: str) -> None:
+        """Note that a published configuration cannot be used."""
+        self._refusal = reason
+
     def offer(self, configuration: FleetConfiguration) -> bool:
         """Put a configuration in force if its version is higher."""
         current = self._configuration
-        if current is not None and configuration.version <= current.version:
+        if current is not None and configuration.version < current.version:
+            return False
+        self._refusal = ""
+        if current is not None and configuration.version == current.version:
             return False
         self._configuration = configuration
         return True
--- a/bilberryring/gateway/crash_record.py
+++ b/bilberryring/gateway/crash_record.py
@@ -35,6 +35,10 @@
         standing = self._suspicions.standing(fingerprint, now=self._clock.seconds())
         return standing is PromptStanding.QUARANTINED
 
+    def refused(self) -> tuple[Fingerprint, ...]:
+        """Return the requests that must not run again for now."""
+        return self._suspicions.quarantined(now=self._clock.seconds())
+
     def record(self, death: EndpointDeath) -> None:
         """Note a death that this entry saw."""
         self._told.append((self._clock.seconds(), death))
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -3,6 +3,7 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
 from twisted.web import http
+from twisted.web.resource import Resource
 
 from bilberryring.core import (
     ErrorCode,
@@ -18,6 +19,7 @@
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.endpoint_pool import EndpointPool
 from bilberryring.gateway.forwarding import Forwarder
+from bilberryring.gateway.operator_queries import GatewayQueries
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.peers import PeerExchange
 from bilberryring.gateway.published_copies import PublishedCopies
@@ -28,8 +30,9 @@
 from bilberryring.gateway.reservations import Reservations
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.loops import start_loop
-from bilberryring.process.operator_site import metrics_resource
+from bilberryring.process.operator_site import ProcessStatus, operator_resource
 from bilberryring.process.pauses import PauseDetector
 from bilberryring.process.running import Listeners
 from bilberryring.routing import WorkBook
@@ -135,6 +138,15 @@
             peers=self._view,
             health=self._health,
         )
+        self._queries = GatewayQueries(
+            clock=self._reactor,
+            settings=self._settings,
+            incarnation=incarnation,
+            fleet=self._fleet,
+            chooser=chooser,
+            health=self._health,
+            crashes=crashes,
+        )
         rules = RepeatRules(
             clock=self._reactor, bounds=self._settings.bounds, peers=self._view
         )
@@ -198,7 +210,7 @@
             )
             self._listeners.listen_http(
                 settings.metrics_address,
-                metrics_resource(self._metrics),
+                self._operator_site(),
                 key="metrics_address",
             )
             self._peers.start()
@@ -253,6 +265,26 @@
         self._view.set_seeds(settings.seed_hosts)
         self._log.write(LogEvent.SETTINGS_RELOADED, seeds=settings.seed_hosts)
 
+    def _operator_site(self) -> Resource:
+        root = operator_resource(
+            status=self._status,
+            metrics=self._metrics,
+            is_ready=lambda: self.is_ready,
+        )
+        root.putChild(b"explain", ExplainQuery(explain=self._queries.explain))
+        return root
+
+    def _status(self) -> ProcessStatus:
+        if self._is_draining:
+            state = "leaving"
+        else:
+            state = "live" if self.is_ready else "starting"
+        return self._queries.status(
+            state=state,
+            in_progress=self._forwarder.in_progress,
+            links=len(self._view.live_hosts(now=self._reactor.seconds())),
+        )
+
     def _entry_count(self) -> int:
         return self._view.entry_count(now=self._reactor.seconds())
 
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -20,6 +20,7 @@
 from bilberryring.membership import EndpointHealth
 from bilberryring.routing import (
     Candidate,
+    EndpointWork,
     PlacedRequest,
     PromptDemand,
     WorkBook,
@@ -93,6 +94,10 @@
             return self._choose_plain(usable, now)
         return self._choose_engines(route, service, facts, usable, now, seconds_left)
 
+    def work(self, endpoint: EndpointId, *, now: float) -> EndpointWork:
+        """Return the work of this entry and its peers on an endpoint."""
+        return self._book.work(endpoint) + self._peers.work(endpoint, now=now)
+
     def record_start(self, endpoint: EndpointId, *, now: float) -> None:
         """Count a send against the endpoint's rate."""
         self._starts.record_start(endpoint, now=now)
@@ -140,7 +145,7 @@
 
     def _choose_plain(self, usable: Sequence[AnnouncedEndpoint], now: float) -> Choice:
         def cost(endpoint: AnnouncedEndpoint) -> float:
-            work = self._work(endpoint.id, now)
+            work = self.work(endpoint.id, now=now)
             busy = work.requests + FAILURE_COST * self._health.failure_share(
                 endpoint.id
             )
@@ -198,10 +203,7 @@
         is_far = endpoint.failure_domain != self._settings.failure_domain
         return Candidate(
             endpoint=endpoint.id,
-            work=self._work(endpoint.id, now),
+            work=self.work(endpoint.id, now=now),
             delay_ms=NEAR_GAIN_MS if is_far else 0.0,
             failure_share=self._health.failure_share(endpoint.id),
         )
-
-    def _work(self, endpoint: EndpointId, now: float):
-        return self._book.work(endpoint) + self._peers.work(endpoint, now=now)
--- /dev/null
+++ b/bilberryring/gateway/operator_queries.py
@@ -0,0 +1,179 @@
+"""What operators ask a gateway: how it stands, and where a prompt would go."""
+
+from bilberryring.core import Incarnation
+from bilberryring.fleet import (
+    MILLISECONDS,
+    AnnouncedEndpoint,
+    EndpointState,
+    FleetState,
+    Route,
+    Service,
+    ServiceName,
+)
+from bilberryring.gateway.crash_record import CrashRecord
+from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
+from bilberryring.gateway.messages import CallerFacts
+from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.membership import EndpointHealth
+from bilberryring.process.explanations import (
+    EndpointExplanation,
+    Explanation,
+    PromptQuestion,
+)
+from bilberryring.process.operator_site import (
+    EndpointStatus,
+    ProcessStatus,
+    RefusedSetStatus,
+)
+
+ROLE = "gateway"
+
+
+class GatewayQueries:
+    """Reads what the gateway's tasks know, and changes nothing."""
+
+    def __init__(
+        self,
+        *,
+        clock,
+        settings: GatewaySettings,
+        incarnation: Incarnation,
+        fleet: FleetState,
+        chooser: EndpointChooser,
+        health: EndpointHealth,
+        crashes: CrashRecord,
+    ):
+        self._clock = clock
+        self._settings = settings
+        self._incarnation = incarnation
+        self._fleet = fleet
+        self._chooser = chooser
+        self._health = health
+        self._crashes = crashes
+
+    def status(self, *, state: str, in_progress: int, links: int) -> ProcessStatus:
+        """Return the status; `links` counts the gateways that were heard lately."""
+        configuration = self._fleet.configuration
+        version = configuration.version if configuration else 0
+        return ProcessStatus(
+            process=self._settings.process,
+            role=ROLE,
+            failure_domain=self._settings.failure_domain,
+            state=state,
+            incarnation=self._incarnation,
+            set_number=version,
+            set_digest="",
+            highest_seen=version,
+            is_reader=self._fleet.stale_since is None,
+            refused_sets=self._refused(version),
+            in_progress=in_progress,
+            links=links,
+            endpoints=tuple(
+                EndpointStatus(
+                    endpoint=endpoint.id,
+                    failure_domain=endpoint.failure_domain,
+                    standing=self._standing(endpoint),
+                    outstanding=self._requests(endpoint),
+                    set_number=version,
+                )
+                for endpoint in self._fleet.endpoints.all
+            ),
+            quarantined=self._crashes.refused(),
+        )
+
+    def explain(self, question: PromptQuestion) -> Explanation:
+        """Return where a prompt for a service would go now."""
+        configuration = self._fleet.configuration
+        if configuration is None:
+            return Explanation(chosen="", endpoints=(), detail="no configuration")
+        service = configuration.services.get(ServiceName(question.model))
+        routes = [
+            route
+            for route in configuration.routes
+            if any(share.service == question.model for share in route.shares)
+        ]
+        if service is None or not routes:
+            return Explanation(
+                chosen="", endpoints=(), detail=f"no route to {question.model!r}"
+            )
+        choice = self._choose(routes[0], service, question)
+        rows = [
+            self._explain_endpoint(endpoint, service, question)
+            for endpoint in self._fleet.endpoints.all
+            if endpoint.service == service.name
+        ]
+        if choice is None:
+            return Explanation(
+                chosen="", endpoints=tuple(rows), detail="no endpoint may take it"
+            )
+        return Explanation(
+            chosen=choice.endpoint.id,
+            endpoints=tuple(rows),
+            helpers=tuple(helper.id for helper in choice.helpers),
+            first_token_seconds=choice.predicted_ms / MILLISECONDS,
+        )
+
+    def _refused(self, version: int) -> tuple[RefusedSetStatus, ...]:
+        reason, _, remedy = self._fleet.refusal.partition(". Remedy: ")
+        if not reason:
+            return ()
+        return (
+            RefusedSetStatus(number=version, digest="", reason=reason, remedy=remedy),
+        )
+
+    def _choose(
+        self, route: Route, service: Service, question: PromptQuestion
+    ) -> Choice | None:
+        facts = CallerFacts(
+            request_id="",
+            host=route.host,
+            key=None,
+            patience=None,
+            prompt_tokens=question.prompt_tokens,
+            max_tokens=question.max_tokens,
+            last_event_id="",
+        )
+        return self._chooser.choose(
+            route=route,
+            service=service,
+            workspace=None,
+            facts=facts,
+            excluded=frozenset(),
+            now=self._clock.seconds(),
+            seconds_left=route.timeout,
+        )
+
+    def _explain_endpoint(
+        self, endpoint: AnnouncedEndpoint, service: Service, question: PromptQuestion
+    ) -> EndpointExplanation:
+        work = self._chooser.work(endpoint.id, now=self._clock.seconds())
+        figures = service.engine
+        alone_ms = 0.0
+        if figures is not None:
+            alone_ms = work.reading_ms + figures.read_ms(question.prompt_tokens)
+            alone_ms += figures.pass_ms(
+                writers=work.requests, context_tokens=work.kv_tokens
+            )
+        return EndpointExplanation(
+            endpoint=endpoint.id,
+            failure_domain=endpoint.failure_domain,
+            standing=self._standing(endpoint),
+            is_candidate=self._fleet.endpoints.is_usable(endpoint.id),
+            first_token_seconds=alone_ms / MILLISECONDS,
+            requests=work.requests,
+        )
+
+    def _requests(self, endpoint: AnnouncedEndpoint) -> int:
+        return self._chooser.work(endpoint.id, now=self._clock.seconds()).requests
+
+    def _standing(self, endpoint: AnnouncedEndpoint) -> str:
+        now = self._clock.seconds()
+        if endpoint.state is EndpointState.LEAVING:
+            return "leaving"
+        if endpoint.failure_domain in self._fleet.endpoints.domains_out:
+            return "domain_out"
+        if self._health.is_avoided(endpoint.id, now=now):
+            return "avoided"
+        if endpoint.is_cold(now=now):
+            return "cold"
+        return "live"
--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -70,6 +70,7 @@
         try:
             configuration = decode_configuration(value)
         except ContentError as error:
+            self._fleet.refuse(str(error))
             self._log.write(LogEvent.SET_REFUSED, detail=str(error))
             return
         if self._fleet.offer(configuration):
--- a/bilberryring/process/operator_site.py
+++ b/bilberryring/process/operator_site.py
@@ -111,13 +111,6 @@
     root.putChild(b"readyz", _Readiness(is_ready=is_ready))
 
 
-def metrics_resource(metrics: Metrics) -> Resource:
-    """Return the root of a site that serves metrics alone."""
-    root = Resource()
-    root.putChild(b"metrics", MetricsQuery(metrics=metrics))
-    return root
-
-
 def operator_resource(
     *,
     status: Callable[[], ProcessStatus],
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -263,6 +263,10 @@
         connection.request("GET", "/metrics")
         return connection.getresponse().read().decode()
 
+    def operator_address(self, number: int = 1) -> str:
+        """Return where a gateway serves status, explanations and metrics."""
+        return f"{self._host(number)}:{self._peer_port + 1}"
+
     def log_events(self, number: int = 1, event: str | None = None) -> list[dict]:
         """Return the log lines of a gateway."""
         text = (self._directory / f"gateway-{number}.out").read_text("utf-8")
--- a/bilberryring/tool/main.py
+++ b/bilberryring/tool/main.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from bilberryring.objects import (
     Change,
@@ -12,6 +13,7 @@
     SourceReading,
     build_set,
 )
+from bilberryring.process.explanations import Explanation
 from bilberryring.tool.commands import render_into
 from bilberryring.tool.output import print_json, print_rows
 from bilberryring.tool.queries import (
@@ -150,10 +152,21 @@
 
 
 @main.command()
-@click.option("--at", "address", required=True, help="Operators' address of an entry.")
-@click.option("--model", required=True)
-@click.option("--prompt-tokens", required=True, type=int)
-@click.option("--max-tokens", default=256)
+@click.option(
+    "--at",
+    "address",
+    required=True,
+    help="Operators' address of an entry, or metrics address of a gateway.",
+)
+@click.option(
+    "--model",
+    "--service",
+    "model",
+    required=True,
+    help="The model, or the gateway's service.",
+)
+@click.option("--prompt-tokens", required=True, type=click.IntRange(min=1))
+@click.option("--max-tokens", default=256, type=click.IntRange(min=1))
 @json_option
 def explain(
     address: str, model: str, prompt_tokens: int, max_tokens: int, as_json: bool
@@ -163,23 +176,15 @@
         answer = explain_prompt(
             address, model=model, prompt_tokens=prompt_tokens, max_tokens=max_tokens
         )
-    except OSError as error:
-        click.echo(f"unreachable: {address}: {error}. Remedy: name a running entry.")
+    except (OSError, msgspec.DecodeError) as error:
+        click.echo(
+            f"unreachable: {address}: {error}. Remedy: name a running entry or gateway."
+        )
         sys.exit(USAGE_STATUS)
     if as_json:
         print_json(answer)
         return
-    click.echo(f"chosen: {answer['chosen'] or 'none'}")
-    rows = [
-        (
-            item["endpoint"],
-            item["failure_domain"],
-            item["standing"],
-            f"{item['first_token_seconds']:.3f}" if item["is_candidate"] else "-",
-        )
-        for item in answer["endpoints"]
-    ]
-    print_rows(("endpoint", "failure domain", "standing", "first token s"), rows)
+    _print_explanation(answer)
 
 
 def _rendered(directory: Path):
@@ -230,6 +235,28 @@
     _print_stands_out(report)
 
 
+def _print_explanation(answer: Explanation) -> None:
+    click.echo(f"chosen: {answer.chosen or 'none'}")
+    if answer.detail:
+        click.echo(f"why: {answer.detail}")
+    if answer.chosen:
+        click.echo(f"first token s: {answer.first_token_seconds:.3f}")
+    if answer.helpers:
+        click.echo(f"helpers: {', '.join(answer.helpers)}")
+    rows = [
+        (
+            item.endpoint,
+            item.failure_domain,
+            item.standing,
+            str(item.requests),
+            f"{item.first_token_seconds:.3f}" if item.is_candidate else "-",
+        )
+        for item in answer.endpoints
+    ]
+    header = ("endpoint", "failure domain", "standing", "requests", "alone s")
+    print_rows(header, rows)
+
+
 def _print_stands_out(report: StatusReport) -> None:
     refused = {
         refused.digest: refused
--- a/bilberryring/tool/queries.py
+++ b/bilberryring/tool/queries.py
@@ -1,7 +1,7 @@
 """The tool's queries: they read and explain, and change nothing."""
 
-import json
 import urllib.error
+import urllib.parse
 import urllib.request
 from collections.abc import Iterable
 from pathlib import Path
@@ -21,6 +21,7 @@
     difference,
     read_directory,
 )
+from bilberryring.process.explanations import Explanation
 from bilberryring.process.operator_site import ProcessStatus
 
 STATUS_SECONDS = 3.0
@@ -110,14 +111,17 @@
 
 def explain_prompt(
     address: str, *, model: str, prompt_tokens: int, max_tokens: int
-) -> dict:
-    """Return where an entry would send a prompt now, and why."""
-    url = (
-        f"http://{address}/explain?model={model}"
-        f"&prompt_tokens={prompt_tokens}&max_tokens={max_tokens}"
+) -> Explanation:
+    """Return where an entry or a gateway would send a prompt now, and why.
+
+    `OSError` when the process cannot be asked or has no such query.
+    """
+    asked = urllib.parse.urlencode(
+        {"model": model, "prompt_tokens": prompt_tokens, "max_tokens": max_tokens}
     )
+    url = f"http://{address}/explain?{asked}"
     with urllib.request.urlopen(url, timeout=STATUS_SECONDS) as response:
-        return json.loads(response.read())
+        return msgspec.json.decode(response.read(), type=Explanation)
 
 
 def finding_texts(findings: Iterable[Finding]) -> list[str]:
