Parts for other engines spare the prompts that are due

Change: a stream that is being read carries the time at which it is due, in the work book and in the reports between entries (message StarterReport).

--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -189,6 +189,7 @@
             part_ms=plan.part_ms,
             kv_tokens=max(0, demand.kv_tokens - held),
             value=demand.value,
+            due_at=now + route.first_answer_objective,
             gap_ms=None if demand.gap_ms is None else int(demand.gap_ms),
         )
         return Choice(
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -15,7 +15,7 @@
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.process.loops import start_loop
-from bilberryring.routing import EndpointWork, WorkBook, WriterGroup
+from bilberryring.routing import EndpointWork, Starter, WorkBook, WriterGroup
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
     CopyAnswer,
@@ -26,6 +26,7 @@
     EntryReport,
     FrameError,
     LinkProtocol,
+    StarterReport,
     WorkReport,
     WriterCount,
     decode_message,
@@ -189,6 +190,7 @@
             creator = ClientCreator(
                 self._reactor,
                 LinkProtocol,
+                StarterReport,
                 on_open=lambda link: None,
                 on_message=lambda link, message: _fire(answered, message),
                 on_closed=lambda link: _fire(answered, None),
@@ -268,7 +270,10 @@
         reading_for_ms=work.reading_for_ms,
         kv_tokens=work.kv_tokens,
         writers=_group_messages(work.writers),
-        starters=_group_messages(work.starters),
+        starters=[
+            StarterReport(gap_ms=item.gap_ms, value=item.value, due_ms=item.due_ms)
+            for item in work.starters
+        ],
     )
 
 
@@ -307,7 +312,10 @@
         reading_for_ms=message.reading_for_ms or 0.0,
         kv_tokens=message.kv_tokens,
         writers=_groups_of(message.writers),
-        starters=_groups_of(message.starters),
+        starters=tuple(
+            Starter(gap_ms=item.gap_ms, value=item.value, due_ms=item.due_ms)
+            for item in message.starters or ()
+        ),
     )
 
 
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -10,6 +10,7 @@
     NO_WORK,
     EndpointWork,
     PlacedRequest,
+    Starter,
     WorkBook,
     WriterGroup,
 )
@@ -41,6 +42,7 @@
     "PlacedRequest",
     "PromptDemand",
     "PromptPlan",
+    "Starter",
     "WorkBook",
     "WriterGroup",
     "plan_prompt",
--- a/bilberryring/routing/endpoint_work.py
+++ b/bilberryring/routing/endpoint_work.py
@@ -1,5 +1,6 @@
 """What an endpoint has to do, as one entry knows it from itself and its peers."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
@@ -21,6 +22,15 @@
     value: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Starter:
+    """A stream whose prompt its endpoint reads; it is due in `due_ms`."""
+
+    gap_ms: int
+    value: float
+    due_ms: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointWork:
     """Requests in progress on one endpoint.
@@ -41,7 +51,7 @@
     reading_for_ms: float = 0.0
     kv_tokens: int = 0
     writers: tuple[WriterGroup, ...] = ()
-    starters: tuple[WriterGroup, ...] = ()
+    starters: tuple[Starter, ...] = ()
 
     @property
     def remaining_ms(self) -> float:
@@ -58,35 +68,46 @@
             reading_for_ms=max(self.reading_for_ms, other.reading_for_ms),
             kv_tokens=self.kv_tokens + other.kv_tokens,
             writers=_merged(self.writers + other.writers),
-            starters=_merged(self.starters + other.starters),
+            starters=self.starters + other.starters,
         )
 
     def aged(self, milliseconds: float) -> "EndpointWork":
         """Return the same work so much later."""
         if not self.reading_ms:
             return self
-        return replace(self, reading_for_ms=self.reading_for_ms + milliseconds)
+        return replace(
+            self,
+            reading_for_ms=self.reading_for_ms + milliseconds,
+            starters=tuple(
+                replace(starter, due_ms=starter.due_ms - milliseconds)
+                for starter in self.starters
+            ),
+        )
 
     def streams_broken(self, *, pass_ms: float) -> int:
         """Return how many streams a pass of that length makes late."""
-        groups = self.writers + self.starters
-        return sum(group.count for group in groups if group.gap_ms < pass_ms)
+        broken = sum(group.count for group in self.writers if group.gap_ms < pass_ms)
+        return broken + sum(1 for item in self.starters if item.gap_ms < pass_ms)
+
+    def streams_alike(self, gap_ms: int) -> int:
+        """Return how many streams have that objective for their gaps."""
+        alike = sum(group.count for group in self.writers if group.gap_ms == gap_ms)
+        return alike + sum(1 for item in self.starters if item.gap_ms == gap_ms)
 
     def writers_lost(self, *, pass_ms: float) -> float:
         """Return the value of the writing streams that such a pass makes late."""
-        return value_lost(self.writers, pass_ms=pass_ms)
+        return sum(group.value for group in self.writers if group.gap_ms < pass_ms)
 
     def starters_lost(self, *, pass_ms: float) -> float:
         """Return the value of the starting streams that such a pass makes late."""
-        return value_lost(self.starters, pass_ms=pass_ms)
-
+        return sum(item.value for item in self.starters if item.gap_ms < pass_ms)
 
-NO_WORK = EndpointWork()
+    def starters_overdue(self, *, first_ms: float) -> float:
+        """Return the value of those that are late when they begin in that time."""
+        return sum(item.value for item in self.starters if item.due_ms < first_ms)
 
 
-def value_lost(groups: Iterable[WriterGroup], *, pass_ms: float) -> float:
-    """Return the value of the streams that a pass of that length makes late."""
-    return sum(group.value for group in groups if group.gap_ms < pass_ms)
+NO_WORK = EndpointWork()
 
 
 def _merged(groups: Iterable[WriterGroup]) -> tuple[WriterGroup, ...]:
@@ -108,7 +129,8 @@
     """One request on its endpoints; `part_ms` is what each of them reads.
 
     `holders` are the helpers that keep `holder_tokens` each until the end. `value`
-    is what an answer in time weighs, in short requests.
+    is what an answer in time weighs, in short requests, and `due_at` the time in
+    seconds at which it has to begin for that.
     """
 
     lead: str
@@ -119,6 +141,7 @@
     kv_tokens: int = 0
     gap_ms: int | None = None
     value: float = 1.0
+    due_at: float = math.inf
     is_reading: bool = True
 
     @property
@@ -178,7 +201,7 @@
         if tally is None:
             return NO_WORK
         if tally.work is None:
-            tally.work = _summed(endpoint, tally.requests)
+            tally.work = _summed(endpoint, tally)
         return tally.work.aged((now - tally.reading_since) * MILLISECONDS)
 
     def place(self, request: PlacedRequest, *, now: float) -> PlacedRequest:
@@ -231,11 +254,12 @@
             del self._tallies[endpoint]
 
 
-def _summed(endpoint: str, requests: Iterable[PlacedRequest]) -> EndpointWork:
+def _summed(endpoint: str, tally: _Tally) -> EndpointWork:
+    """Return the work as it was when the endpoint began with the present prompt."""
     count = kv_tokens = 0
     reading_ms = 0.0
     writers, starters = [], []
-    for request in requests:
+    for request in tally.requests:
         if request.is_reading:
             reading_ms += request.part_ms
         if endpoint in request.holders:
@@ -245,12 +269,21 @@
         count += 1
         kv_tokens += request.kv_tokens
         if request.gap_ms is not None:
-            group = WriterGroup(gap_ms=request.gap_ms, count=1, value=request.value)
-            (starters if request.is_reading else writers).append(group)
+            if request.is_reading:
+                starters.append(_starter(request, request.gap_ms, tally.reading_since))
+            else:
+                writers.append(
+                    WriterGroup(gap_ms=request.gap_ms, count=1, value=request.value)
+                )
     return EndpointWork(
         requests=count,
         reading_ms=reading_ms,
         kv_tokens=kv_tokens,
         writers=_merged(writers),
-        starters=_merged(starters),
+        starters=tuple(starters),
     )
+
+
+def _starter(request: PlacedRequest, gap_ms: int, now: float) -> Starter:
+    due_ms = (request.due_at - now) * MILLISECONDS
+    return Starter(gap_ms=gap_ms, value=request.value, due_ms=due_ms)
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -136,11 +136,7 @@
         cost += FULL_PENALTY * prompt.value
     wait = item.wait_ms + pass_ms(figures, work) + item.candidate.delay_ms
     cost += lateness(wait, prompt.first_ms)
-    alike = sum(
-        group.count
-        for group in work.writers + work.starters
-        if prompt.gap_ms is not None and group.gap_ms == int(prompt.gap_ms)
-    )
+    alike = 0 if prompt.gap_ms is None else work.streams_alike(int(prompt.gap_ms))
     if alike < PACKED_WRITERS:
         cost -= PACKING_GAIN * alike
     return cost + PACKING_GAIN * work.requests / 4.0
--- a/bilberryring/routing/read_cost.py
+++ b/bilberryring/routing/read_cost.py
@@ -64,16 +64,21 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ScoredCandidate:
-    """A candidate with the streams that a part makes late, and its backlog."""
+    """A candidate with the streams that a part makes late, and its backlog.
+
+    `helper_harm` are the streams that a part for another engine makes late besides:
+    an engine reads such a part ahead of its own prompts.
+    """
 
     candidate: Candidate
     harm: float
     wait_ms: float
+    helper_harm: float = 0.0
 
     @property
     def helper_cost(self) -> float:
         """The cost of a part on this engine."""
-        return self.harm + self.wait_ms * BACKLOG_COST
+        return self.harm + self.helper_harm + self.wait_ms * BACKLOG_COST
 
 
 def score(
@@ -91,9 +96,12 @@
     harm -= work.writers_lost(pass_ms=plain)
     harm += work.starters_lost(pass_ms=bare + part_ms)
     harm -= work.starters_lost(pass_ms=bare)
+    overdue = work.starters_overdue(first_ms=plain + part_ms)
+    overdue -= work.starters_overdue(first_ms=plain)
     return ScoredCandidate(
         candidate=candidate,
         harm=LATE_COST * harm + candidate.failure_share,
+        helper_harm=LATE_COST * overdue,
         wait_ms=work.remaining_ms,
     )
 
--- a/bilberryring/routing/tests/test_prompt_load.py
+++ b/bilberryring/routing/tests/test_prompt_load.py
@@ -1,6 +1,7 @@
 """Loads of prompts of unlike lengths, played under several ways of placing them."""
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -44,6 +45,7 @@
 
 SHORT_LOAD = (chats(50.0), manifests(0.5), digests(0.1))
 LONG_LOAD = (chats(7.0), manifests(1.4), digests(1.8))
+CROWDED_LOAD = (chats(8.0), manifests(3.0), digests(3.0))
 UNLIKE_LOAD = (chats(10.0), manifests(2.5), digests(1.9))
 TARGETS = {"chat": 0.90, "manifest": 0.95, "digest": 0.95}
 """Shares in time, as the project's targets state them for days of heavy load."""
@@ -71,6 +73,19 @@
     )  # fmt: skip
 
 
+def plan_without_dues(demand, figures, candidates):
+    """Plan as if no prompt that is being read were due at any time."""
+    blind = [
+        replace(item, work=replace(item.work, starters=_undue(item.work.starters)))
+        for item in candidates
+    ]
+    return plan_prompt(demand, figures, blind)
+
+
+def _undue(starters):
+    return tuple(replace(starter, due_ms=math.inf) for starter in starters)
+
+
 def played(policy, classes, seed):
     load = PromptLoad(policy=policy, classes=classes, engines=ENGINES, seed=seed)
     return load.play(SECONDS)
@@ -94,6 +109,17 @@
     assert shares[plan_prompt] > shares[baseline]
 
 
+def test_parts_spare_the_prompts_that_are_due_when_the_load_is_too_much():
+    """An engine reads a part for another one ahead of its own prompt."""
+    shares = {}
+    for policy in (plan_prompt, plan_without_dues):
+        shares[policy] = sum(
+            weighted_share(played(policy, CROWDED_LOAD, seed), CROWDED_LOAD)
+            for seed in SEEDS
+        )
+    assert shares[plan_prompt] > shares[plan_without_dues]
+
+
 def test_all_lengths_meet_their_targets_beside_each_other():
     """Manifests and digests are read on the same engines, one after the other."""
     asked, on_time = dict.fromkeys(TARGETS, 0), dict.fromkeys(TARGETS, 0)
--- a/bilberryring/routing/tests/test_read_cost.py
+++ b/bilberryring/routing/tests/test_read_cost.py
@@ -5,6 +5,7 @@
     Candidate,
     EndpointWork,
     PromptDemand,
+    Starter,
     WriterGroup,
     plan_prompt,
 )
@@ -13,6 +14,7 @@
 
 PART_MS = 700.0
 MANIFEST = WriterGroup(gap_ms=600, count=1, value=5.5)
+STARTING = Starter(gap_ms=600, value=5.5, due_ms=1_400.0)
 CHATS = WriterGroup(gap_ms=250, count=2, value=3.0)
 
 
@@ -33,10 +35,29 @@
 
 def test_a_stream_that_is_being_read_stops_for_what_is_read_after_it():
     """Its own prompt does not make it late, so another one is not free of harm."""
-    work = EndpointWork(requests=1, reading_ms=800.0, starters=(MANIFEST,))
+    work = EndpointWork(requests=1, reading_ms=800.0, starters=(STARTING,))
     assert harm(work) > 0.0
 
 
+def test_a_part_for_another_engine_delays_what_an_engine_reads_itself():
+    """It is read first; a prompt of the engine's own would wait its turn."""
+    soon = Starter(gap_ms=1_000, value=16.0, due_ms=1_200.0)
+    later = Starter(gap_ms=1_000, value=16.0, due_ms=2_500.0)
+    costs = [
+        score(
+            Candidate(
+                endpoint="e",
+                work=EndpointWork(requests=1, reading_ms=800.0, starters=(starter,)),
+            ),
+            FIGURES,
+            PART_MS,
+        )
+        for starter in (soon, later)
+    ]
+    assert costs[0].helper_cost > costs[1].helper_cost
+    assert costs[0].harm == costs[1].harm
+
+
 def test_a_stream_that_writes_is_lost_only_once():
     stopped = EndpointWork(requests=2, reading_ms=900.0, writers=(CHATS,))
     assert harm(stopped) == 0.0
@@ -50,7 +71,7 @@
 
 
 def test_a_digest_is_not_read_where_a_manifest_is_while_engines_are_idle():
-    reading = EndpointWork(requests=1, reading_ms=800.0, starters=(MANIFEST,))
+    reading = EndpointWork(requests=1, reading_ms=800.0, starters=(STARTING,))
     candidates = [Candidate(endpoint="busy", work=reading)]
     candidates += [Candidate(endpoint=f"idle{n}", work=NO_WORK) for n in range(4)]
     plan = plan_prompt(a_digest(), FIGURES, candidates)
--- a/bilberryring/testing/prompt_load.py
+++ b/bilberryring/testing/prompt_load.py
@@ -143,6 +143,7 @@
             kv_tokens=demand.kv_tokens,
             gap_ms=int(prompt.gap_ms),
             value=demand.value,
+            due_at=self._clock.seconds() + prompt.first_ms / MILLISECONDS,
         )
         self._book.place(placed, now=self._clock.seconds())
         readers = (plan.lead, *plan.helpers)
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -2059,6 +2059,98 @@
         return not (self == other)
 
 
+class StarterReport(object):
+    """
+    Attributes:
+     - gap_ms
+     - value
+     - due_ms
+
+    """
+
+    __slots__ = (
+        'gap_ms',
+        'value',
+        'due_ms',
+    )
+
+
+    def __init__(self, gap_ms=None, value=None, due_ms=None,):
+        self.gap_ms = gap_ms
+        self.value = value
+        self.due_ms = due_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.gap_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.value = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.due_ms = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StarterReport')
+        if self.gap_ms is not None:
+            oprot.writeFieldBegin('gap_ms', TType.I32, 1)
+            oprot.writeI32(self.gap_ms)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.DOUBLE, 2)
+            oprot.writeDouble(self.value)
+            oprot.writeFieldEnd()
+        if self.due_ms is not None:
+            oprot.writeFieldBegin('due_ms', TType.DOUBLE, 3)
+            oprot.writeDouble(self.due_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkReport(object):
     """
     Attributes:
@@ -2137,7 +2229,7 @@
                     self.starters = []
                     (_etype67, _size64) = iprot.readListBegin()
                     for _i68 in range(_size64):
-                        _elem69 = WriterCount()
+                        _elem69 = StarterReport()
                         _elem69.read(iprot)
                         self.starters.append(_elem69)
                     iprot.readListEnd()
@@ -3223,6 +3315,13 @@
     (2, TType.I32, 'count', None, None, ),  # 2
     (3, TType.DOUBLE, 'value', None, None, ),  # 3
 )
+all_structs.append(StarterReport)
+StarterReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'gap_ms', None, None, ),  # 1
+    (2, TType.DOUBLE, 'value', None, None, ),  # 2
+    (3, TType.DOUBLE, 'due_ms', None, None, ),  # 3
+)
 all_structs.append(WorkReport)
 WorkReport.thrift_spec = (
     None,  # 0
@@ -3231,7 +3330,7 @@
     (3, TType.DOUBLE, 'reading_ms', None, None, ),  # 3
     (4, TType.I64, 'kv_tokens', None, None, ),  # 4
     (5, TType.LIST, 'writers', (TType.STRUCT, [WriterCount, None], False), None, ),  # 5
-    (6, TType.LIST, 'starters', (TType.STRUCT, [WriterCount, None], False), None, ),  # 6
+    (6, TType.LIST, 'starters', (TType.STRUCT, [StarterReport, None], False), None, ),  # 6
     (7, TType.DOUBLE, 'reading_for_ms', None, None, ),  # 7
 )
 all_structs.append(CopyRevision)
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -139,13 +139,19 @@
   3: double value,
 }
 
+struct StarterReport {
+  1: i32 gap_ms,
+  2: double value,
+  3: double due_ms,
+}
+
 struct WorkReport {
   1: string endpoint,
   2: i32 requests,
   3: double reading_ms,
   4: i64 kv_tokens,
   5: list<WriterCount> writers,
-  6: list<WriterCount> starters,
+  6: list<StarterReport> starters,
   7: double reading_for_ms,
 }
 
