Peers hear of a long prompt at once

Cause: reports gather changes for 15 ms.

Change: a prompt whose parts take 100 ms or more is reported when it is placed.

Ruled out: no gathering at all, since chats change the work some hundred times a second under load and would send as many datagrams to each peer.

Before: test_a_long_prompt_is_reported_before_a_peer_can_place_the_next fails (`changed` takes no urgency).

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -41,6 +41,10 @@
 GAP_SILENCE_FACTOR = 3.0
 """Multiple of the gap objective after which a silent stream is given up."""
 GAP_SILENCE_SECONDS = 0.25
+LONG_PART_MS = 100.0
+"""Reading time of a part in milliseconds from which peers are told at once. Source:
+two entries that place such parts on one engine stop its streams for longer than the
+sites' objectives allow."""
 
 
 class AttemptRunner:
@@ -80,7 +84,7 @@
         endpoint = choice.endpoint
         run.tried.add(endpoint.id)
         self._book.place(choice.placed, now=self._reactor.seconds())
-        self._on_work_changed()
+        self._on_work_changed(is_urgent=choice.placed.part_ms >= LONG_PART_MS)
         answer: EndpointAnswer | None = None
         hold: Hold | None = None
         is_whole = False
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -98,9 +98,11 @@
         if self._loop is not None and self._loop.running:
             self._loop.stop()
 
-    def changed(self) -> None:
-        """Report soon: the work or the published items changed."""
-        if self._pending is None:
+    def changed(self, *, is_urgent: bool = False) -> None:
+        """Report soon, or at once: the work or the published items changed."""
+        if is_urgent:
+            self._report()
+        elif self._pending is None:
             self._pending = self._reactor.callLater(COALESCE_SECONDS, self._report)
 
     def datagramReceived(self, datagram: bytes, addr) -> None:
--- /dev/null
+++ b/bilberryring/gateway/tests/test_peers.py
@@ -0,0 +1,95 @@
+"""When an entry tells its peers of its work."""
+
+from io import StringIO
+
+import pytest
+from twisted.internet.task import Clock
+
+from bilberryring.gateway.crash_record import CrashRecord
+from bilberryring.gateway.peer_view import PeerView
+from bilberryring.gateway.peers import COALESCE_SECONDS, PeerExchange
+from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.routing import PlacedRequest, WorkBook
+from bilberryring.telemetry import EventLog
+from bilberryring.wire import decode_message
+
+PEER = "10.0.0.2"
+
+
+class SentDatagrams(list):
+    """A transport that keeps what is sent."""
+
+    def write(self, datagram, address):
+        self.append(decode_message(datagram))
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def book():
+    return WorkBook()
+
+
+@pytest.fixture
+def exchange(clock, book):
+    settings = GatewaySettings(
+        process="p",
+        failure_domain="north",
+        host="10.0.0.1",
+        caller_address="10.0.0.1:1",
+        ready_address="10.0.0.1:2",
+        peer_port=3,
+        metrics_port=4,
+        platform_address="10.0.0.9:5",
+        seed_hosts=(PEER,),
+    )
+    exchange = PeerExchange(
+        reactor=clock,
+        settings=settings,
+        incarnation="run",
+        view=PeerView(own_host=settings.host, seed_hosts=settings.seed_hosts),
+        book=book,
+        copies=PublishedCopies(prefixes=("a/",)),
+        crashes=CrashRecord(clock=clock),
+        log=EventLog(process="p", role="gateway", stream=StringIO()),
+    )
+    exchange.transport = SentDatagrams()
+    return exchange
+
+
+def test_changes_of_a_moment_go_in_one_report(exchange, clock):
+    exchange.changed()
+    exchange.changed()
+    assert not exchange.transport
+    clock.advance(COALESCE_SECONDS)
+    assert len(exchange.transport) == 1
+
+
+def test_a_long_prompt_is_reported_before_a_peer_can_place_the_next(
+    exchange, book, clock
+):
+    long_prompt = PlacedRequest(lead="e1", helpers=("e2",), part_ms=1_400.0)
+    book.place(long_prompt, now=clock.seconds())
+    exchange.changed()
+    exchange.changed(is_urgent=True)
+    assert [item.endpoint for item in exchange.transport[0].work] == ["e1", "e2"]
+    clock.advance(COALESCE_SECONDS)
+    assert len(exchange.transport) == 1
+
+
+def test_a_report_tells_how_long_a_prompt_was_read_and_when_it_is_due(
+    exchange, book, clock
+):
+    due = PlacedRequest(
+        lead="e1", part_ms=900.0, gap_ms=600, value=5.5, due_at=1.5, kv_tokens=45_000
+    )
+    book.place(due, now=0.0)
+    clock.advance(0.5)
+    exchange.changed(is_urgent=True)
+    (work,) = exchange.transport[0].work
+    assert (work.reading_ms, work.reading_for_ms) == (900.0, 500.0)
+    assert [(item.gap_ms, item.due_ms) for item in work.starters] == [(600, 1_000.0)]
