A failure that an endpoint answered reaches the caller, and the only endpoint is asked twice

Cause: a look-up that an endpoint answered with 500 is repeated elsewhere.

Change: the run keeps the last whole failure. With no other endpoint the same one is asked again, within the route's number of sends and the retry budget; if nothing better follows, the caller gets the endpoint's own answer.

Ruled out: a pause before the repeat.

Before: the three new tests of platform/tests/test_requests.py fail (502).

--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -90,7 +90,10 @@
         run: RequestRun | None = None
         try:
             run = self._gate.admit(exchange, request, facts)
-            await self._forward(run)
+            try:
+                await self._forward(run)
+            except ServingError as error:
+                self._answer_with_failure(run, error)
             self._log.end(run)
         except ServingError as error:
             self._log.failure(facts, run, error)
@@ -115,6 +118,7 @@
                 self._rules.check_repeat(run, cause=refused)
             except Repeatable as failed:
                 run.unknown_sends += 1
+                run.endpoint_failure = failed
                 self._health.record_failure(choice.endpoint.id)
                 self._log.attempt_failed(run, choice, f"status_{failed.head.status}")
                 if not self._rules.may_repeat(run):
@@ -125,24 +129,39 @@
                 self._note_break(run, choice, broken)
                 self._rules.check_repeat(run, cause=broken)
 
+    def _answer_with_failure(self, run: RequestRun, error: ServingError) -> None:
+        """Give the caller the failure that an endpoint answered, if there is one."""
+        failed = run.endpoint_failure
+        if failed is None or run.exchange.has_started:
+            raise error
+        run.status = failed.head.status
+        self._attempts.pass_on(run, failed.head, failed.body)
+
     def _choose(self, run: RequestRun) -> Choice:
         now = self._reactor.seconds()
         if run.ends_at - now < SHORTEST_SEND_SECONDS:
             raise self._rules.out_of_time(run)
-        choice = self._chooser.choose(
+        choice = self._choose_among(run, frozenset(run.tried), now)
+        if choice is None and run.endpoint_failure is not None:
+            choice = self._choose_among(run, frozenset(), now)
+        if choice is None:
+            raise self._rules.without_endpoint(run)
+        if not run.sends:
+            check_in_time(choice, run.ends_at - now)
+        return choice
+
+    def _choose_among(
+        self, run: RequestRun, excluded: frozenset[EndpointId], now: float
+    ) -> Choice | None:
+        return self._chooser.choose(
             route=run.route,
             service=run.service,
             workspace=run.workspace,
             facts=run.facts,
-            excluded=frozenset(run.tried),
+            excluded=excluded,
             now=now,
             seconds_left=run.ends_at - now,
         )
-        if choice is None:
-            raise self._rules.without_endpoint(run)
-        if not run.sends:
-            check_in_time(choice, run.ends_at - now)
-        return choice
 
     def _note_refusal(self, run: RequestRun, choice: Choice, refused: NotRun) -> None:
         self._log.attempt_failed(
--- a/bilberryring/gateway/request_run.py
+++ b/bilberryring/gateway/request_run.py
@@ -37,7 +37,11 @@
 
 @dataclass(slots=True, kw_only=True)
 class RequestRun:
-    """One request on its way; `ends_at` is in own seconds."""
+    """One request on its way; `ends_at` is in own seconds.
+
+    `endpoint_failure` is the last whole answer that told of a failure. The caller
+    gets it when no other answer follows.
+    """
 
     exchange: CallerExchange
     request: CallerRequest
@@ -55,6 +59,7 @@
     last_data_at: float | None = None
     longest_gap: float = 0.0
     status: int = 0
+    endpoint_failure: "Repeatable | None" = None
 
     @property
     def request_id(self) -> RequestId:
--- a/bilberryring/platform/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -131,6 +131,46 @@
     assert len(sound.seen) == 4
 
 
+def failing(times):
+    """Answer with a failure so many times, then well."""
+    left = [times]
+
+    def script(request, connection):
+        if left[0]:
+            left[0] -= 1
+            body = b"no stock"
+            status = "500 Internal Server Error"
+            connection.sendall(whole_answer(request.request_id, body, status=status))
+        else:
+            answer_all(request, connection)
+
+    return script
+
+
+def test_an_endpoints_own_failure_reaches_the_caller_when_nothing_else_is_left(site):
+    site.add_endpoint("a", failing(9))
+    site.start_gateway()
+    answer = site.call("/look/")
+    assert (answer.status, answer.body) == (500, b"no stock")
+    assert "bilberryring-response-stamp" in answer.headers
+
+
+def test_a_failure_is_kept_when_the_other_endpoint_breaks_off(site):
+    site.add_endpoint("a", failing(9))
+    site.start_gateway()
+    site.call("/look/")
+    site.add_endpoint("b", break_off, zone="south")
+    pause(0.3)
+    assert {site.call("/look/").status for _ in range(4)} == {500}
+
+
+def test_the_only_endpoint_is_asked_again_after_a_failure(site):
+    only = site.add_endpoint("a", failing(1))
+    site.start_gateway()
+    assert site.call("/look/").status == 200
+    assert len(only.seen) == 2
+
+
 def test_an_endpoint_that_does_not_listen_costs_no_attempt(site):
     site.announce("a", "127.0.0.1:1")
     sound = site.add_endpoint("b", answer_all, zone="south")
