A connection opened for an endpoint that has left goes back to the pool

Cause: an attempt that finds its endpoint gone once the connection is open gave up without returning the connection; it stayed open until the endpoint closed it.

Change: `EndpointPool.give_back`, which keeps idle connections and closes what is too many, also takes these; the pool closes them with the endpoint's address.

Before: gateway/tests/test_attempts.py fails ([] is not [connection]). After: passes.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -141,6 +141,7 @@
         now = self._reactor.seconds()
         left = run.ends_at - now
         if left < SHORTEST_SEND_SECONDS or not self._is_still_usable(choice):
+            self._pool.give_back(connection)
             raise AttemptBroken(reason=BreakReason.DEADLINE, was_sent=False)
         send = SendFacts(
             endpoint=choice.endpoint.id,
--- a/bilberryring/gateway/endpoint_pool.py
+++ b/bilberryring/gateway/endpoint_pool.py
@@ -49,9 +49,17 @@
             connection = await self._open(address, CONNECT_SECONDS)
         except AttemptBroken:
             return False
-        self._keep(connection)
+        self.give_back(connection)
         return True
 
+    def give_back(self, connection: EndpointConnection) -> None:
+        """Keep a connection on which no answer is due, or close it."""
+        idle = self._idle.setdefault(connection.address, [])
+        if len(idle) >= MAX_IDLE_PER_ENDPOINT:
+            connection.abort()
+            return
+        idle.append(connection)
+
     def close_address(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, []):
@@ -77,7 +85,7 @@
                 EndpointConnection,
                 reactor=self._reactor,
                 address=address,
-                on_idle=self._keep,
+                on_idle=self.give_back,
                 on_closed=self._drop,
             ),
         )
@@ -91,13 +99,6 @@
             # The library raises many kinds for a connection that failed.
             raise AttemptBroken(reason=BreakReason.NOT_CONNECTED, was_sent=False)
 
-    def _keep(self, connection: EndpointConnection) -> None:
-        idle = self._idle.setdefault(connection.address, [])
-        if len(idle) >= MAX_IDLE_PER_ENDPOINT:
-            connection.abort()
-            return
-        idle.append(connection)
-
     def _drop(self, connection: EndpointConnection) -> None:
         idle = self._idle.get(connection.address, [])
         if connection in idle:
