bin/measure prediction: predicted and seen times to the first token

Cause: the log carries the predicted and the seen time of each prompt, and nothing put them side by side.

Change: `bin/measure prediction LOG... [--plot FILE]` reads gateways' logs and prints, by length class, the median, tenth and ninetieth percentile of the error; prompts that were sent once count.

--- a/bilberryring/measure/main.py
+++ b/bilberryring/measure/main.py
@@ -9,6 +9,7 @@
     failure_domain_table,
     gateway,
     head_of_line_table,
+    prediction,
     relay,
 )
 from bilberryring.measure.head_of_line_table import FLEETS, LOADS
@@ -57,6 +58,16 @@
     gateway.run_table()
 
 
+@main.command("prediction")
+@click.argument(
+    "logs", type=click.Path(exists=True, path_type=Path), nargs=-1, required=True
+)
+@click.option("--plot", "out", type=click.Path(path_type=Path))
+def prediction_command(logs: tuple[Path, ...], out: Path | None) -> None:
+    """Predicted and seen times to the first token, from gateways' LOGS."""
+    prediction.run_table(logs=logs, out=out)
+
+
 @main.command("relay")
 def relay_command() -> None:
     """CPU per relayed token and the time that relaying adds."""
--- /dev/null
+++ b/bilberryring/measure/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements."""
