Entries copy from their peers again

Every copy failed since then (`peer_unreachable` with a TypeError); an entry that could not read the store got nothing from its peers.

Change: the argument is gone.

--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -192,7 +192,6 @@
             creator = ClientCreator(
                 self._reactor,
                 LinkProtocol,
-                StarterReport,
                 on_open=lambda link: None,
                 on_message=lambda link, message: _fire(answered, message),
                 on_closed=lambda link: _fire(answered, None),
