A copy from before a list brings nothing back

Cause: a list names no removals, so a replica that listed after one did not know of it. A copy from a peer that had not heard of the removal yet, taken because the peer's own latest change was later than any item listed, brought the removed item back: an endpoint that had left, until the peer's next change.

Change: a replica remembers up to which revision it was complete; an unknown key whose change is not later was removed.

Sequence: write c, list (one reader), remove c, list (another reader), copy from the first reader.

Before: the state machine and test_a_copy_from_before_a_list_brings_nothing_back fail. After: 10 tests of fleet pass.

--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -38,6 +38,7 @@
         self._items: dict[str, PublishedItem] = {}
         self._removed: dict[str, int] = {}
         self._revision = 0
+        self._complete_to = 0
 
     @property
     def revision(self) -> int:
@@ -70,7 +71,8 @@
     ) -> tuple[str, ...]:
         """Take a whole copy, complete up to `revision`; return changed keys.
 
-        A key that the copy lacks is removed, unless it changed here later.
+        A key that the copy lacks is removed, unless it changed here later. From
+        then on an unknown key with a change up to `revision` is one that was removed.
         """
         whole = tuple(items)
         present = {item.key for item in whole}
@@ -79,7 +81,9 @@
             for item in self.items
             if item.key not in present and item.revision < revision
         )
-        return self.apply(whole + removals)
+        changed = self.apply(whole + removals)
+        self._complete_to = max(self._complete_to, revision)
+        return changed
 
     def take_copy(
         self, items: Iterable[PublishedItem], *, revision: int
@@ -94,7 +98,9 @@
 
     def _known_revision(self, key: str) -> int:
         item = self._items.get(key)
-        return item.revision if item else self._removed.get(key, 0)
+        if item is not None:
+            return item.revision
+        return max(self._removed.get(key, 0), self._complete_to)
 
     def _put(self, item: PublishedItem) -> bool:
         if item.value is not None:
--- a/bilberryring/fleet/tests/test_replica.py
+++ b/bilberryring/fleet/tests/test_replica.py
@@ -84,3 +84,12 @@
     started.replace(peer.items, revision=33)
     started.take_copy(peer.items, revision=peer.revision)
     assert started.revision == peer.revision == 32
+
+
+def test_a_copy_from_before_a_list_brings_nothing_back():
+    """The list lacks what was removed before it, and so names no removal."""
+    peer, started = Replica(), Replica()
+    peer.apply((PublishedItem(key="a", revision=1, value=b"1"),))
+    started.replace((), revision=2)
+    started.take_copy(peer.items, revision=peer.revision)
+    assert started.items == ()
