--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -39,6 +39,7 @@
         self._removed_revisions: dict[str, int] = {}
         self._revision = 0
         self._complete_revision = 0
+        self._dropped_revision = 0
 
     @property
     def revision(self) -> int:
@@ -55,6 +56,31 @@
         item = self._items.get(key)
         return item.value if item else None
 
+    def changes_since(self, revision: int) -> tuple[PublishedItem, ...] | None:
+        """Return the last write of each key that changed after `revision`.
+
+        Returns `None` if the removals since then are not all known; another replica
+        then needs a full copy.
+
+        >>> replica = Replica()
+        >>> _ = replica.replace((PublishedItem(key="a", revision=3, value=b"1"),),
+        ...     revision=4)
+        >>> _ = replica.apply((PublishedItem(key="a", revision=5, value=None),))
+        >>> [item.revision for item in replica.changes_since(4)]
+        [5]
+        >>> replica.changes_since(3) is None
+        True
+        """
+        if revision < max(self._complete_revision, self._dropped_revision):
+            return None
+        written = [item for item in self._items.values() if item.revision > revision]
+        removed = [
+            PublishedItem(key=key, revision=at, value=None)
+            for key, at in self._removed_revisions.items()
+            if at > revision
+        ]
+        return tuple(written + removed)
+
     def apply(self, items: Iterable[PublishedItem]) -> tuple[str, ...]:
         """Apply changes in any order; return the keys that changed."""
         changed = []
@@ -98,6 +124,17 @@
         self._revision = max(self._revision, revision)
         return changed
 
+    def take_changes(
+        self, items: Iterable[PublishedItem], *, revision: int
+    ) -> tuple[str, ...]:
+        """Apply another replica's changes since this one's revision, up to `revision`.
+
+        Returns the keys that changed.
+        """
+        changed = self.apply(items)
+        self._revision = max(self._revision, revision)
+        return changed
+
     def _known_revision(self, key: str) -> int:
         """Return the revision up to which changes of a key are already known."""
         item = self._items.get(key)
@@ -114,5 +151,6 @@
         existed = self._items.pop(item.key, None) is not None
         self._removed_revisions[item.key] = item.revision
         while len(self._removed_revisions) > MAX_TOMBSTONES:
-            del self._removed_revisions[next(iter(self._removed_revisions))]
+            dropped = self._removed_revisions.pop(next(iter(self._removed_revisions)))
+            self._dropped_revision = max(self._dropped_revision, dropped)
         return existed
--- a/bilberryring/fleet/tests/test_replica.py
+++ b/bilberryring/fleet/tests/test_replica.py
@@ -71,7 +71,28 @@
             self.seen[number] = reader.revision
 
 
+class ReplicasWithDeltasMachine(ReplicasMachine):
+    """The same, but a reader that is behind takes only the changes if it can."""
+
+    @rule(reader=READERS, peer=READERS)
+    def copy_changes_from_peer(self, reader, peer):
+        mine, theirs = self.readers[reader], self.readers[peer]
+        if theirs.revision <= mine.revision:
+            return
+        changes = theirs.changes_since(mine.revision)
+        if changes is None:
+            mine.take_copy(theirs.items, revision=theirs.revision)
+        else:
+            mine.take_changes(changes, revision=theirs.revision)
+        assert mine.revision == theirs.revision
+        self.level[reader] = max(self.level[reader], self.level[peer])
+
+
 TestReplicas = ReplicasMachine.TestCase
+TestReplicasWithDeltas = ReplicasWithDeltasMachine.TestCase
+TestReplicasWithDeltas.settings = settings(
+    max_examples=300, deadline=None, derandomize=True
+)
 TestReplicas.settings = settings(max_examples=300, deadline=None, derandomize=True)
 
 
--- a/bilberryring/gateway/crash_record.py
+++ b/bilberryring/gateway/crash_record.py
@@ -21,6 +21,9 @@
 MAX_REPORTED_DEATHS = 64
 """Maximum number of crashes in one report."""
 
+MAX_KNOWN_DEATHS = 256
+"""Maximum number of crashes that are remembered, so that each is passed on once."""
+
 
 class CrashRecord:
     """Tracks which requests were running when endpoints crashed, by fingerprint."""
@@ -33,25 +36,35 @@
         self._reported: deque[tuple[float, EndpointDeath]] = deque(
             maxlen=MAX_REPORTED_DEATHS
         )
+        self._known: deque[EndpointDeath] = deque(maxlen=MAX_KNOWN_DEATHS)
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether a request must not be sent to an endpoint for now."""
         standing = self._suspects.standing(fingerprint, now=self._clock.seconds())
         return standing is PromptStanding.QUARANTINED
 
+    def crash_count(self, fingerprint: Fingerprint) -> int:
+        """Return how many known crashes happened while the request was running."""
+        return self._suspects.crash_count(fingerprint)
+
     def quarantined(self) -> tuple[Fingerprint, ...]:
         """Return the fingerprints of all requests in quarantine."""
         return self._suspects.quarantined(now=self._clock.seconds())
 
     def record(self, death: EndpointDeath) -> None:
         """Record a crash that this gateway observed and include it in reports."""
-        self._reported.append((self._clock.seconds(), death))
         self.add_deaths((death,))
 
     def add_deaths(self, deaths: tuple[EndpointDeath, ...]) -> None:
-        """Record crashes without adding them to the reports, as those of a peer."""
+        """Record crashes, and include in the reports those that are new here.
+
+        So a crash reaches also gateways that this one's peers do not report to.
+        """
         now = self._clock.seconds()
         for death in deaths:
+            if death not in self._known:
+                self._known.append(death)
+                self._reported.append((now, death))
             self._suspects.record_crash(death.death, list(death.fingerprints), now=now)
 
     def clear(self, fingerprint: Fingerprint) -> None:
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -18,6 +18,7 @@
 from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import EndpointChooser
+from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.forwarding import Forwarder
 from bilberryring.gateway.operator_queries import GatewayQueries
 from bilberryring.gateway.peer_view import PeerView
@@ -29,6 +30,7 @@
 from bilberryring.gateway.request_log import RequestLog
 from bilberryring.gateway.reservations import ReservationManager
 from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.membership import EndpointHealth
 from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.loops import start_loop
@@ -97,6 +99,15 @@
             buckets=FIRST_TOKEN_BUCKETS,
             max_series=MAX_SERIES,
         )
+        self._slices = EndpointSlices(
+            clock=reactor, settings=settings, fleet=self._fleet, peers=self._peer_view
+        )
+        duty = ReadingDuty(
+            clock=reactor,
+            own_host=settings.host,
+            is_alone=not set(settings.seed_hosts) - {settings.host},
+            peers=lambda: self._peer_view.store_access(now=reactor.seconds()),
+        )
         incarnation = new_incarnation()
         crashes = CrashRecord(clock=reactor)
         self._counters = GatewayCounters(metrics=self._metrics)
@@ -105,9 +116,11 @@
             settings=settings,
             incarnation=incarnation,
             view=self._peer_view,
+            slices=self._slices,
             tracker=self._tracker,
             copies=self._copies,
             crashes=crashes,
+            duty=duty,
             log=log,
         )
         self._adapter = adapter_class(
@@ -115,11 +128,14 @@
             settings=settings,
             fleet=self._fleet,
             copies=self._copies,
+            peers=self._peer_view,
+            duty=duty,
             log=log,
-            entry_count=self._entry_count,
             on_endpoint_removed=self._on_endpoint_removed,
         )
-        self._copies.add_listener(lambda replica, keys: self._peers.report_change())
+        self._copies.add_listener(
+            lambda replica, keys: self._peers.report_change(is_urgent=True)
+        )
         self._forwarder = self._build_forwarder(codec, crashes, incarnation)
         self._site = CallerSite(
             reactor=reactor, on_request=self._forwarder.accept, idle_timeout=15.0
@@ -136,7 +152,7 @@
     ) -> Forwarder:
         chooser = EndpointChooser(
             settings=self._settings,
-            fleet=self._fleet,
+            slices=self._slices,
             tracker=self._tracker,
             peers=self._peer_view,
             health=self._health,
@@ -298,9 +314,6 @@
             links=len(self._peer_view.live_hosts(now=self._reactor.seconds())),
         )
 
-    def _entry_count(self) -> int:
-        return self._peer_view.entry_count(now=self._reactor.seconds())
-
     def _on_endpoint_removed(self, endpoint: AnnouncedEndpoint) -> None:
         self._health.forget(endpoint.id)
         self._pool.close_address(endpoint.address)
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -8,16 +8,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from bilberryring.admission import StartRate, share_of_rate
+from bilberryring.admission import StartRate
 from bilberryring.fleet import (
     MS_PER_SECOND,
     AnnouncedEndpoint,
     EndpointId,
-    FleetState,
     Route,
     Service,
     Workspace,
 )
+from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.messages import CallerMetadata
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.settings import GatewaySettings
@@ -69,14 +69,14 @@
         self,
         *,
         settings: GatewaySettings,
-        fleet: FleetState,
+        slices: EndpointSlices,
         tracker: WorkTracker,
         peers: PeerView,
         health: EndpointHealth,
         seed: int | None = None,
     ):
         self._settings = settings
-        self._fleet = fleet
+        self._slices = slices
         self._tracker = tracker
         self._peers = peers
         self._health = health
@@ -99,8 +99,7 @@
         Endpoints in `excluded` are not considered. `now` and `seconds_left`, the time
         until the deadline, are in seconds.
         """
-        allowed_regions = [set(owner.regions) for owner in (route, workspace) if owner]
-        usable = self._usable_endpoints(allowed_regions, service, excluded, now)
+        usable = self._usable_endpoints(route, service, workspace, excluded, now)
         if not usable:
             return None
         self._random.shuffle(usable)
@@ -120,17 +119,20 @@
 
     def _usable_endpoints(
         self,
-        allowed_regions: list[set[str]],
+        route: Route,
         service: Service,
+        workspace: Workspace | None,
         excluded: frozenset[EndpointId],
         now: float,
     ) -> list[AnnouncedEndpoint]:
-        per_second = self._rate_share(service, now)
+        regions = _allowed_regions(route, workspace)
+        if regions is None:
+            return []
+        per_second = self._slices.starts_per_second(service, regions=regions)
         allowed = [
             endpoint
-            for endpoint in self._fleet.endpoints.usable(service.name)
+            for endpoint in self._slices.endpoints(service, regions=regions)
             if endpoint.id not in excluded
-            and self._is_region_allowed(allowed_regions, endpoint)
             and (
                 per_second is None
                 or self._starts.may_start(endpoint.id, now=now, per_second=per_second)
@@ -143,27 +145,6 @@
         ]
         return healthy or allowed
 
-    def _rate_share(self, service: Service, now: float) -> int | None:
-        """Return how many requests this gateway may start on one endpoint per second.
-
-        Returns `None` if the service has no limit for endpoints in cold start.
-        """
-        if service.cold_requests_per_second <= 0:
-            return None
-        bounds = self._settings.bounds
-        bound = service.cold_requests_per_second * bounds.cold_ratio
-        return share_of_rate(
-            per_second=bound + bounds.cold_slack,
-            entries=self._peers.entry_count(now=now),
-        )
-
-    def _is_region_allowed(
-        self, allowed_regions: list[set[str]], endpoint: AnnouncedEndpoint
-    ) -> bool:
-        """Whether both the route and the workspace allow the endpoint's region."""
-        region = self._settings.region_of(endpoint.failure_domain)
-        return all(region in regions for regions in allowed_regions if regions)
-
     def _choose_by_load(
         self, usable: Sequence[AnnouncedEndpoint], now: float
     ) -> Choice:
@@ -237,3 +218,14 @@
             delay_ms=REMOTE_PENALTY_MS if is_remote else 0.0,
             failure_share=self._health.failure_share(endpoint.id),
         )
+
+
+def _allowed_regions(
+    route: Route, workspace: Workspace | None
+) -> frozenset[str] | None:
+    """Return the regions that both allow, empty for all, or `None` if there is none."""
+    limits = [frozenset(owner.regions) for owner in (route, workspace) if owner]
+    limits = [regions for regions in limits if regions]
+    if not limits:
+        return frozenset()
+    return frozenset.intersection(*limits) or None
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -1,19 +1,25 @@
 """The state of the other gateways as they reported it.
 
-Nothing here does I/O or reads a clock; the current time is passed in.
+Only neighbours on the ring report their work; of all others a gateway knows no more
+than that they exist. Nothing here does I/O or reads a clock; the current time is
+passed in.
 """
 
+import math
+import random
 from dataclasses import dataclass, field
 
 from bilberryring.core import Fingerprint
-from bilberryring.fleet import MS_PER_SECOND
-from bilberryring.routing import NO_WORK, EndpointWork
+from bilberryring.fleet import MS_PER_SECOND, FailureDomain
+from bilberryring.gateway.store_readers import StoreAccess
+from bilberryring.routing import NO_WORK, EndpointWork, hash_order, neighbours
 
 PEER_TIMEOUT_SECONDS = 1.5
 """Seconds without a report after which a peer is not live and its work is ignored."""
-PEER_EXPIRY_SECONDS = 30.0
-"""Seconds without a report after which a peer is forgotten. Until then it still counts
-as one of the gateways that share the operators' limits."""
+PEER_EXPIRY_SECONDS = 300.0
+"""Seconds without a sign of life after which a gateway is forgotten. Until then it
+still counts as one of those that share the operators' limits, since it may only be
+cut off: regions can lose each other for minutes."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,35 +33,62 @@
     fingerprints: tuple[Fingerprint, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """A gateway and the seconds since it was last heard by anyone."""
+
+    host: str
+    silent_seconds: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PeerReport:
     """A gateway's report about itself.
 
-    `sequence` grows with each report of one incarnation. `known_hosts` are the live
-    peers of the gateway, `revisions` the revision of its published items by prefix, and
-    `work` what it placed on each endpoint.
+    `sequence` grows with each report of one incarnation. `work` is what the gateway
+    placed on each endpoint: on all of them if `is_complete`, otherwise on those where
+    it changed since the last report. `revisions` are those of its published items by
+    prefix, and `members` some of the gateways that it knows.
     """
 
-    process: str
     incarnation: str
     host: str
     sequence: int
-    known_hosts: tuple[str, ...] = ()
+    is_complete: bool = True
+    failure_domain: FailureDomain = FailureDomain("")
+    store_access: StoreAccess = StoreAccess.UNUSED
     revisions: tuple[tuple[str, int], ...] = ()
     work: tuple[tuple[str, EndpointWork], ...] = ()
+    members: tuple[Member, ...] = ()
     deaths: tuple[EndpointDeath, ...] = ()
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _PlacedWork:
+    """Work as of the time `at`; a sum holds until one of its peers can be silent."""
+
+    work: EndpointWork
+    at: float
+    valid_until: float = math.inf
+
+
 @dataclass(slots=True, kw_only=True)
 class _Peer:
-    report: PeerReport
+    incarnation: str
+    sequence: int
     heard_at: float
-    work: dict[str, EndpointWork] = field(default_factory=dict)
+    failure_domain: FailureDomain
+    store_access: StoreAccess
+    revisions: dict[str, int]
+    endpoints: set[str] = field(default_factory=set)
 
 
 class PeerView:
     """The peers of one gateway, by host; times are in seconds.
 
+    The work on an endpoint is summed once after each change of it, so that a choice
+    costs the same for any number of peers.
+
     >>> view = PeerView(own_host="10.0.0.1", seed_hosts=("10.0.0.2",))
     >>> view.hosts(now=0.0), view.entry_count(now=0.0)
     (('10.0.0.2',), 2)
@@ -65,11 +98,38 @@
         self._own_host = own_host
         self._seed_hosts = seed_hosts
         self._peers: dict[str, _Peer] = {}
-        self._reported_hosts: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
+        self._work: dict[str, dict[str, _PlacedWork]] = {}
+        self._sums: dict[str, _PlacedWork] = {}
+        self._gateways: tuple[str, ...] | None = None
+        self._outage_seen_at: float | None = None
+
+    @property
+    def own_host(self) -> str:
+        """The host of this gateway."""
+        return self._own_host
+
+    @property
+    def gateways(self) -> tuple[str, ...]:
+        """The hosts that may run a gateway, this one included, in hash order.
+
+        The same tuple is returned until a host is added or forgotten.
+        """
+        if self._gateways is None:
+            self._gateways = hash_order(
+                {self._own_host, *self._seed_hosts, *self._heard_at}
+            )
+        return self._gateways
+
+    @property
+    def outage_seen_at(self) -> float | None:
+        """The last time at which a peer, and none other, reported failing reads."""
+        return self._outage_seen_at
 
     def set_seeds(self, seed_hosts: tuple[str, ...]) -> None:
         """Replace the hosts that are configured as possible peers."""
         self._seed_hosts = seed_hosts
+        self._gateways = None
 
     def update(self, report: PeerReport, *, now: float) -> bool:
         """Store a report unless a later one of the same incarnation is known.
@@ -77,30 +137,42 @@
         Returns whether the report is the first one of a peer that was not live.
         """
         peer = self._peers.get(report.host)
-        if peer is not None and _is_outdated(report, peer.report):
+        is_same = peer is not None and peer.incarnation == report.incarnation
+        if is_same and report.sequence <= peer.sequence:
             return False
         is_new = peer is None or now - peer.heard_at > PEER_TIMEOUT_SECONDS
+        if peer is not None and (report.is_complete or not is_same):
+            self._remove_work(report.host, peer)
         self._peers[report.host] = _Peer(
-            report=report, heard_at=now, work=dict(report.work)
+            incarnation=report.incarnation,
+            sequence=report.sequence,
+            heard_at=now,
+            failure_domain=report.failure_domain,
+            store_access=report.store_access,
+            revisions=dict(report.revisions),
+            endpoints=peer.endpoints if peer is not None else set(),
         )
-        for host in report.known_hosts:
-            self._reported_hosts[host] = now
+        self._store_work(report, now)
+        self._hear(report.host, at=now, now=now)
+        for member in report.members:
+            self._hear(member.host, at=now - member.silent_seconds, now=now)
+        self._note_outage(report, now)
         return is_new
 
     def expire(self, *, now: float) -> tuple[str, ...]:
-        """Forget peers silent for `PEER_EXPIRY_SECONDS`; return their hosts."""
+        """Drop the work of silent peers and forget hosts; return the latter."""
+        for host, peer in self._peers.items():
+            if now - peer.heard_at > PEER_TIMEOUT_SECONDS:
+                self._remove_work(host, peer)
         expired = tuple(
             host
-            for host, peer in self._peers.items()
-            if now - peer.heard_at > PEER_EXPIRY_SECONDS
+            for host, at in self._heard_at.items()
+            if now - at > PEER_EXPIRY_SECONDS
         )
         for host in expired:
-            del self._peers[host]
-        self._reported_hosts = {
-            host: at
-            for host, at in self._reported_hosts.items()
-            if now - at <= PEER_EXPIRY_SECONDS
-        }
+            del self._heard_at[host]
+            self._peers.pop(host, None)
+            self._gateways = None
         return expired
 
     def live_hosts(self, *, now: float) -> tuple[str, ...]:
@@ -112,36 +184,106 @@
         )
 
     def hosts(self, *, now: float) -> tuple[str, ...]:
-        """Return every host that may run a peer: seeds, known peers and their peers."""
-        known = {*self._seed_hosts, *self._peers, *self._reported_hosts}
-        return tuple(sorted(known - {self._own_host}))
+        """Return every other host that may run a gateway, in hash order."""
+        return tuple(host for host in self.gateways if host != self._own_host)
 
     def entry_count(self, *, now: float) -> int:
         """Return how many gateways may share a limit, including this one."""
-        return 1 + len(self.hosts(now=now))
+        return len(self.gateways)
+
+    def neighbours(self, *, distance: int) -> tuple[str, ...]:
+        """Return the other gateways within `distance` places on the ring."""
+        return neighbours(self.gateways, gateway=self._own_host, distance=distance)
+
+    def members(self, *, now: float, most: int) -> tuple[Member, ...]:
+        """Return up to `most` hosts that were heard, drawn at random."""
+        hosts = list(self._heard_at)
+        if len(hosts) > most:
+            hosts = random.sample(hosts, most)
+        return tuple(
+            Member(host=host, silent_seconds=max(0.0, now - self._heard_at[host]))
+            for host in hosts
+        )
+
+    def store_access(self, *, now: float) -> dict[str, StoreAccess]:
+        """Return the access to the store of each live peer, by host."""
+        return {
+            host: self._peers[host].store_access for host in self.live_hosts(now=now)
+        }
 
     def work(self, endpoint: str, *, now: float) -> EndpointWork:
         """Return the work that all live peers together placed on an endpoint."""
-        total = NO_WORK
-        for peer in self._peers.values():
-            if now - peer.heard_at <= PEER_TIMEOUT_SECONDS and endpoint in peer.work:
-                age_ms = (now - peer.heard_at) * MS_PER_SECOND
-                total = total + peer.work[endpoint].advanced_by(age_ms)
-        return total
+        if endpoint not in self._work:
+            return NO_WORK
+        total = self._sums.get(endpoint)
+        if total is None or now > total.valid_until:
+            total = self._sums[endpoint] = self._sum(endpoint, now)
+        return total.work.advanced_by((now - total.at) * MS_PER_SECOND)
 
-    def host_ahead(self, prefix: str, *, revision: int, now: float) -> str | None:
-        """Return the host of the live peer with the latest items under a prefix.
+    def host_ahead(
+        self, prefix: str, *, revision: int, now: float, domain: FailureDomain = ""
+    ) -> str | None:
+        """Return the host of a live peer with later items under a prefix.
 
-        Returns `None` if no live peer has a revision higher than `revision`.
+        Of those with the latest ones it is drawn at random, from the peers in the
+        failure domain `domain` if there are any. Returns `None` if no live peer has a
+        revision higher than `revision`.
         """
-        best_host, best_revision = None, revision
-        for host in self.live_hosts(now=now):
-            peer_revision = dict(self._peers[host].report.revisions).get(prefix, 0)
-            if peer_revision > best_revision:
-                best_host, best_revision = host, peer_revision
-        return best_host
+        ahead = {
+            host: self._peers[host].revisions.get(prefix, 0)
+            for host in self.live_hosts(now=now)
+            if self._peers[host].revisions.get(prefix, 0) > revision
+        }
+        if not ahead:
+            return None
+        latest = max(ahead.values())
+        hosts = [host for host, known in ahead.items() if known == latest]
+        near = [host for host in hosts if self._peers[host].failure_domain == domain]
+        return random.choice(near or hosts)
+
+    def _hear(self, host: str, *, at: float, now: float) -> None:
+        if host == self._own_host or now - at > PEER_EXPIRY_SECONDS:
+            return
+        if host not in self._heard_at:
+            self._gateways = None
+        self._heard_at[host] = max(at, self._heard_at.get(host, at))
+
+    def _note_outage(self, report: PeerReport, now: float) -> None:
+        if report.store_access is not StoreAccess.FAILING:
+            return
+        if StoreAccess.WORKING not in self.store_access(now=now).values():
+            self._outage_seen_at = now
+
+    def _store_work(self, report: PeerReport, now: float) -> None:
+        endpoints = self._peers[report.host].endpoints
+        for endpoint, work in report.work:
+            self._sums.pop(endpoint, None)
+            placed = self._work.setdefault(endpoint, {})
+            if work.requests or work.prefill_ms or work.kv_tokens:
+                placed[report.host] = _PlacedWork(work=work, at=now)
+                endpoints.add(endpoint)
+            else:
+                placed.pop(report.host, None)
+                endpoints.discard(endpoint)
+            if not placed:
+                del self._work[endpoint]
 
+    def _sum(self, endpoint: str, now: float) -> _PlacedWork:
+        """Return the sum of what the live peers placed on an endpoint."""
+        total, valid_until = NO_WORK, math.inf
+        for host, placed in self._work[endpoint].items():
+            silent_at = self._peers[host].heard_at + PEER_TIMEOUT_SECONDS
+            if now <= silent_at:
+                age_ms = (now - placed.at) * MS_PER_SECOND
+                total = total + placed.work.advanced_by(age_ms)
+                valid_until = min(valid_until, silent_at)
+        return _PlacedWork(work=total, at=now, valid_until=valid_until)
 
-def _is_outdated(report: PeerReport, known: PeerReport) -> bool:
-    is_same_incarnation = report.incarnation == known.incarnation
-    return is_same_incarnation and report.sequence <= known.sequence
+    def _remove_work(self, host: str, peer: _Peer) -> None:
+        for endpoint in peer.endpoints:
+            self._sums.pop(endpoint, None)
+            placed = self._work.get(endpoint, {})
+            placed.pop(host, None)
+            if not placed:
+                self._work.pop(endpoint, None)
+        peer.endpoints = set()
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -1,42 +1,63 @@
 """Reports between gateways, and copying of published items from a peer.
 
-Reports are sent as UDP datagrams. Each one contains the complete state, so a lost one
-is not sent again. Published items are copied over TCP, because they are large.
+Reports are sent as UDP datagrams to the neighbours on the ring, which use some of the
+same endpoints. Most of them contain only what changed; a complete one now and then
+makes good what was lost on the way. Complete reports with known members also go to a
+few other gateways, so that all of them learn of each other. Published items are copied
+over TCP, because they are large.
 """
 
+import math
+import random
+
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientCreator, DatagramProtocol, Factory
 from twisted.internet.task import LoopingCall
 
-from bilberryring.core import Fingerprint, Incarnation
+from bilberryring.core import Incarnation
 from bilberryring.fleet import PublishedItem
 from bilberryring.gateway.crash_record import CrashRecord
-from bilberryring.gateway.peer_view import EndpointDeath, PeerReport, PeerView
+from bilberryring.gateway.endpoint_slices import EndpointSlices
+from bilberryring.gateway.peer_view import PeerReport, PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.report_codec import (
+    ReportError,
+    decode_report,
+    encode_deaths,
+    encode_members,
+    encode_revisions,
+    encode_work,
+)
 from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.process.loops import start_loop
-from bilberryring.routing import DecodeGroup, EndpointWork, PrefillStream, WorkTracker
+from bilberryring.routing import WorkTracker
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
     CopyAnswer,
     CopyItem,
     CopyQuery,
-    CopyRevision,
-    EngineDeath,
-    EntryReport,
     FrameError,
+    GatewayReport,
     LinkProtocol,
-    StarterReport,
-    WorkReport,
-    WriterCount,
     decode_message,
     encode_message,
 )
 
-REPORT_SECONDS = 0.4
-"""Seconds between the reports of a gateway without changes."""
-COALESCE_SECONDS = 0.015
+REPORT_SECONDS = 0.5
+"""Longest time in seconds between two reports of a gateway to its neighbours."""
+COALESCE_SECONDS = 0.2
 """Seconds for which changes are collected before they are reported together."""
+TICK_SECONDS = 0.25
+"""Seconds between two checks whether a report is due."""
+COMPLETE_REPORT_SECONDS = 2.0
+"""Seconds between two complete reports."""
+GOSSIP_PEERS = 2
+"""Gateways outside the neighbourhood that get each complete report."""
+MAX_MEMBERS = 128
+"""Members in one report; others follow in later ones, drawn at random."""
+INCARNATION_CHARS = 8
+"""Characters of the incarnation that reports contain, to tell restarts apart."""
 COPY_RETRY_SECONDS = 0.2
 """Seconds after a failed copy before another one is requested."""
 COPY_TIMEOUT_SECONDS = 1.0
@@ -53,20 +74,26 @@
         settings: GatewaySettings,
         incarnation: Incarnation,
         view: PeerView,
+        slices: EndpointSlices,
         tracker: WorkTracker,
         copies: PublishedCopies,
         crashes: CrashRecord,
+        duty: ReadingDuty,
         log: EventLog,
     ):
         self._reactor = reactor
         self._settings = settings
         self._incarnation = incarnation
         self._view = view
+        self._slices = slices
         self._tracker = tracker
         self._copies = copies
         self._crashes = crashes
+        self._duty = duty
         self._log = log
         self._sequence = 0
+        self._reported_at = -math.inf
+        self._completed_at = -math.inf
         self._pending_report = None
         self._is_copying = False
         self._copy_retry_at = 0.0
@@ -86,10 +113,14 @@
         self._listener = self._reactor.listenTCP(
             port, _CopyFactory(copies=self._copies), interface=host
         )
+        self.start_reports()
+
+    def start_reports(self) -> None:
+        """Start the periodic reports; the transport must be connected."""
         self._loop = start_loop(
             reactor=self._reactor,
             work=self._tick,
-            seconds=REPORT_SECONDS,
+            seconds=TICK_SECONDS,
             log=self._log,
         )
 
@@ -105,50 +136,100 @@
         which further changes are collected.
         """
         if is_urgent:
-            self._send_reports()
+            self._report_changes()
         elif self._pending_report is None:
             self._pending_report = self._reactor.callLater(
-                COALESCE_SECONDS, self._send_reports
+                COALESCE_SECONDS, self._report_changes
             )
 
     def datagramReceived(self, datagram: bytes, addr) -> None:
         try:
             message = decode_message(datagram)
-        except FrameError as error:
-            self._log.write(LogEvent.PEER_REPORT_MALFORMED, detail=str(error))
-            return
-        match message:
-            case EntryReport():
-                self._handle_report(_decode_report(message))
+            if isinstance(message, GatewayReport):
+                self._handle_report(decode_report(message, host=addr[0]))
+        except (FrameError, ReportError) as error:
+            self._log.write(
+                LogEvent.PEER_REPORT_MALFORMED, peer=addr[0], detail=str(error)
+            )
 
     def _handle_report(self, report: PeerReport) -> None:
         now = self._reactor.seconds()
         if report.host == self._settings.host:
             return
         if self._view.update(report, now=now):
-            self._log.write(
-                LogEvent.PEER_HEARD, peer=report.host, peer_process=report.process
-            )
+            self._log.write(LogEvent.PEER_HEARD, peer=report.host)
+            self._send_report(self._complete_report(now), (report.host,))
         self._crashes.add_deaths(report.deaths)
-        self._copy_from_peers()
+        if self._is_ahead(report):
+            self._copy_from_peers()
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
         for host in self._view.expire(now=now):
             self._log.write(LogEvent.PEER_LOST, peer=host)
-        self._send_reports()
+        if now - self._completed_at >= COMPLETE_REPORT_SECONDS:
+            self._send_complete_reports(now)
+        elif now - self._reported_at >= REPORT_SECONDS - TICK_SECONDS / 2:
+            self._report_changes()
         self._copy_from_peers()
 
-    def _send_reports(self) -> None:
+    def _send_complete_reports(self, now: float) -> None:
+        """Report all work to the neighbours, and the members to some others too."""
+        self._cancel_pending()
+        self._reported_at = self._completed_at = now
+        self._tracker.clear_changed()
+        neighbours = self._slices.neighbours()
+        report = self._complete_report(now)
+        members, report.members = report.members, []
+        self._send_report(report, neighbours)
+        report.members = members
+        others = [host for host in self._view.hosts(now=now) if host not in neighbours]
+        seeds = [host for host in self._settings.seed_hosts if host in neighbours]
+        pool = others or seeds
+        self._send_report(report, random.sample(pool, min(GOSSIP_PEERS, len(pool))))
+
+    def _report_changes(self) -> None:
+        self._cancel_pending()
+        self._reported_at = self._reactor.seconds()
+        changed = self._tracker.changed
+        self._tracker.clear_changed()
+        report = self._make_report(changed, is_complete=False)
+        self._send_report(report, self._slices.neighbours())
+
+    def _cancel_pending(self) -> None:
         if self._pending_report is not None and self._pending_report.active():
             self._pending_report.cancel()
         self._pending_report = None
-        if self.transport is None:
-            return
+
+    def _complete_report(self, now: float) -> GatewayReport:
+        report = self._make_report(self._tracker.endpoints, is_complete=True)
+        report.members = encode_members(self._view.members(now=now, most=MAX_MEMBERS))
+        return report
+
+    def _make_report(
+        self, endpoints: tuple[str, ...], *, is_complete: bool
+    ) -> GatewayReport:
         now = self._reactor.seconds()
         self._sequence += 1
-        datagram = encode_message(self._own_report(now))
-        for host in self._view.hosts(now=now):
+        return GatewayReport(
+            incarnation=self._incarnation[:INCARNATION_CHARS],
+            sequence=self._sequence,
+            is_complete=is_complete,
+            work=[
+                encode_work(endpoint, self._tracker.work(endpoint, now=now))
+                for endpoint in endpoints
+            ],
+            revisions=encode_revisions(self._copies.revisions),
+            deaths=encode_deaths(self._crashes.recent_deaths()),
+            store_access=self._duty.access.value,
+            failure_domain=self._settings.failure_domain,
+        )
+
+    def _send_report(self, report: GatewayReport, hosts) -> None:
+        if self.transport is None or not hosts:
+            return
+        datagram = encode_message(report)
+        for host in hosts:
             self._send_datagram(datagram, host)
 
     def _send_datagram(self, datagram: bytes, host: str) -> None:
@@ -158,25 +239,11 @@
         except OSError as error:
             self._log.write(LogEvent.PEER_UNREACHABLE, peer=host, detail=str(error))
 
-    def _own_report(self, now: float) -> EntryReport:
-        return EntryReport(
-            process=self._settings.process,
-            incarnation=self._incarnation,
-            host=self._settings.host,
-            sequence=self._sequence,
-            known_hosts=list(self._view.live_hosts(now=now)),
-            revisions=[
-                CopyRevision(prefix=prefix, revision=revision)
-                for prefix, revision in self._copies.revisions
-            ],
-            work=[
-                _encode_work(endpoint, self._tracker.work(endpoint, now=now))
-                for endpoint in self._tracker.endpoints
-            ],
-            deaths=[
-                EngineDeath(death=item.death, fingerprints=list(item.fingerprints))
-                for item in self._crashes.recent_deaths()
-            ],
+    def _is_ahead(self, report: PeerReport) -> bool:
+        own = dict(self._copies.revisions)
+        return any(
+            revision > own.get(prefix, revision)
+            for prefix, revision in report.revisions
         )
 
     def _copy_from_peers(self) -> None:
@@ -184,7 +251,12 @@
         if self._is_copying or now < self._copy_retry_at:
             return
         for prefix, revision in self._copies.revisions:
-            host = self._view.host_ahead(prefix, revision=revision, now=now)
+            host = self._view.host_ahead(
+                prefix,
+                revision=revision,
+                now=now,
+                domain=self._settings.failure_domain,
+            )
             if host is not None:
                 self._is_copying = True
                 Deferred.fromCoroutine(self._copy(host, prefix))
@@ -225,7 +297,8 @@
             PublishedItem(key=item.key, revision=item.revision, value=item.value)
             for item in answer.items
         )
-        changed = self._copies.take_copy(answer.prefix, items, revision=answer.revision)
+        take = self._copies.take_changes if answer.is_delta else self._copies.take_copy
+        changed = take(answer.prefix, items, revision=answer.revision)
         self._log.write(
             LogEvent.COPY_TAKEN,
             peer=host,
@@ -250,17 +323,20 @@
 
     def _answer(self, link: LinkProtocol, message: object) -> None:
         match message:
-            case CopyQuery(prefix=prefix):
+            case CopyQuery(prefix=prefix, revision=revision):
                 replica = self._copies.replica(prefix)
                 if replica is None:
                     link.transport.abortConnection()
                     return
-                items = [
-                    CopyItem(key=item.key, revision=item.revision, value=item.value)
-                    for item in replica.items
-                ]
+                changes = replica.changes_since(revision or 0)
+                items = replica.items if changes is None else changes
                 link.send(
-                    CopyAnswer(prefix=prefix, revision=replica.revision, items=items)
+                    CopyAnswer(
+                        prefix=prefix,
+                        revision=replica.revision,
+                        items=[_encode_item(item) for item in items],
+                        is_delta=changes is not None,
+                    )
                 )
 
 
@@ -269,67 +345,5 @@
         waiting.callback(message)
 
 
-def _encode_work(endpoint: str, work: EndpointWork) -> WorkReport:
-    return WorkReport(
-        endpoint=endpoint,
-        requests=work.requests,
-        reading_ms=work.prefill_ms,
-        reading_for_ms=work.prefill_elapsed_ms,
-        kv_tokens=work.kv_tokens,
-        writers=_encode_groups(work.decode_groups),
-        starters=[
-            StarterReport(gap_ms=item.gap_ms, value=item.value, due_ms=item.due_ms)
-            for item in work.prefill_streams
-        ],
-    )
-
-
-def _encode_groups(groups: tuple[DecodeGroup, ...]) -> list[WriterCount]:
-    return [
-        WriterCount(gap_ms=group.gap_ms, count=group.count, value=group.value)
-        for group in groups
-    ]
-
-
-def _decode_report(message: EntryReport) -> PeerReport:
-    return PeerReport(
-        process=message.process,
-        incarnation=message.incarnation,
-        host=message.host,
-        sequence=message.sequence,
-        known_hosts=tuple(message.known_hosts or ()),
-        revisions=tuple(
-            (item.prefix, item.revision) for item in message.revisions or ()
-        ),
-        work=tuple((item.endpoint, _decode_work(item)) for item in message.work or ()),
-        deaths=tuple(
-            EndpointDeath(
-                death=item.death,
-                fingerprints=tuple(
-                    Fingerprint(fingerprint) for fingerprint in item.fingerprints
-                ),
-            )
-            for item in message.deaths or ()
-        ),
-    )
-
-
-def _decode_work(message: WorkReport) -> EndpointWork:
-    return EndpointWork(
-        requests=message.requests,
-        prefill_ms=message.reading_ms,
-        prefill_elapsed_ms=message.reading_for_ms or 0.0,
-        kv_tokens=message.kv_tokens,
-        decode_groups=_decode_groups(message.writers),
-        prefill_streams=tuple(
-            PrefillStream(gap_ms=item.gap_ms, value=item.value, due_ms=item.due_ms)
-            for item in message.starters or ()
-        ),
-    )
-
-
-def _decode_groups(messages: list[WriterCount] | None) -> tuple[DecodeGroup, ...]:
-    return tuple(
-        DecodeGroup(gap_ms=item.gap_ms, count=item.count, value=item.value or 0.0)
-        for item in messages or ()
-    )
+def _encode_item(item: PublishedItem) -> CopyItem:
+    return CopyItem(key=item.key, revision=item.revision, value=item.value)
--- a/bilberryring/gateway/published_copies.py
+++ b/bilberryring/gateway/published_copies.py
@@ -56,6 +56,16 @@
         replica = self._replicas[prefix]
         return self._notify(replica, replica.take_copy(items, revision=revision))
 
+    def take_changes(
+        self, prefix: str, items: Iterable[PublishedItem], *, revision: int
+    ) -> int:
+        """Apply a peer's changes since the own revision, up to `revision`.
+
+        Returns how many keys changed.
+        """
+        replica = self._replicas[prefix]
+        return self._notify(replica, replica.take_changes(items, revision=revision))
+
     def _notify(self, replica: Replica, changed: tuple[str, ...]) -> int:
         if changed:
             for listener in self._listeners:
--- /dev/null
+++ b/bilberryring/gateway/report_codec.py
@@ -0,0 +1,169 @@
+"""Translation between reports of gateways and their messages."""
+
+import ipaddress
+from collections.abc import Iterable
+
+from bilberryring.core import Fingerprint
+from bilberryring.fleet import MS_PER_SECOND
+from bilberryring.gateway.peer_view import EndpointDeath, Member, PeerReport
+from bilberryring.gateway.store_readers import StoreAccess
+from bilberryring.routing import DecodeGroup, EndpointWork, PrefillStream
+from bilberryring.wire import (
+    CopyRevision,
+    DecodeGroupReport,
+    EngineDeath,
+    GatewayReport,
+    PrefillStreamReport,
+    WorkReport,
+)
+from bilberryring.wire import Member as MemberMessage
+
+HUNDREDTHS = 100.0
+MAX_MILLISECONDS = 3_600_000
+"""The longest time in a report; a request without an objective has no due time."""
+
+
+class ReportError(Exception):
+    """A report lacks a field or has a value out of range; it is dropped."""
+
+    def __init__(self, detail: str):
+        super().__init__(
+            f"report_malformed: {detail}. Remedy: compare the versions of the gateways."
+        )
+
+
+def encode_work(endpoint: str, work: EndpointWork) -> WorkReport:
+    """Return the message with the work on one endpoint."""
+    return WorkReport(
+        endpoint=endpoint,
+        requests=work.requests,
+        prefill_ms=round(work.prefill_ms),
+        prefill_elapsed_ms=round(work.prefill_elapsed_ms),
+        kv_tokens=work.kv_tokens,
+        decode_groups=[
+            DecodeGroupReport(
+                gap_ms=group.gap_ms,
+                count=group.count,
+                value_hundredths=round(group.value * HUNDREDTHS),
+            )
+            for group in work.decode_groups
+        ],
+        prefill_streams=[
+            PrefillStreamReport(
+                gap_ms=stream.gap_ms,
+                value_hundredths=round(stream.value * HUNDREDTHS),
+                due_ms=_clamp_milliseconds(stream.due_ms),
+            )
+            for stream in work.prefill_streams
+        ],
+    )
+
+
+def encode_members(members: Iterable[Member]) -> list[MemberMessage]:
+    """Return the messages of known gateways."""
+    return [
+        MemberMessage(
+            address=ipaddress.ip_address(member.host).packed,
+            silent_ms=round(member.silent_seconds * MS_PER_SECOND),
+        )
+        for member in members
+    ]
+
+
+def encode_revisions(revisions: Iterable[tuple[str, int]]) -> list[CopyRevision]:
+    """Return the messages with the revision of each prefix."""
+    return [
+        CopyRevision(prefix=prefix, revision=revision) for prefix, revision in revisions
+    ]
+
+
+def encode_deaths(deaths: Iterable[EndpointDeath]) -> list[EngineDeath]:
+    """Return the messages of endpoints' crashes."""
+    return [
+        EngineDeath(death=item.death, fingerprints=list(item.fingerprints))
+        for item in deaths
+    ]
+
+
+def decode_report(message: GatewayReport, *, host: str) -> PeerReport:
+    """Return the report that `host` sent, or raise `ReportError`."""
+    try:
+        return PeerReport(
+            incarnation=_required(message.incarnation),
+            host=host,
+            sequence=_required(message.sequence),
+            is_complete=bool(message.is_complete),
+            failure_domain=message.failure_domain or "",
+            store_access=StoreAccess(message.store_access or 0),
+            revisions=tuple(
+                (_required(item.prefix), _required(item.revision))
+                for item in message.revisions or ()
+            ),
+            work=tuple(
+                (_required(item.endpoint), _decode_work(item))
+                for item in message.work or ()
+            ),
+            members=tuple(_decode_member(item) for item in message.members or ()),
+            deaths=tuple(
+                EndpointDeath(
+                    death=_required(item.death),
+                    fingerprints=tuple(
+                        Fingerprint(fingerprint)
+                        for fingerprint in item.fingerprints or ()
+                    ),
+                )
+                for item in message.deaths or ()
+            ),
+        )
+    except ValueError as error:
+        raise ReportError(str(error))
+
+
+def _decode_member(message: MemberMessage) -> Member:
+    return Member(
+        host=str(ipaddress.ip_address(_required(message.address))),
+        silent_seconds=max(0, _required(message.silent_ms)) / MS_PER_SECOND,
+    )
+
+
+def _decode_work(message: WorkReport) -> EndpointWork:
+    return EndpointWork(
+        requests=_count(message.requests),
+        prefill_ms=float(_count(message.prefill_ms)),
+        prefill_elapsed_ms=float(_count(message.prefill_elapsed_ms)),
+        kv_tokens=_count(message.kv_tokens),
+        decode_groups=tuple(
+            DecodeGroup(
+                gap_ms=_count(item.gap_ms),
+                count=_count(item.count),
+                value=_count(item.value_hundredths) / HUNDREDTHS,
+            )
+            for item in message.decode_groups or ()
+        ),
+        prefill_streams=tuple(
+            PrefillStream(
+                gap_ms=_count(item.gap_ms),
+                value=_count(item.value_hundredths) / HUNDREDTHS,
+                due_ms=float(_required(item.due_ms)),
+            )
+            for item in message.prefill_streams or ()
+        ),
+    )
+
+
+def _clamp_milliseconds(milliseconds: float) -> int:
+    """Return whole milliseconds that fit the message; no due time is infinite."""
+    return round(min(max(milliseconds, -MAX_MILLISECONDS), MAX_MILLISECONDS))
+
+
+def _required(value):
+    if value is None:
+        raise ValueError("a field is missing")
+    return value
+
+
+def _count(value: int | None) -> int:
+    count = _required(value)
+    if count < 0:
+        raise ValueError(f"the count {count} is negative")
+    return count
--- a/bilberryring/gateway/tests/test_endpoint_choice.py
+++ b/bilberryring/gateway/tests/test_endpoint_choice.py
@@ -1,6 +1,9 @@
 """Exclusion of endpoints by start rate, region and health."""
 
+from dataclasses import replace
+
 import pytest
+from twisted.internet.task import Clock
 
 from bilberryring.fleet import (
     AnnouncedEndpoint,
@@ -13,6 +16,7 @@
     Workspace,
 )
 from bilberryring.gateway.endpoint_choice import EndpointChooser
+from bilberryring.gateway.endpoint_slices import SETTLE_SECONDS, EndpointSlices
 from bilberryring.gateway.messages import CallerMetadata
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.settings import GatewaySettings
@@ -90,14 +94,19 @@
     return fleet
 
 
-def make_chooser(fleet):
-    seeds = tuple(f"h{number + 1}" for number in range(ENTRIES))
+def make_chooser(fleet, *, entries=ENTRIES, health=None):
+    seeds = tuple(f"h{number + 1}" for number in range(entries))
+    settings = replace(SETTINGS, seed_hosts=seeds)
+    clock = Clock()
+    peers = PeerView(own_host="h1", seed_hosts=seeds)
+    slices = EndpointSlices(clock=clock, settings=settings, fleet=fleet, peers=peers)
+    clock.advance(SETTLE_SECONDS)
     return EndpointChooser(
-        settings=SETTINGS,
-        fleet=fleet,
+        settings=settings,
+        slices=slices,
         tracker=WorkTracker(),
-        peers=PeerView(own_host="h1", seed_hosts=seeds),
-        health=EndpointHealth(),
+        peers=peers,
+        health=health or EndpointHealth(),
         seed=1,
     )
 
@@ -138,13 +147,7 @@
 
 def test_endpoint_with_a_recent_break_is_used_only_as_the_last_one(fleet):
     health = EndpointHealth()
-    chooser = EndpointChooser(
-        settings=SETTINGS,
-        fleet=fleet,
-        tracker=WorkTracker(),
-        peers=PeerView(own_host="h1", seed_hosts=()),
-        health=health,
-    )
+    chooser = make_chooser(fleet, entries=1, health=health)
     health.record_broken_attempt("near", now=0.0)
     assert {choose(chooser, now=0.1) for _ in range(10)} == {"distant"}
     fleet.endpoints.withdraw("distant", now=0.1)
--- a/bilberryring/gateway/tests/test_peer_view.py
+++ b/bilberryring/gateway/tests/test_peer_view.py
@@ -1,13 +1,19 @@
 """Reports out of order, and peers that restart or stop reporting."""
 
-from bilberryring.gateway.peer_view import PEER_TIMEOUT_SECONDS, PeerReport, PeerView
+from bilberryring.gateway.peer_view import (
+    PEER_EXPIRY_SECONDS,
+    PEER_TIMEOUT_SECONDS,
+    Member,
+    PeerReport,
+    PeerView,
+)
 from bilberryring.routing import EndpointWork
 
 WORK = (("e1", EndpointWork(requests=2, prefill_ms=50.0)),)
 
 
 def make_report(**changes):
-    fields = {"process": "p", "incarnation": "i1", "host": "h2", "sequence": 5}
+    fields = {"incarnation": "i1", "host": "h2", "sequence": 5}
     return PeerReport(**(fields | changes))
 
 
@@ -39,8 +45,46 @@
 
 def test_hosts_are_learned_from_peers():
     view = make_view()
-    view.update(make_report(known_hosts=("h4",)), now=0.0)
-    assert view.hosts(now=1.0) == ("h2", "h3", "h4")
+    view.update(make_report(members=(Member(host="h4", silent_seconds=2.0),)), now=0.0)
+    assert set(view.hosts(now=1.0)) == {"h2", "h3", "h4"}
+
+
+def test_a_host_that_everyone_lost_is_forgotten_though_peers_still_name_it():
+    view = make_view()
+    half = PEER_EXPIRY_SECONDS / 2
+    view.update(make_report(members=(Member(host="h4", silent_seconds=1.0),)), now=0.0)
+    again = make_report(
+        sequence=6, members=(Member(host="h4", silent_seconds=half + 1.0),)
+    )
+    view.update(again, now=half)
+    assert "h4" in view.hosts(now=half)
+    view.expire(now=PEER_EXPIRY_SECONDS)
+    assert "h4" not in view.hosts(now=PEER_EXPIRY_SECONDS)
+
+
+def test_a_report_of_changes_leaves_other_work_and_removes_what_ended():
+    view = make_view()
+    view.update(make_report(work=(*WORK, ("e2", WORK[0][1]))), now=0.0)
+    ended = make_report(sequence=6, is_complete=False, work=(("e1", EndpointWork()),))
+    view.update(ended, now=0.1)
+    assert view.work("e1", now=0.2).requests == 0
+    assert view.work("e2", now=0.2).requests == 2
+
+
+def test_a_complete_report_removes_work_whose_end_was_lost():
+    view = make_view()
+    view.update(make_report(work=WORK), now=0.0)
+    view.update(make_report(sequence=7), now=0.1)
+    assert view.work("e1", now=0.2).requests == 0
+
+
+def test_the_sum_follows_each_report_and_the_time_since_then():
+    view = make_view()
+    view.update(make_report(work=WORK), now=0.0)
+    assert view.work("e1", now=0.0).remaining_ms == 50.0
+    view.update(make_report(host="h3", work=WORK), now=0.02)
+    work = view.work("e1", now=0.04)
+    assert (work.requests, round(work.remaining_ms)) == (4, 60)
 
 
 def test_host_with_the_latest_revision_is_returned():
--- a/bilberryring/gateway/tests/test_peers.py
+++ b/bilberryring/gateway/tests/test_peers.py
@@ -5,11 +5,14 @@
 import pytest
 from twisted.internet.task import Clock
 
+from bilberryring.fleet import FleetState
 from bilberryring.gateway.crash_record import CrashRecord
+from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.peers import COALESCE_SECONDS, PeerExchange
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.routing import PlacedRequest, WorkTracker
 from bilberryring.telemetry import EventLog
 from bilberryring.wire import decode_message
@@ -47,11 +50,21 @@
         platform_address="10.0.0.9:5",
         seed_hosts=(PEER,),
     )
+    view = PeerView(own_host=settings.host, seed_hosts=settings.seed_hosts)
     exchange = PeerExchange(
         reactor=clock,
         settings=settings,
         incarnation="run",
-        view=PeerView(own_host=settings.host, seed_hosts=settings.seed_hosts),
+        view=view,
+        slices=EndpointSlices(
+            clock=clock, settings=settings, fleet=FleetState(), peers=view
+        ),
+        duty=ReadingDuty(
+            clock=clock,
+            own_host=settings.host,
+            is_alone=False,
+            peers=lambda: view.store_access(now=clock.seconds()),
+        ),
         tracker=tracker,
         copies=PublishedCopies(prefixes=("a/",)),
         crashes=CrashRecord(clock=clock),
@@ -89,5 +102,6 @@
     clock.advance(0.5)
     exchange.report_change(is_urgent=True)
     (work,) = exchange.transport[0].work
-    assert (work.reading_ms, work.reading_for_ms) == (900.0, 500.0)
-    assert [(item.gap_ms, item.due_ms) for item in work.starters] == [(600, 1_000.0)]
+    assert (work.prefill_ms, work.prefill_elapsed_ms) == (900, 500)
+    streams = [(item.gap_ms, item.due_ms) for item in work.prefill_streams]
+    assert streams == [(600, 1_000)]
--- a/bilberryring/platform/adapter.py
+++ b/bilberryring/platform/adapter.py
@@ -12,8 +12,10 @@
     MemoryOrder,
     ResponseMetadata,
 )
+from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.http import HttpClient
 from bilberryring.platform import headers as header_codec
 from bilberryring.platform.names import READY_PATH, SETTINGS_VARIABLE
@@ -83,7 +85,7 @@
 class PlatformAdapter:
     """Reads what the platform publishes and applies it to the fleet state.
 
-    `entry_count` returns how many entries run, this one included.
+    `duty` says whether this gateway reads the store or leaves that to its `peers`.
 
     `on_endpoint_removed` is called with an endpoint whose announcement was removed,
     unless the announcement may only have lapsed during an outage of the store.
@@ -99,8 +101,9 @@
         settings: GatewaySettings,
         fleet: FleetState,
         copies: PublishedCopies,
+        peers: PeerView,
+        duty: ReadingDuty,
         log: EventLog,
-        entry_count,
         on_endpoint_removed,
     ):
         self._store = StoreClient(
@@ -108,7 +111,9 @@
                 reactor=reactor, base_url=f"http://{settings.platform_address}"
             )
         )
-        self._health = StoreHealth(reactor=reactor, fleet=fleet, log=log)
+        self._health = StoreHealth(
+            reactor=reactor, fleet=fleet, peers=peers, duty=duty, log=log
+        )
         self._translator = Translator(
             reactor=reactor,
             fleet=fleet,
@@ -124,8 +129,9 @@
                 prefix=prefix,
                 copies=copies,
                 health=self._health,
+                duty=duty,
                 log=log,
-                entry_count=entry_count,
+                entry_count=lambda: peers.entry_count(now=reactor.seconds()),
             )
             for prefix in PREFIXES
         ]
--- a/bilberryring/platform/tests/test_answers.py
+++ b/bilberryring/platform/tests/test_answers.py
@@ -181,24 +181,36 @@
 
 
 def test_a_stream_resumes_at_another_endpoint_after_the_last_complete_event(site):
-    broken = stream_of(range(1, 4), is_complete=False, partial=b"id: 4\nda")
-    site.add_endpoint("a", broken, service=MODEL_SERVICE)
-    site.start_gateway()
-    wait_until(lambda: site.is_ready(), 5, "ready")
-    second = {}
+    """The endpoint that breaks is the only one until it has the request."""
+    has_request, may_break = threading.Event(), threading.Event()
+    start = stream_of(range(1, 4), is_complete=False, partial=b"id: 4\nda")
 
-    def add_second():
-        second["b"] = site.add_endpoint(
-            "b", stream_of(range(1, 8)), service=MODEL_SERVICE
-        )
+    def broken(request, connection):
+        has_request.set()
+        may_break.wait(5.0)
+        start(request, connection)
 
-    add_second()
-    responses = [site.call("/chat/") for _ in range(4)]
-    for response in responses:
-        assert not response.is_cut
-        assert response.body == b"".join(event(number) for number in range(1, 8))
-    resumed = [seen.headers.get("last-event-id") for seen in second["b"].requests]
-    assert "3" in resumed
+    site.add_endpoint("a", broken, service=MODEL_SERVICE)
+    site.start_gateway()
+    answers = []
+    caller = threading.Thread(target=lambda: answers.append(site.call("/chat/")))
+    caller.start()
+    assert has_request.wait(5.0)
+    other = site.add_endpoint("b", stream_of(range(1, 8)), service=MODEL_SERVICE)
+    wait_until(
+        lambda: any(
+            line["endpoint"] == "b"
+            for line in site.log_events(event="endpoint_standing_changed")
+        ),
+        3.0,
+        "the other endpoint to be known",
+    )
+    may_break.set()
+    caller.join()
+    (answer,) = answers
+    assert not answer.is_cut
+    assert answer.body == b"".join(event(number) for number in range(1, 8))
+    assert [seen.headers.get("last-event-id") for seen in other.requests] == ["3"]
 
 
 def test_the_head_of_a_stream_that_broke_before_its_first_event_is_dropped(site):
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -1,4 +1,8 @@
-"""Keeps copies of the published items up to date: one list, then watches."""
+"""Keeps copies of the published items up to date: one list, then watches.
+
+Only gateways with the duty to read watch the store; see `gateway.store_readers`. The
+others copy the changes from them.
+"""
 
 import random
 
@@ -6,22 +10,26 @@
 from twisted.internet.task import deferLater
 
 from bilberryring.fleet import FleetState
+from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.store_readers import ReadingDuty, StoreAccess
 from bilberryring.platform.store import HistoryLost, Listing, StoreClient, StoreError
 from bilberryring.telemetry import EventLog, LogEvent
 
 WATCH_SECONDS_PER_ENTRY = 1.2
-"""Seconds that a watch lasts, multiplied by the number of entries.
+"""Seconds that a watch lasts, multiplied by the number of gateways.
 
-A dead connection is noticed only when its watch ends. Entries forward changes to
+A dead connection is noticed only when its watch ends. Gateways forward changes to
 each other, so it is enough that one watch of the whole group ends in time."""
 MIN_WATCH_SECONDS = 3.0
-MAX_WATCH_SECONDS = 10.0
+MAX_WATCH_SECONDS = 8.0
+DUTY_CHECK_SECONDS = 0.25
+"""Seconds between two checks of a gateway without the duty to read."""
 INITIAL_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 0.8
 STALE_AFTER_SECONDS = 1.0
 """Seconds of failed reads after which the fleet state counts as stale."""
-BATCH_SECONDS = 0.02
+BATCH_SECONDS = 0.1
 """Seconds between a watch that returned changes and the next one.
 
 Every call to the store has a price, so changes in quick succession are collected
@@ -29,17 +37,32 @@
 
 
 class StoreHealth:
-    """Tracks whether the reads of all watches of a process succeed."""
+    """Tracks whether the reads of all watches of a process succeed.
+
+    A process that does not read goes by what its peers report of an outage.
+    """
 
-    def __init__(self, *, reactor, fleet: FleetState, log: EventLog):
+    def __init__(
+        self,
+        *,
+        reactor,
+        fleet: FleetState,
+        peers: PeerView,
+        duty: ReadingDuty,
+        log: EventLog,
+    ):
         self._reactor = reactor
         self._fleet = fleet
+        self._peers = peers
+        self._duty = duty
         self._log = log
         self._failing_since: dict[str, float] = {}
         self._recovered_at: float | None = None
 
     def record_success(self, prefix: str) -> None:
         """Record that a read of a prefix succeeded."""
+        if not self._failing_since.keys() - {prefix}:
+            self._duty.record(StoreAccess.WORKING)
         if self._failing_since.pop(prefix, None) is None:
             return
         self._recovered_at = self._reactor.seconds()
@@ -50,6 +73,7 @@
     def record_failure(self, prefix: str, error: StoreError) -> None:
         """Record that a read failed; mark the fleet as stale if reads keep failing."""
         now = self._reactor.seconds()
+        self._duty.record(StoreAccess.FAILING)
         if prefix not in self._failing_since:
             self._failing_since[prefix] = now
             self._log.write(
@@ -59,6 +83,15 @@
         if now - since >= STALE_AFTER_SECONDS:
             self._fleet.set_stale_since(since)
 
+    def record_idle(self, prefix: str) -> None:
+        """Record that a prefix is not read any more: its copies come from peers."""
+        if self._failing_since.pop(prefix, None) is not None:
+            self._recovered_at = self._reactor.seconds()
+        if not self._failing_since:
+            self._fleet.set_stale_since(None)
+            if self._duty.access is StoreAccess.WORKING:
+                self._duty.record(StoreAccess.UNUSED)
+
     def is_failing(self, prefix: str) -> bool:
         """Whether the last read of a prefix failed."""
         return prefix in self._failing_since
@@ -67,9 +100,11 @@
         """Whether the store is unreachable, or was within the last `grace` seconds."""
         if self._failing_since:
             return True
-        if self._recovered_at is None:
+        outages = (self._recovered_at, self._peers.outage_seen_at)
+        ended_at = max((at for at in outages if at is not None), default=None)
+        if ended_at is None:
             return False
-        return self._reactor.seconds() - self._recovered_at < grace
+        return self._reactor.seconds() - ended_at < grace
 
 
 class StoreWatch:
@@ -83,6 +118,7 @@
         prefix: str,
         copies: PublishedCopies,
         health: StoreHealth,
+        duty: ReadingDuty,
         log: EventLog,
         entry_count,
     ):
@@ -93,6 +129,9 @@
         self._health = health
         self._log = log
         self._entry_count = entry_count
+        self._duty = duty
+        self._is_reading = False
+        self._must_read = True
         self._revision: int | None = None
         self._task: Deferred | None = None
         self._call: Deferred[Listing] | None = None
@@ -109,7 +148,8 @@
             self._task.cancel()
 
     def refresh(self) -> None:
-        """Replace the pending watch, whose connection may be dead, with a new one."""
+        """Read now, and replace a pending watch, whose connection may be dead."""
+        self._must_read = True
         if self._call is not None:
             self._call.cancel()
 
@@ -117,7 +157,12 @@
         delay = INITIAL_RETRY_SECONDS
         while not self._is_stopped:
             try:
-                await self._read_once()
+                if self._must_read or self._has_duty():
+                    await self._read_once()
+                    self._must_read = False
+                else:
+                    self._health.record_idle(self._prefix)
+                    await self._pause(DUTY_CHECK_SECONDS)
                 delay = INITIAL_RETRY_SECONDS
             except HistoryLost:
                 self._log.write(LogEvent.HISTORY_LOST, prefix=self._prefix)
@@ -131,6 +176,24 @@
             except CancelledError:
                 return
 
+    def _has_duty(self) -> bool:
+        """Whether to read now; log when that changes."""
+        is_due = self._duty.is_due
+        if is_due and not self._is_reading:
+            self._skip_copied_changes()
+        if is_due is not self._is_reading:
+            self._is_reading = is_due
+            self._log.write(
+                LogEvent.READER_DUTY_CHANGED, prefix=self._prefix, is_reading=is_due
+            )
+        return is_due
+
+    def _skip_copied_changes(self) -> None:
+        """Let the next watch begin after the changes that were copied from peers."""
+        replica = self._copies.replica(self._prefix)
+        if self._revision is not None and replica is not None:
+            self._revision = max(self._revision, replica.revision)
+
     async def _read_once(self) -> None:
         if self._revision is None:
             listing = await self._store.list(self._prefix)
@@ -150,7 +213,8 @@
         self._revision = listing.revision
 
     async def _watch(self, after: int) -> Listing:
-        wait = 0.0 if self._health.is_failing(self._prefix) else self._watch_seconds()
+        is_quick = self._must_read or self._health.is_failing(self._prefix)
+        wait = 0.0 if is_quick else self._watch_seconds()
         self._call = Deferred.fromCoroutine(
             self._store.watch(self._prefix, after=after, wait=wait)
         )
@@ -167,7 +231,8 @@
     def _watch_seconds(self) -> float:
         wait = WATCH_SECONDS_PER_ENTRY * self._entry_count()
         wait = min(max(wait, MIN_WATCH_SECONDS), MAX_WATCH_SECONDS)
-        return wait * random.uniform(0.8, 1.0)
+        wait *= random.uniform(0.8, 1.0)
+        return min(wait, self._duty.seconds_until_settled or wait)
 
     async def _pause(self, seconds: float) -> None:
         await deferLater(self._reactor, seconds)
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -29,10 +29,24 @@
 )
 from bilberryring.routing.prompt_plan import PromptPlan, plan_prompt
 from bilberryring.routing.read_cost import Candidate, PromptDemand
+from bilberryring.routing.ring import (
+    SLICE_SIZE,
+    Ring,
+    cover,
+    hash_order,
+    neighbours,
+    slice_size,
+)
 from bilberryring.routing.span_plan import needs_span, plan_span
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
 __all__ = [
+    "Ring",
+    "SLICE_SIZE",
+    "cover",
+    "hash_order",
+    "neighbours",
+    "slice_size",
     "needs_span",
     "plan_span",
     "Candidate",
--- a/bilberryring/routing/endpoint_work.py
+++ b/bilberryring/routing/endpoint_work.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 MILLISECONDS_PER_SECOND = 1_000.0
 MIN_REMAINING_SHARE = 0.1
@@ -69,8 +69,10 @@
         return max(self.prefill_ms - self.prefill_elapsed_ms, minimum)
 
     def __add__(self, other: "EndpointWork") -> "EndpointWork":
-        if not other.requests and not other.prefill_ms:
+        if not (other.requests or other.prefill_ms or other.kv_tokens):
             return self
+        if not (self.requests or self.prefill_ms or self.kv_tokens):
+            return other
         return EndpointWork(
             requests=self.requests + other.requests,
             prefill_ms=self.prefill_ms + other.prefill_ms,
@@ -84,11 +86,18 @@
         """Return the same work as it stands `milliseconds` later."""
         if not self.prefill_ms:
             return self
-        return replace(
-            self,
+        return EndpointWork(
+            requests=self.requests,
+            prefill_ms=self.prefill_ms,
             prefill_elapsed_ms=self.prefill_elapsed_ms + milliseconds,
+            kv_tokens=self.kv_tokens,
+            decode_groups=self.decode_groups,
             prefill_streams=tuple(
-                replace(stream, due_ms=stream.due_ms - milliseconds)
+                PrefillStream(
+                    gap_ms=stream.gap_ms,
+                    value=stream.value,
+                    due_ms=stream.due_ms - milliseconds,
+                )
                 for stream in self.prefill_streams
             ),
         )
@@ -213,12 +222,12 @@
 
     def __init__(self):
         self._by_endpoint: dict[str, _EndpointRequests] = {}
-        self._version = 0
+        self._changed: set[str] = set()
 
     @property
-    def version(self) -> int:
-        """Number of changes so far."""
-        return self._version
+    def changed(self) -> tuple[str, ...]:
+        """The endpoints whose work changed since the last call of `clear_changed`."""
+        return tuple(sorted(self._changed))
 
     @property
     def endpoints(self) -> tuple[str, ...]:
@@ -236,6 +245,10 @@
             (now - in_progress.prefill_since) * MILLISECONDS_PER_SECOND
         )
 
+    def clear_changed(self) -> None:
+        """Start a new set of changed endpoints, after all of them were reported."""
+        self._changed.clear()
+
     def place(self, request: PlacedRequest, *, now: float) -> PlacedRequest:
         """Add a request to its endpoints and return it."""
         for endpoint in request.endpoints:
@@ -244,7 +257,7 @@
                 in_progress.prefill_since = now
             in_progress.requests[request] = None
             in_progress.cached_work = None
-        self._version += 1
+        self._changed.update(request.endpoints)
         return request
 
     def mark_prefilled(self, request: PlacedRequest, *, now: float) -> None:
@@ -256,7 +269,6 @@
             if helper not in request.holders:
                 self._drop(helper, request)
         request.is_in_prefill = False
-        self._version += 1
 
     def remove(self, request: PlacedRequest, *, now: float) -> None:
         """Remove a request that has ended from all its endpoints."""
@@ -264,7 +276,6 @@
             self._end_prefill(request, now)
         for endpoint in (request.lead, *request.helpers):
             self._drop(endpoint, request)
-        self._version += 1
 
     def _end_prefill(self, request: PlacedRequest, now: float) -> None:
         """Start the prefill time of the next prompt on the request's endpoints."""
@@ -275,13 +286,15 @@
             if in_progress.first_in_prefill is request:
                 in_progress.prefill_since = now
             in_progress.cached_work = None
+            self._changed.add(endpoint)
 
     def _drop(self, endpoint: str, request: PlacedRequest) -> None:
         in_progress = self._by_endpoint.get(endpoint)
-        if in_progress is None:
+        if in_progress is None or request not in in_progress.requests:
             return
-        in_progress.requests.pop(request, None)
+        del in_progress.requests[request]
         in_progress.cached_work = None
+        self._changed.add(endpoint)
         if not in_progress.requests:
             del self._by_endpoint[endpoint]
 
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -19,12 +19,13 @@
 from bilberryring.routing.read_cost import (
     BACKLOG_COST_PER_MS,
     Candidate,
+    PreparedCandidates,
     PromptDemand,
     ScoredCandidate,
     arrival_cost,
     late_probability,
     lateness_cost,
-    pass_ms,
+    prepare_candidates,
     score_candidate,
 )
 
@@ -69,10 +70,11 @@
 ) -> PromptPlan | None:
     """Return the cheapest plan, or `None` when no engine has the memory to lead."""
     prefill_ms = figures.prefill_ms(prompt.prompt_tokens)
+    prepared = prepare_candidates(candidates, figures)
     plans = [
         plan
         for parts in part_counts(prefill_ms, len(candidates))
-        if (plan := _plan_parts(prompt, figures, candidates, prefill_ms / parts, parts))
+        if (plan := _plan_parts(prompt, figures, prepared, prefill_ms / parts, parts))
     ]
     return min(plans, key=lambda plan: plan.cost, default=None)
 
@@ -91,11 +93,11 @@
 def _plan_parts(
     prompt: PromptDemand,
     figures: EngineFigures,
-    candidates: Sequence[Candidate],
+    candidates: PreparedCandidates,
     part_ms: float,
     parts: int,
 ) -> PromptPlan | None:
-    scored = [score_candidate(candidate, figures, part_ms) for candidate in candidates]
+    scored = [score_candidate(item, part_ms) for item in candidates.items]
     leads = [
         item for item in scored if _fits(prompt, figures, item.candidate.work)
     ] or [item for item in scored if prompt.kv_tokens <= figures.kv_tokens]
@@ -108,7 +110,7 @@
     )
     helpers = rest[: parts - 1]
     backlog = backlog_ms(lead, helpers)
-    predicted = backlog + part_ms + first_pass_ms(figures, lead)
+    predicted = backlog + part_ms + first_pass_ms(lead)
     cost = sum(item.helper_cost for item in helpers)
     cost += _lead_cost(prompt, figures, lead)
     cost += lateness_cost(prompt, predicted)
@@ -128,9 +130,9 @@
     return max(item.wait_ms for item in (lead, *helpers))
 
 
-def first_pass_ms(figures: EngineFigures, lead: ScoredCandidate) -> float:
+def first_pass_ms(lead: ScoredCandidate) -> float:
     """Return the time from the end of the prefill to the first token at the caller."""
-    return pass_ms(figures, lead.candidate.work) + lead.candidate.delay_ms
+    return lead.pass_ms + lead.candidate.delay_ms
 
 
 def _lead_cost(
@@ -143,7 +145,7 @@
         cost += OVERLOAD_PENALTY * (1 + work.requests - figures.slots)
     if work.kv_tokens + prompt.kv_tokens > figures.kv_tokens:
         cost += OVERLOAD_PENALTY * prompt.value
-    least_ms = item.wait_ms + pass_ms(figures, work) + item.candidate.delay_ms
+    least_ms = item.wait_ms + item.pass_ms + item.candidate.delay_ms
     cost += late_probability(least_ms, prompt.first_ms)
     alike = (
         0 if prompt.gap_ms is None else work.count_streams_with_gap(int(prompt.gap_ms))
--- a/bilberryring/routing/read_cost.py
+++ b/bilberryring/routing/read_cost.py
@@ -3,10 +3,11 @@
 All costs are in short requests: 1 is the loss of the answer to a short prompt.
 """
 
-from collections.abc import Iterable, Sequence
+from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bilberryring.routing.endpoint_work import NO_WORK, EndpointWork
+from bilberryring.routing.endpoint_work import EndpointWork
 from bilberryring.routing.engine_figures import EngineFigures
 
 TOKENS_PER_VALUE_UNIT = 10_000
@@ -74,18 +75,69 @@
     failure_share: float = 0.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PreparedCandidate:
+    """A candidate with what does not depend on the length of a part.
+
+    `pass_ms` is the duration of a pass without prefill, `remaining_ms` the time until
+    the engine has prefilled its present prompts.
+    """
+
+    candidate: Candidate
+    pass_ms: float
+    remaining_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PreparedCandidates:
+    """All candidates of one prompt; `streams_by_gap` counts their streams."""
+
+    items: tuple[PreparedCandidate, ...]
+    streams_by_gap: tuple[tuple[int, int], ...]
+
+    def count_late_streams(self, *, pass_ms: float) -> int:
+        """Return how many streams miss their gap objective in a pass of `pass_ms`."""
+        return sum(count for gap, count in self.streams_by_gap if gap < pass_ms)
+
+
+def prepare_candidates(
+    candidates: Iterable[Candidate], figures: EngineFigures
+) -> PreparedCandidates:
+    """Return the candidates with what all plans for one prompt need."""
+    items, streams_by_gap = [], Counter()
+    for candidate in candidates:
+        work = candidate.work
+        items.append(
+            PreparedCandidate(
+                candidate=candidate,
+                pass_ms=figures.pass_ms(
+                    streams=work.requests, context_tokens=work.kv_tokens
+                ),
+                remaining_ms=work.remaining_ms,
+            )
+        )
+        for group in work.decode_groups:
+            streams_by_gap[group.gap_ms] += group.count
+        for stream in work.prefill_streams:
+            streams_by_gap[stream.gap_ms] += 1
+    return PreparedCandidates(
+        items=tuple(items), streams_by_gap=tuple(streams_by_gap.items())
+    )
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ScoredCandidate:
     """A candidate with the costs of prefilling a part there.
 
-    `stream_cost` is the cost to the streams that the part makes late, plus the
-    engine's share of failures. `helper_stream_cost` comes on top when the engine is a
-    helper: it prefills a part for another engine before its own prompts, so their
-    first tokens can be late. `wait_ms` is the time until the engine has prefilled its
-    present prompts.
+    `pass_ms` is the duration of a pass without prefill. `stream_cost` is the cost to
+    the streams that the part makes late, plus the engine's share of failures.
+    `helper_stream_cost` comes on top when the engine is a helper: it prefills a part
+    for another engine before its own prompts, so their first tokens can be late.
+    `wait_ms` is the time until the engine has prefilled its present prompts.
     """
 
     candidate: Candidate
+    pass_ms: float
     stream_cost: float
     wait_ms: float
     helper_stream_cost: float = 0.0
@@ -100,35 +152,38 @@
         )
 
 
-def score_candidate(
-    candidate: Candidate, figures: EngineFigures, part_ms: float
-) -> ScoredCandidate:
+def score_candidate(prepared: PreparedCandidate, part_ms: float) -> ScoredCandidate:
     """Return the candidate with the costs of a part that takes `part_ms` to prefill.
 
     Only streams that would be on time without the part count. A stream in decode is
     interrupted by all prefill on its engine; a stream whose own prompt is in prefill
     is interrupted only by the prompts that come after it.
     """
+    candidate = prepared.candidate
     work = candidate.work
-    bare_pass = pass_ms(figures, work) + GAP_MARGIN_MS
-    present_pass = bare_pass + work.remaining_ms
-    late = work.late_decode_value(pass_ms=present_pass + part_ms)
-    late -= work.late_decode_value(pass_ms=present_pass)
-    late += work.late_prefill_value(pass_ms=bare_pass + part_ms)
-    late -= work.late_prefill_value(pass_ms=bare_pass)
-    overdue = work.overdue_prefill_value(first_token_ms=present_pass + part_ms)
-    overdue -= work.overdue_prefill_value(first_token_ms=present_pass)
+    bare_pass = prepared.pass_ms + GAP_MARGIN_MS
+    present_pass = bare_pass + prepared.remaining_ms
+    late = overdue = 0.0
+    if work.decode_groups:
+        late += work.late_decode_value(pass_ms=present_pass + part_ms)
+        late -= work.late_decode_value(pass_ms=present_pass)
+    if work.prefill_streams:
+        late += work.late_prefill_value(pass_ms=bare_pass + part_ms)
+        late -= work.late_prefill_value(pass_ms=bare_pass)
+        overdue += work.overdue_prefill_value(first_token_ms=present_pass + part_ms)
+        overdue -= work.overdue_prefill_value(first_token_ms=present_pass)
     return ScoredCandidate(
         candidate=candidate,
+        pass_ms=prepared.pass_ms,
         stream_cost=LATE_COST * late + candidate.failure_share,
         helper_stream_cost=LATE_COST * overdue,
-        wait_ms=work.remaining_ms,
+        wait_ms=prepared.remaining_ms,
     )
 
 
 def arrival_cost(
     figures: EngineFigures,
-    candidates: Sequence[Candidate],
+    candidates: PreparedCandidates,
     *,
     parts: int,
     part_ms: float,
@@ -139,9 +194,8 @@
     Their rate is estimated from the present streams: in the time that one stream
     lasts, as many begin as are now in progress.
     """
-    total = total_work(candidates)
-    streams = total.count_late_streams(pass_ms=part_ms + GAP_MARGIN_MS)
-    free_slots = (len(candidates) - parts) * figures.slots * PREFERRED_SLOT_SHARE
+    streams = candidates.count_late_streams(pass_ms=part_ms + GAP_MARGIN_MS)
+    free_slots = (len(candidates.items) - parts) * figures.slots * PREFERRED_SLOT_SHARE
     if streams <= free_slots:
         return 0.0
     arrivals = streams * part_ms / figures.usual_answer_ms
@@ -166,16 +220,3 @@
     on_time_ms = ON_TIME_SHARE * objective_ms
     late_ms = LATE_SHARE * objective_ms
     return min(1.0, max(0.0, (predicted_ms - on_time_ms) / (late_ms - on_time_ms)))
-
-
-def pass_ms(figures: EngineFigures, work: EndpointWork) -> float:
-    """Return the duration of a pass without prefill on an engine with that work."""
-    return figures.pass_ms(streams=work.requests, context_tokens=work.kv_tokens)
-
-
-def total_work(candidates: Iterable[Candidate]) -> EndpointWork:
-    """Return the work of all engines together."""
-    total = NO_WORK
-    for candidate in candidates:
-        total = total + candidate.work
-    return total
--- a/bilberryring/routing/span_plan.py
+++ b/bilberryring/routing/span_plan.py
@@ -19,10 +19,12 @@
 )
 from bilberryring.routing.read_cost import (
     Candidate,
+    PreparedCandidates,
     PromptDemand,
     ScoredCandidate,
     arrival_cost,
     lateness_cost,
+    prepare_candidates,
     score_candidate,
 )
 
@@ -42,10 +44,11 @@
 ) -> PromptPlan | None:
     """Return the cheapest plan, or `None` when the engines lack the memory."""
     prefill_ms = figures.prefill_ms(prompt.prompt_tokens)
+    prepared = prepare_candidates(candidates, figures)
     plans = [
         plan
         for parts in part_counts(prefill_ms, len(candidates))
-        if (plan := _plan_parts(prompt, figures, candidates, prefill_ms / parts, parts))
+        if (plan := _plan_parts(prompt, figures, prepared, prefill_ms / parts, parts))
     ]
     return min(plans, key=lambda plan: plan.cost, default=None)
 
@@ -53,12 +56,12 @@
 def _plan_parts(
     prompt: PromptDemand,
     figures: EngineFigures,
-    candidates: Sequence[Candidate],
+    candidates: PreparedCandidates,
     part_ms: float,
     parts: int,
 ) -> PromptPlan | None:
     by_cost = sorted(
-        (score_candidate(candidate, figures, part_ms) for candidate in candidates),
+        (score_candidate(item, part_ms) for item in candidates.items),
         key=lambda item: item.helper_cost,
     )
     readers = by_cost[:parts]
@@ -69,7 +72,7 @@
     helpers = [item for item in readers if item is not lead and item not in holders]
     others = [*holders, *helpers]
     backlog = backlog_ms(lead, others)
-    predicted = backlog + part_ms + first_pass_ms(figures, lead)
+    predicted = backlog + part_ms + first_pass_ms(lead)
     cost = sum(item.helper_cost for item in readers)
     cost += lateness_cost(prompt, predicted)
     cost += arrival_cost(figures, candidates, parts=parts, part_ms=part_ms)
--- a/bilberryring/routing/tests/test_read_cost.py
+++ b/bilberryring/routing/tests/test_read_cost.py
@@ -9,7 +9,11 @@
     PromptDemand,
     plan_prompt,
 )
-from bilberryring.routing.read_cost import lateness_cost, score_candidate
+from bilberryring.routing.read_cost import (
+    lateness_cost,
+    prepare_candidates,
+    score_candidate,
+)
 from bilberryring.testing.prompt_load import FIGURES
 
 PART_MS = 700.0
@@ -28,9 +32,14 @@
     )
 
 
+def score(work):
+    candidates = (Candidate(endpoint="e", work=work),)
+    (prepared,) = prepare_candidates(candidates, FIGURES).items
+    return score_candidate(prepared, PART_MS)
+
+
 def stream_cost(work):
-    candidate = Candidate(endpoint="e", work=work)
-    return score_candidate(candidate, FIGURES, PART_MS).stream_cost
+    return score(work).stream_cost
 
 
 def test_a_stream_in_prefill_is_interrupted_by_later_prompts():
@@ -50,16 +59,7 @@
     soon = PrefillStream(gap_ms=1_000, value=16.0, due_ms=1_200.0)
     later = PrefillStream(gap_ms=1_000, value=16.0, due_ms=2_500.0)
     costs = [
-        score_candidate(
-            Candidate(
-                endpoint="e",
-                work=EndpointWork(
-                    requests=1, prefill_ms=800.0, prefill_streams=(stream,)
-                ),
-            ),
-            FIGURES,
-            PART_MS,
-        )
+        score(EndpointWork(requests=1, prefill_ms=800.0, prefill_streams=(stream,)))
         for stream in (soon, later)
     ]
     assert costs[0].helper_cost > costs[1].helper_cost
--- /dev/null
+++ b/bilberryring/testing/peer_network.py
@@ -0,0 +1,257 @@
+"""Many gateways that report to each other over a simulated network.
+
+Only what gateways tell each other is run: their reports, what they know of each other,
+and which of them read the store. There are no callers, endpoints are names, and time
+is simulated, so a minute of hundreds of gateways takes seconds.
+"""
+
+import random
+from dataclasses import dataclass, field
+from io import StringIO
+
+from twisted.internet.task import Clock
+
+from bilberryring.core import Fingerprint
+from bilberryring.fleet import (
+    AnnouncedEndpoint,
+    EndpointState,
+    FleetConfiguration,
+    FleetState,
+    Service,
+)
+from bilberryring.fleet.configuration import CallerLimits
+from bilberryring.gateway.crash_record import CrashRecord
+from bilberryring.gateway.endpoint_slices import EndpointSlices
+from bilberryring.gateway.peer_view import EndpointDeath, PeerView
+from bilberryring.gateway.peers import PeerExchange
+from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.gateway.settings import GatewaySettings
+from bilberryring.gateway.store_readers import ReadingDuty, StoreAccess
+from bilberryring.routing import PlacedRequest, WorkTracker
+from bilberryring.telemetry import EventLog
+from bilberryring.testing.prompt_load import FIGURES
+
+DELAY_SECONDS = 0.005
+HEADER_BYTES = 28
+"""Bytes of the IP and UDP headers of a datagram."""
+DOMAINS = 5
+SERVICE = Service(
+    name="model", max_connections=100, cold_requests_per_second=14.0, engine=FIGURES
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class SimulatedGateway:
+    """One gateway on the network, with what it sent and received so far."""
+
+    host: str
+    view: PeerView
+    slices: EndpointSlices
+    tracker: WorkTracker
+    duty: ReadingDuty
+    exchange: PeerExchange
+    crashes: CrashRecord
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    datagrams_received: int = 0
+    is_down: bool = False
+    muted: set[str] = field(default_factory=set)
+
+
+class _Transport:
+    """Sends the datagrams of one gateway into the simulated network."""
+
+    def __init__(self, *, network: "PeerNetwork", host: str):
+        self._network = network
+        self._host = host
+
+    def write(self, datagram: bytes, address: tuple[str, int]) -> None:
+        self._network.send(self._host, address[0], datagram)
+
+
+class PeerNetwork:
+    """Gateways before one service of engines; `loss` is the share of lost datagrams."""
+
+    def __init__(
+        self, *, gateways: int, endpoints: int, seed: int = 1, loss: float = 0.0
+    ):
+        self._clock = Clock()
+        self._random = random.Random(seed)
+        self._loss = loss
+        self._endpoints = endpoints
+        self._gateways: dict[str, SimulatedGateway] = {}
+        self._in_flight: list[tuple[str, SimulatedGateway, bytes]] = []
+        self._hosts = [make_host(number) for number in range(gateways)]
+        self._seeds = tuple(self._hosts[:3])
+        for host in self._hosts:
+            self._clock.callLater(self._random.uniform(0.0, 0.3), self._start, host)
+
+    @property
+    def gateways(self) -> tuple[SimulatedGateway, ...]:
+        """All gateways that were started, by the order of their start."""
+        return tuple(self._gateways.values())
+
+    @property
+    def now(self) -> float:
+        """The simulated time in seconds."""
+        return self._clock.seconds()
+
+    def advance(self, seconds: float) -> None:
+        """Let simulated time pass."""
+        for _ in range(round(seconds / DELAY_SECONDS)):
+            in_flight, self._in_flight = self._in_flight, []
+            self._clock.advance(DELAY_SECONDS)
+            for sender, target, datagram in in_flight:
+                self._deliver(sender, target, datagram)
+
+    def add(self, count: int) -> None:
+        """Start further gateways, which know the first ones as seeds."""
+        for number in range(len(self._hosts), len(self._hosts) + count):
+            self._hosts.append(make_host(number))
+            self._start(self._hosts[-1])
+
+    def stop(self, gateway: SimulatedGateway) -> None:
+        """End a gateway: it sends and receives nothing any more."""
+        gateway.is_down = True
+
+    def place_requests(self, per_second: float, seconds: float) -> None:
+        """Let requests arrive at all gateways together at a rate, for some time.
+
+        Each one is in prefill for 0.1 s and in decode for 2 s.
+        """
+        for _ in range(round(per_second * seconds)):
+            at = self._random.uniform(0.0, seconds)
+            self._clock.callLater(at, self._place)
+
+    def record_death(
+        self, gateway: SimulatedGateway, death: str, fingerprint: str
+    ) -> None:
+        """Let a gateway see an endpoint crash while a request was running there."""
+        gateway.crashes.record(
+            EndpointDeath(death=death, fingerprints=(Fingerprint(fingerprint),))
+        )
+
+    def knows_death(self, gateway: SimulatedGateway, fingerprint: str) -> bool:
+        """Return whether a gateway counts a crash against a request."""
+        return gateway.crashes.crash_count(Fingerprint(fingerprint)) > 0
+
+    def send(self, sender: str, receiver: str, datagram: bytes) -> None:
+        """Deliver a datagram after the delay, unless it is lost."""
+        source, target = self._gateways[sender], self._gateways.get(receiver)
+        if source.is_down:
+            return
+        source.bytes_sent += len(datagram) + HEADER_BYTES
+        if target is None or sender in target.muted or self._is_lost():
+            return
+        self._in_flight.append((sender, target, datagram))
+
+    def _is_lost(self) -> bool:
+        return self._random.random() < self._loss
+
+    def _deliver(self, sender: str, target: SimulatedGateway, datagram: bytes) -> None:
+        if target.is_down:
+            return
+        target.bytes_received += len(datagram) + HEADER_BYTES
+        target.datagrams_received += 1
+        target.exchange.datagramReceived(datagram, (sender, 1))
+
+    def _place(self) -> None:
+        gateway = self._random.choice(self.gateways)
+        if gateway.is_down:
+            return
+        lead = self._random.choice(gateway.slices.endpoints(SERVICE)).id
+        request = PlacedRequest(lead=lead, part_ms=30.0, kv_tokens=6_000, gap_ms=300)
+        gateway.tracker.place(request, now=self.now)
+        gateway.exchange.report_change()
+        self._clock.callLater(0.1, self._change, gateway, "mark_prefilled", request)
+        self._clock.callLater(2.1, self._change, gateway, "remove", request)
+
+    def _change(self, gateway: SimulatedGateway, change: str, request) -> None:
+        getattr(gateway.tracker, change)(request, now=self.now)
+        gateway.exchange.report_change()
+
+    def _start(self, host: str) -> None:
+        settings = make_settings(host, self._seeds)
+        view = PeerView(own_host=host, seed_hosts=settings.seed_hosts)
+        slices = EndpointSlices(
+            clock=self._clock,
+            settings=settings,
+            fleet=make_fleet(self._endpoints),
+            peers=view,
+        )
+        tracker = WorkTracker()
+        duty = ReadingDuty(
+            clock=self._clock,
+            own_host=host,
+            is_alone=False,
+            peers=lambda: view.store_access(now=self._clock.seconds()),
+        )
+        duty.record(StoreAccess.WORKING)
+        crashes = CrashRecord(clock=self._clock)
+        exchange = PeerExchange(
+            reactor=self._clock,
+            settings=settings,
+            incarnation=host,
+            view=view,
+            slices=slices,
+            tracker=tracker,
+            copies=PublishedCopies(prefixes=("a/", "b/")),
+            crashes=crashes,
+            duty=duty,
+            log=EventLog(process=host, role="gateway", stream=StringIO()),
+        )
+        exchange.transport = _Transport(network=self, host=host)
+        self._gateways[host] = SimulatedGateway(
+            host=host,
+            view=view,
+            slices=slices,
+            tracker=tracker,
+            duty=duty,
+            exchange=exchange,
+            crashes=crashes,
+        )
+        exchange.start_reports()
+
+
+def make_host(number: int) -> str:
+    return f"10.{number % DOMAINS}.{number // 250}.{number % 250 + 1}"
+
+
+def make_settings(host: str, seeds: tuple[str, ...]) -> GatewaySettings:
+    return GatewaySettings(
+        process=host,
+        failure_domain=f"d{host.split('.')[1]}",
+        host=host,
+        caller_address=f"{host}:1",
+        ready_address=f"{host}:2",
+        peer_port=1,
+        metrics_port=4,
+        platform_address="10.99.0.1:5",
+        seed_hosts=seeds,
+    )
+
+
+def make_fleet(endpoints: int) -> FleetState:
+    fleet = FleetState()
+    fleet.put_in_force(
+        FleetConfiguration(
+            version=1,
+            routes=(),
+            services={SERVICE.name: SERVICE},
+            workspaces_by_key={},
+            has_workspaces=False,
+            limits=CallerLimits(),
+        )
+    )
+    for number in range(endpoints):
+        fleet.endpoints.announce(
+            AnnouncedEndpoint(
+                id=f"i-{number:08x}",
+                service=SERVICE.name,
+                address=f"10.9.{number // 250}.{number % 250}:1",
+                failure_domain=f"d{number % DOMAINS}",
+                slots=5,
+                state=EndpointState.READY,
+            )
+        )
+    return fleet
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -1967,26 +1967,26 @@
         return not (self == other)
 
 
-class WriterCount(object):
+class DecodeGroupReport(object):
     """
     Attributes:
      - gap_ms
      - count
-     - value
+     - value_hundredths
 
     """
 
     __slots__ = (
         'gap_ms',
         'count',
-        'value',
+        'value_hundredths',
     )
 
 
-    def __init__(self, gap_ms=None, count=None, value=None,):
+    def __init__(self, gap_ms=None, count=None, value_hundredths=None,):
         self.gap_ms = gap_ms
         self.count = count
-        self.value = value
+        self.value_hundredths = value_hundredths
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2008,8 +2008,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.value = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.value_hundredths = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2021,7 +2021,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('WriterCount')
+        oprot.writeStructBegin('DecodeGroupReport')
         if self.gap_ms is not None:
             oprot.writeFieldBegin('gap_ms', TType.I32, 1)
             oprot.writeI32(self.gap_ms)
@@ -2030,9 +2030,9 @@
             oprot.writeFieldBegin('count', TType.I32, 2)
             oprot.writeI32(self.count)
             oprot.writeFieldEnd()
-        if self.value is not None:
-            oprot.writeFieldBegin('value', TType.DOUBLE, 3)
-            oprot.writeDouble(self.value)
+        if self.value_hundredths is not None:
+            oprot.writeFieldBegin('value_hundredths', TType.I32, 3)
+            oprot.writeI32(self.value_hundredths)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2059,25 +2059,25 @@
         return not (self == other)
 
 
-class StarterReport(object):
+class PrefillStreamReport(object):
     """
     Attributes:
      - gap_ms
-     - value
+     - value_hundredths
      - due_ms
 
     """
 
     __slots__ = (
         'gap_ms',
-        'value',
+        'value_hundredths',
         'due_ms',
     )
 
 
-    def __init__(self, gap_ms=None, value=None, due_ms=None,):
+    def __init__(self, gap_ms=None, value_hundredths=None, due_ms=None,):
         self.gap_ms = gap_ms
-        self.value = value
+        self.value_hundredths = value_hundredths
         self.due_ms = due_ms
 
     def read(self, iprot):
@@ -2095,13 +2095,13 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.value = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.value_hundredths = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.due_ms = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.due_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -2113,18 +2113,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('StarterReport')
+        oprot.writeStructBegin('PrefillStreamReport')
         if self.gap_ms is not None:
             oprot.writeFieldBegin('gap_ms', TType.I32, 1)
             oprot.writeI32(self.gap_ms)
             oprot.writeFieldEnd()
-        if self.value is not None:
-            oprot.writeFieldBegin('value', TType.DOUBLE, 2)
-            oprot.writeDouble(self.value)
+        if self.value_hundredths is not None:
+            oprot.writeFieldBegin('value_hundredths', TType.I32, 2)
+            oprot.writeI32(self.value_hundredths)
             oprot.writeFieldEnd()
         if self.due_ms is not None:
-            oprot.writeFieldBegin('due_ms', TType.DOUBLE, 3)
-            oprot.writeDouble(self.due_ms)
+            oprot.writeFieldBegin('due_ms', TType.I32, 3)
+            oprot.writeI32(self.due_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -2156,33 +2156,33 @@
     Attributes:
      - endpoint
      - requests
-     - reading_ms
+     - prefill_ms
+     - prefill_elapsed_ms
      - kv_tokens
-     - writers
-     - starters
-     - reading_for_ms
+     - decode_groups
+     - prefill_streams
 
     """
 
     __slots__ = (
         'endpoint',
         'requests',
-        'reading_ms',
+        'prefill_ms',
+        'prefill_elapsed_ms',
         'kv_tokens',
-        'writers',
-        'starters',
-        'reading_for_ms',
+        'decode_groups',
+        'prefill_streams',
     )
 
 
-    def __init__(self, endpoint=None, requests=None, reading_ms=None, kv_tokens=None, writers=None, starters=None, reading_for_ms=None,):
+    def __init__(self, endpoint=None, requests=None, prefill_ms=None, prefill_elapsed_ms=None, kv_tokens=None, decode_groups=None, prefill_streams=None,):
         self.endpoint = endpoint
         self.requests = requests
-        self.reading_ms = reading_ms
+        self.prefill_ms = prefill_ms
+        self.prefill_elapsed_ms = prefill_elapsed_ms
         self.kv_tokens = kv_tokens
-        self.writers = writers
-        self.starters = starters
-        self.reading_for_ms = reading_for_ms
+        self.decode_groups = decode_groups
+        self.prefill_streams = prefill_streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2204,42 +2204,42 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.reading_ms = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.prefill_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.I32:
+                    self.prefill_elapsed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.I64:
                     self.kv_tokens = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 6:
                 if ftype == TType.LIST:
-                    self.writers = []
+                    self.decode_groups = []
                     (_etype61, _size58) = iprot.readListBegin()
                     for _i62 in range(_size58):
-                        _elem63 = WriterCount()
+                        _elem63 = DecodeGroupReport()
                         _elem63.read(iprot)
-                        self.writers.append(_elem63)
+                        self.decode_groups.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 7:
                 if ftype == TType.LIST:
-                    self.starters = []
+                    self.prefill_streams = []
                     (_etype67, _size64) = iprot.readListBegin()
                     for _i68 in range(_size64):
-                        _elem69 = StarterReport()
+                        _elem69 = PrefillStreamReport()
                         _elem69.read(iprot)
-                        self.starters.append(_elem69)
+                        self.prefill_streams.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.DOUBLE:
-                    self.reading_for_ms = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2258,32 +2258,32 @@
             oprot.writeFieldBegin('requests', TType.I32, 2)
             oprot.writeI32(self.requests)
             oprot.writeFieldEnd()
-        if self.reading_ms is not None:
-            oprot.writeFieldBegin('reading_ms', TType.DOUBLE, 3)
-            oprot.writeDouble(self.reading_ms)
+        if self.prefill_ms is not None:
+            oprot.writeFieldBegin('prefill_ms', TType.I32, 3)
+            oprot.writeI32(self.prefill_ms)
+            oprot.writeFieldEnd()
+        if self.prefill_elapsed_ms is not None:
+            oprot.writeFieldBegin('prefill_elapsed_ms', TType.I32, 4)
+            oprot.writeI32(self.prefill_elapsed_ms)
             oprot.writeFieldEnd()
         if self.kv_tokens is not None:
-            oprot.writeFieldBegin('kv_tokens', TType.I64, 4)
+            oprot.writeFieldBegin('kv_tokens', TType.I64, 5)
             oprot.writeI64(self.kv_tokens)
             oprot.writeFieldEnd()
-        if self.writers is not None:
-            oprot.writeFieldBegin('writers', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRUCT, len(self.writers))
-            for iter70 in self.writers:
+        if self.decode_groups is not None:
+            oprot.writeFieldBegin('decode_groups', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.decode_groups))
+            for iter70 in self.decode_groups:
                 iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.starters is not None:
-            oprot.writeFieldBegin('starters', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.starters))
-            for iter71 in self.starters:
+        if self.prefill_streams is not None:
+            oprot.writeFieldBegin('prefill_streams', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.prefill_streams))
+            for iter71 in self.prefill_streams:
                 iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.reading_for_ms is not None:
-            oprot.writeFieldBegin('reading_for_ms', TType.DOUBLE, 7)
-            oprot.writeDouble(self.reading_for_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2389,41 +2389,124 @@
         return not (self == other)
 
 
-class EntryReport(object):
+class Member(object):
+    """
+    Attributes:
+     - address
+     - silent_ms
+
+    """
+
+    __slots__ = (
+        'address',
+        'silent_ms',
+    )
+
+
+    def __init__(self, address=None, silent_ms=None,):
+        self.address = address
+        self.silent_ms = silent_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.silent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Member')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeBinary(self.address)
+            oprot.writeFieldEnd()
+        if self.silent_ms is not None:
+            oprot.writeFieldBegin('silent_ms', TType.I32, 2)
+            oprot.writeI32(self.silent_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GatewayReport(object):
     """
     Attributes:
-     - process
      - incarnation
-     - host
      - sequence
-     - known_hosts
-     - revisions
+     - is_complete
      - work
+     - revisions
+     - members
      - deaths
+     - store_access
+     - failure_domain
 
     """
 
     __slots__ = (
-        'process',
         'incarnation',
-        'host',
         'sequence',
-        'known_hosts',
-        'revisions',
+        'is_complete',
         'work',
+        'revisions',
+        'members',
         'deaths',
+        'store_access',
+        'failure_domain',
     )
 
 
-    def __init__(self, process=None, incarnation=None, host=None, sequence=None, known_hosts=None, revisions=None, work=None, deaths=None,):
-        self.process = process
+    def __init__(self, incarnation=None, sequence=None, is_complete=None, work=None, revisions=None, members=None, deaths=None, store_access=None, failure_domain=None,):
         self.incarnation = incarnation
-        self.host = host
         self.sequence = sequence
-        self.known_hosts = known_hosts
-        self.revisions = revisions
+        self.is_complete = is_complete
         self.work = work
+        self.revisions = revisions
+        self.members = members
         self.deaths = deaths
+        self.store_access = store_access
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2436,35 +2519,31 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.sequence = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.BOOL:
+                    self.is_complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
                 if ftype == TType.LIST:
-                    self.known_hosts = []
+                    self.work = []
                     (_etype75, _size72) = iprot.readListBegin()
                     for _i76 in range(_size72):
-                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_hosts.append(_elem77)
+                        _elem77 = WorkReport()
+                        _elem77.read(iprot)
+                        self.work.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 5:
                 if ftype == TType.LIST:
                     self.revisions = []
                     (_etype81, _size78) = iprot.readListBegin()
@@ -2475,18 +2554,18 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 6:
                 if ftype == TType.LIST:
-                    self.work = []
+                    self.members = []
                     (_etype87, _size84) = iprot.readListBegin()
                     for _i88 in range(_size84):
-                        _elem89 = WorkReport()
+                        _elem89 = Member()
                         _elem89.read(iprot)
-                        self.work.append(_elem89)
+                        self.members.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
+            elif fid == 7:
                 if ftype == TType.LIST:
                     self.deaths = []
                     (_etype93, _size90) = iprot.readListBegin()
@@ -2497,6 +2576,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.store_access = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2506,51 +2595,55 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('EntryReport')
-        if self.process is not None:
-            oprot.writeFieldBegin('process', TType.STRING, 1)
-            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('GatewayReport')
         if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeFieldBegin('incarnation', TType.STRING, 1)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 3)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
-            oprot.writeFieldEnd()
         if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 4)
-            oprot.writeI64(self.sequence)
-            oprot.writeFieldEnd()
-        if self.known_hosts is not None:
-            oprot.writeFieldBegin('known_hosts', TType.LIST, 5)
-            oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter96 in self.known_hosts:
-                oprot.writeString(iter96.encode('utf-8') if sys.version_info[0] == 2 else iter96)
+            oprot.writeFieldBegin('sequence', TType.I32, 2)
+            oprot.writeI32(self.sequence)
+            oprot.writeFieldEnd()
+        if self.is_complete is not None:
+            oprot.writeFieldBegin('is_complete', TType.BOOL, 3)
+            oprot.writeBool(self.is_complete)
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter96 in self.work:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
-            oprot.writeFieldBegin('revisions', TType.LIST, 6)
+            oprot.writeFieldBegin('revisions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
             for iter97 in self.revisions:
                 iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.work is not None:
-            oprot.writeFieldBegin('work', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter98 in self.work:
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter98 in self.members:
                 iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.deaths is not None:
-            oprot.writeFieldBegin('deaths', TType.LIST, 8)
+            oprot.writeFieldBegin('deaths', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.deaths))
             for iter99 in self.deaths:
                 iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.store_access is not None:
+            oprot.writeFieldBegin('store_access', TType.I32, 8)
+            oprot.writeI32(self.store_access)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 9)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2754,6 +2847,7 @@
      - prefix
      - revision
      - items
+     - is_delta
 
     """
 
@@ -2761,13 +2855,15 @@
         'prefix',
         'revision',
         'items',
+        'is_delta',
     )
 
 
-    def __init__(self, prefix=None, revision=None, items=None,):
+    def __init__(self, prefix=None, revision=None, items=None, is_delta=None,):
         self.prefix = prefix
         self.revision = revision
         self.items = items
+        self.is_delta = is_delta
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2799,6 +2895,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_delta = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2824,6 +2925,10 @@
                 iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_delta is not None:
+            oprot.writeFieldBegin('is_delta', TType.BOOL, 4)
+            oprot.writeBool(self.is_delta)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2869,9 +2974,9 @@
      - beat
      - held
      - prompt_cleared
-     - entry_report
      - copy_query
      - copy_answer
+     - gateway_report
 
     """
 
@@ -2893,13 +2998,13 @@
         'beat',
         'held',
         'prompt_cleared',
-        'entry_report',
         'copy_query',
         'copy_answer',
+        'gateway_report',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None, prompt_cleared=None, entry_report=None, copy_query=None, copy_answer=None,):
+    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None, prompt_cleared=None, copy_query=None, copy_answer=None, gateway_report=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.set_notice = set_notice
@@ -2917,9 +3022,9 @@
         self.beat = beat
         self.held = held
         self.prompt_cleared = prompt_cleared
-        self.entry_report = entry_report
         self.copy_query = copy_query
         self.copy_answer = copy_answer
+        self.gateway_report = gateway_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3032,12 +3137,6 @@
                     self.prompt_cleared.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 18:
-                if ftype == TType.STRUCT:
-                    self.entry_report = EntryReport()
-                    self.entry_report.read(iprot)
-                else:
-                    iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.STRUCT:
                     self.copy_query = CopyQuery()
@@ -3050,6 +3149,12 @@
                     self.copy_answer.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.gateway_report = GatewayReport()
+                    self.gateway_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3128,10 +3233,6 @@
             oprot.writeFieldBegin('prompt_cleared', TType.STRUCT, 17)
             self.prompt_cleared.write(oprot)
             oprot.writeFieldEnd()
-        if self.entry_report is not None:
-            oprot.writeFieldBegin('entry_report', TType.STRUCT, 18)
-            self.entry_report.write(oprot)
-            oprot.writeFieldEnd()
         if self.copy_query is not None:
             oprot.writeFieldBegin('copy_query', TType.STRUCT, 19)
             self.copy_query.write(oprot)
@@ -3140,6 +3241,10 @@
             oprot.writeFieldBegin('copy_answer', TType.STRUCT, 20)
             self.copy_answer.write(oprot)
             oprot.writeFieldEnd()
+        if self.gateway_report is not None:
+            oprot.writeFieldBegin('gateway_report', TType.STRUCT, 21)
+            self.gateway_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3308,30 +3413,30 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'deaths', (TType.STRING, 'UTF8', False), None, ),  # 2
 )
-all_structs.append(WriterCount)
-WriterCount.thrift_spec = (
+all_structs.append(DecodeGroupReport)
+DecodeGroupReport.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'gap_ms', None, None, ),  # 1
     (2, TType.I32, 'count', None, None, ),  # 2
-    (3, TType.DOUBLE, 'value', None, None, ),  # 3
+    (3, TType.I32, 'value_hundredths', None, None, ),  # 3
 )
-all_structs.append(StarterReport)
-StarterReport.thrift_spec = (
+all_structs.append(PrefillStreamReport)
+PrefillStreamReport.thrift_spec = (
     None,  # 0
     (1, TType.I32, 'gap_ms', None, None, ),  # 1
-    (2, TType.DOUBLE, 'value', None, None, ),  # 2
-    (3, TType.DOUBLE, 'due_ms', None, None, ),  # 3
+    (2, TType.I32, 'value_hundredths', None, None, ),  # 2
+    (3, TType.I32, 'due_ms', None, None, ),  # 3
 )
 all_structs.append(WorkReport)
 WorkReport.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
     (2, TType.I32, 'requests', None, None, ),  # 2
-    (3, TType.DOUBLE, 'reading_ms', None, None, ),  # 3
-    (4, TType.I64, 'kv_tokens', None, None, ),  # 4
-    (5, TType.LIST, 'writers', (TType.STRUCT, [WriterCount, None], False), None, ),  # 5
-    (6, TType.LIST, 'starters', (TType.STRUCT, [StarterReport, None], False), None, ),  # 6
-    (7, TType.DOUBLE, 'reading_for_ms', None, None, ),  # 7
+    (3, TType.I32, 'prefill_ms', None, None, ),  # 3
+    (4, TType.I32, 'prefill_elapsed_ms', None, None, ),  # 4
+    (5, TType.I64, 'kv_tokens', None, None, ),  # 5
+    (6, TType.LIST, 'decode_groups', (TType.STRUCT, [DecodeGroupReport, None], False), None, ),  # 6
+    (7, TType.LIST, 'prefill_streams', (TType.STRUCT, [PrefillStreamReport, None], False), None, ),  # 7
 )
 all_structs.append(CopyRevision)
 CopyRevision.thrift_spec = (
@@ -3339,17 +3444,24 @@
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
 )
-all_structs.append(EntryReport)
-EntryReport.thrift_spec = (
+all_structs.append(Member)
+Member.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'sequence', None, None, ),  # 4
-    (5, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 5
-    (6, TType.LIST, 'revisions', (TType.STRUCT, [CopyRevision, None], False), None, ),  # 6
-    (7, TType.LIST, 'work', (TType.STRUCT, [WorkReport, None], False), None, ),  # 7
-    (8, TType.LIST, 'deaths', (TType.STRUCT, [EngineDeath, None], False), None, ),  # 8
+    (1, TType.STRING, 'address', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'silent_ms', None, None, ),  # 2
+)
+all_structs.append(GatewayReport)
+GatewayReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'incarnation', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'sequence', None, None, ),  # 2
+    (3, TType.BOOL, 'is_complete', None, None, ),  # 3
+    (4, TType.LIST, 'work', (TType.STRUCT, [WorkReport, None], False), None, ),  # 4
+    (5, TType.LIST, 'revisions', (TType.STRUCT, [CopyRevision, None], False), None, ),  # 5
+    (6, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 6
+    (7, TType.LIST, 'deaths', (TType.STRUCT, [EngineDeath, None], False), None, ),  # 7
+    (8, TType.I32, 'store_access', None, None, ),  # 8
+    (9, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 9
 )
 all_structs.append(CopyItem)
 CopyItem.thrift_spec = (
@@ -3370,6 +3482,7 @@
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.LIST, 'items', (TType.STRUCT, [CopyItem, None], False), None, ),  # 3
+    (4, TType.BOOL, 'is_delta', None, None, ),  # 4
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
@@ -3391,9 +3504,10 @@
     (15, TType.STRUCT, 'beat', [Beat, None], None, ),  # 15
     (16, TType.STRUCT, 'held', [Held, None], None, ),  # 16
     (17, TType.STRUCT, 'prompt_cleared', [PromptCleared, None], None, ),  # 17
-    (18, TType.STRUCT, 'entry_report', [EntryReport, None], None, ),  # 18
+    None,  # 18
     (19, TType.STRUCT, 'copy_query', [CopyQuery, None], None, ),  # 19
     (20, TType.STRUCT, 'copy_answer', [CopyAnswer, None], None, ),  # 20
+    (21, TType.STRUCT, 'gateway_report', [GatewayReport, None], None, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -133,26 +133,26 @@
   2: list<string> deaths,
 }
 
-struct WriterCount {
+struct DecodeGroupReport {
   1: i32 gap_ms,
   2: i32 count,
-  3: double value,
+  3: i32 value_hundredths,
 }
 
-struct StarterReport {
+struct PrefillStreamReport {
   1: i32 gap_ms,
-  2: double value,
-  3: double due_ms,
+  2: i32 value_hundredths,
+  3: i32 due_ms,
 }
 
 struct WorkReport {
   1: string endpoint,
   2: i32 requests,
-  3: double reading_ms,
-  4: i64 kv_tokens,
-  5: list<WriterCount> writers,
-  6: list<StarterReport> starters,
-  7: double reading_for_ms,
+  3: i32 prefill_ms,
+  4: i32 prefill_elapsed_ms,
+  5: i64 kv_tokens,
+  6: list<DecodeGroupReport> decode_groups,
+  7: list<PrefillStreamReport> prefill_streams,
 }
 
 struct CopyRevision {
@@ -160,15 +160,21 @@
   2: i64 revision,
 }
 
-struct EntryReport {
-  1: string process,
-  2: string incarnation,
-  3: string host,
-  4: i64 sequence,
-  5: list<string> known_hosts,
-  6: list<CopyRevision> revisions,
-  7: list<WorkReport> work,
-  8: list<EngineDeath> deaths,
+struct Member {
+  1: binary address,
+  2: i32 silent_ms,
+}
+
+struct GatewayReport {
+  1: string incarnation,
+  2: i32 sequence,
+  3: bool is_complete,
+  4: list<WorkReport> work,
+  5: list<CopyRevision> revisions,
+  6: list<Member> members,
+  7: list<EngineDeath> deaths,
+  8: i32 store_access,
+  9: string failure_domain,
 }
 
 struct CopyItem {
@@ -186,6 +192,7 @@
   1: string prefix,
   2: i64 revision,
   3: list<CopyItem> items,
+  4: bool is_delta,
 }
 
 struct Envelope {
@@ -206,7 +213,8 @@
   15: optional Beat beat,
   16: optional Held held,
   17: optional PromptCleared prompt_cleared,
-  18: optional EntryReport entry_report,
+  // 18 was a report of an earlier version, which decoders skip.
   19: optional CopyQuery copy_query,
   20: optional CopyAnswer copy_answer,
+  21: optional GatewayReport gateway_report,
 }
