Reservations for a lead that accepts no connection are not renewed

Change: before each renewal the gateway opens a connection to the lead. Without one it leaves the renewal out; the reservation then expires within 3.5 s of the last one, and survives two such renewals, so that one lost packet ends nothing.

Test: the lead stops listening and its open connection stays silent. A second test shows that a lead which reads for long is still renewed for.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -100,7 +100,10 @@
         try:
             if choice.holders:
                 reservation = await self._reservations.reserve(
-                    context.request_id, choice.holders, choice.holder_tokens
+                    context.request_id,
+                    choice.holders,
+                    choice.holder_tokens,
+                    lead=endpoint,
                 )
             response = await self._send(context, choice, reservation)
             await self._relay(context, choice, response)
--- a/bilberryring/gateway/reservations.py
+++ b/bilberryring/gateway/reservations.py
@@ -46,13 +46,21 @@
 class MemoryReservation:
     """The memory reserved for one prompt; owned by the task of the prompt's request."""
 
-    def __init__(self, *, manager: "ReservationManager", prompt: str, tokens: int):
+    def __init__(
+        self,
+        *,
+        manager: "ReservationManager",
+        prompt: str,
+        tokens: int,
+        lead: AnnouncedEndpoint,
+    ):
         self._manager = manager
+        self._lead = lead
         self._reservation_ids: dict[AnnouncedEndpoint, str] = {}
         self._prompt = prompt
         self._tokens = tokens
         self._has_unanswered_order = False
-        self._renewal = LoopingCall(self._renew)
+        self._renewal = LoopingCall(lambda: Deferred.fromCoroutine(self._renew()))
 
     @property
     def reservation_ids(self) -> dict[str, str]:
@@ -108,7 +116,13 @@
             self._has_unanswered_order = True
         return status is not None and status < 300
 
-    def _renew(self) -> None:
+    async def _renew(self) -> None:
+        """Renew unless the lead is unreachable: its end is not seen on a silent link.
+
+        A reservation that is not renewed expires before the memory must be free.
+        """
+        if not await self._manager.can_connect(self._lead):
+            return
         for endpoint in tuple(self._reservation_ids):
             Deferred.fromCoroutine(self._reserve_on(endpoint))
 
@@ -141,11 +155,26 @@
         """Return a unique id for a reservation."""
         return f"{prompt}-{self._owner_id}-{next(self._numbers)}"
 
+    async def can_connect(self, endpoint: AnnouncedEndpoint) -> bool:
+        """Return whether an engine still accepts connections."""
+        return await self._pool.can_connect(endpoint.address)
+
     async def reserve(
-        self, prompt: str, endpoints: tuple[AnnouncedEndpoint, ...], tokens: int
+        self,
+        prompt: str,
+        endpoints: tuple[AnnouncedEndpoint, ...],
+        tokens: int,
+        *,
+        lead: AnnouncedEndpoint,
     ) -> MemoryReservation:
-        """Reserve `tokens` of memory on each endpoint, or raise `AttemptError`."""
-        reservation = MemoryReservation(manager=self, prompt=prompt, tokens=tokens)
+        """Reserve `tokens` of memory on each endpoint, or raise `AttemptError`.
+
+        The reservations are renewed for as long as the engine `lead`, which uses the
+        memory, accepts connections.
+        """
+        reservation = MemoryReservation(
+            manager=self, prompt=prompt, tokens=tokens, lead=lead
+        )
         try:
             await reservation.acquire(endpoints)
         except CancelledError:
--- a/bilberryring/platform/tests/test_reservations.py
+++ b/bilberryring/platform/tests/test_reservations.py
@@ -1,6 +1,8 @@
 """Memory reserved at several endpoints for one prompt, renewed and released."""
 
 import json
+import threading
+import time
 
 import pytest
 
@@ -30,12 +32,16 @@
         self.status = "200 OK"
         self.responds_to_reserves = True
         self.later_events = 1
+        self.is_silent = False
+        self.endpoints = {}
 
     def script(self, request, connection):
         if request.target == "/v1/order":
             self.record_order(request, connection)
             return
         self.requests.append(request)
+        if self.is_silent:
+            return
         connection.sendall(stream_head(request.request_id))
         connection.sendall(chunk(event(1)))
         for number in range(2, 2 + self.later_events):
@@ -44,7 +50,7 @@
         connection.sendall(chunk(b""))
 
     def record_order(self, request, connection):
-        order = json.loads(request.body)
+        order = json.loads(request.body) | {"at": time.monotonic()}
         self.orders.append(order)
         if order["op"] == "reserve" and not self.responds_to_reserves:
             return
@@ -59,7 +65,10 @@
 def memory(site):
     memory = Memory()
     for number in range(8):
-        site.add_endpoint(f"e{number}", memory.script, service=MODEL_SERVICE)
+        name = f"e{number}"
+        memory.endpoints[name] = site.add_endpoint(
+            name, memory.script, service=MODEL_SERVICE
+        )
     site.start_gateway()
     return memory
 
@@ -129,3 +138,37 @@
         FREE_SECONDS,
         "the second release",
     )
+
+
+def test_memory_for_a_lead_that_fell_silent_is_not_renewed_past_the_bound(site, memory):
+    """The lead accepts no connection any more, and its open one stays silent.
+
+    Its caller still waits for the first token, which a long prompt may take seconds
+    for, so only the lead itself can tell that it is gone.
+    """
+    memory.is_silent = True
+    caller = threading.Thread(target=lambda: send_prompt(site))
+    caller.start()
+    wait_until(lambda: memory.requests, 3.0, "the request")
+    lead = memory.requests[0].headers["bilberryring-target-instance"]
+    memory.endpoints[lead].stop_listening()
+    gone_at = time.monotonic()
+    first_ids = set(memory.ids("reserve"))
+    caller.join()
+    expiries = [
+        order["at"] + order["hold_ms"] / 1_000.0
+        for order in memory.orders
+        if order["op"] == "reserve" and order["id"] in first_ids
+    ]
+    assert max(expiries) <= gone_at + FREE_SECONDS
+
+
+def test_memory_for_a_lead_that_reads_for_long_is_renewed(site, memory):
+    memory.is_silent = True
+    caller = threading.Thread(target=lambda: send_prompt(site))
+    caller.start()
+    wait_until(lambda: memory.requests, 3.0, "the request")
+    pause(2.0)
+    ids = memory.ids("reserve")
+    assert len(ids) >= 2 * len(set(ids))
+    caller.join()
--- a/bilberryring/standins/scripted_endpoint.py
+++ b/bilberryring/standins/scripted_endpoint.py
@@ -67,11 +67,15 @@
         """Use another script from the next request on."""
         self._script = script
 
-    def close(self) -> None:
-        """Stop listening and reset the open connections."""
+    def stop_listening(self) -> None:
+        """Accept no new connections; the open ones stay open and silent."""
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+
+    def close(self) -> None:
+        """Stop listening and reset the open connections."""
+        self.stop_listening()
         for connection in self._connections:
             reset(connection)
 
