Streams are kept together only while long prompts are prefilled

Change: streams are kept together up to 0.6 of the slots, the last free slot costs, and routing.prompt_planner lowers that share to nothing while the engines have no long prompts to prefill. Each gateway takes the level from the candidates of its plans.

The simulated engines now run only as many prompts at once as they have slots.

--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -102,7 +102,7 @@
         self._slices = EndpointSlices(
             clock=reactor, settings=settings, fleet=self._fleet, peers=self._peer_view
         )
-        duty = ReadingDuty(
+        self._duty = ReadingDuty(
             clock=reactor,
             own_host=settings.host,
             is_alone=not set(settings.seed_hosts) - {settings.host},
@@ -120,7 +120,7 @@
             tracker=self._tracker,
             copies=self._copies,
             crashes=crashes,
-            duty=duty,
+            duty=self._duty,
             log=log,
         )
         self._adapter = adapter_class(
@@ -129,7 +129,7 @@
             fleet=self._fleet,
             copies=self._copies,
             peers=self._peer_view,
-            duty=duty,
+            duty=self._duty,
             log=log,
             on_endpoint_removed=self._on_endpoint_removed,
         )
@@ -312,6 +312,7 @@
             state=state,
             in_progress=self._forwarder.in_progress,
             links=len(self._peer_view.live_hosts(now=self._reactor.seconds())),
+            is_reader=self._duty.is_due,
         )
 
     def _on_endpoint_removed(self, endpoint: AnnouncedEndpoint) -> None:
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -15,6 +15,7 @@
     EndpointId,
     Route,
     Service,
+    ServiceName,
     Workspace,
 )
 from bilberryring.gateway.endpoint_slices import EndpointSlices
@@ -27,10 +28,8 @@
     EndpointWork,
     PlacedRequest,
     PromptDemand,
+    PromptPlanner,
     WorkTracker,
-    needs_span,
-    plan_prompt,
-    plan_span,
 )
 
 REMOTE_PENALTY_MS = 5.0
@@ -81,6 +80,7 @@
         self._peers = peers
         self._health = health
         self._starts = StartRate()
+        self._planners: dict[ServiceName, PromptPlanner] = {}
         self._random = random.Random(seed)
 
     def choose(
@@ -184,9 +184,8 @@
         )
         candidates = [self._candidate(endpoint, now) for endpoint in usable]
         by_id = {endpoint.id: endpoint for endpoint in usable}
-        is_span = needs_span(demand, service.engine)
-        make_plan = plan_span if is_span else plan_prompt
-        plan = make_plan(demand, service.engine, candidates)
+        planner = self._planners.setdefault(service.name, PromptPlanner())
+        plan = planner.plan(demand, service.engine, candidates, now=now)
         if plan is None:
             return None
         held_tokens = plan.holder_tokens * len(plan.holders)
--- a/bilberryring/gateway/endpoint_slices.py
+++ b/bilberryring/gateway/endpoint_slices.py
@@ -21,9 +21,10 @@
 """The share of the operators' limit on starts that gateways use, and the users of an
 endpoint that are assumed beyond those known, since each gateway may know of others."""
 SETTLE_SECONDS = 1.0
-"""Seconds after the start until the other gateways are known. Before that, a gateway
-uses `PROVISIONAL_SIZE` endpoints and starts one request per second on each."""
+"""Seconds after the start until the other gateways are known."""
 PROVISIONAL_SIZE = 12
+PROVISIONAL_USERS = 12
+"""Endpoints that a gateway uses until then, and users of each that it assumes."""
 
 Regions = frozenset[str]
 
@@ -75,9 +76,10 @@
         limit = self._start_limit(service)
         if math.isinf(limit):
             return None
-        if not self._is_settled:
-            return 1
-        users = self._slice(service, regions).cover + SPARE_USERS
+        if self._is_settled:
+            users = self._slice(service, regions).cover + SPARE_USERS
+        else:
+            users = PROVISIONAL_USERS
         return max(1, int(limit / users))
 
     def neighbours(self) -> tuple[str, ...]:
--- a/bilberryring/gateway/operator_queries.py
+++ b/bilberryring/gateway/operator_queries.py
@@ -51,7 +51,9 @@
         self._health = health
         self._crashes = crashes
 
-    def status(self, *, state: str, in_progress: int, links: int) -> ProcessStatus:
+    def status(
+        self, *, state: str, in_progress: int, links: int, is_reader: bool
+    ) -> ProcessStatus:
         """Return the status; `links` is the number of live peer gateways."""
         configuration = self._fleet.configuration
         version = configuration.version if configuration else 0
@@ -64,7 +66,7 @@
             set_number=version,
             set_digest="",
             highest_seen=version,
-            is_reader=self._fleet.stale_since is None,
+            is_reader=is_reader,
             refused_sets=self._refused_sets(version),
             in_progress=in_progress,
             links=links,
--- a/bilberryring/measure/gateway.py
+++ b/bilberryring/measure/gateway.py
@@ -1,4 +1,8 @@
-"""The cost of a gateway: at rest, for each peer, request, event and plan."""
+"""The cost of a gateway: at rest, for each peer, request, event, plan and choice.
+
+What gateways tell each other is measured in a simulated network, at the sizes that
+need more processes than one machine runs.
+"""
 
 import os
 import random
@@ -8,6 +12,10 @@
 import click
 import msgspec
 
+from bilberryring.core import RequestId
+from bilberryring.gateway.endpoint_choice import EndpointChooser
+from bilberryring.gateway.messages import CallerMetadata
+from bilberryring.membership import EndpointHealth
 from bilberryring.routing import (
     Candidate,
     DecodeGroup,
@@ -26,6 +34,12 @@
     event,
     stream_head,
 )
+from bilberryring.testing.peer_network import (
+    SERVICE,
+    PeerNetwork,
+    make_settings,
+    make_stream_route,
+)
 from bilberryring.testing.processes import pause
 from bilberryring.testing.prompt_load import FIGURES
 
@@ -35,6 +49,13 @@
 EVENTS = 4_000
 ENDPOINT_COUNTS = (21, 69, 200)
 PLANS = 100
+FLEETS = ((3, 21), (25, 69), (68, 172), (400, 4_400))
+"""Gateways and endpoints of the fleets for which choices and control are measured."""
+CHOICES = 50
+SETTLED_SECONDS = 4.0
+CONTROL_SECONDS = 4.0
+REQUESTS_PER_GATEWAY = 2.13
+"""Requests a second of one gateway: 145 a second over 68."""
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 MICROSECONDS = 1_000_000.0
 
@@ -59,6 +80,61 @@
         for tokens in (4_000, 150_000):
             name = f"plan of {tokens} tokens over {endpoints} endpoints"
             _print(name, _per_plan(endpoints, tokens), "us of CPU")
+    for gateways, endpoints in FLEETS:
+        _measure_fleet(gateways, endpoints)
+
+
+def _measure_fleet(gateways: int, endpoints: int) -> None:
+    """Print what one gateway of a fleet spends on choices and on control."""
+    fleet = f"{gateways} gateways, {endpoints} endpoints"
+    network = PeerNetwork(gateways=gateways, endpoints=endpoints)
+    network.advance(SETTLED_SECONDS)
+    for load, per_gateway in (("at rest", 0.0), ("under load", REQUESTS_PER_GATEWAY)):
+        network.place_requests(per_gateway * gateways, CONTROL_SECONDS)
+        received = network.bytes_received
+        before = time.process_time()
+        network.advance(CONTROL_SECONDS)
+        share = (time.process_time() - before) / CONTROL_SECONDS / gateways
+        kilobytes = (network.bytes_received - received) / CONTROL_SECONDS / gateways
+        _print(f"control {load}, {fleet}, without sockets", 100 * share, "% of a core")
+        _print(f"control {load}, {fleet}, received", kilobytes / 1_000, "KB/s")
+    for tokens in (4_000, 150_000):
+        name = f"choice for {tokens} tokens, {fleet}"
+        _print(name, _per_choice(network, tokens), "us of CPU")
+
+
+def _per_choice(network: PeerNetwork, tokens: int) -> float:
+    gateway = network.gateways[0]
+    chooser = EndpointChooser(
+        settings=make_settings(gateway.host, ()),
+        slices=gateway.slices,
+        tracker=gateway.tracker,
+        peers=gateway.view,
+        health=EndpointHealth(),
+        seed=1,
+    )
+    route = make_stream_route()
+    metadata = CallerMetadata(
+        request_id=RequestId("r"),
+        host=route.host,
+        key=None,
+        timeout=None,
+        prompt_tokens=tokens,
+        max_tokens=1_600,
+        last_event_id="",
+    )
+    before = time.process_time()
+    for number in range(CHOICES):
+        chooser.choose(
+            route=route,
+            service=SERVICE,
+            workspace=None,
+            metadata=metadata,
+            excluded=frozenset(),
+            now=network.now + number / 1_000.0,
+            seconds_left=15.0,
+        )
+    return (time.process_time() - before) * MICROSECONDS / CHOICES
 
 
 def _print(what: str, figure: float, unit: str) -> None:
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -28,6 +28,7 @@
     first_token_seconds,
 )
 from bilberryring.routing.prompt_plan import PromptPlan, plan_prompt
+from bilberryring.routing.prompt_planner import PromptPlanner
 from bilberryring.routing.read_cost import Candidate, PromptDemand
 from bilberryring.routing.ring import (
     SLICE_SIZE,
@@ -56,6 +57,7 @@
     "PlacedRequest",
     "PromptDemand",
     "PromptPlan",
+    "PromptPlanner",
     "PrefillStream",
     "WorkTracker",
     "DecodeGroup",
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -41,8 +41,12 @@
 PACKING_GAIN = 0.02
 """Cost saved, in short requests, for each stream on the lead that has the same
 objective for token gaps: streams of one objective are kept together."""
-MAX_PACKED_STREAMS = 5
-"""Number of such streams on one engine from which nothing more is saved."""
+MAX_PACKED_SHARE = 0.6
+"""Largest share of an engine's slots with such streams up to which more is saved: other
+gateways may place streams there that are not known yet."""
+NEARLY_FULL_COST = 0.2
+"""Cost, in short requests, of the last free slot of an engine. Another gateway may have
+taken it, and the request then waits until a stream ends."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,15 +70,27 @@
 
 
 def plan_prompt(
-    prompt: PromptDemand, figures: EngineFigures, candidates: Sequence[Candidate]
+    prompt: PromptDemand,
+    figures: EngineFigures,
+    candidates: Sequence[Candidate],
+    *,
+    packed_share: float = MAX_PACKED_SHARE,
 ) -> PromptPlan | None:
-    """Return the cheapest plan, or `None` when no engine has the memory to lead."""
+    """Return the cheapest plan, or `None` when no engine has the memory to lead.
+
+    Streams of one objective are kept together on an engine up to `packed_share` of its
+    slots.
+    """
     prefill_ms = figures.prefill_ms(prompt.prompt_tokens)
     prepared = prepare_candidates(candidates, figures)
     plans = [
         plan
         for parts in part_counts(prefill_ms, len(candidates))
-        if (plan := _plan_parts(prompt, figures, prepared, prefill_ms / parts, parts))
+        if (
+            plan := _plan_parts(
+                prompt, figures, prepared, prefill_ms / parts, parts, packed_share
+            )
+        )
     ]
     return min(plans, key=lambda plan: plan.cost, default=None)
 
@@ -96,6 +112,7 @@
     candidates: PreparedCandidates,
     part_ms: float,
     parts: int,
+    packed_share: float,
 ) -> PromptPlan | None:
     scored = [score_candidate(item, part_ms) for item in candidates.items]
     leads = [
@@ -103,7 +120,7 @@
     ] or [item for item in scored if prompt.kv_tokens <= figures.kv_tokens]
     if not leads:
         return None
-    lead = min(leads, key=lambda item: _lead_cost(prompt, figures, item))
+    lead = min(leads, key=lambda item: _lead_cost(prompt, figures, item, packed_share))
     rest = sorted(
         (item for item in scored if item is not lead),
         key=lambda item: item.helper_cost,
@@ -112,7 +129,7 @@
     backlog = backlog_ms(lead, helpers)
     predicted = backlog + part_ms + first_pass_ms(lead)
     cost = sum(item.helper_cost for item in helpers)
-    cost += _lead_cost(prompt, figures, lead)
+    cost += _lead_cost(prompt, figures, lead, packed_share)
     cost += lateness_cost(prompt, predicted)
     cost += arrival_cost(figures, candidates, parts=parts, part_ms=part_ms)
     return PromptPlan(
@@ -136,13 +153,18 @@
 
 
 def _lead_cost(
-    prompt: PromptDemand, figures: EngineFigures, item: ScoredCandidate
+    prompt: PromptDemand,
+    figures: EngineFigures,
+    item: ScoredCandidate,
+    packed_share: float,
 ) -> float:
     work = item.candidate.work
     cost = item.stream_cost + item.wait_ms * BACKLOG_COST_PER_MS
     cost += prompt.value * item.candidate.failure_share
     if work.requests >= figures.slots:
         cost += OVERLOAD_PENALTY * (1 + work.requests - figures.slots)
+    elif work.requests + 1 == figures.slots:
+        cost += NEARLY_FULL_COST
     if work.kv_tokens + prompt.kv_tokens > figures.kv_tokens:
         cost += OVERLOAD_PENALTY * prompt.value
     least_ms = item.wait_ms + item.pass_ms + item.candidate.delay_ms
@@ -150,7 +172,7 @@
     alike = (
         0 if prompt.gap_ms is None else work.count_streams_with_gap(int(prompt.gap_ms))
     )
-    if alike < MAX_PACKED_STREAMS:
+    if alike < packed_share * figures.slots:
         cost -= PACKING_GAIN * alike
     return cost + PACKING_GAIN * work.requests / 4.0
 
--- a/bilberryring/routing/tests/test_prompt_load.py
+++ b/bilberryring/routing/tests/test_prompt_load.py
@@ -47,6 +47,10 @@
 LONG_LOAD = (chats(7.0), manifests(1.4), digests(1.8))
 OVERLOAD = (chats(8.0), manifests(3.0), digests(3.0))
 MIXED_LOAD = (chats(10.0), manifests(2.5), digests(1.9))
+FEW_SLOTS = replace(FIGURES, slots=5)
+CHAT_BURST = (chats(48.0), manifests(0.4))
+"""Short prompts that take two thirds of the slots of 32 engines with `FEW_SLOTS`."""
+CHATS_ON_TIME = 0.90
 TARGETS = {"chat": 0.90, "manifest": 0.95, "digest": 0.95}
 """Shares of on-time answers that the project's targets require under heavy load."""
 
@@ -202,3 +206,25 @@
 def test_no_span_is_planned_without_enough_free_memory():
     full = engines(21, kv_tokens=300_000)
     assert plan_span(a_prompt(700_000), FIGURES, full) is None
+
+
+def test_gateways_that_know_of_each_other_late_do_not_fill_the_same_engines():
+    """Thirteen gateways place a burst of short prompts on engines with few slots.
+
+    A gateway that keeps streams together until the slots are full takes the last slot
+    of an engine together with others. The prompts that come too late wait for seconds.
+    """
+    asked = on_time = 0
+    for seed in SEEDS:
+        load = PromptLoad(
+            policy=None,
+            classes=CHAT_BURST,
+            engines=32,
+            seed=seed,
+            gateways=13,
+            report_seconds=0.25,
+            figures=FEW_SLOTS,
+        )
+        chat = load.run(8.0)["chat"]
+        asked, on_time = asked + chat.sent, on_time + chat.on_time
+    assert on_time / asked >= CHATS_ON_TIME
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -17,7 +17,10 @@
     EndpointState,
     FleetConfiguration,
     FleetState,
+    RequestKind,
+    Route,
     Service,
+    ServiceShare,
 )
 from bilberryring.fleet.configuration import CallerLimits
 from bilberryring.gateway.crash_record import CrashRecord
@@ -78,7 +81,7 @@
         self._clock = Clock()
         self._random = random.Random(seed)
         self._loss = loss
-        self._endpoints = endpoints
+        self._fleet = make_fleet(endpoints)
         self._gateways: dict[str, SimulatedGateway] = {}
         self._in_flight: list[tuple[str, SimulatedGateway, bytes]] = []
         self._hosts = [make_host(number) for number in range(gateways)]
@@ -91,6 +94,11 @@
         """All gateways that were started, by the order of their start."""
         return tuple(self._gateways.values())
 
+    @property
+    def bytes_received(self) -> int:
+        """Bytes that all gateways have received so far."""
+        return sum(item.bytes_received for item in self.gateways)
+
     @property
     def now(self) -> float:
         """The simulated time in seconds."""
@@ -176,7 +184,7 @@
         slices = EndpointSlices(
             clock=self._clock,
             settings=settings,
-            fleet=make_fleet(self._endpoints),
+            fleet=self._fleet,
             peers=view,
         )
         tracker = WorkTracker()
@@ -231,6 +239,24 @@
     )
 
 
+def make_stream_route() -> Route:
+    """Return a route to the service, with the objectives of long prompts."""
+    return Route(
+        name="r",
+        host="site.example",
+        prefix="/",
+        kind=RequestKind.STREAMING,
+        shares=(ServiceShare(service=SERVICE.name, weight=1.0),),
+        timeout=15.0,
+        first_answer_objective=4.0,
+        gap_objective=1.2,
+        max_endpoints=2,
+        may_resume=True,
+        is_anonymous_allowed=True,
+        priority=0,
+    )
+
+
 def make_fleet(endpoints: int) -> FleetState:
     fleet = FleetState()
     fleet.put_in_force(
--- a/bilberryring/testing/prompt_load.py
+++ b/bilberryring/testing/prompt_load.py
@@ -1,21 +1,26 @@
 """A simulation of prompts of different lengths on a fleet of simulated engines.
 
-Each prompt is placed by the planning code that a gateway uses. Since the engines
-run on a simulated clock, a minute of heavy load takes about a second.
+Each prompt is placed by the planning code that a gateway uses, by one of several
+gateways that know of the others' prompts late. Since the engines run on a simulated
+clock, a minute of heavy load takes about a second.
 """
 
 import random
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from twisted.internet.task import Clock
 
 from bilberryring.routing import (
+    NO_WORK,
     Candidate,
+    EndpointWork,
     EngineFigures,
     PlacedRequest,
     PromptDemand,
     PromptPlan,
+    PromptPlanner,
     WorkTracker,
 )
 from bilberryring.standins.pass_engine import PassEngine, ReadPart, SimulatedStream
@@ -77,6 +82,7 @@
 
     prompt: PromptClass
     placed: PlacedRequest
+    tracker: WorkTracker
     sent_at: float
     parts_left: int
     last_event_at: float | None = None
@@ -87,16 +93,27 @@
 class PromptLoad:
     """One simulation of a load, with one policy that places the prompts.
 
-    A policy returns the plan for a prompt, or `None` to refuse it. An instance is
-    used for one run.
+    A policy returns the plan for a prompt, or `None` to refuse it; without a policy,
+    each gateway plans with a `PromptPlanner`. Each prompt arrives at one of `gateways`,
+    drawn at random, which knows of the prompts of the others what they last reported,
+    every `report_seconds`. An engine runs `figures.slots` prompts at once; others wait.
+    An instance is used for one run.
     """
 
-    policy: Policy
+    policy: Policy | None
     classes: Sequence[PromptClass]
     engines: int
     seed: int
+    gateways: int = 1
+    report_seconds: float = 0.2
+    figures: EngineFigures = FIGURES
     _clock: Clock = field(default_factory=Clock)
-    _tracker: WorkTracker = field(default_factory=WorkTracker)
+    _trackers: list[WorkTracker] = field(default_factory=list)
+    _planners: list[PromptPlanner] = field(default_factory=list)
+    _reported: list[dict[str, EndpointWork]] = field(default_factory=list)
+    _reported_at: float = 0.0
+    _running: Counter[str] = field(default_factory=Counter)
+    _waiting: dict[str, deque[Callable[[], None]]] = field(default_factory=dict)
     _results: dict[str, ClassResult] = field(default_factory=dict)
     _engines_by_name: dict[str, PassEngine] = field(default_factory=dict)
 
@@ -106,8 +123,11 @@
         The simulation goes on for 10 seconds after that, so that answers can end.
         """
         rng = random.Random(self.seed)
+        self._trackers = [WorkTracker() for _ in range(self.gateways)]
+        self._planners = [PromptPlanner() for _ in range(self.gateways)]
+        self._reported = [{} for _ in range(self.gateways)]
         self._engines_by_name = {
-            f"e{number}": PassEngine(clock=self._clock, figures=FIGURES)
+            f"e{number}": PassEngine(clock=self._clock, figures=self.figures)
             for number in range(self.engines)
         }
         arrivals = sorted(
@@ -131,27 +151,53 @@
         sampled_tokens = rng.lognormvariate(0.0, prompt.sigma) * prompt.median_tokens
         demand = PromptDemand(
             prompt_tokens=int(min(sampled_tokens, prompt.max_prompt_tokens)),
-            max_tokens=prompt.events * FIGURES.stride,
+            max_tokens=prompt.events * self.figures.stride,
             first_ms=prompt.first_ms,
             gap_ms=prompt.gap_ms,
             deadline_ms=10_000.0,
         )
-        plan = self.policy(demand, FIGURES, self._candidates(rng))
+        gateway = rng.randrange(self.gateways) if self.gateways > 1 else 0
+        candidates = self._candidates(rng, gateway)
+        if self.policy is None:
+            now = self._clock.seconds()
+            planner = self._planners[gateway]
+            plan = planner.plan(demand, self.figures, candidates, now=now)
+        else:
+            plan = self.policy(demand, self.figures, candidates)
         if plan is not None:
-            self._start(prompt, demand, plan)
+            self._place(prompt, demand, plan, self._trackers[gateway])
 
-    def _candidates(self, rng: random.Random) -> list[Candidate]:
+    def _candidates(self, rng: random.Random, gateway: int) -> list[Candidate]:
         now = self._clock.seconds()
-        candidates = [
-            Candidate(endpoint=name, work=self._tracker.work(name, now=now))
-            for name in self._engines_by_name
-        ]
+        if now - self._reported_at >= self.report_seconds:
+            self._report(now)
+        age_ms = (now - self._reported_at) * MILLISECONDS
+        candidates = []
+        for name in self._engines_by_name:
+            work = self._trackers[gateway].work(name, now=now)
+            for other, reported in enumerate(self._reported):
+                if other != gateway:
+                    work = work + reported.get(name, NO_WORK).advanced_by(age_ms)
+            candidates.append(Candidate(endpoint=name, work=work))
         rng.shuffle(candidates)
         return candidates
 
-    def _start(
-        self, prompt: PromptClass, demand: PromptDemand, plan: PromptPlan
+    def _report(self, now: float) -> None:
+        self._reported_at = now
+        self._reported = [
+            {name: tracker.work(name, now=now) for name in tracker.endpoints}
+            for tracker in self._trackers
+        ]
+
+    def _place(
+        self,
+        prompt: PromptClass,
+        demand: PromptDemand,
+        plan: PromptPlan,
+        tracker: WorkTracker,
     ) -> None:
+        """Let the tracker know the prompt, and start it when its lead has a slot."""
+        now = self._clock.seconds()
         placed = PlacedRequest(
             lead=plan.lead,
             helpers=plan.helpers,
@@ -159,18 +205,28 @@
             kv_tokens=demand.kv_tokens,
             gap_ms=int(prompt.gap_ms),
             value=demand.value,
-            due_at=self._clock.seconds() + prompt.first_ms / MILLISECONDS,
+            due_at=now + prompt.first_ms / MILLISECONDS,
         )
-        self._tracker.place(placed, now=self._clock.seconds())
-        reading_engines = (plan.lead, *plan.helpers)
+        tracker.place(placed, now=now)
         run = _RunningPrompt(
             prompt=prompt,
             placed=placed,
-            sent_at=self._clock.seconds(),
-            parts_left=len(reading_engines),
+            tracker=tracker,
+            sent_at=now,
+            parts_left=1 + len(plan.helpers),
         )
-        tokens = demand.prompt_tokens / len(reading_engines)
-        for name in reading_engines:
+        if self._running[plan.lead] < self.figures.slots:
+            self._start(run, demand, plan)
+            return
+        waiting = self._waiting.setdefault(plan.lead, deque())
+        waiting.append(lambda: self._start(run, demand, plan))
+
+    def _start(
+        self, run: _RunningPrompt, demand: PromptDemand, plan: PromptPlan
+    ) -> None:
+        self._running[plan.lead] += 1
+        tokens = demand.prompt_tokens / run.parts_left
+        for name in (plan.lead, *plan.helpers):
             self._engines_by_name[name].read(
                 ReadPart(
                     tokens_left=tokens,
@@ -195,7 +251,7 @@
 
     def _record_event(self, run: _RunningPrompt) -> None:
         now = self._clock.seconds()
-        self._tracker.mark_prefilled(run.placed, now=now)
+        run.tracker.mark_prefilled(run.placed, now=now)
         if run.last_event_at is None:
             run.is_late = (now - run.sent_at) * MILLISECONDS > run.prompt.first_ms
         elif (now - run.last_event_at) * MILLISECONDS > run.prompt.gap_ms:
@@ -203,7 +259,11 @@
         run.last_event_at = now
 
     def _finish_prompt(self, run: _RunningPrompt) -> None:
-        self._tracker.remove(run.placed, now=self._clock.seconds())
+        lead = run.placed.lead
+        run.tracker.remove(run.placed, now=self._clock.seconds())
+        self._running[lead] -= 1
+        if self._waiting.get(lead):
+            self._waiting[lead].popleft()()
         self._results[run.prompt.name].on_time += not run.is_late
 
 
--- a/bilberryring/tool/main.py
+++ b/bilberryring/tool/main.py
@@ -237,6 +237,8 @@
         "in progress",
     )
     print_rows(header, rows)
+    if len(report.domains) > 1:
+        _print_domains(report)
     for name in report.behind:
         click.echo(f"behind: {name}")
     for item in report.unreachable:
@@ -246,6 +248,22 @@
     _print_anomalies(report)
 
 
+def _print_domains(report: StatusReport) -> None:
+    rows = [
+        (
+            item.failure_domain,
+            item.role,
+            str(item.processes),
+            str(item.live),
+            str(item.readers),
+            str(item.in_progress),
+        )
+        for item in report.domains
+    ]
+    header = ("failure domain", "role", "processes", "live", "readers", "in progress")
+    print_rows(header, rows)
+
+
 def _print_explanation(explanation: Explanation) -> None:
     click.echo(f"chosen: {explanation.chosen or 'none'}")
     if explanation.detail:
--- a/bilberryring/tool/queries.py
+++ b/bilberryring/tool/queries.py
@@ -4,6 +4,7 @@
 import urllib.parse
 import urllib.request
 from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import msgspec
@@ -24,7 +25,9 @@
 from bilberryring.process.explanations import Explanation
 from bilberryring.process.operator_site import ProcessStatus
 
-QUERY_TIMEOUT_SECONDS = 3.0
+QUERY_TIMEOUT_SECONDS = 0.7
+MAX_PARALLEL_QUERIES = 500
+"""Processes that are asked at once; a query mostly waits for its answer."""
 MANIFEST_FILE = "manifest.json"
 PARTS_DIRECTORY = "part"
 
@@ -39,6 +42,17 @@
     detail: str
 
 
+class DomainStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """The sums over the processes of one role in one failure domain."""
+
+    failure_domain: str
+    role: str
+    processes: int
+    live: int
+    readers: int
+    in_progress: int
+
+
 class StatusReport(msgspec.Struct, frozen=True, kw_only=True):
     """The status of several processes, and the anomalies among them.
 
@@ -52,6 +66,7 @@
     unreachable: tuple[Unreachable, ...]
     behind: tuple[str, ...]
     forked: tuple[str, ...]
+    domains: tuple[DomainStatus, ...] = ()
 
 
 class RenderedSet(msgspec.Struct, frozen=True, kw_only=True):
@@ -105,8 +120,13 @@
 
 
 def collect_status(addresses: Iterable[str]) -> StatusReport:
-    """Return the status of all processes, and which of them are behind or forked."""
-    answers = [fetch_status(address) for address in addresses]
+    """Return the status of all processes, and which of them are behind or forked.
+
+    All are asked at once, so that silent ones delay the report by one timeout only.
+    """
+    asked = tuple(addresses)
+    with ThreadPoolExecutor(max(1, min(len(asked), MAX_PARALLEL_QUERIES))) as pool:
+        answers = tuple(pool.map(fetch_status, asked))
     processes = tuple(item for item in answers if isinstance(item, ProcessStatus))
     unreachable = tuple(item for item in answers if isinstance(item, Unreachable))
     newest = max((item.set_number for item in processes), default=0)
@@ -122,6 +142,24 @@
         unreachable=unreachable,
         behind=behind,
         forked=forked,
+        domains=_sum_by_domain(processes),
+    )
+
+
+def _sum_by_domain(processes: Iterable[ProcessStatus]) -> tuple[DomainStatus, ...]:
+    groups: dict[tuple[str, str], list[ProcessStatus]] = {}
+    for item in processes:
+        groups.setdefault((item.failure_domain, item.role), []).append(item)
+    return tuple(
+        DomainStatus(
+            failure_domain=failure_domain,
+            role=role,
+            processes=len(items),
+            live=sum(item.state == "live" for item in items),
+            readers=sum(item.is_reader for item in items),
+            in_progress=sum(item.in_progress for item in items),
+        )
+        for (failure_domain, role), items in sorted(groups.items())
     )
 
 
