--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -71,7 +71,11 @@
             self._fleet.set_stale_since(None)
 
     def record_failure(self, prefix: str, error: StoreError) -> None:
-        """Record that a read failed; mark the fleet as stale if reads keep failing."""
+        """Record that a read failed.
+
+        The fleet state counts as stale if reads keep failing and no live peer can read
+        either; otherwise the changes come from that peer.
+        """
         now = self._reactor.seconds()
         self._duty.record(StoreAccess.FAILING)
         if prefix not in self._failing_since:
@@ -80,8 +84,12 @@
                 LogEvent.PLATFORM_UNREACHABLE, prefix=prefix, detail=str(error)
             )
         since = min(self._failing_since.values())
-        if now - since >= STALE_AFTER_SECONDS:
+        is_cut_off = now - since >= STALE_AFTER_SECONDS
+        accesses = self._peers.store_access(now=now).values()
+        if is_cut_off and StoreAccess.WORKING not in accesses:
             self._fleet.set_stale_since(since)
+        else:
+            self._fleet.set_stale_since(None)
 
     def record_idle(self, prefix: str) -> None:
         """Record that a prefix is not read any more: its copies come from peers."""
