Endless answers are cut off, and bytes that complete no event are no progress

Change: answers other than streams end at 16 MB, skipped responses and incomplete events at 1 MB, as malformed answers; the bytes of an event are searched once. The limit for gaps runs from the last event with data. A head without end was cut already (256 KB), and a stream with an event every 0.6 s lives for its whole time, as before.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -5,6 +5,7 @@
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.endpoint_connection import EndpointResponse
+from bilberryring.gateway.event_stream import EventTooLargeError, has_data
 from bilberryring.gateway.messages import (
     AttemptError,
     AttemptMetadata,
@@ -46,6 +47,8 @@
 which the stream times out, if the request may be retried."""
 GAP_MARGIN_SECONDS = 0.25
 """Seconds added to that timeout."""
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Largest answer, other than a stream, in bytes; an endpoint may send without end."""
 URGENT_PREFILL_MS = 100.0
 """Prefill time in milliseconds of one part of a prompt from which the peers are
 notified at once. Two gateways that place such parts on the same engine would stop its
@@ -224,12 +227,19 @@
     async def _read_body(
         self, context: RequestContext, response: EndpointResponse
     ) -> bytes:
-        """Return the complete body."""
+        """Return the complete body, of at most `MAX_BODY_BYTES`."""
         parts: list[bytes] = []
+        size = 0
         while True:
             match await response.receive(timeout=self._time_left(context)):
                 case ResponseData(data):
                     parts.append(data)
+                    size += len(data)
+                    if size > MAX_BODY_BYTES:
+                        response.abort()
+                        raise AttemptError(
+                            reason=FailureReason.MALFORMED, was_sent=True
+                        )
                 case ResponseEnd():
                     return b"".join(parts)
 
@@ -246,12 +256,15 @@
             headers = self._codec.encode_response_headers(head.headers)
             exchange.start(head.status, head.reason, headers)
         exchange.apply_backpressure(response.transport)
-        timeout = self._first_response_timeout(context, choice)
+        limit = self._first_response_timeout(context, choice)
+        progress_at = self._reactor.seconds()
         while True:
-            match await response.receive(timeout=timeout):
+            silent_at = progress_at + limit
+            match await response.receive(timeout=silent_at - self._reactor.seconds()):
                 case ResponseData(data):
-                    self._relay_data(context, choice, data)
-                    timeout = self._gap_timeout(context)
+                    if self._relay_data(context, choice, data):
+                        limit = self._gap_timeout(context)
+                        progress_at = self._reactor.seconds()
                 case ResponseEnd():
                     trailing_data = context.stream.take_partial()
                     if trailing_data and not exchange.is_closed:
@@ -259,8 +272,15 @@
                     exchange.end()
                     return
 
-    def _relay_data(self, context: RequestContext, choice: Choice, data: bytes) -> None:
-        complete_events = context.stream.feed(data)
+    def _relay_data(self, context: RequestContext, choice: Choice, data: bytes) -> bool:
+        """Pass on the events that are complete; return whether one carries data.
+
+        Other bytes are no progress: an endpoint may send some now and then for ever.
+        """
+        try:
+            complete_events = context.stream.feed(data)
+        except EventTooLargeError:
+            raise AttemptError(reason=FailureReason.MALFORMED, was_sent=True)
         self._record_gap(context)
         if choice.placed.is_in_prefill:
             self._record_first_response(context)
@@ -268,6 +288,7 @@
             self._on_work_changed()
         if complete_events and not context.exchange.is_closed:
             context.exchange.write(complete_events)
+        return has_data(complete_events)
 
     def _record_first_response(self, context: RequestContext) -> None:
         if context.first_response_at is None:
--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -29,6 +29,8 @@
 so that it is not used while the endpoint closes it."""
 MAX_HEAD_BYTES = 256 * 1024
 """Maximum size in bytes of a status line with headers."""
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Most bytes of responses to other requests that are skipped on one connection."""
 
 Event = ResponseHead | ResponseData | ResponseEnd
 IsExpected = Callable[[ResponseHead], bool]
@@ -131,6 +133,7 @@
         self._is_expected: IsExpected = lambda head: True
         self._request: h11.Request | None = None
         self._is_skipping = False
+        self._skipped_bytes = 0
         self._is_open = False
         self._max_idle_seconds = DEFAULT_IDLE_SECONDS
         self._n_requests = 0
@@ -242,13 +245,21 @@
                 case h11.Response():
                     self._handle_head(event)
                 case h11.Data():
-                    if not self._is_skipping:
-                        self._response.add(ResponseData(bytes(event.data)))
+                    self._handle_data(bytes(event.data))
                 case h11.EndOfMessage():
                     self._handle_end()
                 case h11.ConnectionClosed():
                     self._fail(FailureReason.CLOSED)
 
+    def _handle_data(self, data: bytes) -> None:
+        if not self._is_skipping:
+            self._response.add(ResponseData(data))
+            return
+        self._skipped_bytes += len(data)
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail(FailureReason.MALFORMED)
+            self.abort()
+
     def _handle_head(self, h11_response: h11.Response) -> None:
         head = ResponseHead(
             status=h11_response.status_code,
--- a/bilberryring/gateway/event_stream.py
+++ b/bilberryring/gateway/event_stream.py
@@ -13,9 +13,31 @@
 b'id: 2\\ndata: b\\n\\n'
 """
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Most bytes of an event that is not complete; an endpoint may send without end."""
 BLANK_LINE = b"\n\n"
 BLANK_LINE_CRLF = b"\r\n\r\n"
 ID_FIELD = b"id:"
+DATA_FIELD = b"data:"
+
+
+class EventTooLargeError(Exception):
+    """An event exceeds `MAX_EVENT_BYTES`; the remedy is to resume elsewhere."""
+
+    def __init__(self):
+        super().__init__(
+            f"event_too_large: over {MAX_EVENT_BYTES} bytes. "
+            "Remedy: resume the stream at another endpoint."
+        )
+
+
+def has_data(events: bytes) -> bool:
+    """Whether one of the complete events carries data, unlike a mere comment.
+
+    >>> has_data(b"id: 1\\ndata: a\\n\\n"), has_data(b": waiting\\n\\n")
+    (True, False)
+    """
+    return events.startswith(DATA_FIELD) or b"\n" + DATA_FIELD in events
 
 
 class EventStream:
@@ -36,10 +58,16 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes; return the events that they complete, or `b""`."""
+        """Add received bytes; return the events that they complete, or `b""`.
+
+        Raises `EventTooLargeError` if the next event is too long.
+        """
+        unseen = max(0, len(self._buffer) - len(BLANK_LINE_CRLF))
         self._buffer += data
-        end = self._end_of_last_event()
+        end = self._end_of_last_event(unseen)
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise EventTooLargeError
         self._update_last_id(complete)
         return complete
 
@@ -52,11 +80,11 @@
         trailing_data, self._buffer = self._buffer, b""
         return trailing_data
 
-    def _end_of_last_event(self) -> int:
+    def _end_of_last_event(self, start: int) -> int:
         ends = [
             position + len(separator)
             for separator in (BLANK_LINE, BLANK_LINE_CRLF)
-            if (position := self._buffer.rfind(separator)) >= 0
+            if (position := self._buffer.rfind(separator, start)) >= 0
         ]
         return max(ends, default=0)
 
