Mechanisms of large fleets have their mutation checks; damaged reports are fuzzed

A complete report with members goes to two neighbours where there are no other gateways, so that members spread without the seeds. 500 damaged reports are read without an exception.

--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -142,6 +142,10 @@
                 COALESCE_SECONDS, self._report_changes
             )
 
+    def encode_complete_report(self) -> bytes:
+        """Return a datagram with all that this gateway reports."""
+        return encode_message(self._complete_report(self._reactor.seconds()))
+
     def datagramReceived(self, datagram: bytes, addr) -> None:
         try:
             message = decode_message(datagram)
@@ -184,8 +188,7 @@
         self._send_report(report, neighbours)
         report.members = members
         others = [host for host in self._view.hosts(now=now) if host not in neighbours]
-        seeds = [host for host in self._settings.seed_hosts if host in neighbours]
-        pool = others or seeds
+        pool = others or neighbours
         self._send_report(report, random.sample(pool, min(GOSSIP_PEERS, len(pool))))
 
     def _report_changes(self) -> None:
--- a/bilberryring/gateway/tests/test_peers.py
+++ b/bilberryring/gateway/tests/test_peers.py
@@ -3,6 +3,8 @@
 from io import StringIO
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
 from bilberryring.fleet import FleetState
@@ -105,3 +107,30 @@
     assert (work.prefill_ms, work.prefill_elapsed_ms) == (900, 500)
     streams = [(item.gap_ms, item.due_ms) for item in work.prefill_streams]
     assert streams == [(600, 1_000)]
+
+
+DAMAGES = st.lists(
+    st.tuples(st.integers(0, 10_000), st.integers(0, 255)), min_size=1, max_size=6
+)
+
+
+@given(damages=DAMAGES, length=st.integers(0, 400))
+@settings(
+    max_examples=500,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+def test_a_damaged_report_is_dropped_or_read_but_ends_nothing(
+    exchange, tracker, clock, damages, length
+):
+    """Bytes of a complete report are changed, and its end is cut off."""
+    tracker.place(
+        PlacedRequest(lead="e1", helpers=("e2",), part_ms=40.0, gap_ms=300), now=0.0
+    )
+    datagram = bytearray(exchange.encode_complete_report())
+    for position, value in damages:
+        datagram[position % len(datagram)] = value
+    exchange.datagramReceived(bytes(datagram[: max(1, length)]), ("10.0.0.2", 3))
+    clock.advance(COALESCE_SECONDS)
+    exchange.datagramReceived(exchange.encode_complete_report(), ("10.0.0.3", 3))
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -205,6 +205,93 @@
         test="bilberryring/admission/tests/test_prompt_admission.py"
         "::test_short_prompts_start_beside_a_long_one_with_a_better_priority",
     ),
+    Mechanism(
+        name="gateways divide the limit on starts by the users of an endpoint",
+        module="gateway/endpoint_slices.py",
+        present="        return max(1, int(limit / users))",
+        absent="        return max(1, int(limit / min(users, 2)))",
+        test="bilberryring/gateway/tests/test_endpoint_slices.py"
+        "::test_all_gateways_together_keep_to_the_cold_start_limit",
+    ),
+    Mechanism(
+        name="a gateway that was just added uses few endpoints",
+        module="gateway/endpoint_slices.py",
+        present="        is_provisional = not self._is_settled\n",
+        absent="        is_provisional = False\n",
+        test="bilberryring/gateway/tests/test_endpoint_slices.py"
+        "::test_gateways_that_were_just_added_do_not_overbook",
+    ),
+    Mechanism(
+        name="complete reports make good what was lost",
+        module="gateway/peers.py",
+        present="        if now - self._completed_at >= COMPLETE_REPORT_SECONDS:",
+        absent="        if now - self._completed_at >= 9 * COMPLETE_REPORT_SECONDS:",
+        test="bilberryring/gateway/tests/test_peer_network.py"
+        "::test_each_gateway_knows_the_work_on_its_endpoints",
+    ),
+    Mechanism(
+        name="readers that fail are replaced",
+        module="gateway/store_readers.py",
+        present="if access is not StoreAccess.FAILING",
+        absent="if access is not None",
+        test="bilberryring/gateway/tests/test_peer_network.py"
+        "::test_each_neighbourhood_has_readers_and_replaces_those_that_fail",
+    ),
+    Mechanism(
+        name="crashes are passed on",
+        module="gateway/crash_record.py",
+        present="                self._reported.append((now, death))",
+        absent="                pass",
+        test="bilberryring/gateway/tests/test_peer_network.py"
+        "::test_a_crash_becomes_known_beyond_the_neighbours",
+    ),
+    Mechanism(
+        name="changes alone are copied only where all removals are known",
+        module="fleet/replica.py",
+        present="if revision < max(self._complete_revision, self._dropped_revision):",
+        absent="if revision < 0:",
+        test="bilberryring/fleet/tests/test_replica.py::TestReplicasWithDeltas",
+    ),
+    Mechanism(
+        name="memory of a lead that is gone is not renewed",
+        module="gateway/reservations.py",
+        present="        if not await self._manager.can_connect(self._lead):",
+        absent="        if not self._lead:",
+        test="bilberryring/platform/tests/test_reservations.py"
+        "::test_memory_for_a_lead_that_fell_silent_is_not_renewed_past_the_bound",
+    ),
+    Mechanism(
+        name="streams are kept together only beside long prompts",
+        module="routing/prompt_planner.py",
+        present="MAX_PACKED_SHARE * min(1.0, self._backlog_ms / FULL_PACKING_MS)",
+        absent="MAX_PACKED_SHARE",
+        test="bilberryring/routing/tests/test_prompt_load.py"
+        "::test_gateways_that_know_of_each_other_late_do_not_fill_the_same_engines",
+    ),
+    Mechanism(
+        name="bytes that complete no event are no progress",
+        module="gateway/attempts.py",
+        present="        return has_data(complete_events)",
+        absent="        return True",
+        test="bilberryring/platform/tests/test_endless_answers.py"
+        "::test_a_stream_that_sends_bytes_but_no_event_is_given_up",
+    ),
+    Mechanism(
+        name="answers without end are cut off",
+        module="gateway/attempts.py",
+        present="                    if size > MAX_BODY_BYTES:",
+        absent="                    if size < 0:",
+        test="bilberryring/platform/tests/test_endless_answers.py"
+        "::test_an_endless_answer_is_cut_off_and_the_call_retried",
+    ),
+    Mechanism(
+        name="a gateway with fresh copies is not stale",
+        module="platform/watch.py",
+        present="        if is_cut_off and StoreAccess.WORKING not in accesses:",
+        absent="        if is_cut_off:",
+        test="bilberryring/platform/tests/test_store_health.py"
+        "::test_the_state_is_current_while_a_live_peer_can_read",
+    ),
 )
 
 
