--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -123,7 +123,7 @@
 
     @property
     def outage_seen_at(self) -> float | None:
-        """The last time at which a peer, and none other, reported failing reads."""
+        """When a peer last reported failing reads while no live peer could read."""
         return self._outage_seen_at
 
     def set_seeds(self, seed_hosts: tuple[str, ...]) -> None:
