--- a/bilberryring/core/identifiers.py
+++ b/bilberryring/core/identifiers.py
@@ -15,6 +15,9 @@
 Fingerprint = NewType("Fingerprint", str)
 """Hash of a request's content and caller; equal requests have equal fingerprints."""
 
+PromptPart = NewType("PromptPart", str)
+"""Identifier of a part of a prompt; prompts that share the part have the same one."""
+
 INCARNATION_BYTES = 8
 REQUEST_ID_BYTES = 12
 
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -95,6 +95,7 @@
         """
         endpoint = choice.endpoint
         context.tried_endpoints.add(endpoint.id)
+        context.answer_began_at = None
         self._tracker.place(choice.placed, now=self._reactor.seconds())
         self._on_work_changed(is_urgent=choice.placed.part_ms >= URGENT_PREFILL_MS)
         response: EndpointResponse | None = None
@@ -282,6 +283,8 @@
         except EventTooLargeError:
             raise AttemptError(reason=FailureReason.MALFORMED, was_sent=True)
         self._record_gap(context)
+        if context.answer_began_at is None and has_data(complete_events):
+            context.answer_began_at = self._reactor.seconds()
         if choice.placed.is_in_prefill:
             self._record_first_response(context)
             self._tracker.mark_prefilled(choice.placed, now=self._reactor.seconds())
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -223,6 +223,4 @@
             fingerprints=(context.fingerprint,),
         )
         self._crashes.record(death)
-        self._log.write(
-            LogEvent.PROMPT_SUSPECTED, context.metadata, endpoint=endpoint.id
-        )
+        self._log.prompt_suspected(context, endpoint.id)
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from bilberryring.core import RequestId
+from bilberryring.core import PromptPart, RequestId
 from bilberryring.fleet import WorkspaceName
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
@@ -16,7 +16,8 @@
 
     `key` is the API key. `timeout` is the time in seconds that the caller waits for a
     response, or `None` if the caller did not specify it. The numbers of tokens are 0
-    when unknown.
+    when unknown. `shared_parts` are the parts of the prompt, in order, that other
+    prompts may contain too.
     """
 
     request_id: RequestId
@@ -26,6 +27,7 @@
     prompt_tokens: int
     max_tokens: int
     last_event_id: str
+    shared_parts: tuple[PromptPart, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -1,6 +1,7 @@
 """Log events and metrics of requests."""
 
 from bilberryring.core import ServingError
+from bilberryring.fleet import EndpointId
 from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.endpoint_choice import Choice
 from bilberryring.gateway.messages import CallerMetadata
@@ -38,6 +39,7 @@
             helpers=[helper.id for helper in choice.helpers],
             part_ms=round(choice.placed.part_ms),
             prompt_tokens=context.metadata.prompt_tokens,
+            shared_parts=context.metadata.shared_parts,
             predicted_ms=round(choice.predicted_ms),
             left_ms=round(seconds_left * 1_000),
             configuration=version,
@@ -59,6 +61,16 @@
             reason=reason,
             culprit=culprit,
             helpers=[helper.id for helper in choice.helpers],
+            writing_ms=self._writing_ms(context),
+        )
+
+    def prompt_suspected(self, context: RequestContext, endpoint: EndpointId) -> None:
+        """Log that a request was running when its endpoint crashed."""
+        self._log.write(
+            LogEvent.PROMPT_SUSPECTED,
+            request=context.request_id,
+            endpoint=endpoint,
+            shared_parts=context.metadata.shared_parts,
         )
 
     def request_finished(self, context: RequestContext) -> None:
@@ -98,3 +110,9 @@
             retry_after=error.retry_after,
             detail=error.detail,
         )
+
+    def _writing_ms(self, context: RequestContext) -> int | None:
+        """Return for how long the endpoint had been writing its answer."""
+        if context.answer_began_at is None:
+            return None
+        return round((self._clock.seconds() - context.answer_began_at) * 1_000)
--- a/bilberryring/platform/headers.py
+++ b/bilberryring/platform/headers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberryring.core import RequestId
+from bilberryring.core import PromptPart, RequestId
 from bilberryring.fleet import MS_PER_SECOND, WorkspaceName
 from bilberryring.gateway.messages import (
     AttemptMetadata,
@@ -22,6 +22,7 @@
     LAST_EVENT_ID,
     NOT_EXECUTED,
     ORDER_PATH,
+    PROMPT_PREFIX,
     REQUEST_ID,
     REQUEST_PRIORITY,
     RESPONSE_STAMP,
@@ -32,6 +33,8 @@
 )
 
 MISDIRECTED_STATUS = 421
+MAX_SHARED_PARTS = 16
+"""Parts of one prompt that are looked at."""
 RequestParts = tuple[bytes, HeaderPairs, bytes]
 """The target, the headers and the body of a request."""
 BEARER_SCHEME = b"bearer "
@@ -78,6 +81,7 @@
         prompt_tokens=prompt_tokens,
         max_tokens=max_tokens,
         last_event_id=_decode_text(fields.get(LAST_EVENT_ID.lower(), b"")),
+        shared_parts=_parse_shared_parts(fields.get(PROMPT_PREFIX.lower(), b"")),
     )
 
 
@@ -184,6 +188,12 @@
     return int(parts[0]), int(parts[1])
 
 
+def _parse_shared_parts(value: bytes) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt without the last, which is the request's own."""
+    names = [_decode_text(entry.partition(b":")[0]) for entry in value.split(b",")]
+    return tuple(PromptPart(name) for name in names[:-1] if name)[:MAX_SHARED_PARTS]
+
+
 def _parse_load(value: bytes) -> tuple[int, int, int] | None:
     parts = value.split(b",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/bilberryring/platform/names.py
+++ b/bilberryring/platform/names.py
@@ -3,6 +3,7 @@
 REQUEST_ID = b"Bilberryring-Request-Id"
 DEADLINE_MS = b"Bilberryring-Deadline-Ms"
 TOKEN_USAGE = b"Bilberryring-Token-Usage"
+PROMPT_PREFIX = b"Bilberryring-Prompt-Prefix"
 LAST_EVENT_ID = b"Last-Event-Id"
 RESPONSE_STAMP = b"Bilberryring-Response-Stamp"
 WORKSPACE = b"Bilberryring-Tenant"
--- a/bilberryring/platform/tests/test_headers.py
+++ b/bilberryring/platform/tests/test_headers.py
@@ -97,3 +97,10 @@
         (b"Content-Type", b"text/event-stream"),
     )
     assert encode_response_headers(headers) == (headers[0], headers[3])
+
+
+def test_the_last_part_of_a_prompt_is_not_shared():
+    header = (b"Bilberryring-Prompt-Prefix", b"5c1e07a2:800, 91bd3f06:410,e4:250")
+    facts = decode_request_headers((header,))
+    assert facts.shared_parts == ("5c1e07a2", "91bd3f06")
+    assert decode_request_headers(CALLER).shared_parts == ()
