--- a/bilberryring/platform/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -229,6 +229,43 @@
     assert responses[-1].status == 503
 
 
+def test_prompts_with_a_part_that_crashes_endpoints_are_held_back(site):
+    """No two of the prompts are alike; sound ones share their caller and first part."""
+    endpoints = []
+
+    def crash_on_part(request, connection):
+        if ",bad:" in request.headers["bilberryring-prompt-prefix"]:
+            for endpoint in endpoints:
+                if connection in endpoint.connections:
+                    endpoint.close()
+            return
+        connection.sendall(stream_head(request.request_id))
+        connection.sendall(chunk(event(1)) + chunk(b""))
+
+    for number in range(12):
+        endpoint = site.add_endpoint(f"e{number}", crash_on_part, service=MODEL_SERVICE)
+        endpoints.append(endpoint)
+    site.start_gateway()
+    responses = []
+    for number in range(10):
+        parts = f"common:40,bad:300,own{number}:90"
+        body = b"%d" % number
+        header = {"Bilberryring_Prompt_Prefix": parts}
+        responses.append(site.call("/chat/", body=body, **header))
+        pause(0.1)
+    crashing = [
+        request
+        for endpoint in endpoints
+        for request in endpoint.requests
+        if ",bad:" in request.headers["bilberryring-prompt-prefix"]
+    ]
+    assert len(crashing) <= 5
+    assert responses[-1].status == 503
+    assert b"held_back" in responses[-1].body
+    header = {"Bilberryring_Prompt_Prefix": "common:40,other:300,own:90"}
+    assert site.call("/chat/", **header).body == event(1)
+
+
 def test_a_drain_completes_requests_in_progress(site):
     site.add_endpoint("a", respond_after(1.0))
     site.start_gateway()
