--- a/bilberryring/core/identifiers.py
+++ b/bilberryring/core/identifiers.py
@@ -15,7 +15,7 @@
 Fingerprint = NewType("Fingerprint", str)
 """Hash of a request's content and caller; equal requests have equal fingerprints."""
 
-PromptPart = NewType("PromptPart", str)
+PromptPartId = NewType("PromptPartId", str)
 """Identifier of a part of a prompt; prompts that share the part have the same one."""
 
 INCARNATION_BYTES = 8
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -114,6 +114,7 @@
             is_complete = True
             self._health.record_success(endpoint.id)
             self._crashes.clear(context.fingerprint)
+            self._record_served(context)
         except (NotRun, RetryableFailure):
             is_complete = True
             raise
@@ -171,6 +172,9 @@
         if seconds_left < MIN_SEND_SECONDS or not self._is_still_usable(choice):
             self._pool.release(connection)
             raise AttemptError(reason=FailureReason.DEADLINE, was_sent=False)
+        if self._crashes.quarantined_part(context.metadata.shared_parts) is not None:
+            self._pool.release(connection)
+            raise AttemptError(reason=FailureReason.QUARANTINED, was_sent=False)
         send_metadata = AttemptMetadata(
             endpoint=choice.endpoint.id,
             seconds_left=seconds_left,
@@ -297,6 +301,12 @@
         if context.first_response_at is None:
             context.first_response_at = self._reactor.seconds()
 
+    def _record_served(self, context: RequestContext) -> None:
+        if context.answer_began_at is not None:
+            self._crashes.record_served(
+                context.metadata.shared_parts, began_at=context.answer_began_at
+            )
+
     def _record_gap(self, context: RequestContext) -> None:
         now = self._reactor.seconds()
         if context.last_data_at is not None:
--- a/bilberryring/gateway/connection_pool.py
+++ b/bilberryring/gateway/connection_pool.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientCreator
 
 from bilberryring.gateway.endpoint_connection import EndpointConnection
@@ -45,14 +46,14 @@
             connection.abort()
         return await self._open(address, min(timeout, CONNECT_TIMEOUT_SECONDS))
 
-    async def can_connect(self, address: str) -> bool:
-        """Return whether a new connection can be opened; it is kept for reuse."""
+    async def connection_failure(self, address: str) -> FailureReason | None:
+        """Return why no new connection can be opened; one that opens is kept."""
         try:
             connection = await self._open(address, CONNECT_TIMEOUT_SECONDS)
-        except AttemptError:
-            return False
+        except AttemptError as error:
+            return error.reason
         self.release(connection)
-        return True
+        return None
 
     def release(self, connection: EndpointConnection) -> None:
         """Keep a connection without a pending response, unless there are enough."""
@@ -97,6 +98,8 @@
         )
         try:
             return await opening
+        except ConnectionRefusedError:
+            raise AttemptError(reason=FailureReason.REFUSED, was_sent=False)
         except Exception:
             # Twisted raises many kinds of exceptions for a failed connection attempt.
             raise AttemptError(reason=FailureReason.NOT_CONNECTED, was_sent=False)
--- a/bilberryring/gateway/crash_record.py
+++ b/bilberryring/gateway/crash_record.py
@@ -4,45 +4,72 @@
 on the network. It counts only if the endpoint does not accept a new connection.
 """
 
-from collections import deque
+import math
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 import xxhash
 
-from bilberryring.core import Fingerprint
+from bilberryring.core import Fingerprint, PromptPartId
 from bilberryring.gateway.messages import CallerRequest
-from bilberryring.gateway.peer_view import EndpointDeath
-from bilberryring.quarantine import PromptStanding, SuspectTracker
+from bilberryring.gateway.peer_view import CrashNews, EndpointDeath
+from bilberryring.quarantine import (
+    CrashedPrompt,
+    PartDecision,
+    PartQuarantine,
+    PartStanding,
+    PromptStanding,
+    SuspectTracker,
+)
 
 DEATHS_UNTIL_QUARANTINE = 3
 """Number of endpoint crashes after which a request that was running at each of them is
 quarantined. It follows from the operators' limit on retries of such a request."""
 DEATH_REPORT_SECONDS = 3.0
-"""Seconds for which a crash is included in the reports to peers."""
+"""Seconds after a crash for which it is included in reports to peers. The time counts
+from the crash, so that a report that is passed on in a circle ends."""
 MAX_REPORTED_DEATHS = 64
 """Maximum number of crashes in one report."""
-
+MAX_NEWS_DEATHS = 16
+"""Maximum number of crashes that are passed on together as news."""
 MAX_KNOWN_DEATHS = 256
 """Maximum number of crashes that are remembered, so that each is passed on once."""
+MAX_REPORTED_PARTS = 64
+"""Maximum number of parts of prompts in one report."""
 
 
 class CrashRecord:
-    """Tracks which requests were running when endpoints crashed, by fingerprint."""
+    """Tracks which requests and which parts of prompts endpoints crashed under.
+
+    `clock` is the reactor. `on_news` is called when this gateway learns of a crash, or
+    of an answer that speaks for a part, which peers may not know.
+    """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, seed: int | None = None):
         self._clock = clock
         self._suspects = SuspectTracker(
             crashes_until_quarantine=DEATHS_UNTIL_QUARANTINE
         )
-        self._reported: deque[tuple[float, EndpointDeath]] = deque(
-            maxlen=MAX_REPORTED_DEATHS
-        )
-        self._known: deque[EndpointDeath] = deque(maxlen=MAX_KNOWN_DEATHS)
+        self._parts = PartQuarantine(seed=seed)
+        self._crashed_at: OrderedDict[EndpointDeath, float] = OrderedDict()
+        self._unsent: deque[EndpointDeath] = deque(maxlen=MAX_REPORTED_DEATHS)
+        self._contested: OrderedDict[PromptPartId, float] = OrderedDict()
+        self._on_news: Callable[[], None] = lambda: None
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether a request must not be sent to an endpoint for now."""
         standing = self._suspects.standing(fingerprint, now=self._clock.seconds())
         return standing is PromptStanding.QUARANTINED
 
+    def quarantined_part(self, parts: tuple[PromptPartId, ...]) -> PromptPartId | None:
+        """Return a part because of which a prompt must not be sent, if there is one."""
+        return self._parts.quarantined_part(parts, now=self._clock.seconds())
+
+    def part_seconds_left(self, part: PromptPartId) -> float:
+        """Return for how many seconds a part remains quarantined."""
+        return self._parts.seconds_left(part, now=self._clock.seconds())
+
     def crash_count(self, fingerprint: Fingerprint) -> int:
         """Return how many known crashes happened while the request was running."""
         return self._suspects.crash_count(fingerprint)
@@ -51,6 +78,14 @@
         """Return the fingerprints of all requests in quarantine."""
         return self._suspects.quarantined(now=self._clock.seconds())
 
+    def quarantined_parts(self) -> tuple[PromptPartId, ...]:
+        """Return all parts of prompts in quarantine."""
+        return self._parts.quarantined(now=self._clock.seconds())
+
+    def set_listener(self, on_news: Callable[[], None]) -> None:
+        """Set the function that is called when there are news for the peers."""
+        self._on_news = on_news
+
     def record(self, death: EndpointDeath) -> None:
         """Record a crash that this gateway observed and include it in reports."""
         self.add_deaths((death,))
@@ -60,21 +95,109 @@
 
         So a crash reaches also gateways that this one's peers do not report to.
         """
-        now = self._clock.seconds()
         for death in deaths:
-            if death not in self._known:
-                self._known.append(death)
-                self._reported.append((now, death))
-            self._suspects.record_crash(death.death, list(death.fingerprints), now=now)
+            if death not in self._crashed_at:
+                self._add_death(death)
+        if self._unsent:
+            self._on_news()
+
+    def add_standings(self, standings: tuple[PartStanding, ...]) -> None:
+        """Take over what a peer knows of parts of prompts."""
+        now = self._clock.seconds()
+        contested = [
+            standing.part
+            for standing in standings
+            if self._parts.merge(standing, now=now)
+        ]
+        is_new = any(part not in self._contested for part in contested)
+        for part in contested:
+            self._contested.setdefault(part, now)
+        if is_new:
+            self._on_news()
 
     def clear(self, fingerprint: Fingerprint) -> None:
         """Clear a request of suspicion after it got a complete response."""
         self._suspects.clear(fingerprint)
 
+    def record_served(
+        self, parts: tuple[PromptPartId, ...], *, began_at: float
+    ) -> None:
+        """Record a complete answer to a prompt, and when the endpoint began it."""
+        self._parts.record_served(parts, began_at=began_at, now=self._clock.seconds())
+
+    def update(self) -> None:
+        """Decide what waited for further evidence, and forget what has expired."""
+        now = self._clock.seconds()
+        self._parts.update(now=now)
+        for part, at in tuple(self._contested.items()):
+            if now - at > DEATH_REPORT_SECONDS:
+                del self._contested[part]
+
+    def take_decisions(self) -> tuple[PartDecision, ...]:
+        """Remove and return the decisions about parts since the last call."""
+        return self._parts.take_decisions()
+
+    def take_news(self) -> CrashNews:
+        """Return some of the crashes that were not passed on yet.
+
+        The listener is called again if there are more.
+        """
+        count = min(MAX_NEWS_DEATHS, len(self._unsent))
+        deaths = self._aged(self._unsent.popleft() for _ in range(count))
+        if self._unsent:
+            self._on_news()
+        return CrashNews(deaths=deaths, parts=self.standings())
+
     def recent_deaths(self) -> tuple[EndpointDeath, ...]:
-        """Return the crashes to include in the next report to peers."""
-        oldest = self._clock.seconds() - DEATH_REPORT_SECONDS
-        return tuple(death for at, death in self._reported if at > oldest)
+        """Return the crashes to include in the next complete report to peers."""
+        return self._aged(self._crashed_at)[-MAX_REPORTED_DEATHS:]
+
+    def standings(self) -> tuple[PartStanding, ...]:
+        """Return what to tell peers of parts: those in quarantine, and the suspects.
+
+        Of suspects only that they were answered matters to others.
+        """
+        now = self._clock.seconds()
+        quarantined = self._parts.quarantined(now=now)
+        suspects = {
+            part: None
+            for death in self.recent_deaths()
+            for part in death.parts
+            if part not in quarantined
+        }
+        answered = [
+            standing
+            for part in (*self._contested, *suspects)
+            if (standing := self._parts.standing(part, now=now)).served_ago is not None
+        ]
+        standings = [
+            *(self._parts.standing(part, now=now) for part in quarantined),
+            *answered,
+        ]
+        return tuple(standings[:MAX_REPORTED_PARTS])
+
+    def _aged(self, deaths: Iterable[EndpointDeath]) -> tuple[EndpointDeath, ...]:
+        """Return those of the crashes that are recent, with their age."""
+        now = self._clock.seconds()
+        return tuple(
+            replace(death, age_seconds=now - crashed_at)
+            for death in deaths
+            if now - (crashed_at := self._crashed_at.get(death, -math.inf))
+            < DEATH_REPORT_SECONDS
+        )
+
+    def _add_death(self, death: EndpointDeath) -> None:
+        now = self._clock.seconds()
+        crashed_at = now - death.age_seconds
+        self._crashed_at[death] = crashed_at
+        while len(self._crashed_at) > MAX_KNOWN_DEATHS:
+            self._crashed_at.popitem(last=False)
+        if death.age_seconds < DEATH_REPORT_SECONDS:
+            self._unsent.append(death)
+        self._suspects.record_crash(death.death, list(death.fingerprints), now=now)
+        if death.parts and death.fingerprints:
+            prompt = CrashedPrompt(fingerprint=death.fingerprints[0], parts=death.parts)
+            self._parts.record_crash(death.death, prompt, at=crashed_at, now=now)
 
 
 def fingerprint_of(request: CallerRequest, key: str | None) -> Fingerprint:
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -37,6 +37,7 @@
 from bilberryring.process.operator_site import ProcessStatus, operator_resource
 from bilberryring.process.pauses import PauseDetector
 from bilberryring.process.running import Listeners
+from bilberryring.quarantine import PartAction
 from bilberryring.routing import WorkTracker
 from bilberryring.telemetry import (
     FIRST_TOKEN_BUCKETS,
@@ -58,6 +59,10 @@
 MAX_SERIES = 256
 """Maximum number of series of one histogram; further ones share a series."""
 ACCEPT_BACKLOG = 512
+PART_EVENTS = {
+    PartAction.QUARANTINED: LogEvent.PART_QUARANTINED,
+    PartAction.RELEASED: LogEvent.PART_RELEASED,
+}
 
 
 class GatewayDaemon:
@@ -109,7 +114,7 @@
             peers=lambda: self._peer_view.store_access(now=reactor.seconds()),
         )
         incarnation = new_incarnation()
-        crashes = CrashRecord(clock=reactor)
+        self._crashes = crashes = CrashRecord(clock=reactor)
         self._counters = GatewayCounters(metrics=self._metrics)
         self._peers = PeerExchange(
             reactor=reactor,
@@ -334,6 +339,8 @@
         self._check_pause()
         self._check_settings()
         self._adapter.expire()
+        self._crashes.update()
+        self._log_part_decisions()
         self._pool.close_expired()
         self._log_dropped_lines()
         self._counters.set_totals(
@@ -341,6 +348,7 @@
             connections=self._pool.n_opened,
             reports=self._peers.n_sent,
             in_progress=self._forwarder.in_progress,
+            quarantined_parts=len(self._crashes.quarantined_parts()),
         )
         configuration = self._fleet.configuration
         if configuration is not None:
@@ -374,6 +382,17 @@
         if dropped:
             self._log.write(LogEvent.LOG_LINES_DROPPED, lines=dropped)
 
+    def _log_part_decisions(self) -> None:
+        for decision in self._crashes.take_decisions():
+            self._log.write(
+                PART_EVENTS[decision.action],
+                part=decision.part,
+                crashes=decision.crashes,
+                crashed_ago=round(decision.crashed_ago, 2),
+                served_ago=decision.served_ago and round(decision.served_ago, 2),
+                is_from_peer=decision.is_from_peer,
+            )
+
     def _observe_first_response(
         self, route: str, workspace: Workspace | None, seconds: float
     ) -> None:
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -11,7 +11,7 @@
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.messages import AttemptError, FailureReason
 from bilberryring.gateway.peer_view import EndpointDeath
-from bilberryring.gateway.refusals import outcome_unknown, send_error
+from bilberryring.gateway.refusals import held_back, outcome_unknown, send_error
 from bilberryring.gateway.repeat_rules import (
     MIN_SEND_SECONDS,
     RetryPolicy,
@@ -26,8 +26,21 @@
 from bilberryring.gateway.request_gate import RequestGate
 from bilberryring.gateway.request_log import RequestLog
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.waiting import wait_at_most
 from bilberryring.telemetry import LogEvent
 
+HARMLESS_REASONS = (
+    FailureReason.DEADLINE,
+    FailureReason.NO_MEMORY,
+    FailureReason.QUARANTINED,
+)
+"""Why an attempt can fail without a fault of the endpoint."""
+BEGIN_SECONDS = 1.0
+"""Seconds of writing after which an answer no longer counts as just begun."""
+DEATH_CHECK_SECONDS = 0.1
+"""Longest time in seconds for which another attempt waits for the check whether the
+endpoint crashed. An endpoint that refuses connections does so within milliseconds."""
+
 
 class Forwarder:
     """Runs one task for each request in progress."""
@@ -109,6 +122,7 @@
         """Make attempts until one succeeds or the request must not be retried."""
         self._retry_policy.record_request(context)
         while True:
+            self._check_parts(context)
             choice = self._choose(context)
             try:
                 await self._attempts.attempt(context, choice)
@@ -128,7 +142,7 @@
                     return
             except AttemptError as error:
                 context.unknown_sends += error.was_sent
-                self._record_attempt_error(context, choice, error)
+                await self._record_attempt_error(context, choice, error)
                 self._retry_policy.check_retry(context, cause=error)
 
     def _send_failure_response(
@@ -144,6 +158,15 @@
         context.status = failed.head.status
         self._attempts.send_to_caller(context, failed.head, failed.body)
 
+    def _check_parts(self, context: RequestContext) -> None:
+        part = self._crashes.quarantined_part(context.metadata.shared_parts)
+        if part is not None:
+            raise held_back(
+                part,
+                retry_after=self._crashes.part_seconds_left(part),
+                may_have_run=context.may_have_run,
+            )
+
     def _choose(self, context: RequestContext) -> Choice:
         now = self._reactor.seconds()
         if context.deadline - now < MIN_SEND_SECONDS:
@@ -201,26 +224,45 @@
                 return helper.id
         return choice.endpoint.id
 
-    def _record_attempt_error(
+    async def _record_attempt_error(
         self, context: RequestContext, choice: Choice, error: AttemptError
     ) -> None:
         self._log.attempt_failed(context, choice, error.reason.value)
-        if error.was_sent and error.reason is FailureReason.CLOSED:
-            Deferred.fromCoroutine(self._check_death(context, choice.endpoint))
-        if error.reason not in (FailureReason.DEADLINE, FailureReason.NO_MEMORY):
+        if error.reason not in HARMLESS_REASONS:
             self._health.record_broken_attempt(
                 choice.endpoint.id, now=self._reactor.seconds()
             )
+        if error.was_sent and error.reason is FailureReason.CLOSED:
+            check = Deferred.fromCoroutine(self._check_death(context, choice.endpoint))
+            if context.metadata.shared_parts:
+                await wait_at_most(
+                    check, seconds=DEATH_CHECK_SECONDS, clock=self._reactor
+                )
 
     async def _check_death(
         self, context: RequestContext, endpoint: AnnouncedEndpoint
     ) -> None:
-        """Suspect the request of a crash if the endpoint accepts no new connection."""
-        if await self._pool.can_connect(endpoint.address):
+        """Suspect the request of a crash if the endpoint accepts no new connection.
+
+        Its prompt can be the cause only if the endpoint refuses connections, and had
+        not been writing the answer for a while. An endpoint that does not respond at
+        all may be cut off.
+        """
+        had_begun = self._had_begun(context)
+        failure = await self._pool.connection_failure(endpoint.address)
+        if failure is None:
             return
+        is_candidate = failure is FailureReason.REFUSED and not had_begun
         death = EndpointDeath(
             death=f"{endpoint.id}/{endpoint.started_at_ms}",
             fingerprints=(context.fingerprint,),
+            parts=context.metadata.shared_parts if is_candidate else (),
         )
         self._crashes.record(death)
         self._log.prompt_suspected(context, endpoint.id)
+
+    def _had_begun(self, context: RequestContext) -> bool:
+        """Whether the endpoint had been writing the answer for a while."""
+        if context.answer_began_at is None:
+            return False
+        return self._reactor.seconds() - context.answer_began_at >= BEGIN_SECONDS
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from bilberryring.core import PromptPart, RequestId
+from bilberryring.core import PromptPartId, RequestId
 from bilberryring.fleet import WorkspaceName
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
@@ -27,7 +27,7 @@
     prompt_tokens: int
     max_tokens: int
     last_event_id: str
-    shared_parts: tuple[PromptPart, ...] = ()
+    shared_parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -117,11 +117,13 @@
     """Why an attempt ended without a complete response."""
 
     NOT_CONNECTED = "not_connected"
+    REFUSED = "connection_refused"
     CLOSED = "closed"
     MALFORMED = "malformed"
     SILENT = "silent"
     DEADLINE = "deadline"
     NO_MEMORY = "no_memory"
+    QUARANTINED = "quarantined"
 
 
 class AttemptError(Exception):
--- a/bilberryring/gateway/operator_queries.py
+++ b/bilberryring/gateway/operator_queries.py
@@ -80,7 +80,10 @@
                 )
                 for endpoint in self._fleet.endpoints.all
             ),
-            quarantined=self._crashes.quarantined(),
+            quarantined=(
+                *self._crashes.quarantined(),
+                *(f"part {part}" for part in self._crashes.quarantined_parts()),
+            ),
         )
 
     def explain(self, question: ExplainRequest) -> Explanation:
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -9,9 +9,10 @@
 import random
 from dataclasses import dataclass, field
 
-from bilberryring.core import Fingerprint
+from bilberryring.core import Fingerprint, PromptPartId
 from bilberryring.fleet import MS_PER_SECOND, FailureDomain
 from bilberryring.gateway.store_readers import StoreAccess
+from bilberryring.quarantine import PartStanding
 from bilberryring.routing import NO_WORK, EndpointWork, hash_order, neighbours
 
 PEER_TIMEOUT_SECONDS = 1.5
@@ -26,11 +27,15 @@
 class EndpointDeath:
     """A crash of an endpoint; `death` is its id.
 
-    `fingerprints` are those of the requests that were running there.
+    `fingerprints` are those of the requests that were running there. `parts` are the
+    shared parts of the first one's prompt, unless the endpoint had been writing its
+    answer for a while. The crash happened `age_seconds` ago.
     """
 
     death: str
     fingerprints: tuple[Fingerprint, ...]
+    parts: tuple[PromptPartId, ...] = ()
+    age_seconds: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -48,7 +53,8 @@
     `sequence` grows with each report of one incarnation. `work` is what the gateway
     placed on each endpoint: on all of them if `is_complete`, otherwise on those where
     it changed since the last report. `revisions` are those of its published items by
-    prefix, and `members` some of the gateways that it knows.
+    prefix, and `members` some of the gateways that it knows. `parts` is what it knows
+    of parts of prompts under which endpoints crashed.
     """
 
     incarnation: str
@@ -61,6 +67,15 @@
     work: tuple[tuple[str, EndpointWork], ...] = ()
     members: tuple[Member, ...] = ()
     deaths: tuple[EndpointDeath, ...] = ()
+    parts: tuple[PartStanding, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CrashNews:
+    """Crashes and parts of prompts of which a gateway has just learned."""
+
+    deaths: tuple[EndpointDeath, ...] = ()
+    parts: tuple[PartStanding, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -18,13 +18,15 @@
 from bilberryring.fleet import PublishedItem
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_slices import EndpointSlices
-from bilberryring.gateway.peer_view import PeerReport, PeerView
+from bilberryring.gateway.peer_view import CrashNews, PeerReport, PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.report_codec import (
     ReportError,
+    decode_crash_report,
     decode_report,
     encode_deaths,
     encode_members,
+    encode_parts,
     encode_revisions,
     encode_work,
 )
@@ -37,6 +39,7 @@
     CopyAnswer,
     CopyItem,
     CopyQuery,
+    CrashReport,
     FrameError,
     GatewayReport,
     LinkProtocol,
@@ -58,6 +61,11 @@
 """Members in one report; others follow in later ones, drawn at random."""
 INCARNATION_CHARS = 8
 """Characters of the incarnation that reports contain, to tell restarts apart."""
+NEWS_PEERS = 6
+"""Gateways that get the news of a crash at once, and pass it on. A few rounds reach
+hundreds of gateways, each of them several times."""
+NEWS_SECONDS = 0.05
+"""Seconds for which news of crashes are collected before they are sent together."""
 COPY_RETRY_SECONDS = 0.2
 """Seconds after a failed copy before another one is requested."""
 COPY_TIMEOUT_SECONDS = 1.0
@@ -95,6 +103,8 @@
         self._reported_at = -math.inf
         self._completed_at = -math.inf
         self._pending_report = None
+        self._pending_news = None
+        crashes.set_listener(self._schedule_news)
         self._is_copying = False
         self._copy_retry_at = 0.0
         self._loop: LoopingCall | None = None
@@ -149,8 +159,11 @@
     def datagramReceived(self, datagram: bytes, addr) -> None:
         try:
             message = decode_message(datagram)
-            if isinstance(message, GatewayReport):
-                self._handle_report(decode_report(message, host=addr[0]))
+            match message:
+                case GatewayReport():
+                    self._handle_report(decode_report(message, host=addr[0]))
+                case CrashReport():
+                    self._handle_news(decode_crash_report(message))
         except (FrameError, ReportError) as error:
             self._log.write(
                 LogEvent.PEER_REPORT_MALFORMED, peer=addr[0], detail=str(error)
@@ -163,10 +176,28 @@
         if self._view.update(report, now=now):
             self._log.write(LogEvent.PEER_HEARD, peer=report.host)
             self._send_report(self._complete_report(now), (report.host,))
-        self._crashes.add_deaths(report.deaths)
+        self._handle_news(CrashNews(deaths=report.deaths, parts=report.parts))
         if self._is_ahead(report):
             self._copy_from_peers()
 
+    def _handle_news(self, news: CrashNews) -> None:
+        self._crashes.add_standings(news.parts)
+        self._crashes.add_deaths(news.deaths)
+
+    def _schedule_news(self) -> None:
+        if self._pending_news is None:
+            self._pending_news = self._reactor.callLater(NEWS_SECONDS, self._send_news)
+
+    def _send_news(self) -> None:
+        """Tell some gateways what this one learned of crashes; they pass it on."""
+        self._pending_news = None
+        news = self._crashes.take_news()
+        report = CrashReport(
+            deaths=encode_deaths(news.deaths), parts=encode_parts(news.parts)
+        )
+        hosts = self._view.hosts(now=self._reactor.seconds())
+        self._send_report(report, random.sample(hosts, min(NEWS_PEERS, len(hosts))))
+
     def _tick(self) -> None:
         now = self._reactor.seconds()
         for host in self._view.expire(now=now):
@@ -178,15 +209,16 @@
         self._copy_from_peers()
 
     def _send_complete_reports(self, now: float) -> None:
-        """Report all work to the neighbours, and the members to some others too."""
+        """Report all work to the neighbours, and to some others all that is known."""
         self._cancel_pending()
         self._reported_at = self._completed_at = now
         self._tracker.clear_changed()
         neighbours = self._slices.neighbours()
         report = self._complete_report(now)
-        members, report.members = report.members, []
+        for_others = report.members, report.deaths
+        report.members, report.deaths = [], []
         self._send_report(report, neighbours)
-        report.members = members
+        report.members, report.deaths = for_others
         others = [host for host in self._view.hosts(now=now) if host not in neighbours]
         pool = others or neighbours
         self._send_report(report, random.sample(pool, min(GOSSIP_PEERS, len(pool))))
@@ -223,12 +255,13 @@
                 for endpoint in endpoints
             ],
             revisions=encode_revisions(self._copies.revisions),
-            deaths=encode_deaths(self._crashes.recent_deaths()),
+            deaths=encode_deaths(self._crashes.recent_deaths()) if is_complete else [],
+            parts=encode_parts(self._crashes.standings()) if is_complete else [],
             store_access=self._duty.access.value,
             failure_domain=self._settings.failure_domain,
         )
 
-    def _send_report(self, report: GatewayReport, hosts) -> None:
+    def _send_report(self, report: GatewayReport | CrashReport, hosts) -> None:
         if self.transport is None or not hosts:
             return
         datagram = encode_message(report)
--- a/bilberryring/gateway/refusals.py
+++ b/bilberryring/gateway/refusals.py
@@ -2,7 +2,13 @@
 
 import msgspec
 
-from bilberryring.core import ErrorCode, RequestId, RunOutcome, ServingError
+from bilberryring.core import (
+    ErrorCode,
+    PromptPartId,
+    RequestId,
+    RunOutcome,
+    ServingError,
+)
 from bilberryring.gateway.caller_site import CallerExchange
 from bilberryring.http import PROBLEM_TYPE, problem_from_error
 
@@ -22,6 +28,16 @@
     )
 
 
+def held_back(
+    part: PromptPartId, *, retry_after: float, may_have_run: bool
+) -> ServingError:
+    """Return the error for a prompt with a part under which endpoints crashed."""
+    detail = f"prompt part {part}"
+    if may_have_run:
+        return outcome_unknown(ErrorCode.ENDPOINT_FAILED, detail=detail)
+    return not_run(ErrorCode.HELD_BACK, detail=detail, retry_after=retry_after)
+
+
 def outcome_unknown(code: ErrorCode, *, detail: str = "") -> ServingError:
     """Return the error for a request that may have run."""
     return ServingError(code=code, outcome=RunOutcome.UNKNOWN, detail=detail)
--- a/bilberryring/gateway/report_codec.py
+++ b/bilberryring/gateway/report_codec.py
@@ -3,16 +3,24 @@
 import ipaddress
 from collections.abc import Iterable
 
-from bilberryring.core import Fingerprint
+from bilberryring.core import Fingerprint, PromptPartId
 from bilberryring.fleet import MS_PER_SECOND
-from bilberryring.gateway.peer_view import EndpointDeath, Member, PeerReport
+from bilberryring.gateway.peer_view import (
+    CrashNews,
+    EndpointDeath,
+    Member,
+    PeerReport,
+)
 from bilberryring.gateway.store_readers import StoreAccess
+from bilberryring.quarantine import PartStanding
 from bilberryring.routing import DecodeGroup, EndpointWork, PrefillStream
 from bilberryring.wire import (
     CopyRevision,
+    CrashReport,
     DecodeGroupReport,
     EngineDeath,
     GatewayReport,
+    PartReport,
     PrefillStreamReport,
     WorkReport,
 )
@@ -80,11 +88,42 @@
 def encode_deaths(deaths: Iterable[EndpointDeath]) -> list[EngineDeath]:
     """Return the messages of endpoints' crashes."""
     return [
-        EngineDeath(death=item.death, fingerprints=list(item.fingerprints))
+        EngineDeath(
+            death=item.death,
+            fingerprints=list(item.fingerprints),
+            parts=list(item.parts),
+            age_ms=round(item.age_seconds * MS_PER_SECOND),
+        )
         for item in deaths
     ]
 
 
+def encode_parts(standings: Iterable[PartStanding]) -> list[PartReport]:
+    """Return the messages of what is known of parts of prompts."""
+    return [
+        PartReport(
+            part=item.part,
+            crashes=item.crashes,
+            crashed_ms=_clamp_milliseconds(item.crashed_ago * MS_PER_SECOND),
+            served_ms=None
+            if item.served_ago is None
+            else _clamp_milliseconds(item.served_ago * MS_PER_SECOND),
+        )
+        for item in standings
+    ]
+
+
+def decode_crash_report(message: CrashReport) -> CrashNews:
+    """Return the news that a peer sent, or raise `ReportError`."""
+    try:
+        return CrashNews(
+            deaths=tuple(_decode_death(item) for item in message.deaths or ()),
+            parts=tuple(_decode_part(item) for item in message.parts or ()),
+        )
+    except ValueError as error:
+        raise ReportError(str(error))
+
+
 def decode_report(message: GatewayReport, *, host: str) -> PeerReport:
     """Return the report that `host` sent, or raise `ReportError`."""
     try:
@@ -104,16 +143,8 @@
                 for item in message.work or ()
             ),
             members=tuple(_decode_member(item) for item in message.members or ()),
-            deaths=tuple(
-                EndpointDeath(
-                    death=_required(item.death),
-                    fingerprints=tuple(
-                        Fingerprint(fingerprint)
-                        for fingerprint in item.fingerprints or ()
-                    ),
-                )
-                for item in message.deaths or ()
-            ),
+            deaths=tuple(_decode_death(item) for item in message.deaths or ()),
+            parts=tuple(_decode_part(item) for item in message.parts or ()),
         )
     except ValueError as error:
         raise ReportError(str(error))
@@ -126,6 +157,27 @@
     )
 
 
+def _decode_death(message: EngineDeath) -> EndpointDeath:
+    return EndpointDeath(
+        death=_required(message.death),
+        fingerprints=tuple(Fingerprint(item) for item in message.fingerprints or ()),
+        parts=tuple(PromptPartId(item) for item in message.parts or ()),
+        age_seconds=_count(message.age_ms or 0) / MS_PER_SECOND,
+    )
+
+
+def _decode_part(message: PartReport) -> PartStanding:
+    served_ago = None
+    if message.served_ms is not None:
+        served_ago = _count(message.served_ms) / MS_PER_SECOND
+    return PartStanding(
+        part=PromptPartId(_required(message.part)),
+        crashes=_count(message.crashes),
+        crashed_ago=_count(message.crashed_ms) / MS_PER_SECOND,
+        served_ago=served_ago,
+    )
+
+
 def _decode_work(message: WorkReport) -> EndpointWork:
     return EndpointWork(
         requests=_count(message.requests),
--- a/bilberryring/platform/headers.py
+++ b/bilberryring/platform/headers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bilberryring.core import PromptPart, RequestId
+from bilberryring.core import PromptPartId, RequestId
 from bilberryring.fleet import MS_PER_SECOND, WorkspaceName
 from bilberryring.gateway.messages import (
     AttemptMetadata,
@@ -188,10 +188,10 @@
     return int(parts[0]), int(parts[1])
 
 
-def _parse_shared_parts(value: bytes) -> tuple[PromptPart, ...]:
+def _parse_shared_parts(value: bytes) -> tuple[PromptPartId, ...]:
     """Return the parts of a prompt without the last, which is the request's own."""
     names = [_decode_text(entry.partition(b":")[0]) for entry in value.split(b",")]
-    return tuple(PromptPart(name) for name in names[:-1] if name)[:MAX_SHARED_PARTS]
+    return tuple(PromptPartId(name) for name in names[:-1] if name)[:MAX_SHARED_PARTS]
 
 
 def _parse_load(value: bytes) -> tuple[int, int, int] | None:
--- a/bilberryring/quarantine/__init__.py
+++ b/bilberryring/quarantine/__init__.py
@@ -1,5 +1,12 @@
-"""Quarantine for prompts that crash engines."""
+"""Quarantine for prompts, and parts of prompts, that crash engines."""
 
+from bilberryring.quarantine.parts import (
+    CrashedPrompt,
+    PartAction,
+    PartDecision,
+    PartQuarantine,
+    PartStanding,
+)
 from bilberryring.quarantine.suspicions import (
     CRASHES_UNTIL_QUARANTINE,
     MAX_CLEARED,
@@ -12,8 +19,13 @@
 
 __all__ = [
     "CRASHES_UNTIL_QUARANTINE",
+    "CrashedPrompt",
     "MAX_SUSPECTS",
     "MAX_CLEARED",
+    "PartAction",
+    "PartDecision",
+    "PartQuarantine",
+    "PartStanding",
     "PromptStanding",
     "QUARANTINE_SECONDS",
     "SUSPECT_SECONDS",
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -140,4 +140,14 @@
         "error",
         "A prompt was refused because two engines died while they ran it",
     )
+    PART_QUARANTINED = (
+        522,
+        "error",
+        "Prompts with a part are refused because engines crashed under it",
+    )
+    PART_RELEASED = (
+        523,
+        "info",
+        "Prompts with a part are served again",
+    )
     INTERNAL_FAULT = (900, "error", "An internal error occurred in the process")
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -122,6 +122,15 @@
         """End a gateway: it sends and receives nothing any more."""
         gateway.is_down = True
 
+    def cut_off(self, gateway: SimulatedGateway, seconds: float) -> None:
+        """Lose all datagrams to and from a gateway for some time."""
+        gateway.is_down = True
+        self._clock.callLater(seconds, setattr, gateway, "is_down", False)
+
+    def call_later(self, seconds: float, work, *arguments) -> None:
+        """Call a function after some simulated time."""
+        self._clock.callLater(seconds, work, *arguments)
+
     def place_requests(self, per_second: float, seconds: float) -> None:
         """Let requests arrive at all gateways together at a rate, for some time.
 
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -1796,18 +1796,24 @@
     Attributes:
      - death
      - fingerprints
+     - parts
+     - age_ms
 
     """
 
     __slots__ = (
         'death',
         'fingerprints',
+        'parts',
+        'age_ms',
     )
 
 
-    def __init__(self, death=None, fingerprints=None,):
+    def __init__(self, death=None, fingerprints=None, parts=None, age_ms=None,):
         self.death = death
         self.fingerprints = fingerprints
+        self.parts = parts
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1833,6 +1839,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem55)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1850,8 +1871,221 @@
         if self.fingerprints is not None:
             oprot.writeFieldBegin('fingerprints', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.fingerprints))
-            for iter50 in self.fingerprints:
-                oprot.writeString(iter50.encode('utf-8') if sys.version_info[0] == 2 else iter50)
+            for iter56 in self.fingerprints:
+                oprot.writeString(iter56.encode('utf-8') if sys.version_info[0] == 2 else iter56)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter57 in self.parts:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartReport(object):
+    """
+    Attributes:
+     - part
+     - crashes
+     - crashed_ms
+     - served_ms
+
+    """
+
+    __slots__ = (
+        'part',
+        'crashes',
+        'crashed_ms',
+        'served_ms',
+    )
+
+
+    def __init__(self, part=None, crashes=None, crashed_ms=None, served_ms=None,):
+        self.part = part
+        self.crashes = crashes
+        self.crashed_ms = crashed_ms
+        self.served_ms = served_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.crashed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.served_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartReport')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I32, 2)
+            oprot.writeI32(self.crashes)
+            oprot.writeFieldEnd()
+        if self.crashed_ms is not None:
+            oprot.writeFieldBegin('crashed_ms', TType.I32, 3)
+            oprot.writeI32(self.crashed_ms)
+            oprot.writeFieldEnd()
+        if self.served_ms is not None:
+            oprot.writeFieldBegin('served_ms', TType.I32, 4)
+            oprot.writeI32(self.served_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - deaths
+     - parts
+
+    """
+
+    __slots__ = (
+        'deaths',
+        'parts',
+    )
+
+
+    def __init__(self, deaths=None, parts=None,):
+        self.deaths = deaths
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.deaths = []
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = EngineDeath()
+                        _elem63.read(iprot)
+                        self.deaths.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = PartReport()
+                        _elem69.read(iprot)
+                        self.parts.append(_elem69)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.deaths is not None:
+            oprot.writeFieldBegin('deaths', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.deaths))
+            for iter70 in self.deaths:
+                iter70.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter71 in self.parts:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1914,10 +2148,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.deaths = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.deaths.append(_elem56)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.deaths.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1938,8 +2172,8 @@
         if self.deaths is not None:
             oprot.writeFieldBegin('deaths', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.deaths))
-            for iter57 in self.deaths:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter78 in self.deaths:
+                oprot.writeString(iter78.encode('utf-8') if sys.version_info[0] == 2 else iter78)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2221,22 +2455,22 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.decode_groups = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = DecodeGroupReport()
-                        _elem63.read(iprot)
-                        self.decode_groups.append(_elem63)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = DecodeGroupReport()
+                        _elem84.read(iprot)
+                        self.decode_groups.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.prefill_streams = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = PrefillStreamReport()
-                        _elem69.read(iprot)
-                        self.prefill_streams.append(_elem69)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = PrefillStreamReport()
+                        _elem90.read(iprot)
+                        self.prefill_streams.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2273,15 +2507,15 @@
         if self.decode_groups is not None:
             oprot.writeFieldBegin('decode_groups', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.decode_groups))
-            for iter70 in self.decode_groups:
-                iter70.write(oprot)
+            for iter91 in self.decode_groups:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prefill_streams is not None:
             oprot.writeFieldBegin('prefill_streams', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.prefill_streams))
-            for iter71 in self.prefill_streams:
-                iter71.write(oprot)
+            for iter92 in self.prefill_streams:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2481,6 +2715,7 @@
      - deaths
      - store_access
      - failure_domain
+     - parts
 
     """
 
@@ -2494,10 +2729,11 @@
         'deaths',
         'store_access',
         'failure_domain',
+        'parts',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, is_complete=None, work=None, revisions=None, members=None, deaths=None, store_access=None, failure_domain=None,):
+    def __init__(self, incarnation=None, sequence=None, is_complete=None, work=None, revisions=None, members=None, deaths=None, store_access=None, failure_domain=None, parts=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.is_complete = is_complete
@@ -2507,6 +2743,7 @@
         self.deaths = deaths
         self.store_access = store_access
         self.failure_domain = failure_domain
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2535,44 +2772,44 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = WorkReport()
-                        _elem77.read(iprot)
-                        self.work.append(_elem77)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = WorkReport()
+                        _elem98.read(iprot)
+                        self.work.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.revisions = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = CopyRevision()
-                        _elem83.read(iprot)
-                        self.revisions.append(_elem83)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = CopyRevision()
+                        _elem104.read(iprot)
+                        self.revisions.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = Member()
-                        _elem89.read(iprot)
-                        self.members.append(_elem89)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Member()
+                        _elem110.read(iprot)
+                        self.members.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.deaths = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = EngineDeath()
-                        _elem95.read(iprot)
-                        self.deaths.append(_elem95)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = EngineDeath()
+                        _elem116.read(iprot)
+                        self.deaths.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2586,6 +2823,17 @@
                     self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = PartReport()
+                        _elem122.read(iprot)
+                        self.parts.append(_elem122)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2611,29 +2859,29 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter96 in self.work:
-                iter96.write(oprot)
+            for iter123 in self.work:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.revisions is not None:
             oprot.writeFieldBegin('revisions', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.revisions))
-            for iter97 in self.revisions:
-                iter97.write(oprot)
+            for iter124 in self.revisions:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter98 in self.members:
-                iter98.write(oprot)
+            for iter125 in self.members:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.deaths is not None:
             oprot.writeFieldBegin('deaths', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.deaths))
-            for iter99 in self.deaths:
-                iter99.write(oprot)
+            for iter126 in self.deaths:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_access is not None:
@@ -2644,6 +2892,13 @@
             oprot.writeFieldBegin('failure_domain', TType.STRING, 9)
             oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.parts))
+            for iter127 in self.parts:
+                iter127.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2887,11 +3142,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = CopyItem()
-                        _elem105.read(iprot)
-                        self.items.append(_elem105)
+                    (_etype131, _size128) = iprot.readListBegin()
+                    for _i132 in range(_size128):
+                        _elem133 = CopyItem()
+                        _elem133.read(iprot)
+                        self.items.append(_elem133)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2921,8 +3176,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter106 in self.items:
-                iter106.write(oprot)
+            for iter134 in self.items:
+                iter134.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_delta is not None:
@@ -2977,6 +3232,7 @@
      - copy_query
      - copy_answer
      - gateway_report
+     - crash_report
 
     """
 
@@ -3001,10 +3257,11 @@
         'copy_query',
         'copy_answer',
         'gateway_report',
+        'crash_report',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None, prompt_cleared=None, copy_query=None, copy_answer=None, gateway_report=None,):
+    def __init__(self, hello=None, heartbeat=None, set_notice=None, set_query=None, set_answer=None, run_prompt=None, prompt_part=None, cancel=None, call_service=None, token_batch=None, finished=None, refused=None, service_answer=None, engine_death=None, beat=None, held=None, prompt_cleared=None, copy_query=None, copy_answer=None, gateway_report=None, crash_report=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.set_notice = set_notice
@@ -3025,6 +3282,7 @@
         self.copy_query = copy_query
         self.copy_answer = copy_answer
         self.gateway_report = gateway_report
+        self.crash_report = crash_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3155,6 +3413,12 @@
                     self.gateway_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.crash_report = CrashReport()
+                    self.crash_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3245,6 +3509,10 @@
             oprot.writeFieldBegin('gateway_report', TType.STRUCT, 21)
             self.gateway_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.crash_report is not None:
+            oprot.writeFieldBegin('crash_report', TType.STRUCT, 22)
+            self.crash_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3406,6 +3674,22 @@
     None,  # 0
     (1, TType.STRING, 'death', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(PartReport)
+PartReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'crashes', None, None, ),  # 2
+    (3, TType.I32, 'crashed_ms', None, None, ),  # 3
+    (4, TType.I32, 'served_ms', None, None, ),  # 4
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'deaths', (TType.STRUCT, [EngineDeath, None], False), None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.STRUCT, [PartReport, None], False), None, ),  # 2
 )
 all_structs.append(PromptCleared)
 PromptCleared.thrift_spec = (
@@ -3462,6 +3746,7 @@
     (7, TType.LIST, 'deaths', (TType.STRUCT, [EngineDeath, None], False), None, ),  # 7
     (8, TType.I32, 'store_access', None, None, ),  # 8
     (9, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 9
+    (10, TType.LIST, 'parts', (TType.STRUCT, [PartReport, None], False), None, ),  # 10
 )
 all_structs.append(CopyItem)
 CopyItem.thrift_spec = (
@@ -3508,6 +3793,7 @@
     (19, TType.STRUCT, 'copy_query', [CopyQuery, None], None, ),  # 19
     (20, TType.STRUCT, 'copy_answer', [CopyAnswer, None], None, ),  # 20
     (21, TType.STRUCT, 'gateway_report', [GatewayReport, None], None, ),  # 21
+    (22, TType.STRUCT, 'crash_report', [CrashReport, None], None, ),  # 22
 )
 fix_spec(all_structs)
 del all_structs
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -126,6 +126,20 @@
 struct EngineDeath {
   1: string death,
   2: list<string> fingerprints,
+  3: list<string> parts,
+  4: i32 age_ms,
+}
+
+struct PartReport {
+  1: string part,
+  2: i32 crashes,
+  3: i32 crashed_ms,
+  4: optional i32 served_ms,
+}
+
+struct CrashReport {
+  1: list<EngineDeath> deaths,
+  2: list<PartReport> parts,
 }
 
 struct PromptCleared {
@@ -175,6 +189,7 @@
   7: list<EngineDeath> deaths,
   8: i32 store_access,
   9: string failure_domain,
+  10: list<PartReport> parts,
 }
 
 struct CopyItem {
@@ -217,4 +232,5 @@
   19: optional CopyQuery copy_query,
   20: optional CopyAnswer copy_answer,
   21: optional GatewayReport gateway_report,
+  22: optional CrashReport crash_report,
 }
