A stream without a length that ends inside an event counts as broken off

Cause: a clean close was taken for the end whatever had arrived. An engine that crashes while it writes such a stream looked like one that had finished, which also cleared the prompt of suspicion. Change: the end of a response says whether a length or chunks marked it. Without, a stream that ends inside an event, or before any unless it was being resumed, has failed; it is resumed at another endpoint and the endpoint is checked for a crash. Streams with a length keep their bytes after the last event, as before.

The test failed before in both forms (2 failed) and passes now; answers and endless answers pass.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -270,13 +270,20 @@
                     if self._relay_data(context, choice, data):
                         limit = self._gap_timeout(context)
                         progress_at = self._reactor.seconds()
-                case ResponseEnd():
+                case ResponseEnd(has_length=has_length):
+                    if not has_length and self._is_broken_off(context):
+                        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     trailing_data = context.stream.take_partial()
                     if trailing_data and not exchange.is_closed:
                         exchange.write(trailing_data)
                     exchange.end()
                     return
 
+    def _is_broken_off(self, context: RequestContext) -> bool:
+        """Whether a stream without a length ended inside an event or before any."""
+        stream = context.stream
+        return stream.has_partial or not (context.answer_began_at or stream.last_id)
+
     def _relay_data(self, context: RequestContext, choice: Choice, data: bytes) -> bool:
         """Pass on the events that are complete; return whether one carries data.
 
--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -31,6 +31,7 @@
 """Maximum size in bytes of a status line with headers."""
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Most bytes of responses to other requests that are skipped on one connection."""
+LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 Event = ResponseHead | ResponseData | ResponseEnd
 IsExpected = Callable[[ResponseHead], bool]
@@ -133,6 +134,7 @@
         self._is_expected: IsExpected = lambda head: True
         self._request: h11.Request | None = None
         self._is_skipping = False
+        self._has_length = True
         self._skipped_bytes = 0
         self._is_open = False
         self._max_idle_seconds = DEFAULT_IDLE_SECONDS
@@ -270,6 +272,8 @@
             ),
         )
         self._read_keep_alive(head)
+        names = {name.lower() for name, _ in head.headers}
+        self._has_length = not names.isdisjoint(LENGTH_HEADERS)
         self._is_skipping = not self._is_expected(head)
         if not self._is_skipping:
             self._response.add(head)
@@ -297,7 +301,7 @@
             self._on_idle(self)
         elif self._is_open:
             self.abort()
-        response.add(ResponseEnd())
+        response.add(ResponseEnd(has_length=self._has_length))
 
     def _skip_response(self) -> None:
         """Wait for the next response after one that belonged to another request.
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -95,7 +95,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseEnd:
-    """The end of a complete response."""
+    """The end of a response.
+
+    Without a length or chunks only the end of the connection marks it, so that it may
+    be incomplete although the connection was closed cleanly.
+    """
+
+    has_length: bool = True
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/platform/tests/test_answers.py
+++ b/bilberryring/platform/tests/test_answers.py
@@ -153,6 +153,30 @@
     assert site.call("/charge/").status == 502
 
 
+@pytest.mark.parametrize("cut_off", [b"id: 3\nda", None])
+def test_a_stream_without_a_length_that_ends_inside_an_event_is_resumed(site, cut_off):
+    """The second endpoint sends the rest; `None` stands for an end before any event."""
+
+    def unframed(request, connection):
+        first = int(request.headers.get("last-event-id") or 0) + 1
+        is_cut = len(endpoint.requests) == 1 and first == 1
+        head = f"HTTP/1.1 200 OK\r\nBilberryring-Request-Id: {request.request_id}\r\n"
+        connection.sendall(f"{head}{STAMP_HEADER}\r\n\r\n".encode())
+        if not is_cut:
+            connection.sendall(b"".join(event(number) for number in range(first, 5)))
+        elif cut_off is not None:
+            connection.sendall(event(1) + event(2) + cut_off)
+        pause(0.1)
+        connection.shutdown(2)
+
+    endpoint = start_with(site, unframed, service=MODEL_SERVICE)
+    site.announce("b", endpoint.address, service=MODEL_SERVICE, zone="south")
+    pause(0.3)
+    response = site.call("/chat/")
+    assert response.body == b"".join(event(number) for number in range(1, 5))
+    assert len(endpoint.requests) == 2
+
+
 def test_an_early_response_does_not_cut_a_long_request_body(site):
     """The whole body is sent, so the next request starts with its request line."""
     endpoint = start_with(site, answer_all)
