A prompt is not sent again once its own crashes have reached the limit

A repeat of a prompt that had crashed two endpoints was admitted, crashed a third one and was then sent to a fourth, although it was in quarantine by then: the quarantine of a request was looked at on admission only. It is now looked at before each attempt too.

--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -122,7 +122,7 @@
         """Make attempts until one succeeds or the request must not be retried."""
         self._retry_policy.record_request(context)
         while True:
-            self._check_parts(context)
+            self._check_quarantine(context)
             choice = self._choose(context)
             try:
                 await self._attempts.attempt(context, choice)
@@ -158,7 +158,10 @@
         context.status = failed.head.status
         self._attempts.send_to_caller(context, failed.head, failed.body)
 
-    def _check_parts(self, context: RequestContext) -> None:
+    def _check_quarantine(self, context: RequestContext) -> None:
+        """Raise `ServingError` if endpoints crashed under the request or its prompt."""
+        if context.sends and self._crashes.is_quarantined(context.fingerprint):
+            raise self._retry_policy.no_endpoint_error(context)
         part = self._crashes.quarantined_part(context.metadata.shared_parts)
         if part is not None:
             raise held_back(
--- a/bilberryring/platform/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -229,6 +229,24 @@
     assert responses[-1].status == 503
 
 
+def test_a_prompt_is_not_retried_after_its_third_crash(site):
+    endpoints = []
+
+    def crash(request, connection):
+        for endpoint in endpoints:
+            if connection in endpoint.connections:
+                endpoint.close()
+
+    for number in range(6):
+        endpoint = site.add_endpoint(f"e{number}", crash, service=MODEL_SERVICE)
+        endpoints.append(endpoint)
+    site.start_gateway()
+    header = {"Bilberryring_Prompt_Prefix": "common:40,own:90"}
+    statuses = [site.call("/chat/", **header).status for _ in range(3)]
+    assert statuses == [502, 502, 503]
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 3
+
+
 def test_prompts_with_a_part_that_crashes_endpoints_are_held_back(site):
     """No two of the prompts are alike; sound ones share their caller and first part."""
     endpoints = []
