--- a/bilberryring/gateway/tests/test_crashing_parts.py
+++ b/bilberryring/gateway/tests/test_crashing_parts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bilberryring.gateway.peer_view import EndpointDeath
 from bilberryring.testing.crashing_parts import CrashingPartLoad
 from bilberryring.testing.peer_network import PeerNetwork
 
@@ -111,6 +112,38 @@
     assert fleet.sound_share(since=third_crash + IN_TOUCH_SECONDS) >= SOUND_SHARE
 
 
+def make_quarantine(network):
+    """Let three engines crash at one gateway under prompts that share a part."""
+    gateway = network.gateways[0]
+    for number in range(3):
+        gateway.crashes.record(
+            EndpointDeath(
+                death=f"e{number}/1",
+                fingerprints=(f"p{number}",),
+                parts=("bad", f"own{number}"),
+            )
+        )
+
+
+def test_a_gateway_that_starts_later_learns_what_is_quarantined():
+    network = PeerNetwork(gateways=12, endpoints=40)
+    network.advance(3.0)
+    make_quarantine(network)
+    network.advance(5.0)
+    network.add(1)
+    network.advance(0.5)
+    assert network.gateways[-1].crashes.quarantined_parts() == ("bad",)
+
+
+def test_news_of_crashes_reach_all_gateways_within_half_a_second():
+    network = PeerNetwork(gateways=68, endpoints=172, loss=0.02)
+    network.advance(3.0)
+    make_quarantine(network)
+    network.advance(0.5)
+    known = {gateway.crashes.quarantined_parts() for gateway in network.gateways}
+    assert known == {("bad",)}
+
+
 def test_news_of_crashes_fit_the_control_traffic_of_a_gateway():
     bytes_per_second = []
     for bad in (0.0, 1.0):
--- a/bilberryring/quarantine/parts.py
+++ b/bilberryring/quarantine/parts.py
@@ -146,6 +146,8 @@
     def __init__(self, *, seed: int | None = None):
         self._random = random.Random(seed)
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
+        self._crashes_of_part: dict[PromptPartId, set[str]] = {}
+        self._frequent: set[PromptPartId] = set()
         self._served: OrderedDict[PromptPartId, float] = OrderedDict()
         self._entries: OrderedDict[PromptPartId, _Entry] = OrderedDict()
         self._tied: frozenset[PromptPartId] = frozenset()
@@ -202,13 +204,18 @@
         """
         known = self._crashes.setdefault(crash, _Crash(at=at))
         while len(self._crashes) > MAX_CRASHES:
-            self._crashes.popitem(last=False)
+            self._forget_oldest_crash()
         if prompt in known.prompts or len(known.prompts) >= MAX_PROMPTS_PER_CRASH:
             return False
         known.prompts.add(prompt)
         for part in prompt.parts:
+            names = self._crashes_of_part.setdefault(part, set())
+            names.add(crash)
+            if len(names) >= MIN_CRASHES:
+                self._frequent.add(part)
             self._renew(part, known.at)
-        self._attribute(now)
+        if not self._frequent.isdisjoint(prompt.parts):
+            self._attribute(now)
         return True
 
     def record_served(
@@ -257,6 +264,16 @@
         decisions, self._decisions = tuple(self._decisions), []
         return decisions
 
+    def _forget_oldest_crash(self) -> None:
+        name, crash = self._crashes.popitem(last=False)
+        for part in {part for prompt in crash.prompts for part in prompt.parts}:
+            names = self._crashes_of_part[part]
+            names.discard(name)
+            if len(names) < MIN_CRASHES:
+                self._frequent.discard(part)
+            if not names:
+                del self._crashes_of_part[part]
+
     def _note_served(
         self, part: PromptPartId, at: float, now: float, *, is_from_peer: bool
     ) -> None:
@@ -326,17 +343,21 @@
     def _tallies(self, now: float) -> dict[PromptPartId, _Tally]:
         """Count the unexplained crashes since each part was last served."""
         tallies: dict[PromptPartId, _Tally] = {}
-        for name, crash in self._crashes.items():
-            if now - crash.at > CRASH_SECONDS or self._is_explained(crash):
-                continue
-            for prompt in crash.prompts:
-                for position, part in enumerate(prompt.parts):
-                    if crash.at <= self._served.get(part, -math.inf):
-                        continue
-                    tally = tallies.setdefault(part, _Tally())
-                    tally.crashes[name] = crash.at
-                    tally.requests.add(prompt.fingerprint)
-                    tally.position = max(tally.position, position)
+        for part in self._frequent:
+            for name in self._crashes_of_part[part]:
+                crash = self._crashes[name]
+                is_over = crash.at <= self._served.get(part, -math.inf)
+                if is_over or now - crash.at > CRASH_SECONDS:
+                    continue
+                if self._is_explained(crash):
+                    continue
+                tally = tallies.setdefault(part, _Tally())
+                tally.crashes[name] = crash.at
+                for prompt in crash.prompts:
+                    if part in prompt.parts:
+                        tally.requests.add(prompt.fingerprint)
+                        position = prompt.parts.index(part)
+                        tally.position = max(tally.position, position)
         return tallies
 
     def _is_explained(self, crash: _Crash) -> bool:
--- a/bilberryring/quarantine/tests/test_parts.py
+++ b/bilberryring/quarantine/tests/test_parts.py
@@ -29,14 +29,10 @@
 def test_parts_that_merely_ran_beside_a_crash_are_not_quarantined():
     parts = make_parts("common")
     for number in range(4):
-        crash(
-            parts,
-            number,
-            (f"bad{number}", f"common bad tag{number}"),
-            ("neighbour", "common topic"),
-            (f"other{number}", "common subject"),
-            at=10.0 + number,
-        )
+        prompts = [(f"bad{number}", f"common bad tag{number}")]
+        if number:
+            prompts.append((f"neighbour{number}", "common topic"))
+        crash(parts, number, *prompts, at=10.0 + number)
     assert parts.quarantined(now=14.0) == ("bad",)
 
 
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -292,6 +292,54 @@
         test="bilberryring/platform/tests/test_store_health.py"
         "::test_the_state_is_current_while_a_live_peer_can_read",
     ),
+    Mechanism(
+        name="prompts with a quarantined part are refused",
+        module="gateway/forwarding.py",
+        present="        if part is not None:",
+        absent="        if False:",
+        test="bilberryring/platform/tests/test_requests.py"
+        "::test_prompts_with_a_part_that_crashes_endpoints_are_held_back",
+    ),
+    Mechanism(
+        name="explained crashes do not count for other parts",
+        module="quarantine/parts.py",
+        present="now - crash.at > CRASH_SECONDS or self._is_explained(crash)",
+        absent="now - crash.at > CRASH_SECONDS",
+        test="bilberryring/quarantine/tests/test_parts.py"
+        "::test_parts_that_merely_ran_beside_a_crash_are_not_quarantined",
+    ),
+    Mechanism(
+        name="parts that were just answered need stronger evidence",
+        module="quarantine/parts.py",
+        present="        if not self._was_served_before(candidate):",
+        absent="        if True:",
+        test="bilberryring/quarantine/tests/test_parts.py"
+        "::test_engines_that_crash_together_do_not_quarantine_what_all_prompts_share",
+    ),
+    Mechanism(
+        name="complete reports name the parts in quarantine",
+        module="gateway/peers.py",
+        present="encode_parts(self._crashes.standings()) if is_complete else []",
+        absent="[]",
+        test="bilberryring/gateway/tests/test_crashing_parts.py"
+        "::test_a_gateway_that_starts_later_learns_what_is_quarantined",
+    ),
+    Mechanism(
+        name="news of crashes are passed on at once",
+        module="gateway/peers.py",
+        present="        crashes.set_listener(self._schedule_news)",
+        absent="        pass",
+        test="bilberryring/gateway/tests/test_crashing_parts.py"
+        "::test_news_of_crashes_reach_all_gateways_within_half_a_second",
+    ),
+    Mechanism(
+        name="a stream that ends inside an event is broken off",
+        module="gateway/attempts.py",
+        present="if not has_length and self._is_broken_off(context):",
+        absent="if False:",
+        test="bilberryring/platform/tests/test_answers.py"
+        "::test_a_stream_without_a_length_that_ends_inside_an_event_is_resumed",
+    ),
 )
 
 
