--- a/bilberryring/quarantine/tests/test_parts.py
+++ b/bilberryring/quarantine/tests/test_parts.py
@@ -36,6 +36,15 @@
     assert parts.quarantined(now=14.0) == ("bad",)
 
 
+def test_a_second_part_is_found_beside_one_that_explains_more_crashes():
+    parts = make_parts("common")
+    for number in range(5):
+        crash(parts, number, (f"a{number}", "common bad"), at=10.0 + number)
+    for number in range(3):
+        crash(parts, 10 + number, (f"b{number}", "common worse"), at=20.0 + number)
+    assert parts.quarantined(now=24.0) == ("bad", "worse")
+
+
 def test_parts_of_one_repeated_request_are_left_to_its_own_quarantine():
     parts = make_parts("common")
     for number in range(4):
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -301,12 +301,12 @@
         "::test_prompts_with_a_part_that_crashes_endpoints_are_held_back",
     ),
     Mechanism(
-        name="explained crashes do not count for other parts",
+        name="explained crashes count no more",
         module="quarantine/parts.py",
-        present="now - crash.at > CRASH_SECONDS or self._is_explained(crash)",
-        absent="now - crash.at > CRASH_SECONDS",
+        present="                if self._is_explained(crash):",
+        absent="                if False:",
         test="bilberryring/quarantine/tests/test_parts.py"
-        "::test_parts_that_merely_ran_beside_a_crash_are_not_quarantined",
+        "::test_a_second_part_is_found_beside_one_that_explains_more_crashes",
     ),
     Mechanism(
         name="parts that were just answered need stronger evidence",
