--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -214,6 +214,7 @@
             timeout=self._first_response_timeout(context, choice)
         )
         metadata = self._codec.decode_response_headers(head.status, head.headers)
+        context.stated_limit = metadata.requests_per_second
         if metadata.has_not_run:
             await self._read_body(context, response)
             raise NotRun(metadata=metadata)
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -63,7 +63,8 @@
     `is_stamped` is true if the response carries the platform's stamp, `is_encoded` if
     its body has a content encoding. `culprit` is the address of the endpoint that
     caused a refusal, if it was another one. `load` is the number of running requests,
-    of waiting requests and of slots.
+    of waiting requests and of slots. `requests_per_second` is the limit, if the
+    endpoint states one, on the requests that all gateways together send to it.
     """
 
     status: int
@@ -75,6 +76,7 @@
     culprit: str = ""
     load: tuple[int, int, int] | None = None
     retry_after: float | None = None
+    requests_per_second: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -47,7 +47,8 @@
     sent the request, and `unknown_sends` those after which it may have run. `status` is
     that of the response that the caller gets. `failure_response` is the last complete
     error response of an endpoint; the caller gets it if no later attempt succeeds.
-    `answer_began_at` is when the current attempt got the first data of its answer.
+    `answer_began_at` is when the current attempt got the first data of its answer, and
+    `stated_limit` the requests per second to which the last endpoint limits itself.
     """
 
     exchange: CallerExchange
@@ -65,6 +66,7 @@
     first_response_at: float | None = None
     last_data_at: float | None = None
     answer_began_at: float | None = None
+    stated_limit: float | None = None
     longest_gap: float = 0.0
     status: int = 0
     failure_response: "RetryableFailure | None" = None
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -89,6 +89,7 @@
             first_ms=round(first_seconds * 1_000),
             gap_ms=round(context.longest_gap * 1_000),
             total_ms=round((now - context.request.received_at) * 1_000),
+            stated_limit=context.stated_limit,
         )
 
     def request_failed(
--- a/bilberryring/platform/headers.py
+++ b/bilberryring/platform/headers.py
@@ -1,5 +1,6 @@
 """Translates HTTP headers to the gateway's types and back."""
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -16,6 +17,7 @@
 from bilberryring.platform.names import (
     AUTHORIZATION,
     DEADLINE_MS,
+    ENDPOINT_LIMIT,
     ENDPOINT_LOAD,
     FAILED_AT,
     HELPERS,
@@ -143,6 +145,7 @@
         culprit=_decode_text(fields.get(FAILED_AT.lower(), b"")),
         load=_parse_load(fields.get(ENDPOINT_LOAD.lower(), b"")),
         retry_after=_parse_seconds(fields.get(RETRY_AFTER.lower(), b"")),
+        requests_per_second=_parse_rate(fields.get(ENDPOINT_LIMIT.lower(), b"")),
     )
 
 
@@ -201,6 +204,11 @@
     return int(parts[0]), int(parts[1]), int(parts[2])
 
 
+def _parse_rate(value: bytes) -> float | None:
+    rate = _parse_seconds(value)
+    return rate if rate is not None and 0.0 <= rate < math.inf else None
+
+
 def _parse_seconds(value: bytes) -> float | None:
     try:
         return float(value) if value else None
--- a/bilberryring/platform/tests/test_headers.py
+++ b/bilberryring/platform/tests/test_headers.py
@@ -99,6 +99,15 @@
     assert encode_response_headers(headers) == (headers[0], headers[3])
 
 
+def test_the_limit_that_an_endpoint_states_is_decoded():
+    def stated(value):
+        headers = ((b"server-limit", value),)
+        return decode_response_headers(200, headers).requests_per_second
+
+    assert (stated(b"1"), stated(b"0.5")) == (1.0, 0.5)
+    assert [stated(value) for value in (b"", b"x", b"-1", b"inf", b"nan")] == [None] * 5
+
+
 def test_the_last_part_of_a_prompt_is_not_shared():
     header = (b"Bilberryring-Prompt-Prefix", b"5c1e07a2:800, 91bd3f06:410,e4:250")
     facts = decode_request_headers((header,))
