Test: an endpoint gets no more requests than the limit it states (fails)

Reproduction of the LIMIT incident on loopback: two endpoints, one of which names a limit of 1 request a second, get 60 requests in about 3 s. 34 reached the limited one, 11 are allowed in 4 s.

--- a/bilberryring/platform/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -11,6 +11,7 @@
     request_headers,
 )
 from bilberryring.standins.scripted_endpoint import (
+    STAMP_HEADER,
     answer_all,
     chunk,
     event,
@@ -284,6 +285,27 @@
     assert site.call("/chat/", **header).body == event(1)
 
 
+def test_an_endpoint_gets_no_more_requests_than_the_limit_it_states(site):
+    """In any 4 s it may get one and a half times its limit and 5 requests more."""
+
+    def answer_in_need(request, connection):
+        extra = f"{STAMP_HEADER}\r\nServer-Limit: 1"
+        connection.sendall(whole_answer(request.request_id, b"ok", extra=extra))
+
+    limited = site.add_endpoint("a", answer_in_need)
+    other = site.add_endpoint("b", answer_all)
+    site.start_gateway()
+    for _ in range(60):
+        assert site.call("/look/").status == 200
+        pause(0.04)
+    assert len(limited.requests) <= 1.5 * 4 + 5
+    other.set_script(answer_in_need)
+    refused = [site.call("/look/") for _ in range(12)][-1]
+    assert refused.status == 503
+    assert b"not_run" in refused.body
+    assert 0.0 < float(refused.headers["retry-after"]) <= 4.0
+
+
 def test_a_drain_completes_requests_in_progress(site):
     site.add_endpoint("a", respond_after(1.0))
     site.start_gateway()
