Gateways together keep to the limit on requests that an endpoint states

Class of fault: an endpoint's own word about its load is ignored. Change: the limit that an answer names is kept by endpoint until an answer to a later request names none. Of the gateways that use the endpoint, ranked by a hash that all of them compute alike, three and one for each request a second share the limit and start at fixed intervals, the first at a random moment; the others try once in 30 to 60 s. If all endpoints are at their limits, the request is refused at once with the time until the next start as Retry-After.

--- a/bilberryring/admission/__init__.py
+++ b/bilberryring/admission/__init__.py
@@ -39,10 +39,13 @@
     span_shares,
 )
 from bilberryring.admission.start_rate import StartRate, share_of_rate
+from bilberryring.admission.stated_limits import StatedLimits, UserPlace
 from bilberryring.admission.work import PRIORITIES_PER_CLASS, PromptWork, WorkKey
 
 __all__ = [
     "StartRate",
+    "StatedLimits",
+    "UserPlace",
     "share_of_rate",
     "AdmissionLoad",
     "COLD_TOKENS_PER_SLOT",
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -13,6 +13,7 @@
     ResponseData,
     ResponseEnd,
     ResponseHead,
+    ResponseMetadata,
 )
 from bilberryring.gateway.repeat_rules import MIN_SEND_SECONDS, RetryPolicy
 from bilberryring.gateway.request_context import (
@@ -183,6 +184,7 @@
             last_event_id=context.stream.last_id if context.stream else "",
         )
         context.sends += 1
+        context.sent_at = now
         self._chooser.record_start(choice.endpoint.id, now=now)
         self._health.record_start(choice.endpoint.id, now=now)
         self._log.attempt_started(
@@ -214,7 +216,7 @@
             timeout=self._first_response_timeout(context, choice)
         )
         metadata = self._codec.decode_response_headers(head.status, head.headers)
-        context.stated_limit = metadata.requests_per_second
+        self._record_limit(context, choice, metadata)
         if metadata.has_not_run:
             await self._read_body(context, response)
             raise NotRun(metadata=metadata)
@@ -230,6 +232,31 @@
         self._record_first_response(context)
         self.send_to_caller(context, head, body)
 
+    def _record_limit(
+        self, context: RequestContext, choice: Choice, metadata: ResponseMetadata
+    ) -> None:
+        """Record the limit that the endpoint states; a refusal does not end one."""
+        limit = context.stated_limit = metadata.requests_per_second
+        endpoint = choice.endpoint.id
+        if limit is None and (
+            metadata.status not in SUCCESS or not self._chooser.is_limited(endpoint)
+        ):
+            return
+        place = self._chooser.place_among_users(
+            endpoint,
+            route=context.route,
+            service=context.service,
+            workspace=context.workspace,
+        )
+        if self._chooser.record_limit(
+            endpoint,
+            limit,
+            place=place,
+            sent_at=context.sent_at,
+            now=self._reactor.seconds(),
+        ):
+            self._log.endpoint_limit_stated(context, endpoint, place)
+
     async def _read_body(
         self, context: RequestContext, response: EndpointResponse
     ) -> bytes:
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -155,7 +155,7 @@
     def _build_forwarder(
         self, codec: HeaderCodec, crashes: CrashRecord, incarnation: Incarnation
     ) -> Forwarder:
-        chooser = EndpointChooser(
+        self._chooser = chooser = EndpointChooser(
             settings=self._settings,
             slices=self._slices,
             tracker=self._tracker,
@@ -322,6 +322,7 @@
 
     def _on_endpoint_removed(self, endpoint: AnnouncedEndpoint) -> None:
         self._health.forget(endpoint.id)
+        self._chooser.forget(endpoint.id)
         self._pool.close_address(endpoint.address)
 
     def _respond_to_readiness(self, exchange: CallerExchange) -> None:
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from bilberryring.admission import StartRate
+from bilberryring.admission import StartRate, StatedLimits, UserPlace
 from bilberryring.fleet import (
     MS_PER_SECOND,
     AnnouncedEndpoint,
@@ -80,6 +80,7 @@
         self._peers = peers
         self._health = health
         self._starts = StartRate()
+        self._limits = StatedLimits(seed=seed)
         self._planners: dict[ServiceName, PromptPlanner] = {}
         self._random = random.Random(seed)
 
@@ -113,6 +114,74 @@
             endpoint, now=now
         )
 
+    def seconds_until_start(
+        self,
+        *,
+        route: Route,
+        service: Service,
+        workspace: Workspace | None,
+        now: float,
+    ) -> float | None:
+        """Return when an endpoint that states a limit may get a request again.
+
+        Returns `None` if no endpoint of the service does.
+        """
+        regions = _allowed_regions(route, workspace)
+        if regions is None:
+            return None
+        return min(
+            (
+                self._limits.seconds_until_start(endpoint.id, now=now)
+                for endpoint in self._slices.endpoints(service, regions=regions)
+                if self._limits.is_limited(endpoint.id)
+            ),
+            default=None,
+        )
+
+    def is_limited(self, endpoint: EndpointId) -> bool:
+        """Whether an endpoint states a limit on its requests."""
+        return self._limits.is_limited(endpoint)
+
+    def record_limit(
+        self,
+        endpoint: EndpointId,
+        per_second: float | None,
+        *,
+        place: UserPlace | None,
+        sent_at: float,
+        now: float,
+    ) -> bool:
+        """Record the limit that an answer states; return whether it has changed.
+
+        The request was sent at `sent_at`.
+        """
+        return self._limits.record_statement(
+            endpoint, per_second, place=place, sent_at=sent_at, now=now
+        )
+
+    def place_among_users(
+        self,
+        endpoint: EndpointId,
+        *,
+        route: Route,
+        service: Service,
+        workspace: Workspace | None,
+    ) -> UserPlace | None:
+        """Return this gateway's place among those that use an endpoint, if known."""
+        regions = _allowed_regions(route, workspace)
+        if regions is None:
+            return None
+        return self._slices.place_among_users(service, endpoint, regions=regions)
+
+    def record_choice(self, choice: Choice, *, now: float) -> None:
+        """Count a request against the limits that its endpoints state."""
+        for endpoint in (choice.endpoint, *choice.helpers):
+            self._limits.record_start(endpoint.id, now=now)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Remove what an endpoint stated that is no longer announced."""
+        self._limits.forget(endpoint)
+
     def record_start(self, endpoint: EndpointId, *, now: float) -> None:
         """Count a request against the start rate of the endpoint."""
         self._starts.record_start(endpoint, now=now)
@@ -133,6 +202,7 @@
             endpoint
             for endpoint in self._slices.endpoints(service, regions=regions)
             if endpoint.id not in excluded
+            and self._limits.may_start(endpoint.id, now=now)
             and (
                 per_second is None
                 or self._starts.may_start(endpoint.id, now=now, per_second=per_second)
--- a/bilberryring/gateway/endpoint_slices.py
+++ b/bilberryring/gateway/endpoint_slices.py
@@ -8,7 +8,14 @@
 import math
 from dataclasses import dataclass
 
-from bilberryring.fleet import AnnouncedEndpoint, FleetState, Service, ServiceName
+from bilberryring.admission import UserPlace
+from bilberryring.fleet import (
+    AnnouncedEndpoint,
+    EndpointId,
+    FleetState,
+    Service,
+    ServiceName,
+)
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.routing import Ring, cover, slice_size
@@ -37,6 +44,8 @@
     usable: tuple[AnnouncedEndpoint, ...]
     is_provisional: bool
     endpoints: tuple[AnnouncedEndpoint, ...]
+    ring: Ring
+    size: int
     cover: int
 
 
@@ -82,6 +91,19 @@
             users = PROVISIONAL_USERS
         return max(1, int(limit / users))
 
+    def place_among_users(
+        self, service: Service, endpoint: EndpointId, *, regions: Regions = frozenset()
+    ) -> UserPlace | None:
+        """Return this gateway's place among those that use an endpoint.
+
+        Returns `None` if they are not known yet or this gateway does not use it.
+        """
+        known = self._slice(service, regions)
+        if not self._is_settled or all(item.id != endpoint for item in known.endpoints):
+            return None
+        users = known.ring.users(endpoint=endpoint, size=known.size)
+        return UserPlace(rank=users.index(self._peers.own_host), users=len(users))
+
     def neighbours(self) -> tuple[str, ...]:
         """Return the hosts of the gateways that share endpoints with this one."""
         return self._peers.neighbours(distance=self._distance())
@@ -151,6 +173,8 @@
             usable=usable,
             is_provisional=is_provisional,
             endpoints=tuple(allowed[name] for name in names),
+            ring=ring,
+            size=size,
             cover=ring.cover(size=size),
         )
 
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -124,6 +124,7 @@
         while True:
             self._check_quarantine(context)
             choice = self._choose(context)
+            self._chooser.record_choice(choice, now=self._reactor.seconds())
             try:
                 await self._attempts.attempt(context, choice)
                 return
@@ -178,7 +179,13 @@
         if choice is None and context.failure_response is not None:
             choice = self._choose_among(context, frozenset(), now)
         if choice is None:
-            raise self._retry_policy.no_endpoint_error(context)
+            seconds = self._chooser.seconds_until_start(
+                route=context.route,
+                service=context.service,
+                workspace=context.workspace,
+                now=now,
+            )
+            raise self._retry_policy.no_endpoint_error(context, seconds=seconds)
         if not context.sends:
             check_deadline(choice, context.deadline - now)
         return choice
--- a/bilberryring/gateway/operator_queries.py
+++ b/bilberryring/gateway/operator_queries.py
@@ -183,4 +183,6 @@
             return "avoided"
         if endpoint.is_cold(now=now):
             return "cold"
+        if self._chooser.is_limited(endpoint.id):
+            return "limited"
         return "live"
--- a/bilberryring/gateway/repeat_rules.py
+++ b/bilberryring/gateway/repeat_rules.py
@@ -73,11 +73,22 @@
             return outcome_unknown(ErrorCode.DEADLINE_PASSED)
         return not_run(ErrorCode.TOO_LATE)
 
-    def no_endpoint_error(self, context: RequestContext) -> ServingError:
-        """Return the error for a request that no endpoint can serve."""
+    def no_endpoint_error(
+        self, context: RequestContext, *, seconds: float | None = None
+    ) -> ServingError:
+        """Return the error for a request that no endpoint can serve.
+
+        `seconds` is the time until one may get requests again, if it is known.
+        """
         if context.may_have_run:
             return outcome_unknown(ErrorCode.ENDPOINT_FAILED)
-        return not_run(ErrorCode.NO_ENDPOINT, retry_after=2 * RETRY_AFTER_SECONDS)
+        if seconds is None:
+            return not_run(ErrorCode.NO_ENDPOINT, retry_after=2 * RETRY_AFTER_SECONDS)
+        return not_run(
+            ErrorCode.NO_ENDPOINT,
+            detail="all endpoints are at the limits that they state",
+            retry_after=max(RETRY_AFTER_SECONDS, seconds),
+        )
 
     def _refusal_error(
         self, context: RequestContext, metadata: ResponseMetadata
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -47,8 +47,9 @@
     sent the request, and `unknown_sends` those after which it may have run. `status` is
     that of the response that the caller gets. `failure_response` is the last complete
     error response of an endpoint; the caller gets it if no later attempt succeeds.
-    `answer_began_at` is when the current attempt got the first data of its answer, and
-    `stated_limit` the requests per second to which the last endpoint limits itself.
+    The current attempt was sent at `sent_at`; `answer_began_at` is when it got
+    the first data of its answer, and `stated_limit` the requests per second to which
+    its endpoint limits all gateways.
     """
 
     exchange: CallerExchange
@@ -66,6 +67,7 @@
     first_response_at: float | None = None
     last_data_at: float | None = None
     answer_began_at: float | None = None
+    sent_at: float = 0.0
     stated_limit: float | None = None
     longest_gap: float = 0.0
     status: int = 0
--- a/bilberryring/routing/ring.py
+++ b/bilberryring/routing/ring.py
@@ -66,6 +66,22 @@
             for offset in range(min(size, count))
         )
 
+    def users(self, *, endpoint: str, size: int) -> tuple[str, ...]:
+        """Return the gateways that use an endpoint, in an order of its own.
+
+        >>> ring = Ring(gateways=("g1", "g2", "g3", "g4"), endpoints=("a", "b"))
+        >>> len(ring.users(endpoint="a", size=1)), len(ring.users(endpoint="a", size=2))
+        (2, 4)
+        """
+        count = len(self._endpoints)
+        index = self._endpoints.index(endpoint)
+        users = (
+            gateway
+            for rank, gateway in enumerate(self._gateways)
+            if (index - int(rank / len(self._gateways) * count)) % count < size
+        )
+        return hash_order(users, salt=endpoint)
+
     def cover(self, *, size: int) -> int:
         """Return the most gateways that use one endpoint."""
         return cover(
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -67,6 +67,11 @@
     LINK_OPENED = (300, "info", "A link to another process opened")
     LINK_CLOSED = (301, "info", "A link to another process closed")
     ENDPOINT_STANDING_CHANGED = (310, "info", "The standing of an endpoint changed")
+    ENDPOINT_LIMIT_STATED = (
+        311,
+        "info",
+        "An endpoint stated a limit on its requests, changed it, or ended it",
+    )
     PEER_HEARD = (
         320,
         "info",
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -340,6 +340,30 @@
         test="bilberryring/platform/tests/test_answers.py"
         "::test_a_stream_without_a_length_that_ends_inside_an_event_is_resumed",
     ),
+    Mechanism(
+        name="endpoints at the limit that they state get no request",
+        module="gateway/endpoint_choice.py",
+        present="            and self._limits.may_start(endpoint.id, now=now)\n",
+        absent="",
+        test="bilberryring/platform/tests/test_requests.py"
+        "::test_an_endpoint_gets_no_more_requests_than_the_limit_it_states",
+    ),
+    Mechanism(
+        name="gateways share the limit of an endpoint",
+        module="admission/stated_limits.py",
+        present="        return min(sharers / limit.per_second, TRIAL_SECONDS)",
+        absent="        return 1.0 / limit.per_second",
+        test="bilberryring/gateway/tests/test_stated_limits.py"
+        "::test_all_gateways_together_keep_to_the_limits_that_endpoints_state[25-69]",
+    ),
+    Mechanism(
+        name="only some gateways share a limit",
+        module="admission/stated_limits.py",
+        present="limit.place.rank >= starters or not",
+        absent="not",
+        test="bilberryring/gateway/tests/test_stated_limits.py"
+        "::test_all_gateways_together_keep_to_the_limits_that_endpoints_state[25-69]",
+    ),
 )
 
 
