--- a/bilberryring/gateway/reservations.py
+++ b/bilberryring/gateway/reservations.py
@@ -157,7 +157,7 @@
 
     async def can_connect(self, endpoint: AnnouncedEndpoint) -> bool:
         """Return whether an engine still accepts connections."""
-        return await self._pool.can_connect(endpoint.address)
+        return await self._pool.connection_failure(endpoint.address) is None
 
     async def reserve(
         self,
