The end of a part's quarantine is logged when it happens

It is now written when the quarantine ends, and part_quarantined once more when a crash renews it. The text of held_back names parts of prompts.

--- a/bilberryring/core/errors.py
+++ b/bilberryring/core/errors.py
@@ -196,7 +196,7 @@
     HELD_BACK = (
         "held_back",
         503,
-        "Several endpoints died while they ran this request",
+        "Several endpoints died under this request or a part of its prompt",
         "change the request, or retry after the given time",
     )
     TICKET_REQUIRED = (
--- a/bilberryring/quarantine/parts.py
+++ b/bilberryring/quarantine/parts.py
@@ -117,6 +117,7 @@
     crashes: int
     crashed_at: float
     release_at: float
+    is_on_probation: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -213,7 +214,7 @@
             names.add(crash)
             if len(names) >= MIN_CRASHES:
                 self._frequent.add(part)
-            self._renew(part, known.at)
+            self._renew(part, known.at, now)
         if not self._frequent.isdisjoint(prompt.parts):
             self._attribute(now)
         return True
@@ -250,6 +251,7 @@
             entry.crashes = max(entry.crashes, standing.crashes)
             entry.release_at += crashed_at - entry.crashed_at
             entry.crashed_at = crashed_at
+            entry.is_on_probation = False
         return False
 
     def update(self, *, now: float) -> None:
@@ -257,7 +259,10 @@
         self._attribute(now)
         for part, entry in tuple(self._entries.items()):
             if now > entry.release_at + PROBATION_SECONDS:
-                self._release(part, now, is_from_peer=False)
+                del self._entries[part]
+            elif now >= entry.release_at and not entry.is_on_probation:
+                entry.is_on_probation = True
+                self._decide(PartAction.RELEASED, part, now, is_from_peer=False)
 
     def take_decisions(self) -> tuple[PartDecision, ...]:
         """Remove and return the decisions since the last call."""
@@ -393,9 +398,9 @@
         )
         while len(self._entries) > MAX_ENTRIES:
             self._entries.popitem(last=False)
-        self._decide(PartAction.QUARANTINED, part, now, is_from_peer)
+        self._decide(PartAction.QUARANTINED, part, now, is_from_peer=is_from_peer)
 
-    def _renew(self, part: PromptPartId, crashed_at: float) -> None:
+    def _renew(self, part: PromptPartId, crashed_at: float, now: float) -> None:
         """Extend the quarantine of a part, or begin it again, after another crash."""
         entry = self._entries.get(part)
         if entry is None or crashed_at <= self._served.get(part, -math.inf):
@@ -403,13 +408,17 @@
         if crashed_at > entry.crashed_at:
             entry.release_at += crashed_at - entry.crashed_at
             entry.crashed_at = crashed_at
+        if entry.is_on_probation:
+            entry.is_on_probation = False
+            self._decide(PartAction.QUARANTINED, part, now, is_from_peer=False)
 
     def _release(self, part: PromptPartId, now: float, *, is_from_peer: bool) -> None:
-        self._decide(PartAction.RELEASED, part, now, is_from_peer)
+        if not self._entries[part].is_on_probation:
+            self._decide(PartAction.RELEASED, part, now, is_from_peer=is_from_peer)
         del self._entries[part]
 
     def _decide(
-        self, action: PartAction, part: PromptPartId, now: float, is_from_peer: bool
+        self, action: PartAction, part: PromptPartId, now: float, *, is_from_peer: bool
     ) -> None:
         entry, served_at = self._entries[part], self._served.get(part)
         decision = PartDecision(
--- a/bilberryring/quarantine/tests/test_parts.py
+++ b/bilberryring/quarantine/tests/test_parts.py
@@ -109,9 +109,12 @@
     for number in range(3):
         crash(parts, number, (f"p{number}", "common bad"), at=10.0)
     later = 10.0 + MAX_QUARANTINE_SECONDS
+    parts.update(now=later)
     assert parts.quarantined(now=later) == ()
     crash(parts, 9, ("p9", "common bad"), at=later)
     assert parts.quarantined(now=later) == ("bad",)
+    actions = [decision.action.value for decision in parts.take_decisions()]
+    assert actions == ["quarantined", "released", "quarantined"]
 
 
 class PartQuarantineMachine(RuleBasedStateMachine):
