A trial of an endpoint with a limit lapses when it is not used

After a quiet time of more than a minute the trial of every gateway was due, so that all that use an endpoint could start at once: up to 13 gateways, 11 requests allowed. A trial now lapses after 2 s (own test, which fails without).

The test of the bound presses three times the load on the endpoints, because two mutation checks still passed at the lower one: without the shared interval, and with all gateways sharing. A test at the lower load keeps what it required besides: no request refused, and limited endpoints still used. Mutation checks: 3 of 3 fail without.

--- a/bilberryring/admission/stated_limits.py
+++ b/bilberryring/admission/stated_limits.py
@@ -31,6 +31,9 @@
 4 requests a second and this many remains below."""
 TRIAL_SECONDS = 30.0
 """Shortest interval of the other gateways, and longest of those that share a limit."""
+TRIAL_WINDOW_SECONDS = 2.0
+"""Seconds within which a trial must start. One that is not used lapses, so that after a
+quiet time not all gateways try at once."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,10 +49,26 @@
 
 @dataclass(slots=True, kw_only=True)
 class _Limit:
+    """`trial_interval` is set if this gateway does not share the limit."""
+
     per_second: float
     place: UserPlace | None
     stated_at: float
     next_start_at: float
+    trial_interval: float | None = None
+
+    @property
+    def starters(self) -> int:
+        return MIN_STARTERS + int(self.per_second)
+
+    @property
+    def is_shared(self) -> bool:
+        """Whether this gateway is one of those that share the limit."""
+        return (
+            self.place is not None
+            and self.place.rank < self.starters
+            and self.per_second > 0.0
+        )
 
 
 class StatedLimits:
@@ -65,19 +84,25 @@
 
     def may_start(self, endpoint: str, *, now: float) -> bool:
         """Whether this gateway may start a request on an endpoint."""
-        limit = self._limits.get(endpoint)
-        return limit is None or now >= limit.next_start_at
+        return self.seconds_until_start(endpoint, now=now) <= 0.0
 
     def seconds_until_start(self, endpoint: str, *, now: float) -> float:
         """Return how long this gateway must not start a request on an endpoint."""
         limit = self._limits.get(endpoint)
-        return 0.0 if limit is None else max(0.0, limit.next_start_at - now)
+        if limit is None:
+            return 0.0
+        if limit.trial_interval is None or now < limit.next_start_at:
+            return max(0.0, limit.next_start_at - now)
+        into_interval = (now - limit.next_start_at) % limit.trial_interval
+        if into_interval < TRIAL_WINDOW_SECONDS:
+            return 0.0
+        return limit.trial_interval - into_interval
 
     def record_start(self, endpoint: str, *, now: float) -> None:
         """Record that a request is started on an endpoint."""
         limit = self._limits.get(endpoint)
         if limit is not None:
-            limit.next_start_at = now + self._interval(limit)
+            self._schedule(limit, now)
 
     def record_statement(
         self,
@@ -105,22 +130,33 @@
                 per_second=per_second, place=place, stated_at=now, next_start_at=now
             )
             self._limits[endpoint] = limit
+            self._schedule(limit, now)
             # Gateways that hear of a limit together must not start together.
-            limit.next_start_at += self._random.random() * self._interval(limit)
+            wait = limit.next_start_at - now
+            limit.next_start_at = now + self._random.random() * wait
             return True
+        limit.stated_at = now
+        if (limit.per_second, limit.place) == (per_second, place):
+            return False
         has_changed = limit.per_second != per_second
-        limit.per_second, limit.place, limit.stated_at = per_second, place, now
-        limit.next_start_at = min(limit.next_start_at, now + self._interval(limit))
+        earlier = limit.next_start_at
+        limit.per_second, limit.place = per_second, place
+        self._schedule(limit, now)
+        if limit.is_shared:
+            limit.next_start_at = min(earlier, limit.next_start_at)
         return has_changed
 
     def forget(self, endpoint: str) -> None:
         """Remove the limit of an endpoint that is no longer announced."""
         self._limits.pop(endpoint, None)
 
-    def _interval(self, limit: _Limit) -> float:
-        """Return the seconds between two starts of this gateway on an endpoint."""
-        starters = MIN_STARTERS + int(limit.per_second)
-        if limit.place is None or limit.place.rank >= starters or not limit.per_second:
-            return TRIAL_SECONDS * self._random.uniform(1.0, 2.0)
-        sharers = min(limit.place.users, starters)
-        return min(sharers / limit.per_second, TRIAL_SECONDS)
+    def _schedule(self, limit: _Limit, now: float) -> None:
+        """Set when this gateway may start the next request on an endpoint."""
+        if limit.is_shared:
+            sharers = min(limit.place.users, limit.starters)
+            interval = min(sharers / limit.per_second, TRIAL_SECONDS)
+            limit.trial_interval = None
+        else:
+            interval = TRIAL_SECONDS * self._random.uniform(1.0, 2.0)
+            limit.trial_interval = interval
+        limit.next_start_at = now + interval
--- a/bilberryring/gateway/tests/test_stated_limits.py
+++ b/bilberryring/gateway/tests/test_stated_limits.py
@@ -15,6 +15,8 @@
 LIMITS = (0.5, 1.0, 4.0)
 DISTURBED_SECONDS = 2.0
 REQUESTS_PER_SECOND_AND_ENDPOINT = 2.0
+PRESSING_SHARE = 3.0
+"""Multiple of that rate at which gateways use every start that a limit allows."""
 
 SIZES = [(3, 18), (25, 69), (68, 172), (400, 1_000)]
 
@@ -99,6 +101,19 @@
 @pytest.mark.parametrize(("gateways", "endpoints"), SIZES)
 def test_all_gateways_together_keep_to_the_limits_that_endpoints_state(
     gateways, endpoints
+):
+    fleet = LimitedFleet(gateways, endpoints, seed=gateways)
+    fleet.arrive(1.0)
+    fleet.state_limits(*LIMITS)
+    fleet.arrive(3.0, share=PRESSING_SHARE)
+    fleet.disturb()
+    fleet.arrive(5.0, share=PRESSING_SHARE)
+    assert fleet.worst_excess() <= 0
+
+
+@pytest.mark.parametrize(("gateways", "endpoints"), SIZES[:3])
+def test_requests_are_served_elsewhere_while_endpoints_are_at_their_limits(
+    gateways, endpoints
 ):
     fleet = LimitedFleet(gateways, endpoints, seed=gateways)
     fleet.arrive(1.0)
@@ -106,11 +121,22 @@
     fleet.arrive(3.0)
     fleet.disturb()
     fleet.arrive(5.0)
-    assert fleet.worst_excess() <= 0
     assert not fleet.load.outcomes.refused
+    assert fleet.worst_excess() <= 0
     assert fleet.arrivals_per_second(fleet.limited, since=fleet.stated_at + 3.0) > 0.25
 
 
+@pytest.mark.parametrize("quiet_seconds", [20.0, 90.0])
+def test_gateways_do_not_all_use_a_limit_at_once_after_a_quiet_time(quiet_seconds):
+    fleet = LimitedFleet(25, 69, seed=1)
+    fleet.arrive(1.0)
+    fleet.state_limits(1.0)
+    fleet.arrive(4.0)
+    fleet.network.advance(quiet_seconds)
+    fleet.arrive(2.0, share=PRESSING_SHARE)
+    assert fleet.worst_excess() <= 0
+
+
 def test_a_limit_that_has_ended_is_forgotten_by_those_that_share_it():
     fleet = LimitedFleet(4, 21, seed=1)
     fleet.arrive(1.0)
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -351,18 +351,26 @@
     Mechanism(
         name="gateways share the limit of an endpoint",
         module="admission/stated_limits.py",
-        present="        return min(sharers / limit.per_second, TRIAL_SECONDS)",
-        absent="        return 1.0 / limit.per_second",
+        present="min(sharers / limit.per_second, TRIAL_SECONDS)",
+        absent="1.0 / limit.per_second",
         test="bilberryring/gateway/tests/test_stated_limits.py"
         "::test_all_gateways_together_keep_to_the_limits_that_endpoints_state[25-69]",
     ),
     Mechanism(
         name="only some gateways share a limit",
         module="admission/stated_limits.py",
-        present="limit.place.rank >= starters or not",
-        absent="not",
+        present="self.place.rank < self.starters",
+        absent="self.starters > 0",
         test="bilberryring/gateway/tests/test_stated_limits.py"
-        "::test_all_gateways_together_keep_to_the_limits_that_endpoints_state[25-69]",
+        "::test_gateways_do_not_all_use_a_limit_at_once_after_a_quiet_time",
+    ),
+    Mechanism(
+        name="trials that are not used lapse",
+        module="admission/stated_limits.py",
+        present="        if into_interval < TRIAL_WINDOW_SECONDS:",
+        absent="        if True:",
+        test="bilberryring/gateway/tests/test_stated_limits.py"
+        "::test_gateways_do_not_all_use_a_limit_at_once_after_a_quiet_time",
     ),
 )
 
