A request in quarantine is told when the quarantine ends

held_back named 60 s as Retry-After while the quarantine of a request lasts 600 s, so callers came back nine times in vain. It is now the time that is left, as for parts of prompts. The extended test failed before and passes now.

--- a/bilberryring/gateway/crash_record.py
+++ b/bilberryring/gateway/crash_record.py
@@ -62,6 +62,10 @@
         standing = self._suspects.standing(fingerprint, now=self._clock.seconds())
         return standing is PromptStanding.QUARANTINED
 
+    def seconds_left(self, fingerprint: Fingerprint) -> float:
+        """Return for how many seconds a request remains quarantined."""
+        return self._suspects.seconds_left(fingerprint, now=self._clock.seconds())
+
     def quarantined_part(self, parts: tuple[PromptPartId, ...]) -> PromptPartId | None:
         """Return a part because of which a prompt must not be sent, if there is one."""
         return self._parts.quarantined_part(parts, now=self._clock.seconds())
--- a/bilberryring/gateway/request_gate.py
+++ b/bilberryring/gateway/request_gate.py
@@ -13,8 +13,6 @@
 
 DEFAULT_TIMEOUT_SECONDS = 60.0
 """Seconds that a caller is assumed to wait if it does not specify a deadline."""
-QUARANTINE_RETRY_SECONDS = 60.0
-"""Seconds after which a caller may retry a request that is quarantined for crashes."""
 
 
 class RequestGate:
@@ -50,7 +48,8 @@
         workspace = self._workspace(metadata, route)
         fingerprint = fingerprint_of(request, metadata.key)
         if self._crashes.is_quarantined(fingerprint):
-            raise not_run(ErrorCode.HELD_BACK, retry_after=QUARANTINE_RETRY_SECONDS)
+            retry_after = self._crashes.seconds_left(fingerprint)
+            raise not_run(ErrorCode.HELD_BACK, retry_after=retry_after)
         service = self._service(route)
         timeout = (
             DEFAULT_TIMEOUT_SECONDS if metadata.timeout is None else metadata.timeout
--- a/bilberryring/platform/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+from bilberryring.quarantine import QUARANTINE_SECONDS
 from bilberryring.standins.gateway_site import (
     MODEL_SERVICE,
     make_configuration,
@@ -228,6 +229,8 @@
     assert seen <= 4
     assert b"held_back" in responses[-1].body
     assert responses[-1].status == 503
+    retry_after = float(responses[-1].headers["retry-after"])
+    assert QUARANTINE_SECONDS - 10.0 < retry_after <= QUARANTINE_SECONDS
 
 
 def test_a_prompt_is_not_retried_after_its_third_crash(site):
--- a/bilberryring/quarantine/suspicions.py
+++ b/bilberryring/quarantine/suspicions.py
@@ -128,6 +128,12 @@
             return PromptStanding.QUARANTINED
         return PromptStanding.SUSPECT
 
+    def seconds_left(self, fingerprint: Fingerprint, *, now: float) -> float:
+        """Return for how many seconds a prompt remains quarantined."""
+        if self.standing(fingerprint, now=now) is not PromptStanding.QUARANTINED:
+            return 0.0
+        return self._records[fingerprint].last_crash + QUARANTINE_SECONDS - now
+
     def quarantined(self, *, now: float) -> tuple[Fingerprint, ...]:
         """Return the prompts that are quarantined at the time `now`."""
         return tuple(
