--- a/bilberryring/gateway/tests/test_peers.py
+++ b/bilberryring/gateway/tests/test_peers.py
@@ -17,7 +17,13 @@
 from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.routing import PlacedRequest, WorkTracker
 from bilberryring.telemetry import EventLog
-from bilberryring.wire import decode_message
+from bilberryring.wire import (
+    CrashReport,
+    EngineDeath,
+    PartReport,
+    decode_message,
+    encode_message,
+)
 
 PEER = "10.0.0.2"
 
@@ -134,3 +140,25 @@
     exchange.datagramReceived(bytes(datagram[: max(1, length)]), ("10.0.0.2", 3))
     clock.advance(COALESCE_SECONDS)
     exchange.datagramReceived(exchange.encode_complete_report(), ("10.0.0.3", 3))
+
+
+@given(damages=DAMAGES, length=st.integers(0, 400))
+@settings(
+    max_examples=500,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+def test_damaged_news_of_crashes_are_dropped_or_read_but_end_nothing(
+    exchange, clock, damages, length
+):
+    news = CrashReport(
+        deaths=[EngineDeath(death="e1/1", fingerprints=["f1"], parts=["p1"], age_ms=5)],
+        parts=[PartReport(part="p2", crashes=3, crashed_ms=10, served_ms=20)],
+    )
+    datagram = bytearray(encode_message(news))
+    for position, value in damages:
+        datagram[position % len(datagram)] = value
+    exchange.datagramReceived(bytes(datagram[: max(1, length)]), (PEER, 3))
+    clock.advance(COALESCE_SECONDS)
+    exchange.datagramReceived(exchange.encode_complete_report(), ("10.0.0.3", 3))
