--- a/bilberryring/quarantine/__init__.py
+++ b/bilberryring/quarantine/__init__.py
@@ -1,7 +1,7 @@
 """Quarantine for prompts, and parts of prompts, that crash engines."""
 
+from bilberryring.quarantine.part_evidence import CrashedPrompt
 from bilberryring.quarantine.parts import (
-    CrashedPrompt,
     PartAction,
     PartDecision,
     PartQuarantine,
--- a/bilberryring/quarantine/parts.py
+++ b/bilberryring/quarantine/parts.py
@@ -25,15 +25,17 @@
 import math
 import random
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
-from bilberryring.core import Fingerprint, PromptPartId
+from bilberryring.core import PromptPartId
+from bilberryring.quarantine.part_evidence import (
+    MIN_CRASHES,
+    CrashedPrompt,
+    PartEvidence,
+    SuspectedPart,
+)
 
-MIN_CRASHES = 3
-"""Unexplained crashes after which a part is quarantined."""
-MIN_REQUESTS = 2
-"""Different requests that must have been running in those crashes."""
 MIN_CRASHES_IF_SERVED = 5
 """The same for a part with which a prompt was answered shortly before the crashes."""
 MIN_SECONDS_IF_SERVED = 2.0
@@ -44,20 +46,14 @@
 an answer that tells them apart. Meanwhile prompts with all of them are refused."""
 SERVED_SECONDS = 300.0
 """Seconds for which an answer speaks for the parts of its prompt."""
-CRASH_SECONDS = 600.0
-"""Seconds for which a crash counts."""
 MIN_QUARANTINE_SECONDS = 600.0
 MAX_QUARANTINE_SECONDS = 1_200.0
 """Each process draws how long it refuses a part after its last crash, so that not all
 of them try it again at the same time."""
 PROBATION_SECONDS = 1_200.0
 """Seconds after the quarantine in which a single crash renews it."""
-MAX_CRASHES = 64
-MAX_PROMPTS_PER_CRASH = 16
-MAX_SERVED = 4_096
 MAX_ENTRIES = 64
-"""Most crashes, prompts of one, parts that were answered and parts in quarantine on
-record; beyond it, the oldest is forgotten."""
+"""Most parts in quarantine; beyond it, the oldest is forgotten."""
 MAX_PENDING_DECISIONS = 64
 
 
@@ -98,20 +94,6 @@
     served_ago: float | None = None
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class CrashedPrompt:
-    """A request whose answer could have begun when its engine crashed."""
-
-    fingerprint: Fingerprint
-    parts: tuple[PromptPartId, ...]
-
-
-@dataclass(slots=True, kw_only=True)
-class _Crash:
-    at: float
-    prompts: set[CrashedPrompt] = field(default_factory=set)
-
-
 @dataclass(slots=True, kw_only=True)
 class _Entry:
     crashes: int
@@ -120,39 +102,14 @@
     is_on_probation: bool = False
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Candidate:
-    """A part with the unexplained crashes since it was last served.
-
-    `position` is that of the part in its prompts; later ones are shared by fewer.
-    """
-
-    part: PromptPartId
-    position: int
-    crashes: int
-    first_at: float
-    last_at: float
-
-
-@dataclass(slots=True, kw_only=True)
-class _Tally:
-    crashes: dict[str, float] = field(default_factory=dict)
-    requests: set[Fingerprint] = field(default_factory=set)
-    position: int = 0
-
-
 class PartQuarantine:
     """The crashes and answers that one process knows of, by part of prompt."""
 
     def __init__(self, *, seed: int | None = None):
         self._random = random.Random(seed)
-        self._crashes: OrderedDict[str, _Crash] = OrderedDict()
-        self._crashes_of_part: dict[PromptPartId, set[str]] = {}
-        self._frequent: set[PromptPartId] = set()
-        self._served: OrderedDict[PromptPartId, float] = OrderedDict()
+        self._evidence = PartEvidence()
         self._entries: OrderedDict[PromptPartId, _Entry] = OrderedDict()
         self._tied: frozenset[PromptPartId] = frozenset()
-        self._last_served_at = -math.inf
         self._decisions: list[PartDecision] = []
 
     def quarantined_part(
@@ -183,8 +140,7 @@
 
     def standing(self, part: PromptPartId, *, now: float) -> PartStanding:
         """Return what is known of a part."""
-        served_at = self._served.get(part)
-        served_ago = None if served_at is None else max(0.0, now - served_at)
+        served_ago = self._served_ago(part, now)
         entry = self._entries.get(part)
         if entry is None or now >= entry.release_at:
             return PartStanding(part=part, served_ago=served_ago)
@@ -203,19 +159,11 @@
         `crash` identifies the event; further reports of it add prompts. Returns whether
         this one was new.
         """
-        known = self._crashes.setdefault(crash, _Crash(at=at))
-        while len(self._crashes) > MAX_CRASHES:
-            self._forget_oldest_crash()
-        if prompt in known.prompts or len(known.prompts) >= MAX_PROMPTS_PER_CRASH:
+        if not self._evidence.record_crash(crash, prompt, at=at):
             return False
-        known.prompts.add(prompt)
         for part in prompt.parts:
-            names = self._crashes_of_part.setdefault(part, set())
-            names.add(crash)
-            if len(names) >= MIN_CRASHES:
-                self._frequent.add(part)
-            self._renew(part, known.at, now)
-        if not self._frequent.isdisjoint(prompt.parts):
+            self._renew(part, at, now)
+        if any(self._evidence.is_recurring(part) for part in prompt.parts):
             self._attribute(now)
         return True
 
@@ -223,7 +171,7 @@
         self, parts: tuple[PromptPartId, ...], *, began_at: float, now: float
     ) -> None:
         """Record a complete answer that an engine began to write at `began_at`."""
-        self._last_served_at = max(self._last_served_at, began_at)
+        self._evidence.record_answer(began_at=began_at)
         for part in parts:
             self._note_served(part, began_at, now, is_from_peer=False)
         if self._tied.intersection(parts):
@@ -269,25 +217,11 @@
         decisions, self._decisions = tuple(self._decisions), []
         return decisions
 
-    def _forget_oldest_crash(self) -> None:
-        name, crash = self._crashes.popitem(last=False)
-        for part in {part for prompt in crash.prompts for part in prompt.parts}:
-            names = self._crashes_of_part[part]
-            names.discard(name)
-            if len(names) < MIN_CRASHES:
-                self._frequent.discard(part)
-            if not names:
-                del self._crashes_of_part[part]
-
     def _note_served(
         self, part: PromptPartId, at: float, now: float, *, is_from_peer: bool
     ) -> None:
-        if at <= self._served.get(part, -math.inf):
+        if not self._evidence.record_served(part, at=at):
             return
-        self._served[part] = at
-        self._served.move_to_end(part)
-        while len(self._served) > MAX_SERVED:
-            self._served.popitem(last=False)
         entry = self._entries.get(part)
         if entry is not None and not self._is_convincing(
             part, entry.crashes, entry.crashed_at
@@ -299,7 +233,7 @@
         self, part: PromptPartId, crashes: int, crashed_at: float
     ) -> bool:
         """Whether so many crashes outweigh what was answered."""
-        served_at = self._served.get(part, -math.inf)
+        served_at = self._evidence.served_at(part)
         if served_at >= crashed_at:
             return False
         if served_at > crashed_at - SERVED_SECONDS:
@@ -310,13 +244,14 @@
         """Quarantine the parts that explain the crashes, the likeliest first."""
         self._tied = frozenset()
         for _ in range(MAX_ENTRIES):
-            candidates = self._candidates(now)
-            if not candidates:
+            suspects = self._evidence.suspects(now=now, explained=self._entries)
+            guilty = [item for item in suspects if self._is_guilty(item)]
+            if not guilty:
                 return
-            best = max(candidates, key=self._rank)
+            best = max(guilty, key=self._rank)
             tied = [
                 item.part
-                for item in candidates
+                for item in guilty
                 if self._rank(item)[:2] == self._rank(best)[:2]
             ]
             if len(tied) > 1 and now - best.last_at < TIE_SECONDS:
@@ -326,61 +261,21 @@
                 best.part, best.crashes, best.last_at, now, is_from_peer=False
             )
 
-    def _rank(self, candidate: _Candidate) -> tuple[bool, int, int]:
-        was_served = self._was_served_before(candidate)
-        return not was_served, candidate.crashes, candidate.position
-
-    def _candidates(self, now: float) -> list[_Candidate]:
-        """Return the parts that may be quarantined for unexplained crashes."""
-        candidates = (
-            _Candidate(
-                part=part,
-                position=tally.position,
-                crashes=len(tally.crashes),
-                first_at=min(tally.crashes.values()),
-                last_at=max(tally.crashes.values()),
-            )
-            for part, tally in self._tallies(now).items()
-            if len(tally.crashes) >= MIN_CRASHES and len(tally.requests) >= MIN_REQUESTS
-        )
-        return [item for item in candidates if self._is_guilty(item)]
-
-    def _tallies(self, now: float) -> dict[PromptPartId, _Tally]:
-        """Count the unexplained crashes since each part was last served."""
-        tallies: dict[PromptPartId, _Tally] = {}
-        for part in self._frequent:
-            for name in self._crashes_of_part[part]:
-                crash = self._crashes[name]
-                is_over = crash.at <= self._served.get(part, -math.inf)
-                if is_over or now - crash.at > CRASH_SECONDS:
-                    continue
-                if self._is_explained(crash):
-                    continue
-                tally = tallies.setdefault(part, _Tally())
-                tally.crashes[name] = crash.at
-                for prompt in crash.prompts:
-                    if part in prompt.parts:
-                        tally.requests.add(prompt.fingerprint)
-                        position = prompt.parts.index(part)
-                        tally.position = max(tally.position, position)
-        return tallies
-
-    def _is_explained(self, crash: _Crash) -> bool:
-        return any(
-            part in self._entries for prompt in crash.prompts for part in prompt.parts
-        )
+    def _rank(self, suspect: SuspectedPart) -> tuple[bool, int, int]:
+        was_served = self._was_served_before(suspect)
+        return not was_served, suspect.crashes, suspect.position
 
-    def _was_served_before(self, candidate: _Candidate) -> bool:
-        served_at = self._served.get(candidate.part, -math.inf)
-        return served_at > candidate.first_at - SERVED_SECONDS
+    def _was_served_before(self, suspect: SuspectedPart) -> bool:
+        served_at = self._evidence.served_at(suspect.part)
+        return served_at > suspect.first_at - SERVED_SECONDS
 
-    def _is_guilty(self, candidate: _Candidate) -> bool:
-        if not self._was_served_before(candidate):
+    def _is_guilty(self, suspect: SuspectedPart) -> bool:
+        if not self._was_served_before(suspect):
             return True
         return (
-            candidate.crashes >= MIN_CRASHES_IF_SERVED
-            and candidate.last_at - candidate.first_at >= MIN_SECONDS_IF_SERVED
-            and self._last_served_at > candidate.first_at
+            suspect.crashes >= MIN_CRASHES_IF_SERVED
+            and suspect.last_at - suspect.first_at >= MIN_SECONDS_IF_SERVED
+            and self._evidence.last_answer_at > suspect.first_at
         )
 
     def _quarantine(
@@ -403,7 +298,7 @@
     def _renew(self, part: PromptPartId, crashed_at: float, now: float) -> None:
         """Extend the quarantine of a part, or begin it again, after another crash."""
         entry = self._entries.get(part)
-        if entry is None or crashed_at <= self._served.get(part, -math.inf):
+        if entry is None or crashed_at <= self._evidence.served_at(part):
             return
         if crashed_at > entry.crashed_at:
             entry.release_at += crashed_at - entry.crashed_at
@@ -420,13 +315,17 @@
     def _decide(
         self, action: PartAction, part: PromptPartId, now: float, *, is_from_peer: bool
     ) -> None:
-        entry, served_at = self._entries[part], self._served.get(part)
+        entry = self._entries[part]
         decision = PartDecision(
             action=action,
             part=part,
             crashes=entry.crashes,
             crashed_ago=now - entry.crashed_at,
-            served_ago=None if served_at is None else now - served_at,
+            served_ago=self._served_ago(part, now),
             is_from_peer=is_from_peer,
         )
         self._decisions = [*self._decisions, decision][-MAX_PENDING_DECISIONS:]
+
+    def _served_ago(self, part: PromptPartId, now: float) -> float | None:
+        served_at = self._evidence.served_at(part)
+        return None if math.isinf(served_at) else max(0.0, now - served_at)
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -302,16 +302,16 @@
     ),
     Mechanism(
         name="explained crashes count no more",
-        module="quarantine/parts.py",
-        present="                if self._is_explained(crash):",
-        absent="                if False:",
+        module="quarantine/part_evidence.py",
+        present="            and not any(item in explained for item in crash.parts)\n",
+        absent="",
         test="bilberryring/quarantine/tests/test_parts.py"
         "::test_a_second_part_is_found_beside_one_that_explains_more_crashes",
     ),
     Mechanism(
         name="parts that were just answered need stronger evidence",
         module="quarantine/parts.py",
-        present="        if not self._was_served_before(candidate):",
+        present="        if not self._was_served_before(suspect):",
         absent="        if True:",
         test="bilberryring/quarantine/tests/test_parts.py"
         "::test_engines_that_crash_together_do_not_quarantine_what_all_prompts_share",
