--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -27,7 +27,7 @@
 from bilberryring.gateway.repeat_rules import RetryPolicy
 from bilberryring.gateway.request_context import HeaderCodec
 from bilberryring.gateway.request_gate import RequestGate
-from bilberryring.gateway.request_log import RequestLog
+from bilberryring.gateway.request_log import RequestLog, log_part_decision
 from bilberryring.gateway.reservations import ReservationManager
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.gateway.store_readers import ReadingDuty
@@ -37,7 +37,6 @@
 from bilberryring.process.operator_site import ProcessStatus, operator_resource
 from bilberryring.process.pauses import PauseDetector
 from bilberryring.process.running import Listeners
-from bilberryring.quarantine import PartAction
 from bilberryring.routing import WorkTracker
 from bilberryring.telemetry import (
     FIRST_TOKEN_BUCKETS,
@@ -59,10 +58,6 @@
 MAX_SERIES = 256
 """Maximum number of series of one histogram; further ones share a series."""
 ACCEPT_BACKLOG = 512
-PART_EVENTS = {
-    PartAction.QUARANTINED: LogEvent.PART_QUARANTINED,
-    PartAction.RELEASED: LogEvent.PART_RELEASED,
-}
 
 
 class GatewayDaemon:
@@ -385,14 +380,7 @@
 
     def _log_part_decisions(self) -> None:
         for decision in self._crashes.take_decisions():
-            self._log.write(
-                PART_EVENTS[decision.action],
-                part=decision.part,
-                crashes=decision.crashes,
-                crashed_ago=round(decision.crashed_ago, 2),
-                served_ago=decision.served_ago and round(decision.served_ago, 2),
-                is_from_peer=decision.is_from_peer,
-            )
+            log_part_decision(self._log, decision)
 
     def _observe_first_response(
         self, route: str, workspace: Workspace | None, seconds: float
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -7,8 +7,14 @@
 from bilberryring.gateway.endpoint_choice import Choice
 from bilberryring.gateway.messages import CallerMetadata
 from bilberryring.gateway.request_context import RequestContext
+from bilberryring.quarantine import PartAction, PartDecision
 from bilberryring.telemetry import EventLog, LogEvent
 
+PART_EVENTS = {
+    PartAction.QUARANTINED: LogEvent.PART_QUARANTINED,
+    PartAction.RELEASED: LogEvent.PART_RELEASED,
+}
+
 
 class RequestLog:
     """Writes the log events of requests and updates their metrics."""
@@ -134,3 +140,16 @@
         if context.answer_began_at is None:
             return None
         return round((self._clock.seconds() - context.answer_began_at) * 1_000)
+
+
+def log_part_decision(log: EventLog, decision: PartDecision) -> None:
+    """Log that a part of prompts is refused, or served again, and why."""
+    served_ago = decision.served_ago
+    log.write(
+        PART_EVENTS[decision.action],
+        part=decision.part,
+        crashes=decision.crashes,
+        crashed_ago=round(decision.crashed_ago, 2),
+        served_ago=None if served_ago is None else round(served_ago, 2),
+        is_from_peer=decision.is_from_peer,
+    )
--- a/bilberryring/testing/crashing_parts.py
+++ b/bilberryring/testing/crashing_parts.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bilberryring.core import PromptPartId
@@ -64,8 +63,7 @@
 class CrashingPartLoad:
     """Sends prompts to gateways and lets engines crash.
 
-    `is_part_first` puts the bad part before the shared ones. `may_take` tells whether
-    callers reach a gateway.
+    `is_part_first` puts the bad part before the shared ones.
     """
 
     def __init__(
@@ -75,13 +73,11 @@
         engines: int,
         seed: int,
         is_part_first: bool = False,
-        may_take: Callable[[SimulatedGateway], bool] = lambda gateway: True,
     ):
         self._network = network
         self._random = random.Random(seed)
         self._engines = [_Engine(name=f"e{number}") for number in range(engines)]
         self._is_part_first = is_part_first
-        self._may_take = may_take
         self._n_prompts = 0
         self.outcomes = PromptOutcomes()
         self._update()
@@ -104,16 +100,11 @@
         prompt = _Prompt(
             name=f"p{self._n_prompts}",
             parts=parts,
-            gateway=self._choose_gateway(),
+            gateway=self._network.choose_gateway(),
             repeats_left=1,
         )
         self._attempt(prompt)
 
-    def _choose_gateway(self) -> SimulatedGateway:
-        return self._random.choice(
-            [item for item in self._network.gateways if self._may_take(item)]
-        )
-
     def _attempt(self, prompt: _Prompt) -> None:
         is_first = not prompt.attempts
         is_held = prompt.gateway.crashes.quarantined_part(prompt.parts) is not None
@@ -138,7 +129,7 @@
         if prompt.repeats_left:
             prompt.repeats_left -= 1
             prompt.attempts = 0
-            prompt.gateway = self._choose_gateway()
+            prompt.gateway = self._network.choose_gateway()
             self._network.call_later(0.1, self._attempt, prompt)
 
     def _begin(self, prompt: _Prompt, engine: _Engine, starts: int) -> None:
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -58,9 +58,18 @@
     bytes_received: int = 0
     datagrams_received: int = 0
     is_down: bool = False
+    takes_callers: bool = True
     muted: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Disturbance:
+    """The gateways that were cut off or frozen for a while, and those that are new."""
+
+    recovering: tuple[SimulatedGateway, ...]
+    started: tuple[SimulatedGateway, ...]
+
+
 class _Transport:
     """Sends the datagrams of one gateway into the simulated network."""
 
@@ -122,10 +131,35 @@
         """End a gateway: it sends and receives nothing any more."""
         gateway.is_down = True
 
-    def cut_off(self, gateway: SimulatedGateway, seconds: float) -> None:
-        """Lose all datagrams to and from a gateway for some time."""
-        gateway.is_down = True
-        self._clock.callLater(seconds, setattr, gateway, "is_down", False)
+    def disturb(self, *, seconds: float) -> "Disturbance":
+        """Cut a tenth of the gateways off, freeze, stop and add as many each.
+
+        Those that are cut off or frozen recover after `seconds`. None is stopped if
+        there are only three.
+        """
+        count = max(1, len(self.gateways) // 10)
+        cut_off, frozen, stopped = (
+            self.gateways[start : start + count] for start in (0, count, 2 * count)
+        )
+        for gateway in (*cut_off, *frozen):
+            gateway.is_down = True
+            self._clock.callLater(seconds, setattr, gateway, "is_down", False)
+        for gateway in frozen:
+            gateway.takes_callers = False
+            self._clock.callLater(seconds, setattr, gateway, "takes_callers", True)
+        for gateway in stopped if len(self.gateways) > 3 else ():
+            gateway.is_down = True
+            gateway.takes_callers = False
+        self.add(count)
+        return Disturbance(
+            recovering=(*cut_off, *frozen), started=self.gateways[-count:]
+        )
+
+    def choose_gateway(self) -> SimulatedGateway:
+        """Return a random gateway that callers reach."""
+        return self._random.choice(
+            [item for item in self.gateways if item.takes_callers]
+        )
 
     def call_later(self, seconds: float, work, *arguments) -> None:
         """Call a function after some simulated time."""
--- a/bilberryring/testing/stated_limits.py
+++ b/bilberryring/testing/stated_limits.py
@@ -5,7 +5,6 @@
 """
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
@@ -55,16 +54,9 @@
 class StatedLimitLoad:
     """Sends requests; `limits` has the limits that endpoints state from now on."""
 
-    def __init__(
-        self,
-        *,
-        network: PeerNetwork,
-        seed: int,
-        may_take: Callable[[SimulatedGateway], bool] = lambda gateway: True,
-    ):
+    def __init__(self, *, network: PeerNetwork, seed: int):
         self._network = network
         self._random = random.Random(seed)
-        self._may_take = may_take
         self._route = make_stream_route()
         self._choosers: dict[str, EndpointChooser] = {}
         self._told_at: dict[tuple[str, str], float] = {}
@@ -78,9 +70,7 @@
             self._network.call_later(at, self._arrive)
 
     def _arrive(self) -> None:
-        gateway = self._random.choice(
-            [item for item in self._network.gateways if self._may_take(item)]
-        )
+        gateway = self._network.choose_gateway()
         chooser = self._chooser(gateway)
         now = self._network.now
         choice = chooser.choose(
