A refusal speaks of stated limits only if it waits for one

no_endpoint named the limits of endpoints also when one of them could have taken a request but had been tried already.

--- a/bilberryring/gateway/repeat_rules.py
+++ b/bilberryring/gateway/repeat_rules.py
@@ -78,15 +78,16 @@
     ) -> ServingError:
         """Return the error for a request that no endpoint can serve.
 
-        `seconds` is the time until one may get requests again, if it is known.
+        `seconds` is the time until one that states a limit may get requests again, if
+        that is what it waits for.
         """
         if context.may_have_run:
             return outcome_unknown(ErrorCode.ENDPOINT_FAILED)
-        if seconds is None:
+        if not seconds:
             return not_run(ErrorCode.NO_ENDPOINT, retry_after=2 * RETRY_AFTER_SECONDS)
         return not_run(
             ErrorCode.NO_ENDPOINT,
-            detail="all endpoints are at the limits that they state",
+            detail="endpoints are at the limits that they state",
             retry_after=max(RETRY_AFTER_SECONDS, seconds),
         )
 
--- a/bilberryring/quarantine/parts.py
+++ b/bilberryring/quarantine/parts.py
@@ -37,7 +37,8 @@
 )
 
 MIN_CRASHES_IF_SERVED = 5
-"""The same for a part with which a prompt was answered shortly before the crashes."""
+"""Crashes after which a part is quarantined although a prompt with it was answered
+shortly before them."""
 MIN_SECONDS_IF_SERVED = 2.0
 """Seconds between the first and the last of those crashes: engines that crash at the
 same moment have another cause, and prompts on the others are answered meanwhile."""
