--- a/bilberryring/testing/crashing_parts.py
+++ b/bilberryring/testing/crashing_parts.py
@@ -85,9 +85,9 @@
     def arrive(self, *, bad: float, sound: float, seconds: float) -> None:
         """Let prompts arrive at these rates per second, at all gateways together."""
         for rate, is_bad in ((bad, True), (sound, False)):
-            for _ in range(round(rate * seconds)):
-                at = self._random.uniform(0.0, seconds)
-                self._network.call_later(at, self._arrive, is_bad)
+            self._network.call_at_rate(
+                rate, seconds=seconds, work=self._arrive, arguments=(is_bad,)
+            )
 
     def _arrive(self, is_bad: bool) -> None:
         self._n_prompts += 1
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -35,6 +35,7 @@
 from bilberryring.testing.prompt_load import FIGURES
 
 DELAY_SECONDS = 0.005
+ARRIVAL_STEP_SECONDS = 0.01
 HEADER_BYTES = 28
 """Bytes of the IP and UDP headers of a datagram."""
 DOMAINS = 5
@@ -161,6 +162,32 @@
             [item for item in self.gateways if item.takes_callers]
         )
 
+    def call_at_rate(
+        self, per_second: float, *, seconds: float, work, arguments: tuple = ()
+    ) -> None:
+        """Call a function at a mean rate for some simulated time.
+
+        Few calls are pending at a time, because the clock sorts all that are.
+        """
+        if seconds <= 0.0:
+            return
+        for _ in range(int(per_second * ARRIVAL_STEP_SECONDS + self._random.random())):
+            work(*arguments)
+        self._clock.callLater(
+            ARRIVAL_STEP_SECONDS,
+            lambda: self.call_at_rate(
+                per_second,
+                seconds=seconds - ARRIVAL_STEP_SECONDS,
+                work=work,
+                arguments=arguments,
+            ),
+        )
+
+    def end_reports(self) -> None:
+        """End the periodic reports of all gateways; they still answer new ones."""
+        for gateway in self.gateways:
+            gateway.exchange.stop()
+
     def call_later(self, seconds: float, work, *arguments) -> None:
         """Call a function after some simulated time."""
         self._clock.callLater(seconds, work, *arguments)
--- a/bilberryring/testing/stated_limits.py
+++ b/bilberryring/testing/stated_limits.py
@@ -1,7 +1,8 @@
 """Requests of many gateways to endpoints of which some state a limit.
 
-The gateways choose among the endpoints of their slices as running ones do. Endpoints
-are names that answer each request after a short time and say what limit they have.
+The gateways choose among the endpoints of their slices as running ones do, but do not
+report their work, since limits are kept without messages. Endpoints are names that
+answer each request after a short time and say what limit they have.
 """
 
 import random
@@ -65,9 +66,7 @@
 
     def arrive(self, *, per_second: float, seconds: float) -> None:
         """Let requests arrive at random gateways for some time."""
-        for _ in range(round(per_second * seconds)):
-            at = self._random.uniform(0.0, seconds)
-            self._network.call_later(at, self._arrive)
+        self._network.call_at_rate(per_second, seconds=seconds, work=self._arrive)
 
     def _arrive(self) -> None:
         gateway = self._network.choose_gateway()
@@ -87,8 +86,6 @@
             return
         chooser.record_choice(choice, now=now)
         chooser.record_start(choice.endpoint.id, now=now)
-        gateway.tracker.place(choice.placed, now=now)
-        gateway.exchange.report_change()
         self._network.call_later(ARRIVAL_SECONDS, self._reach, gateway, choice)
         answer_seconds = self._random.uniform(*ANSWER_SECONDS)
         self._network.call_later(answer_seconds, self._answer, gateway, choice, now)
@@ -104,8 +101,6 @@
         self, gateway: SimulatedGateway, choice: Choice, sent_at: float
     ) -> None:
         now = self._network.now
-        gateway.tracker.remove(choice.placed, now=now)
-        gateway.exchange.report_change()
         endpoint = choice.endpoint.id
         limit = self.limits.get(endpoint)
         if limit is not None:
