The end of each answer is logged: framing, close, place and what they prove

ResponseEnd says how the response was framed and how its connection was closed, and reservations take the answer to an order only if it was not broken off, as before.

--- a/bilberryring/execution/__init__.py
+++ b/bilberryring/execution/__init__.py
@@ -1,5 +1,13 @@
 """At-most-once calls, answers assembled from attempts, and limits on retries."""
 
+from bilberryring.execution.answer_end import (
+    AnswerEnd,
+    Close,
+    Framing,
+    Place,
+    Proof,
+    proof_of_end,
+)
 from bilberryring.execution.assembly import AnswerAssembly, MissingTokensError
 from bilberryring.execution.ledger import (
     MAX_ANSWER_BYTES,
@@ -34,6 +42,12 @@
     "RetryWindow",
     "Answer",
     "AnswerAssembly",
+    "AnswerEnd",
+    "Close",
+    "Framing",
+    "Place",
+    "Proof",
+    "proof_of_end",
     "MissingTokensError",
     "Call",
     "Decision",
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -1,5 +1,6 @@
 """One attempt: send a request to an endpoint and relay its response to the caller."""
 
+from bilberryring.execution import AnswerEnd, Close, Framing, Place
 from bilberryring.fleet import FleetState, RequestKind
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
@@ -97,6 +98,7 @@
         endpoint = choice.endpoint
         context.tried_endpoints.add(endpoint.id)
         context.answer_began_at = None
+        context.answer_end = None
         self._tracker.place(choice.placed, now=self._reactor.seconds())
         self._on_work_changed(is_urgent=choice.placed.part_ms >= URGENT_PREFILL_MS)
         response: EndpointResponse | None = None
@@ -273,7 +275,9 @@
                         raise AttemptError(
                             reason=FailureReason.MALFORMED, was_sent=True
                         )
-                case ResponseEnd():
+                case ResponseEnd() as ended:
+                    self._record_end(context, ended, Place.IN_BODY)
+                    self._check_marked(ended)
                     return b"".join(parts)
 
     async def _relay_stream(
@@ -284,7 +288,7 @@
         head: ResponseHead,
     ) -> None:
         exchange = context.exchange
-        context.stream.discard_partial()
+        context.stream.begin_attempt()
         if not exchange.has_started:
             headers = self._codec.encode_response_headers(head.headers)
             exchange.start(head.status, head.reason, headers)
@@ -298,8 +302,11 @@
                     if self._relay_data(context, choice, data):
                         limit = self._gap_timeout(context)
                         progress_at = self._reactor.seconds()
-                case ResponseEnd(has_length=has_length):
-                    if not has_length and self._is_broken_off(context):
+                case ResponseEnd() as ended:
+                    self._record_end(context, ended, context.stream.place)
+                    self._check_marked(ended)
+                    is_unframed = ended.framing is Framing.CONNECTION
+                    if is_unframed and self._is_broken_off(context):
                         raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     trailing_data = context.stream.take_partial()
                     if trailing_data and not exchange.is_closed:
@@ -307,10 +314,29 @@
                     exchange.end()
                     return
 
+    def _record_end(
+        self, context: RequestContext, ended: ResponseEnd, place: Place
+    ) -> None:
+        context.answer_end = AnswerEnd(
+            framing=ended.framing,
+            close=ended.close,
+            place=place,
+            is_resumed=context.stream is not None and context.stream.is_resumed,
+        )
+
+    def _check_marked(self, ended: ResponseEnd) -> None:
+        """Raise `AttemptError` if the connection ended before the response did."""
+        is_unframed = ended.framing is Framing.CONNECTION
+        if ended.close is Close.AT_END or (is_unframed and ended.close is Close.CLEAN):
+            return
+        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
+
     def _is_broken_off(self, context: RequestContext) -> bool:
         """Whether a stream without a length ended inside an event or before any."""
         stream = context.stream
-        return stream.has_partial or not (context.answer_began_at or stream.last_id)
+        return stream.place is Place.INSIDE_EVENT or not (
+            context.answer_began_at or stream.last_id
+        )
 
     def _relay_data(self, context: RequestContext, choice: Choice, data: bytes) -> bool:
         """Pass on the events that are complete; return whether one carries data.
--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -10,6 +10,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from bilberryring.execution import Close, Framing
 from bilberryring.gateway.messages import (
     AttemptError,
     FailureReason,
@@ -31,7 +32,7 @@
 """Maximum size in bytes of a status line with headers."""
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Most bytes of responses to other requests that are skipped on one connection."""
-LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+NO_BODY_STATUSES = frozenset({204, 304})
 
 Event = ResponseHead | ResponseData | ResponseEnd
 IsExpected = Callable[[ResponseHead], bool]
@@ -134,7 +135,7 @@
         self._is_expected: IsExpected = lambda head: True
         self._request: h11.Request | None = None
         self._is_skipping = False
-        self._has_length = True
+        self._framing: Framing | None = None
         self._skipped_bytes = 0
         self._is_open = False
         self._max_idle_seconds = DEFAULT_IDLE_SECONDS
@@ -187,6 +188,7 @@
         self._request = h11.Request(
             method=method, target=target, headers=framed_headers
         )
+        self._framing = None
         self._response = EndpointResponse(connection=self, reactor=self._reactor)
         self.transport.write(self._encode_request(body))
         return self._response
@@ -222,19 +224,13 @@
         return b"".join(part for part in parts if part)
 
     def _handle_disconnect(self, *, is_clean: bool) -> None:
-        """End the pending response when the connection is lost.
-
-        A response without a length is complete when the endpoint closes the connection
-        cleanly; any other response has failed.
-        """
-        if is_clean:
-            try:
-                self._http.receive_data(b"")
-                self._read_events()
-            except h11.RemoteProtocolError:
-                self._fail(FailureReason.CLOSED)
-                return
-        self._fail(FailureReason.CLOSED)
+        """End the pending response, or fail it if not even its head has arrived."""
+        if self._framing is None or self._is_skipping:
+            self._fail(FailureReason.CLOSED)
+            return
+        response, self._response = self._response, None
+        close = Close.CLEAN if is_clean else Close.RESET
+        response.add(ResponseEnd(framing=self._framing, close=close))
 
     def _read_events(self) -> None:
         while self._response is not None:
@@ -250,8 +246,6 @@
                     self._handle_data(bytes(event.data))
                 case h11.EndOfMessage():
                     self._handle_end()
-                case h11.ConnectionClosed():
-                    self._fail(FailureReason.CLOSED)
 
     def _handle_data(self, data: bytes) -> None:
         if not self._is_skipping:
@@ -270,10 +264,10 @@
                 (bytes(name), bytes(value))
                 for name, value in h11_response.headers.raw_items()
             ),
+            framing=_framing_of(h11_response, self._request),
         )
         self._read_keep_alive(head)
-        names = {name.lower() for name, _ in head.headers}
-        self._has_length = not names.isdisjoint(LENGTH_HEADERS)
+        self._framing = head.framing
         self._is_skipping = not self._is_expected(head)
         if not self._is_skipping:
             self._response.add(head)
@@ -301,7 +295,7 @@
             self._on_idle(self)
         elif self._is_open:
             self.abort()
-        response.add(ResponseEnd(has_length=self._has_length))
+        response.add(ResponseEnd(framing=self._framing, close=Close.AT_END))
 
     def _skip_response(self) -> None:
         """Wait for the next response after one that belonged to another request.
@@ -311,6 +305,7 @@
         """
         trailing_data = self._http.trailing_data[0]
         self._is_skipping = False
+        self._framing = None
         if self._http.their_state is not h11.DONE:
             self._fail(FailureReason.MALFORMED)
             self.abort()
@@ -330,3 +325,13 @@
         response, self._response = self._response, None
         if response is not None:
             response.fail(AttemptError(reason=reason, was_sent=True))
+
+
+def _framing_of(response: h11.Response, request: h11.Request) -> Framing:
+    """Return what marks the end of a response's body."""
+    names = {bytes(name) for name, _ in response.headers}
+    if request.method == b"HEAD" or response.status_code in NO_BODY_STATUSES:
+        return Framing.LENGTH
+    if b"transfer-encoding" in names:
+        return Framing.CHUNKS
+    return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
--- a/bilberryring/gateway/event_stream.py
+++ b/bilberryring/gateway/event_stream.py
@@ -8,11 +8,15 @@
 b'id: 1\\ndata: a\\n\\n'
 >>> events.last_id
 '1'
->>> events.discard_partial()
+>>> events.place
+<Place.INSIDE_EVENT: 'inside_event'>
+>>> events.begin_attempt()
 >>> events.feed(b"id: 2\\ndata: b\\n\\n")
 b'id: 2\\ndata: b\\n\\n'
 """
 
+from bilberryring.execution import Place
+
 MAX_EVENT_BYTES = 1024 * 1024
 """Most bytes of an event that is not complete; an endpoint may send without end."""
 BLANK_LINE = b"\n\n"
@@ -46,6 +50,8 @@
     def __init__(self, *, last_id: str = ""):
         self._buffer = b""
         self._last_id = last_id
+        self._has_events = False
+        self._is_resumed = bool(last_id)
 
     @property
     def last_id(self) -> str:
@@ -53,9 +59,16 @@
         return self._last_id
 
     @property
-    def has_partial(self) -> bool:
-        """Whether bytes of an incomplete event are buffered."""
-        return bool(self._buffer)
+    def is_resumed(self) -> bool:
+        """Whether the current attempt continues after an event that the caller has."""
+        return self._is_resumed
+
+    @property
+    def place(self) -> Place:
+        """The place in the stream of the current attempt."""
+        if self._buffer:
+            return Place.INSIDE_EVENT
+        return Place.AFTER_EVENT if self._has_events else Place.BEFORE_EVENTS
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return the events that they complete, or `b""`.
@@ -69,11 +82,14 @@
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLargeError
         self._update_last_id(complete)
+        self._has_events = self._has_events or has_data(complete)
         return complete
 
-    def discard_partial(self) -> None:
-        """Discard an incomplete event, as when the connection broke within it."""
+    def begin_attempt(self) -> None:
+        """Discard an incomplete event of the attempt before, which broke within it."""
         self._buffer = b""
+        self._has_events = False
+        self._is_resumed = bool(self._last_id)
 
     def take_partial(self) -> bytes:
         """Remove and return the bytes after the last event of an ended stream."""
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from bilberryring.core import PromptPartId, RequestId
+from bilberryring.execution import Close, Framing
 from bilberryring.fleet import WorkspaceName
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
@@ -81,11 +82,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ResponseHead:
-    """The status line and headers of an endpoint's response."""
+    """The status line and headers of an endpoint's response.
+
+    `framing` is what will mark the end of its body.
+    """
 
     status: int
     reason: bytes
     headers: HeaderPairs
+    framing: Framing = Framing.LENGTH
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,15 +100,12 @@
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class ResponseEnd:
-    """The end of a response.
-
-    Without a length or chunks only the end of the connection marks it, so that it may
-    be incomplete although the connection was closed cleanly.
-    """
+    """The end of a response, which may be complete or not; see `proof_of_end`."""
 
-    has_length: bool = True
+    framing: Framing
+    close: Close
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -4,6 +4,7 @@
 from typing import Protocol as Interface
 
 from bilberryring.core import Fingerprint, RequestId
+from bilberryring.execution import AnswerEnd
 from bilberryring.fleet import EndpointId, Route, Service, Workspace
 from bilberryring.gateway.caller_site import CallerExchange
 from bilberryring.gateway.event_stream import EventStream
@@ -49,7 +50,7 @@
     error response of an endpoint; the caller gets it if no later attempt succeeds.
     The current attempt was sent at `sent_at`; `answer_began_at` is when it got
     the first data of its answer, and `stated_limit` the requests per second to which
-    its endpoint limits all gateways.
+    its endpoint limits all gateways; `answer_end` is how its answer ended, if it did.
     """
 
     exchange: CallerExchange
@@ -69,6 +70,7 @@
     answer_began_at: float | None = None
     sent_at: float = 0.0
     stated_limit: float | None = None
+    answer_end: AnswerEnd | None = None
     longest_gap: float = 0.0
     status: int = 0
     failure_response: "RetryableFailure | None" = None
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -2,6 +2,7 @@
 
 from bilberryring.admission import UserPlace
 from bilberryring.core import ServingError
+from bilberryring.execution import AnswerEnd, proof_of_end
 from bilberryring.fleet import EndpointId
 from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.endpoint_choice import Choice
@@ -69,6 +70,7 @@
             culprit=culprit,
             helpers=[helper.id for helper in choice.helpers],
             writing_ms=self._writing_ms(context),
+            answer_end=_describe_end(context.answer_end),
         )
 
     def prompt_suspected(self, context: RequestContext, endpoint: EndpointId) -> None:
@@ -113,6 +115,7 @@
             gap_ms=round(context.longest_gap * 1_000),
             total_ms=round((now - context.request.received_at) * 1_000),
             stated_limit=context.stated_limit,
+            answer_end=_describe_end(context.answer_end),
         )
 
     def request_failed(
@@ -142,6 +145,19 @@
         return round((self._clock.seconds() - context.answer_began_at) * 1_000)
 
 
+def _describe_end(end: AnswerEnd | None) -> dict[str, object] | None:
+    """Return the fields that say how an answer ended and what that proves."""
+    if end is None:
+        return None
+    return {
+        "framing": end.framing.value,
+        "close": end.close.value,
+        "place": end.place.value,
+        "is_resumed": end.is_resumed,
+        "proof": proof_of_end(end).value,
+    }
+
+
 def log_part_decision(log: EventLog, decision: PartDecision) -> None:
     """Log that a part of prompts is refused, or served again, and why."""
     served_ago = decision.served_ago
--- a/bilberryring/gateway/reservations.py
+++ b/bilberryring/gateway/reservations.py
@@ -11,6 +11,7 @@
 from twisted.internet.defer import CancelledError, Deferred, gatherResults
 from twisted.internet.task import LoopingCall, deferLater
 
+from bilberryring.execution import AnswerEnd, Place, Proof, proof_of_end
 from bilberryring.fleet import AnnouncedEndpoint
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.messages import (
@@ -260,5 +261,8 @@
             match await response.receive(timeout=ORDER_TIMEOUT_SECONDS):
                 case ResponseHead(status=status):
                     pass
-                case ResponseEnd():
+                case ResponseEnd(framing=framing, close=close):
+                    end = AnswerEnd(framing=framing, close=close, place=Place.IN_BODY)
+                    if proof_of_end(end) is Proof.BROKEN_OFF:
+                        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     return status
--- a/bilberryring/gateway/tests/test_event_stream.py
+++ b/bilberryring/gateway/tests/test_event_stream.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bilberryring.execution import Place
 from bilberryring.gateway.event_stream import EventStream
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 9))
@@ -21,4 +22,4 @@
     )
     assert passed == EVENTS[:length]
     assert events.last_id == str(end)
-    assert events.has_partial
+    assert events.place is Place.INSIDE_EVENT
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -335,7 +335,7 @@
     Mechanism(
         name="a stream that ends inside an event is broken off",
         module="gateway/attempts.py",
-        present="if not has_length and self._is_broken_off(context):",
+        present="if is_unframed and self._is_broken_off(context):",
         absent="if False:",
         test="bilberryring/platform/tests/test_answers.py"
         "::test_a_stream_without_a_length_that_ends_inside_an_event_is_resumed",
