--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -121,12 +121,14 @@
     """An operators' store, gateways with numbers from 1, and scripted endpoints.
 
     `gateways` is the number of gateways that know each other as peers; each one is
-    started with `start_gateway`.
+    started with `start_gateway`. `retry_slack` is the number of retries that they may
+    make in a window in any case.
     """
 
-    def __init__(self, *, gateways: int = 1):
+    def __init__(self, *, gateways: int = 1, retry_slack: int = 100):
         self._directory = scratch_directory()
         self._n_gateways = gateways
+        self._retry_slack = retry_slack
         self._peer_port, self._caller_port, self._ready_port = free_ports(3)
         self._processes: dict[str, ManagedProcess] = {}
         self._endpoints: list[ScriptedEndpoint] = []
@@ -170,7 +172,7 @@
             f'[listen]\nfront = "{host}:{self._caller_port}"\n'
             f'ready = "{host}:{self._ready_port}"\n'
             f'[platform]\naddress = "{self._store_address}"\n'
-            "[bounds]\ngrace_s = 6.0\nretry_slack = 100\n"
+            f"[bounds]\ngrace_s = 6.0\nretry_slack = {self._retry_slack}\n"
         )
         path = self._directory / f"{name}.toml"
         path.write_text(text, "utf-8")
