A stream that is not known to be complete is resumed, or ends without its last chunk

Callers got the beginning of a stream framed as if it were all of it.

Cause: what the end of an answer proves was decided in four places, each with its own rule: the parser, the check for a length, the check for an event, and the relay. Between them, a clean close after a whole event counted as the end, and so did a last chunk or a full length inside an event. An engine that crashes closes its connections cleanly too.

Change: the connection says how the response was framed and closed, the stream says where it ended, and proof_of_end decides. What is broken off or unknown is resumed at another endpoint, whose answer, mostly of no event, then proves the end. If no attempt is left, a broken stream is reset as before; after an unknown end the caller gets all bytes, but no last chunk, and may resume. An unknown end is no fault of the endpoint: it is asked whether it still accepts connections, and not avoided.

A cost: a stream without a mark that is whole takes a second attempt, since nothing tells it from a broken one.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -1,6 +1,6 @@
 """One attempt: send a request to an endpoint and relay its response to the caller."""
 
-from bilberryring.execution import AnswerEnd, Close, Framing, Place
+from bilberryring.execution import AnswerEnd, Place, Proof, proof_of_end
 from bilberryring.fleet import FleetState, RequestKind
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
@@ -276,8 +276,11 @@
                             reason=FailureReason.MALFORMED, was_sent=True
                         )
                 case ResponseEnd() as ended:
-                    self._record_end(context, ended, Place.IN_BODY)
-                    self._check_marked(ended)
+                    if (
+                        self._proof_of(context, ended, Place.IN_BODY)
+                        is Proof.BROKEN_OFF
+                    ):
+                        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     return b"".join(parts)
 
     async def _relay_stream(
@@ -303,40 +306,33 @@
                         limit = self._gap_timeout(context)
                         progress_at = self._reactor.seconds()
                 case ResponseEnd() as ended:
-                    self._record_end(context, ended, context.stream.place)
-                    self._check_marked(ended)
-                    is_unframed = ended.framing is Framing.CONNECTION
-                    if is_unframed and self._is_broken_off(context):
-                        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
+                    self._check_stream_end(context, ended)
                     trailing_data = context.stream.take_partial()
                     if trailing_data and not exchange.is_closed:
                         exchange.write(trailing_data)
                     exchange.end()
                     return
 
-    def _record_end(
+    def _check_stream_end(self, context: RequestContext, ended: ResponseEnd) -> None:
+        """Raise `AttemptError` unless the stream is known to be complete."""
+        match self._proof_of(context, ended, context.stream.place):
+            case Proof.BROKEN_OFF:
+                raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
+            case Proof.UNKNOWN:
+                context.may_be_complete = True
+                raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
+
+    def _proof_of(
         self, context: RequestContext, ended: ResponseEnd, place: Place
-    ) -> None:
+    ) -> Proof:
+        """Record how the answer ended; return what that proves."""
         context.answer_end = AnswerEnd(
             framing=ended.framing,
             close=ended.close,
             place=place,
-            is_resumed=context.stream is not None and context.stream.is_resumed,
-        )
-
-    def _check_marked(self, ended: ResponseEnd) -> None:
-        """Raise `AttemptError` if the connection ended before the response did."""
-        is_unframed = ended.framing is Framing.CONNECTION
-        if ended.close is Close.AT_END or (is_unframed and ended.close is Close.CLEAN):
-            return
-        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-
-    def _is_broken_off(self, context: RequestContext) -> bool:
-        """Whether a stream without a length ended inside an event or before any."""
-        stream = context.stream
-        return stream.place is Place.INSIDE_EVENT or not (
-            context.answer_began_at or stream.last_id
+            is_resumed=place is not Place.IN_BODY and context.stream.is_resumed,
         )
+        return proof_of_end(context.answer_end)
 
     def _relay_data(self, context: RequestContext, choice: Choice, data: bytes) -> bool:
         """Pass on the events that are complete; return whether one carries data.
@@ -347,6 +343,7 @@
             complete_events = context.stream.feed(data)
         except EventTooLargeError:
             raise AttemptError(reason=FailureReason.MALFORMED, was_sent=True)
+        context.may_be_complete = False
         self._record_gap(context)
         if context.answer_began_at is None and has_data(complete_events):
             context.answer_began_at = self._reactor.seconds()
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -113,6 +113,16 @@
     def process(self) -> None:
         self._on_request(self)
 
+    def leave_incomplete(self) -> None:
+        """Close the connection without the last chunk, once all data has been sent.
+
+        Unlike after a reset, the caller gets all that was written.
+        """
+        if self.is_closed:
+            return
+        self._remove_backpressure()
+        self.channel.loseConnection()
+
     def connectionLost(self, reason) -> None:
         self._is_disconnected = True
         super().connectionLost(reason)
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -31,10 +31,13 @@
 
 HARMLESS_REASONS = (
     FailureReason.DEADLINE,
+    FailureReason.END_UNKNOWN,
     FailureReason.NO_MEMORY,
     FailureReason.QUARANTINED,
 )
 """Why an attempt can fail without a fault of the endpoint."""
+CLOSE_REASONS = (FailureReason.CLOSED, FailureReason.END_UNKNOWN)
+"""Why an attempt can fail when its endpoint crashes."""
 BEGIN_SECONDS = 1.0
 """Seconds of writing after which an answer no longer counts as just begun."""
 DEATH_CHECK_SECONDS = 0.1
@@ -110,7 +113,10 @@
             self._log.request_finished(context)
         except ServingError as error:
             self._log.request_failed(metadata, context, error)
-            send_error(exchange, error, request_id=metadata.request_id)
+            if context is not None and context.may_be_complete and exchange.has_started:
+                exchange.leave_incomplete()
+            else:
+                send_error(exchange, error, request_id=metadata.request_id)
         except CancelledError:
             self._log.write(LogEvent.CALLER_LEFT, metadata)
         except Exception as error:
@@ -242,7 +248,7 @@
             self._health.record_broken_attempt(
                 choice.endpoint.id, now=self._reactor.seconds()
             )
-        if error.was_sent and error.reason is FailureReason.CLOSED:
+        if error.was_sent and error.reason in CLOSE_REASONS:
             check = Deferred.fromCoroutine(self._check_death(context, choice.endpoint))
             if context.metadata.shared_parts:
                 await wait_at_most(
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -129,6 +129,7 @@
     NOT_CONNECTED = "not_connected"
     REFUSED = "connection_refused"
     CLOSED = "closed"
+    END_UNKNOWN = "end_unknown"
     MALFORMED = "malformed"
     SILENT = "silent"
     DEADLINE = "deadline"
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -51,6 +51,7 @@
     The current attempt was sent at `sent_at`; `answer_began_at` is when it got
     the first data of its answer, and `stated_limit` the requests per second to which
     its endpoint limits all gateways; `answer_end` is how its answer ended, if it did.
+    `may_be_complete` is true if the caller has a stream that may be complete.
     """
 
     exchange: CallerExchange
@@ -71,6 +72,7 @@
     sent_at: float = 0.0
     stated_limit: float | None = None
     answer_end: AnswerEnd | None = None
+    may_be_complete: bool = False
     longest_gap: float = 0.0
     status: int = 0
     failure_response: "RetryableFailure | None" = None
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -334,11 +334,19 @@
     ),
     Mechanism(
         name="a stream that ends inside an event is broken off",
+        module="execution/answer_end.py",
+        present="case AnswerEnd(place=Place.INSIDE_EVENT) | ",
+        absent="case ",
+        test="bilberryring/platform/tests/test_answer_ends.py"
+        "::test_a_stream_that_is_not_known_to_be_complete_is_resumed_or_cut",
+    ),
+    Mechanism(
+        name="a stream of which only the connection tells the end is resumed",
         module="gateway/attempts.py",
-        present="if is_unframed and self._is_broken_off(context):",
-        absent="if False:",
-        test="bilberryring/platform/tests/test_answers.py"
-        "::test_a_stream_without_a_length_that_ends_inside_an_event_is_resumed",
+        present="case Proof.UNKNOWN:",
+        absent="case None:",
+        test="bilberryring/platform/tests/test_answer_ends.py"
+        "::test_a_stream_that_is_not_known_to_be_complete_is_resumed_or_cut",
     ),
     Mechanism(
         name="endpoints at the limit that they state get no request",
