An answer of unknown end reaches the caller without an end mark too

Callers got bodies and streams framed as complete though the endpoint had sent neither a length nor chunks, so that nothing tells a whole one from one that is broken off.

Cause: the gateway framed what it relays by itself: a body that arrived without a length got one, a stream without chunks got chunks. Change: such a body, and such a stream on a route that cannot be resumed, reach the caller as they came: only the end of the connection ends them. Status 204 and 304 and answers to HEAD have a known end.

Ruled out: refusing such bodies with 502, as nothing would then be served by an endpoint that never frames. Limit: a gateway that is killed while it passes on such an answer ends it as its endpoint would; the caller cannot tell, as before.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -1,6 +1,6 @@
 """One attempt: send a request to an endpoint and relay its response to the caller."""
 
-from bilberryring.execution import AnswerEnd, Place, Proof, proof_of_end
+from bilberryring.execution import AnswerEnd, Framing, Place, Proof, proof_of_end
 from bilberryring.fleet import FleetState, RequestKind
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
@@ -11,6 +11,7 @@
     AttemptError,
     AttemptMetadata,
     FailureReason,
+    ResponseBody,
     ResponseData,
     ResponseEnd,
     ResponseHead,
@@ -130,9 +131,9 @@
                 reservation.release()
 
     def send_to_caller(
-        self, context: RequestContext, head: ResponseHead, body: bytes
+        self, context: RequestContext, head: ResponseHead, body: ResponseBody
     ) -> None:
-        """Send a complete response to the caller.
+        """Send a response to the caller, framed as complete only if it is known to be.
 
         If part of another response has been sent already, the connection is aborted.
         """
@@ -142,12 +143,13 @@
         if exchange.has_started:
             exchange.abort()
             return
-        headers = (
-            *self._codec.encode_response_headers(head.headers),
-            (b"Content-Length", b"%d" % len(body)),
-        )
+        headers = self._codec.encode_response_headers(head.headers)
+        if body.has_end_mark:
+            headers = (*headers, (b"Content-Length", b"%d" % len(body.data)))
+        else:
+            exchange.omit_end_mark()
         exchange.start(head.status, head.reason, headers)
-        exchange.write(body)
+        exchange.write(body.data)
         exchange.end()
 
     def _may_abort(self, context: RequestContext) -> bool:
@@ -261,8 +263,8 @@
 
     async def _read_body(
         self, context: RequestContext, response: EndpointResponse
-    ) -> bytes:
-        """Return the complete body, of at most `MAX_BODY_BYTES`."""
+    ) -> ResponseBody:
+        """Return the body, of at most `MAX_BODY_BYTES`, unless it is broken off."""
         parts: list[bytes] = []
         size = 0
         while True:
@@ -276,12 +278,12 @@
                             reason=FailureReason.MALFORMED, was_sent=True
                         )
                 case ResponseEnd() as ended:
-                    if (
-                        self._proof_of(context, ended, Place.IN_BODY)
-                        is Proof.BROKEN_OFF
-                    ):
+                    proof = self._proof_of(context, ended, Place.IN_BODY)
+                    if proof is Proof.BROKEN_OFF:
                         raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-                    return b"".join(parts)
+                    return ResponseBody(
+                        data=b"".join(parts), has_end_mark=proof is Proof.COMPLETE
+                    )
 
     async def _relay_stream(
         self,
@@ -294,6 +296,8 @@
         context.stream.begin_attempt()
         if not exchange.has_started:
             headers = self._codec.encode_response_headers(head.headers)
+            if head.framing is Framing.CONNECTION and not context.route.may_repeat:
+                exchange.omit_end_mark()
             exchange.start(head.status, head.reason, headers)
         exchange.apply_backpressure(response.transport)
         limit = self._first_response_timeout(context, choice)
@@ -314,11 +318,15 @@
                     return
 
     def _check_stream_end(self, context: RequestContext, ended: ResponseEnd) -> None:
-        """Raise `AttemptError` unless the stream is known to be complete."""
+        """Raise `AttemptError` unless the stream is known to be complete.
+
+        A stream of unknown end that cannot be resumed has no end mark for the caller
+        either.
+        """
         match self._proof_of(context, ended, context.stream.place):
             case Proof.BROKEN_OFF:
                 raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-            case Proof.UNKNOWN:
+            case Proof.UNKNOWN if context.exchange.has_end_mark:
                 context.may_be_complete = True
                 raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
 
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -45,6 +45,12 @@
         self._reactor = reactor
         self._backpressure: _BackpressureProducer | None = None
         self._is_disconnected = False
+        self._has_end_mark = True
+
+    @property
+    def has_end_mark(self) -> bool:
+        """Whether a length or a last chunk is to mark the end of the response."""
+        return self._has_end_mark
 
     @property
     def is_closed(self) -> bool:
@@ -82,6 +88,21 @@
         if not self.channel.persistent:
             self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
+    def omit_end_mark(self) -> None:
+        """Let only the end of the connection mark the end of the response.
+
+        Called before the response starts, if its end may be unknown.
+        """
+        self._has_end_mark = False
+        self.close_after_response()
+
+    def write(self, data: bytes) -> None:
+        """Send body bytes; the first ones follow the status line and headers."""
+        if not self._has_end_mark and not self.has_started:
+            # Twisted sends chunks to callers that speak HTTP/1.1 unless told otherwise.
+            self.clientproto = b"HTTP/1.0"
+        super().write(data)
+
     def close_after_response(self) -> None:
         """Close the connection after this response, and send `Connection: close`."""
         self.channel.persistent = False
@@ -134,10 +155,17 @@
             self.unregisterProducer()
 
 
+class _CallerChannel(http.HTTPChannel):
+    """A caller's connection; responses state the version of this server."""
+
+    def writeHeaders(self, version, code, reason, headers) -> None:
+        super().writeHeaders(b"HTTP/1.1", code, reason, headers)
+
+
 class CallerSite(http.HTTPFactory):
     """Accepts callers' connections and keeps track of the open ones."""
 
-    protocol = http.HTTPChannel
+    protocol = _CallerChannel
     """Only HTTP/1.1, because its channel lists the requests in progress."""
 
     def __init__(self, *, reactor, on_request: OnRequest, idle_timeout: float):
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -14,6 +14,7 @@
     CallerRequest,
     HeaderPairs,
     MemoryOrder,
+    ResponseBody,
     ResponseHead,
     ResponseMetadata,
 )
@@ -101,7 +102,7 @@
 class RetryableFailure(Exception):
     """The endpoint returned an error, and the request may be retried at another one."""
 
-    def __init__(self, *, head: ResponseHead, body: bytes):
+    def __init__(self, *, head: ResponseHead, body: ResponseBody):
         self.head = head
         self.body = body
         super().__init__(
