Events of a stream end with any of the three line ends

A stream whose lines end with CR, or with a mix, never completed an event: nothing was passed on until its end, which then counted as inside an event. Blank lines and comments after the last event counted as the beginning of another one, so that a whole stream would have been resumed.

Cause: events were split at two fixed sequences. Change: a line end and a blank line, with each of LF, CRLF and CR, end an event; what follows is a part of another event only if it has a field.

--- a/bilberryring/gateway/event_stream.py
+++ b/bilberryring/gateway/event_stream.py
@@ -15,14 +15,18 @@
 b'id: 2\\ndata: b\\n\\n'
 """
 
+import re
+
 from bilberryring.execution import Place
 
 MAX_EVENT_BYTES = 1024 * 1024
 """Most bytes of an event that is not complete; an endpoint may send without end."""
-BLANK_LINE = b"\n\n"
-BLANK_LINE_CRLF = b"\r\n\r\n"
+END_OF_EVENT = re.compile(rb"(?>\r\n|\n|\r)(?:\r\n|\n|\r)")
+"""A line end and a blank line; each of the three line ends may occur."""
+MAX_SEPARATOR_BYTES = 4
 ID_FIELD = b"id:"
 DATA_FIELD = b"data:"
+COMMENT = b":"
 
 
 class EventTooLargeError(Exception):
@@ -41,7 +45,7 @@
     >>> has_data(b"id: 1\\ndata: a\\n\\n"), has_data(b": waiting\\n\\n")
     (True, False)
     """
-    return events.startswith(DATA_FIELD) or b"\n" + DATA_FIELD in events
+    return any(line.startswith(DATA_FIELD) for line in events.splitlines())
 
 
 class EventStream:
@@ -66,7 +70,9 @@
     @property
     def place(self) -> Place:
         """The place in the stream of the current attempt."""
-        if self._buffer:
+        if any(
+            line and not line.startswith(COMMENT) for line in self._buffer.splitlines()
+        ):
             return Place.INSIDE_EVENT
         return Place.AFTER_EVENT if self._has_events else Place.BEFORE_EVENTS
 
@@ -75,7 +81,7 @@
 
         Raises `EventTooLargeError` if the next event is too long.
         """
-        unseen = max(0, len(self._buffer) - len(BLANK_LINE_CRLF))
+        unseen = max(0, len(self._buffer) - MAX_SEPARATOR_BYTES)
         self._buffer += data
         end = self._end_of_last_event(unseen)
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
@@ -97,15 +103,13 @@
         return trailing_data
 
     def _end_of_last_event(self, start: int) -> int:
-        ends = [
-            position + len(separator)
-            for separator in (BLANK_LINE, BLANK_LINE_CRLF)
-            if (position := self._buffer.rfind(separator, start)) >= 0
-        ]
-        return max(ends, default=0)
+        end = 0
+        for separator in END_OF_EVENT.finditer(self._buffer, start):
+            end = separator.end()
+        return end
 
     def _update_last_id(self, complete: bytes) -> None:
-        for line in reversed(complete.split(b"\n")):
+        for line in reversed(complete.splitlines()):
             if line.startswith(ID_FIELD):
                 value = line[len(ID_FIELD) :].strip()
                 self._last_id = value.decode("latin-1")
