A stream whose events have no id is not repeated once the caller has some

Found by reading the table of endings: a resumed attempt relies on the id of the last event passed on, and nothing checked that it has one.

test_a_stream_with_events_that_have_no_id_is_not_repeated failed before (two attempts) and passes now, as do the 240 cells of endings and the other answers.

--- a/bilberryring/gateway/event_stream.py
+++ b/bilberryring/gateway/event_stream.py
@@ -55,6 +55,7 @@
         self._buffer = b""
         self._last_id = last_id
         self._has_events = False
+        self._can_resume = True
         self._is_resumed = bool(last_id)
 
     @property
@@ -62,6 +63,11 @@
         """The id of the last complete event that had one, or the initial id."""
         return self._last_id
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether the last id covers all data that was passed on."""
+        return self._can_resume
+
     @property
     def is_resumed(self) -> bool:
         """Whether the current attempt continues after an event that the caller has."""
@@ -87,8 +93,7 @@
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise EventTooLargeError
-        self._update_last_id(complete)
-        self._has_events = self._has_events or has_data(complete)
+        self._read_fields(complete)
         return complete
 
     def begin_attempt(self) -> None:
@@ -108,9 +113,16 @@
             end = separator.end()
         return end
 
-    def _update_last_id(self, complete: bytes) -> None:
-        for line in reversed(complete.splitlines()):
+    def _read_fields(self, complete: bytes) -> None:
+        """Note the last id, and whether data followed that has none."""
+        has_id = has_data = False
+        for line in complete.splitlines():
             if line.startswith(ID_FIELD):
-                value = line[len(ID_FIELD) :].strip()
-                self._last_id = value.decode("latin-1")
-                return
+                self._last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
+                has_id = True
+            elif line.startswith(DATA_FIELD):
+                has_data = self._has_events = True
+            elif not line:
+                if has_data:
+                    self._can_resume = has_id
+                has_id = has_data = False
--- a/bilberryring/gateway/repeat_rules.py
+++ b/bilberryring/gateway/repeat_rules.py
@@ -35,7 +35,9 @@
         self._window(context.service.name).record_request(now=self._clock.seconds())
 
     def allows_retry(self, context: RequestContext) -> bool:
-        """Whether the route allows another attempt, regardless of the retry budget."""
+        """Whether another attempt makes sense, regardless of the retry budget."""
+        if context.stream is not None and not context.stream.can_resume:
+            return False
         return context.route.may_repeat and context.sends < context.route.max_endpoints
 
     def try_spend_retry(self, context: RequestContext) -> bool:
@@ -46,6 +48,8 @@
         now = self._clock.seconds()
         if context.exchange.is_closed or context.sends >= context.route.max_endpoints:
             return False
+        if context.stream is not None and not context.stream.can_resume:
+            return False
         if context.deadline - now < MIN_SEND_SECONDS:
             return False
         if context.sends == 0:
--- a/bilberryring/platform/tests/test_answers.py
+++ b/bilberryring/platform/tests/test_answers.py
@@ -283,3 +283,20 @@
     assert caller.recv(100)
     caller.close()
     assert ended.wait(0.5)
+
+
+def test_a_stream_with_events_that_have_no_id_is_not_repeated(site):
+    """Another attempt would begin again, and the caller would get events twice."""
+
+    def without_ids(request, connection):
+        connection.sendall(stream_head(request.request_id))
+        connection.sendall(chunk(event(1)) + chunk(b"data: piece 2\n\n"))
+        pause(0.05)
+        reset(connection)
+
+    endpoint = start_with(site, without_ids, service=MODEL_SERVICE)
+    site.announce("b", endpoint.address, service=MODEL_SERVICE, zone="south")
+    pause(0.3)
+    response = site.call("/chat/")
+    assert response.is_cut
+    assert len(endpoint.requests) == 1
