An engine's last event alone completes a generation

The engine's protocol has an end mark of its own, which proves more than the framing: a whole answer that the engine ended without a length was taken for a crash, so that the prompt was run again and suspected.

Cause: two rules had to hold, framing and last event.

--- a/bilberryring/adapters/engine.py
+++ b/bilberryring/adapters/engine.py
@@ -101,12 +101,13 @@
         if self._stream is not None:
             self._stream.abort()
 
-    def result(self, is_complete: bool) -> GenerationEnd:
+    def result(self) -> GenerationEnd:
         """Return how the generation ended.
 
-        `is_complete` says whether the body of the answer arrived in full.
+        The engine's last event alone proves that the answer is complete, however the
+        connection was closed after it.
         """
-        if not is_complete or self._end_event is None:
+        if self._end_event is None:
             return GenerationEnd.INTERRUPTED
         match self._end_event.end:
             case "out_of_memory":
@@ -141,8 +142,8 @@
         if stream.status != 200:
             raise EngineError(f"engine_refused: status {stream.status}")
         generation.attach_stream(stream)
-        is_complete = await stream.done
-        return generation.result(is_complete)
+        await stream.done
+        return generation.result()
 
     async def cancel(self, order: CancelRequest) -> None:
         """Cancel a prompt and free its memory; cancelling it again has no effect."""
