--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -242,6 +242,14 @@
         """Make the store drop its history, so that older watches fail with 410."""
         self._control("forget", "", b"")
 
+    def save_store(self) -> None:
+        """Make the copy from which `restore_store` restores the store."""
+        self._control("save", "", b"")
+
+    def restore_store(self) -> None:
+        """Let the store return to the copy, without what was written since."""
+        self._control("restore", "", b"")
+
     def is_ready(self, number: int = 1) -> bool:
         """Return whether a gateway answers its readiness probe with status 200."""
         try:
--- a/bilberryring/standins/operator_store.py
+++ b/bilberryring/standins/operator_store.py
@@ -10,7 +10,9 @@
 True
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,14 +28,36 @@
     value: bytes | None
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """The items of a store at one revision."""
+
+    items: Mapping[str, StoreChange]
+    revision: int
+
+
 class OperatorStore:
-    """A key-value store in which every write increments one revision counter."""
+    """A key-value store in which every write increments one revision counter.
+
+    >>> store = OperatorStore()
+    >>> copy = store.put("a", b"1") and store.save()
+    >>> _ = store.put("a", b"2")
+    >>> store.restore(copy)
+    >>> store.era, store.revision, store.changes("", after=2) is None
+    (2, 1, True)
+    """
 
     def __init__(self):
         self._items: dict[str, StoreChange] = {}
         self._history: list[StoreChange] = []
         self._compacted_revision = 0
         self._revision = 0
+        self._era = 1
+
+    @property
+    def era(self) -> int:
+        """A number that rises each time the store is restored from a copy."""
+        return self._era
 
     @property
     def revision(self) -> int:
@@ -81,9 +105,9 @@
     def changes(self, prefix: str, *, after: int) -> tuple[StoreChange, ...] | None:
         """Return the writes after a revision to keys with a prefix.
 
-        `None` is returned when the history no longer reaches back to that revision.
+        `None` is returned when the history does not have that revision.
         """
-        if after < self._compacted_revision:
+        if not self._compacted_revision <= after <= self._revision:
             return None
         return tuple(
             change
@@ -91,6 +115,22 @@
             if change.revision > after and change.key.startswith(prefix)
         )
 
+    def save(self) -> StoreCopy:
+        """Return a copy of all items, from which the store can be restored."""
+        return StoreCopy(
+            items=MappingProxyType(dict(self._items)), revision=self._revision
+        )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to a copy: later writes are lost, and their revisions used again."""
+        self._items = dict(copy.items)
+        self._revision = copy.revision
+        self._history = [
+            change for change in self._history if change.revision <= copy.revision
+        ]
+        self._compacted_revision = min(self._compacted_revision, copy.revision)
+        self._era += 1
+
     def drop_history(self) -> None:
         """Drop the history, as the real store may do at any time."""
         self._history.clear()
--- a/bilberryring/standins/store_server.py
+++ b/bilberryring/standins/store_server.py
@@ -14,6 +14,7 @@
 from bilberryring.standins.change_waiters import ChangeWaiters
 from bilberryring.standins.operator_store import OperatorStore, StoreChange
 
+ERA_HEADER = "Store-Era"
 PAGE_ITEMS = 500
 MILLISECONDS = 1_000.0
 
@@ -38,6 +39,7 @@
         self._mode = StoreMode()
         self._waiters = ChangeWaiters(reactor=reactor)
         self._n_calls = 0
+        self._copy = self._store.save()
 
     def resource(self) -> Resource:
         """Return the root resource of the HTTP interface."""
@@ -50,6 +52,8 @@
             (b"put", self._put),
             (b"remove", self._remove),
             (b"forget", self._drop_history),
+            (b"save", self._save),
+            (b"restore", self._restore),
             (b"mode", self._set_mode),
             (b"calls", self._get_call_count),
         ):
@@ -58,6 +62,7 @@
 
     def _leaf(self, handle, *, is_read: bool) -> AsyncResource:
         async def guarded(request: Request) -> None:
+            request.setHeader(ERA_HEADER, str(self._store.era))
             if is_read:
                 self._n_calls += 1
             if is_read and self._mode.silent:
@@ -98,6 +103,7 @@
                     "events": [_encode_change(change) for change in changes],
                     "store_revision": self._store.revision,
                 }
+                request.setHeader(ERA_HEADER, str(self._store.era))
                 write_json(request, body)
                 return
             await self._waiters.wait(deadline - self._reactor.seconds())
@@ -117,6 +123,15 @@
         self._store.drop_history()
         write_json(request, {"revision": self._store.revision})
 
+    async def _save(self, request: Request) -> None:
+        self._copy = self._store.save()
+        write_json(request, {"revision": self._store.revision})
+
+    async def _restore(self, request: Request) -> None:
+        self._store.restore(self._copy)
+        self._waiters.wake_all()
+        write_json(request, {"revision": self._store.revision})
+
     async def _set_mode(self, request: Request) -> None:
         self._mode = msgspec.json.decode(request.read_body(), type=StoreMode)
         write_json(request, self._mode)
