A revision counts only within its era of the store

Revisions are given out again after the return; the client of the store, the watch, the copies and the reports to peers each took the larger of two numbers, which are of different histories. The class of fault: a number is compared without its epoch.

Change: every answer of the store states its era, and a revision is kept, compared and sent with it. A later era begins with a full copy; an answer, a watch or a copy of an earlier one changes nothing; a gateway that hears of a new era only from a peer copies it. What was known and is not in the older copy is kept apart as lost writes, which go with the copies to gateways that start or were cut off: a configuration goes by its version, an evacuation holds until it is written about again (at most 600 s), an endpoint that had left or was leaving does not come back as the same start (5 s), one that is missing serves for 2.5 s after the return. Gateways of earlier versions send no eras: they are not copied from and do not count as readers.

One of the four tests was mended: it restored the store before the gateway had read the evacuation that it then asked for.

--- a/bilberryring/fleet/__init__.py
+++ b/bilberryring/fleet/__init__.py
@@ -14,13 +14,22 @@
     WorkspaceName,
 )
 from bilberryring.fleet.endpoints import (
+    LAPSE_HOLD_SECONDS,
     RECOVERY_GRACE_SECONDS,
     AnnouncedEndpoint,
     EndpointId,
     EndpointList,
     EndpointState,
 )
-from bilberryring.fleet.replica import PublishedItem, Replica
+from bilberryring.fleet.lost_writes import (
+    NO_LIMIT,
+    LossRules,
+    LostWrite,
+    NoLossRules,
+    PublishedItem,
+    Revision,
+)
+from bilberryring.fleet.replica import Replica, ReplicaPosition
 from bilberryring.fleet.state import FleetState
 
 __all__ = [
@@ -32,10 +41,17 @@
     "FailureDomain",
     "FleetConfiguration",
     "FleetState",
+    "LAPSE_HOLD_SECONDS",
+    "LossRules",
+    "LostWrite",
     "MS_PER_SECOND",
+    "NO_LIMIT",
+    "NoLossRules",
     "PublishedItem",
     "RECOVERY_GRACE_SECONDS",
     "Replica",
+    "ReplicaPosition",
+    "Revision",
     "RequestKind",
     "Route",
     "Service",
--- a/bilberryring/fleet/endpoints.py
+++ b/bilberryring/fleet/endpoints.py
@@ -110,14 +110,19 @@
         self._by_service.clear()
 
     def withdraw(
-        self, endpoint_id: EndpointId, *, now: float, is_lapse: bool = False
+        self,
+        endpoint_id: EndpointId,
+        *,
+        now: float,
+        is_lapse: bool = False,
+        hold_seconds: float = LAPSE_HOLD_SECONDS,
     ) -> None:
-        """Remove an endpoint, or keep it for a while if `is_lapse` is set."""
+        """Remove an endpoint, or keep it for `hold_seconds` if `is_lapse` is set."""
         endpoint = self._endpoints.get(endpoint_id)
         if endpoint is None:
             return
         if is_lapse and endpoint.state is EndpointState.READY:
-            self._lapsed_until.setdefault(endpoint_id, now + LAPSE_HOLD_SECONDS)
+            self._lapsed_until.setdefault(endpoint_id, now + hold_seconds)
             return
         self._remove(endpoint_id)
 
--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -18,25 +18,52 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bilberryring.fleet.lost_writes import (
+    LossRules,
+    LostWrite,
+    LostWrites,
+    NoLossRules,
+    PublishedItem,
+    Revision,
+)
+
 MAX_TOMBSTONES = 2_048
 """The most removed keys that are remembered; the oldest are dropped first."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class PublishedItem:
-    """The last write of a key; `value` is `None` when the key was removed."""
+class ReplicaPosition:
+    """How far a replica is: its latest change, and the latest that the store lost.
+
+    >>> behind = ReplicaPosition(latest=Revision(era=1, number=90))
+    >>> ReplicaPosition(latest=Revision(era=2, number=3)).is_ahead_of(behind)
+    True
+    """
 
-    key: str
-    revision: int
-    value: bytes | None
+    latest: Revision = Revision()
+    latest_lost: Revision = Revision()
+
+    def is_ahead_of(self, other: "ReplicaPosition") -> bool:
+        """Whether a replica here knows something that one there does not."""
+        if self.latest > other.latest:
+            return True
+        is_same_era = self.latest.era == other.latest.era
+        return is_same_era and self.latest_lost > other.latest_lost
 
 
 class Replica:
-    """The published items by key, updated by single changes or full copies."""
+    """The published items by key, updated by single changes or full copies.
 
-    def __init__(self):
+    `rules` say how long writes hold that the store has lost.
+    """
+
+    def __init__(self, *, rules: LossRules | None = None):
         self._items: dict[str, PublishedItem] = {}
+        self._removed: dict[str, PublishedItem] = {}
         self._removed_revisions: dict[str, int] = {}
+        self._lost = LostWrites(rules=rules or NoLossRules())
+        self._latest_lost = Revision()
+        self._era = 0
         self._revision = 0
         self._complete_revision = 0
         self._dropped_revision = 0
@@ -46,16 +73,94 @@
         """The revision of the latest change applied; 0 before the first one."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """The era of the store in which the revisions count."""
+        return self._era
+
+    @property
+    def position(self) -> ReplicaPosition:
+        """How far the replica is, to compare it with that of a peer."""
+        return ReplicaPosition(
+            latest=Revision(era=self._era, number=self._revision),
+            latest_lost=self._latest_lost,
+        )
+
     @property
     def items(self) -> tuple[PublishedItem, ...]:
-        """The items that exist, without removed ones."""
+        """The items in the store, without removed ones."""
         return tuple(self._items.values())
 
+    @property
+    def lost_writes(self) -> tuple[LostWrite, ...]:
+        """The writes that the store has lost and that still hold."""
+        return self._lost.all
+
+    @property
+    def keys(self) -> frozenset[str]:
+        """The keys that have a value."""
+        lost = {write.key: write.value is not None for write in self._lost.all}
+        return frozenset(
+            {key for key in self._items if lost.get(key, True)}
+            | {key for key, has_value in lost.items() if has_value}
+        )
+
     def value(self, key: str) -> bytes | None:
-        """Return the value of a key, or `None` when it does not exist."""
+        """Return the value of a key, or `None` when it does not exist.
+
+        A lost write that still holds goes before what the store has.
+        """
+        lost = self._lost.get(key)
+        if lost is not None:
+            return lost.value
         item = self._items.get(key)
         return item.value if item else None
 
+    def begin_era(
+        self, items: Iterable[PublishedItem], *, revision: int, era: int, now: float
+    ) -> tuple[str, ...]:
+        """Start a later era with its first full copy; return the keys that changed.
+
+        What the copy lacks of the era before holds for as long as the rules say.
+        """
+        items = tuple(items)
+        before = {key: self.value(key) for key in self.keys}
+        known = self._known_writes()
+        self._latest_lost = max(self._latest_lost, self.position.latest)
+        self._items = {item.key: item for item in items}
+        self._removed, self._removed_revisions = {}, {}
+        self._era = era
+        self._revision = max((item.revision for item in items), default=0)
+        self._complete_revision, self._dropped_revision = revision, 0
+        self._lost.replace(
+            ((write, self._items.get(write.key)) for write in known), now=now
+        )
+        return tuple(
+            key
+            for key in sorted(before.keys() | self.keys)
+            if before.get(key) != self.value(key)
+        )
+
+    def add_lost_writes(
+        self, writes: Iterable[LostWrite], *, latest_lost: Revision, now: float
+    ) -> tuple[str, ...]:
+        """Take over lost writes that a peer knows; return the keys that changed."""
+        self._latest_lost = max(self._latest_lost, latest_lost)
+        return tuple(
+            write.key
+            for write in writes
+            if self._lost.add(
+                write,
+                stored=self._items.get(write.key),
+                is_removed=write.key in self._removed_revisions,
+                now=now,
+            )
+        )
+
+    def expire_lost_writes(self, *, now: float) -> tuple[str, ...]:
+        """Forget the lost writes whose time is over; return the keys that changed."""
+        return self._lost.expire(now=now)
+
     def changes_since(self, revision: int) -> tuple[PublishedItem, ...] | None:
         """Return the last write of each key that changed after `revision`.
 
@@ -88,7 +193,10 @@
             self._revision = max(self._revision, item.revision)
             if item.revision <= self._known_revision(item.key):
                 continue
-            if self._store_item(item):
+            before = self.value(item.key)
+            is_changed = self._store_item(item)
+            self._lost.check(item.key, self._items.get(item.key))
+            if is_changed or before != self.value(item.key):
                 changed.append(item.key)
         return tuple(changed)
 
@@ -146,11 +254,38 @@
         """Store or remove an item; return whether that changed the items."""
         if item.value is not None:
             self._removed_revisions.pop(item.key, None)
+            self._removed.pop(item.key, None)
             self._items[item.key] = item
             return True
-        existed = self._items.pop(item.key, None) is not None
+        removed = self._items.pop(item.key, None)
+        if removed is not None:
+            self._removed[item.key] = removed
         self._removed_revisions[item.key] = item.revision
         while len(self._removed_revisions) > MAX_TOMBSTONES:
-            dropped = self._removed_revisions.pop(next(iter(self._removed_revisions)))
+            oldest = next(iter(self._removed_revisions))
+            dropped = self._removed_revisions.pop(oldest)
+            self._removed.pop(oldest, None)
             self._dropped_revision = max(self._dropped_revision, dropped)
-        return existed
+        return removed is not None
+
+    def _known_writes(self) -> tuple[LostWrite, ...]:
+        """Return the last known write of each key, lost ones of earlier eras first."""
+        written = (
+            LostWrite(
+                key=item.key,
+                revision=Revision(era=self._era, number=item.revision),
+                value=item.value,
+            )
+            for item in self._items.values()
+        )
+        removed = (
+            LostWrite(
+                key=key,
+                revision=Revision(era=self._era, number=self._removed_revisions[key]),
+                value=None,
+                removed=item,
+            )
+            for key, item in self._removed.items()
+        )
+        latest = {write.key: write for write in (*written, *removed)}
+        return tuple((latest | {write.key: write for write in self._lost.all}).values())
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -87,7 +87,11 @@
         self._tracker = WorkTracker()
         self._health = EndpointHealth()
         self._pool = ConnectionPool(reactor=reactor)
-        self._copies = PublishedCopies(prefixes=adapter_class.prefixes)
+        self._copies = PublishedCopies(
+            prefixes=adapter_class.prefixes,
+            clock=reactor,
+            rules=adapter_class.loss_rules,
+        )
         self._peer_view = PeerView(
             own_host=settings.host, seed_hosts=settings.seed_hosts
         )
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from bilberryring.core import Fingerprint, PromptPartId
-from bilberryring.fleet import MS_PER_SECOND, FailureDomain
+from bilberryring.fleet import MS_PER_SECOND, FailureDomain, ReplicaPosition
 from bilberryring.gateway.store_readers import StoreAccess
 from bilberryring.quarantine import PartStanding
 from bilberryring.routing import NO_WORK, EndpointWork, hash_order, neighbours
@@ -52,9 +52,10 @@
 
     `sequence` grows with each report of one incarnation. `work` is what the gateway
     placed on each endpoint: on all of them if `is_complete`, otherwise on those where
-    it changed since the last report. `revisions` are those of its published items by
-    prefix, and `members` some of the gateways that it knows. `parts` is what it knows
-    of parts of prompts under which endpoints crashed.
+    it changed since the last report. `positions` are those of its published items by
+    prefix; without `knows_eras` it tells none. `members` are some of the gateways that
+    it knows. `parts` is what it knows of parts of prompts under which endpoints
+    crashed.
     """
 
     incarnation: str
@@ -63,7 +64,8 @@
     is_complete: bool = True
     failure_domain: FailureDomain = FailureDomain("")
     store_access: StoreAccess = StoreAccess.UNUSED
-    revisions: tuple[tuple[str, int], ...] = ()
+    knows_eras: bool = True
+    positions: tuple[tuple[str, ReplicaPosition], ...] = ()
     work: tuple[tuple[str, EndpointWork], ...] = ()
     members: tuple[Member, ...] = ()
     deaths: tuple[EndpointDeath, ...] = ()
@@ -94,7 +96,8 @@
     heard_at: float
     failure_domain: FailureDomain
     store_access: StoreAccess
-    revisions: dict[str, int]
+    knows_eras: bool
+    positions: dict[str, ReplicaPosition]
     endpoints: set[str] = field(default_factory=set)
 
 
@@ -164,7 +167,8 @@
             heard_at=now,
             failure_domain=report.failure_domain,
             store_access=report.store_access,
-            revisions=dict(report.revisions),
+            knows_eras=report.knows_eras,
+            positions=dict(report.positions),
             endpoints=peer.endpoints if peer is not None else set(),
         )
         self._store_work(report, now)
@@ -221,9 +225,14 @@
         )
 
     def store_access(self, *, now: float) -> dict[str, StoreAccess]:
-        """Return the access to the store of each live peer, by host."""
+        """Return the access to the store of each live peer, by host.
+
+        Peers that know no eras are left out, as their copies may be of an earlier one.
+        """
         return {
-            host: self._peers[host].store_access for host in self.live_hosts(now=now)
+            host: self._peers[host].store_access
+            for host in self.live_hosts(now=now)
+            if self._peers[host].knows_eras
         }
 
     def work(self, endpoint: str, *, now: float) -> EndpointWork:
@@ -236,23 +245,33 @@
         return total.work.advanced_by((now - total.at) * MS_PER_SECOND)
 
     def host_ahead(
-        self, prefix: str, *, revision: int, now: float, domain: FailureDomain = ""
+        self,
+        prefix: str,
+        *,
+        position: ReplicaPosition,
+        now: float,
+        domain: FailureDomain = "",
     ) -> str | None:
         """Return the host of a live peer with later items under a prefix.
 
         Of those with the latest ones it is drawn at random, from the peers in the
-        failure domain `domain` if there are any. Returns `None` if no live peer has a
-        revision higher than `revision`.
+        failure domain `domain` if there are any. Returns `None` if no live peer is
+        ahead of `position`.
         """
         ahead = {
-            host: self._peers[host].revisions.get(prefix, 0)
+            host: known
             for host in self.live_hosts(now=now)
-            if self._peers[host].revisions.get(prefix, 0) > revision
+            if (known := self._peers[host].positions.get(prefix)) is not None
+            and known.is_ahead_of(position)
         }
         if not ahead:
             return None
-        latest = max(ahead.values())
-        hosts = [host for host, known in ahead.items() if known == latest]
+        latest = max((known.latest, known.latest_lost) for known in ahead.values())
+        hosts = [
+            host
+            for host, known in ahead.items()
+            if (known.latest, known.latest_lost) == latest
+        ]
         near = [host for host in hosts if self._peers[host].failure_domain == domain]
         return random.choice(near or hosts)
 
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -15,7 +15,15 @@
 from twisted.internet.task import LoopingCall
 
 from bilberryring.core import Incarnation
-from bilberryring.fleet import PublishedItem
+from bilberryring.fleet import ReplicaPosition
+from bilberryring.gateway.copy_codec import (
+    answer_query,
+    decode_items,
+    decode_latest_lost,
+    decode_lost_writes,
+    encode_positions,
+    make_query,
+)
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.peer_view import CrashNews, PeerReport, PeerView
@@ -27,7 +35,6 @@
     encode_deaths,
     encode_members,
     encode_parts,
-    encode_revisions,
     encode_work,
 )
 from bilberryring.gateway.settings import GatewaySettings
@@ -37,7 +44,6 @@
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
     CopyAnswer,
-    CopyItem,
     CopyQuery,
     CrashReport,
     FrameError,
@@ -254,7 +260,7 @@
                 encode_work(endpoint, self._tracker.work(endpoint, now=now))
                 for endpoint in endpoints
             ],
-            revisions=encode_revisions(self._copies.revisions),
+            revisions=encode_positions(self._copies.positions),
             deaths=encode_deaths(self._crashes.recent_deaths()) if is_complete else [],
             parts=encode_parts(self._crashes.standings()) if is_complete else [],
             store_access=self._duty.access.value,
@@ -276,30 +282,30 @@
             self._log.write(LogEvent.PEER_UNREACHABLE, peer=host, detail=str(error))
 
     def _is_ahead(self, report: PeerReport) -> bool:
-        own = dict(self._copies.revisions)
+        own = dict(self._copies.positions)
         return any(
-            revision > own.get(prefix, revision)
-            for prefix, revision in report.revisions
+            prefix in own and position.is_ahead_of(own[prefix])
+            for prefix, position in report.positions
         )
 
     def _copy_from_peers(self) -> None:
         now = self._reactor.seconds()
         if self._is_copying or now < self._copy_retry_at:
             return
-        for prefix, revision in self._copies.revisions:
+        for prefix, position in self._copies.positions:
             host = self._view.host_ahead(
                 prefix,
-                revision=revision,
+                position=position,
                 now=now,
                 domain=self._settings.failure_domain,
             )
             if host is not None:
                 self._is_copying = True
-                Deferred.fromCoroutine(self._copy(host, prefix))
+                Deferred.fromCoroutine(self._copy(host, prefix, position))
                 return
 
-    async def _copy(self, host: str, prefix: str) -> None:
-        """Copy the published items under a prefix from a peer with a later revision."""
+    async def _copy(self, host: str, prefix: str, position: ReplicaPosition) -> None:
+        """Copy the published items under a prefix from a peer that is ahead."""
         received: Deferred[CopyAnswer] = Deferred()
         link = None
         try:
@@ -313,8 +319,7 @@
             link = await creator.connectTCP(
                 host, self._settings.peer_port, timeout=COPY_TIMEOUT_SECONDS
             )
-            revision = dict(self._copies.revisions)[prefix]
-            link.send(CopyQuery(prefix=prefix, revision=revision))
+            link.send(make_query(prefix, position))
             received.addTimeout(COPY_TIMEOUT_SECONDS, self._reactor)
             answer = await received
             if isinstance(answer, CopyAnswer) and answer.prefix == prefix:
@@ -329,18 +334,31 @@
                 link.transport.abortConnection()
 
     def _apply_copy(self, host: str, answer: CopyAnswer) -> None:
-        items = tuple(
-            PublishedItem(key=item.key, revision=item.revision, value=item.value)
-            for item in answer.items
-        )
+        if answer.era is None:
+            return
         take = self._copies.take_changes if answer.is_delta else self._copies.take_copy
-        changed = take(answer.prefix, items, revision=answer.revision)
+        changed = take(
+            answer.prefix,
+            decode_items(answer),
+            revision=answer.revision,
+            era=answer.era,
+        )
+        lost_writes = decode_lost_writes(answer)
+        held = self._copies.add_lost_writes(
+            answer.prefix,
+            lost_writes,
+            era=answer.era,
+            latest_lost=decode_latest_lost(answer),
+        )
         self._log.write(
             LogEvent.COPY_TAKEN,
             peer=host,
             prefix=answer.prefix,
             revision=answer.revision,
+            era=answer.era,
             changed=changed,
+            lost_writes=len(lost_writes),
+            held=held,
         )
 
 
@@ -359,27 +377,14 @@
 
     def _answer(self, link: LinkProtocol, message: object) -> None:
         match message:
-            case CopyQuery(prefix=prefix, revision=revision):
+            case CopyQuery(prefix=prefix):
                 replica = self._copies.replica(prefix)
                 if replica is None:
                     link.transport.abortConnection()
                     return
-                changes = replica.changes_since(revision or 0)
-                items = replica.items if changes is None else changes
-                link.send(
-                    CopyAnswer(
-                        prefix=prefix,
-                        revision=replica.revision,
-                        items=[_encode_item(item) for item in items],
-                        is_delta=changes is not None,
-                    )
-                )
+                link.send(answer_query(message, replica))
 
 
 def _resolve(waiting: Deferred, message: object) -> None:
     if not waiting.called:
         waiting.callback(message)
-
-
-def _encode_item(item: PublishedItem) -> CopyItem:
-    return CopyItem(key=item.key, revision=item.revision, value=item.value)
--- a/bilberryring/gateway/report_codec.py
+++ b/bilberryring/gateway/report_codec.py
@@ -5,6 +5,7 @@
 
 from bilberryring.core import Fingerprint, PromptPartId
 from bilberryring.fleet import MS_PER_SECOND
+from bilberryring.gateway.copy_codec import decode_position
 from bilberryring.gateway.peer_view import (
     CrashNews,
     EndpointDeath,
@@ -15,7 +16,6 @@
 from bilberryring.quarantine import PartStanding
 from bilberryring.routing import DecodeGroup, EndpointWork, PrefillStream
 from bilberryring.wire import (
-    CopyRevision,
     CrashReport,
     DecodeGroupReport,
     EngineDeath,
@@ -78,13 +78,6 @@
     ]
 
 
-def encode_revisions(revisions: Iterable[tuple[str, int]]) -> list[CopyRevision]:
-    """Return the messages with the revision of each prefix."""
-    return [
-        CopyRevision(prefix=prefix, revision=revision) for prefix, revision in revisions
-    ]
-
-
 def encode_deaths(deaths: Iterable[EndpointDeath]) -> list[EngineDeath]:
     """Return the messages of endpoints' crashes."""
     return [
@@ -125,7 +118,11 @@
 
 
 def decode_report(message: GatewayReport, *, host: str) -> PeerReport:
-    """Return the report that `host` sent, or raise `ReportError`."""
+    """Return the report that `host` sent, or raise `ReportError`.
+
+    A gateway of an earlier version knows no eras, so its copies are not comparable.
+    """
+    knows_eras = all(item.era is not None for item in message.revisions or ())
     try:
         return PeerReport(
             incarnation=_required(message.incarnation),
@@ -134,9 +131,11 @@
             is_complete=bool(message.is_complete),
             failure_domain=message.failure_domain or "",
             store_access=StoreAccess(message.store_access or 0),
-            revisions=tuple(
-                (_required(item.prefix), _required(item.revision))
+            knows_eras=knows_eras,
+            positions=tuple(
+                (_required(item.prefix), decode_position(item))
                 for item in message.revisions or ()
+                if knows_eras
             ),
             work=tuple(
                 (_required(item.endpoint), _decode_work(item))
--- a/bilberryring/gateway/tests/test_peer_view.py
+++ b/bilberryring/gateway/tests/test_peer_view.py
@@ -1,5 +1,6 @@
 """Reports out of order, and peers that restart or stop reporting."""
 
+from bilberryring.fleet import ReplicaPosition, Revision
 from bilberryring.gateway.peer_view import (
     PEER_EXPIRY_SECONDS,
     PEER_TIMEOUT_SECONDS,
@@ -17,6 +18,11 @@
     return PeerReport(**(fields | changes))
 
 
+def at(number, *, era=1, lost=None):
+    latest = Revision(era=era, number=number)
+    return ReplicaPosition(latest=latest, latest_lost=lost or Revision())
+
+
 def make_view():
     return PeerView(own_host="h1", seed_hosts=("h1", "h2", "h3"))
 
@@ -89,7 +95,32 @@
 
 def test_host_with_the_latest_revision_is_returned():
     view = make_view()
-    view.update(make_report(revisions=(("x", 7),)), now=0.0)
-    view.update(make_report(host="h3", revisions=(("x", 9),)), now=0.0)
-    assert view.host_ahead("x", revision=5, now=0.1) == "h3"
-    assert view.host_ahead("x", revision=9, now=0.1) is None
+    view.update(make_report(positions=(("x", at(7)),)), now=0.0)
+    view.update(make_report(host="h3", positions=(("x", at(9)),)), now=0.0)
+    assert view.host_ahead("x", position=at(5), now=0.1) == "h3"
+    assert view.host_ahead("x", position=at(9), now=0.1) is None
+
+
+def test_a_later_era_is_ahead_of_any_revision_of_an_earlier_one():
+    view = make_view()
+    view.update(make_report(positions=(("x", at(90)),)), now=0.0)
+    view.update(make_report(host="h3", positions=(("x", at(7, era=2)),)), now=0.0)
+    assert view.host_ahead("x", position=at(80), now=0.1) == "h3"
+    assert view.host_ahead("x", position=at(6, era=2), now=0.1) == "h3"
+    assert view.host_ahead("x", position=at(7, era=2), now=0.1) is None
+
+
+def test_a_peer_that_knows_more_of_what_the_store_lost_is_ahead():
+    view = make_view()
+    more, less = (Revision(era=1, number=number) for number in (9, 8))
+    view.update(make_report(positions=(("x", at(7, era=2, lost=more)),)), now=0.0)
+    position = at(7, era=2, lost=less)
+    assert view.host_ahead("x", position=position, now=0.1) == "h2"
+    position = at(7, era=2, lost=more)
+    assert view.host_ahead("x", position=position, now=0.1) is None
+
+
+def test_a_peer_that_knows_no_eras_is_no_reader():
+    view = make_view()
+    view.update(make_report(knows_eras=False), now=0.0)
+    assert view.store_access(now=0.1) == {}
--- a/bilberryring/gateway/tests/test_peers.py
+++ b/bilberryring/gateway/tests/test_peers.py
@@ -74,7 +74,7 @@
             peers=lambda: view.store_access(now=clock.seconds()),
         ),
         tracker=tracker,
-        copies=PublishedCopies(prefixes=("a/",)),
+        copies=PublishedCopies(prefixes=("a/",), clock=clock),
         crashes=CrashRecord(clock=clock),
         log=EventLog(process="p", role="gateway", stream=StringIO()),
     )
--- a/bilberryring/platform/adapter.py
+++ b/bilberryring/platform/adapter.py
@@ -18,12 +18,13 @@
 from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.http import HttpClient
 from bilberryring.platform import headers as header_codec
+from bilberryring.platform.loss_rules import PlatformLossRules
 from bilberryring.platform.names import READY_PATH, SETTINGS_VARIABLE
 from bilberryring.platform.settings import read_settings
 from bilberryring.platform.store import StoreClient
-from bilberryring.platform.translation import PREFIXES, Translator
+from bilberryring.platform.translation import MAX_LOGGED_KEYS, PREFIXES, Translator
 from bilberryring.platform.watch import StoreHealth, StoreWatch
-from bilberryring.telemetry import EventLog
+from bilberryring.telemetry import EventLog, LogEvent
 
 
 def settings_path() -> Path:
@@ -93,6 +94,7 @@
 
     ready_path = READY_PATH
     prefixes = PREFIXES
+    loss_rules = PlatformLossRules()
 
     def __init__(
         self,
@@ -121,6 +123,9 @@
             log=log,
             on_endpoint_removed=on_endpoint_removed,
         )
+        self._copies = copies
+        self._log = log
+        copies.add_era_listener(self._translator.begin_era)
         copies.add_listener(self._translator.update_fleet)
         self._watches = [
             StoreWatch(
@@ -161,5 +166,15 @@
             watch.refresh()
 
     def expire(self) -> None:
-        """Remove lapsed endpoints that were not announced again; called regularly."""
+        """Remove lapsed endpoints that were not announced again; called regularly.
+
+        Lost writes that the store never got again end as well.
+        """
+        expired = self._copies.expire()
+        if expired:
+            self._log.write(
+                LogEvent.LOST_WRITES_EXPIRED,
+                keys=expired[:MAX_LOGGED_KEYS],
+                n_keys=len(expired),
+            )
         self._translator.expire()
--- a/bilberryring/platform/names.py
+++ b/bilberryring/platform/names.py
@@ -18,6 +18,8 @@
 RETRY_AFTER = b"Retry-After"
 AUTHORIZATION = b"Authorization"
 
+STORE_ERA = "Store-Era"
+
 READY_PATH = b"/v1/ready"
 RANGE_PATH = "/v1/kv-range"
 WATCH_PATH = "/v1/kv-watch"
--- a/bilberryring/platform/store.py
+++ b/bilberryring/platform/store.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from bilberryring.fleet import MS_PER_SECOND, PublishedItem
-from bilberryring.http import HttpClient
-from bilberryring.platform.names import RANGE_PATH, WATCH_PATH
+from bilberryring.http import HttpClient, HttpResponse
+from bilberryring.platform.names import RANGE_PATH, STORE_ERA, WATCH_PATH
 
 READ_TIMEOUT_SECONDS = 2.0
 """Seconds without a response after which a read counts as failed.
@@ -26,15 +26,21 @@
     """The store no longer holds the requested changes; the remedy is to list again."""
 
 
+class StoreRestored(HistoryLost):
+    """The store came back from an older copy; the remedy is to list again."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Listing:
     """All items under a prefix, or the changes after a revision.
 
-    A watch that continues after `revision` misses no change.
+    A watch that continues after `revision` misses no change. Revisions count only
+    within their `era`.
     """
 
     items: tuple[PublishedItem, ...]
     revision: int
+    era: int = 0
 
 
 class _Item(msgspec.Struct, kw_only=True):
@@ -76,36 +82,45 @@
         """
         items: list[PublishedItem] = []
         revision: int | None = None
+        era: int | None = None
         after = ""
         for _ in range(MAX_PAGES):
-            page = await self._read_page(prefix, after)
+            page, page_era = await self._read_page(prefix, after)
             revision = page.store_revision if revision is None else revision
+            era = page_era if era is None else era
+            _check_era(page_era, expected=era)
             items.extend(_to_published_item(item) for item in page.items)
             if not page.has_more or not page.items:
-                return Listing(items=tuple(items), revision=revision)
+                return Listing(items=tuple(items), revision=revision, era=era)
             after = page.items[-1].key
         raise StoreError(
             "store_endless: the list has too many pages. Remedy: list again later"
         )
 
-    async def watch(self, prefix: str, *, after: int, wait: float) -> Listing:
-        """Return the changes after a revision, waiting up to `wait` seconds for one."""
+    async def watch(self, prefix: str, *, after: int, era: int, wait: float) -> Listing:
+        """Return the changes after a revision, waiting up to `wait` seconds for one.
+
+        Raises `StoreRestored` if the store is in another era than the revision.
+        """
         path = f"{WATCH_PATH}?prefix={quote(prefix, safe='')}&after={after}"
         path += f"&wait_ms={int(wait * MS_PER_SECOND)}"
-        body = await self._get(path, timeout=wait + READ_TIMEOUT_SECONDS)
-        response = _decode(body, _WatchResponse)
+        response = await self._get(path, timeout=wait + READ_TIMEOUT_SECONDS)
+        _check_era(_era_of(response), expected=era)
+        changes = _decode(response.body, _WatchResponse)
         return Listing(
-            items=tuple(_to_published_item(item) for item in response.events),
-            revision=max(after, response.store_revision),
+            items=tuple(_to_published_item(item) for item in changes.events),
+            revision=max(after, changes.store_revision),
+            era=era,
         )
 
-    async def _read_page(self, prefix: str, after: str) -> _RangePage:
+    async def _read_page(self, prefix: str, after: str) -> tuple[_RangePage, int]:
         path = f"{RANGE_PATH}?prefix={quote(prefix, safe='')}"
         if after:
             path += f"&after={quote(after, safe='')}"
-        return _decode(await self._get(path, timeout=READ_TIMEOUT_SECONDS), _RangePage)
+        response = await self._get(path, timeout=READ_TIMEOUT_SECONDS)
+        return _decode(response.body, _RangePage), _era_of(response)
 
-    async def _get(self, path: str, *, timeout: float) -> bytes:
+    async def _get(self, path: str, *, timeout: float) -> HttpResponse:
         self._calls += 1
         try:
             response = await self._client.request("GET", path, timeout=timeout)
@@ -118,7 +133,24 @@
             raise StoreError(
                 f"store_refused: status {response.status}. Remedy: read again later"
             )
-        return response.body
+        return response
+
+
+def _era_of(response: HttpResponse) -> int:
+    """Return the era of the store; 0 if it states none."""
+    era = response.header(STORE_ERA)
+    if not era:
+        return 0
+    if not era.isdigit():
+        raise StoreError(f"store_malformed: era {era!r}. Remedy: read again later")
+    return int(era)
+
+
+def _check_era(era: int, *, expected: int) -> None:
+    if era != expected:
+        raise StoreRestored(
+            f"store_restored: era {era} instead of {expected}. Remedy: list again"
+        )
 
 
 def _decode(body: bytes, struct_type):
--- a/bilberryring/platform/tests/test_restored_store.py
+++ b/bilberryring/platform/tests/test_restored_store.py
@@ -107,6 +107,7 @@
     site.publish(without_key(5))
     site.put("op/evacuate/north", b"{}")
     wait_for_status(site, 401)
+    pause(0.5)
     restore(site)
     pause(0.7)
     site.start_gateway(2)
--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -1,11 +1,15 @@
 """Decodes published items and applies them to the gateway's fleet state."""
 
+import math
+
 from bilberryring.fleet import (
+    LAPSE_HOLD_SECONDS,
     RECOVERY_GRACE_SECONDS,
     EndpointId,
     FailureDomain,
     FleetState,
     Replica,
+    Revision,
 )
 from bilberryring.platform.configuration import (
     ContentError,
@@ -22,6 +26,7 @@
 from bilberryring.telemetry import EventLog, LogEvent
 
 PREFIXES = (OPERATOR_PREFIX, ENDPOINT_PREFIX)
+MAX_LOGGED_KEYS = 16
 
 
 class Translator:
@@ -45,6 +50,28 @@
         self._health = health
         self._log = log
         self._on_endpoint_removed = on_endpoint_removed
+        self._restored_at = -math.inf
+
+    def begin_era(self, prefix: str, replica: Replica) -> None:
+        """Note that the store is in a later era, and log what it has lost.
+
+        The first era of a process that knew nothing before is no return.
+        """
+        latest_lost = replica.position.latest_lost
+        if latest_lost == Revision():
+            return
+        self._restored_at = self._reactor.seconds()
+        self._log.write(
+            LogEvent.STORE_RESTORED,
+            prefix=prefix,
+            era=replica.era,
+            revision=replica.revision,
+            items=len(replica.items),
+            lost_era=latest_lost.era,
+            lost_revision=latest_lost.number,
+            holds=[write.key for write in replica.lost_writes[:MAX_LOGGED_KEYS]],
+            n_holds=len(replica.lost_writes),
+        )
 
     def update_fleet(self, replica: Replica, keys: tuple[str, ...]) -> None:
         """Apply the changed keys of one replica to the fleet state."""
@@ -94,8 +121,12 @@
         now = self._reactor.seconds()
         known = self._fleet.endpoints.get(endpoint_id)
         if value is None:
-            is_lapse = self._health.is_recovering(RECOVERY_GRACE_SECONDS)
-            self._fleet.endpoints.withdraw(endpoint_id, now=now, is_lapse=is_lapse)
+            is_return = now - self._restored_at < RECOVERY_GRACE_SECONDS
+            is_lapse = is_return or self._health.is_recovering(RECOVERY_GRACE_SECONDS)
+            hold = RECOVERY_GRACE_SECONDS if is_return else LAPSE_HOLD_SECONDS
+            self._fleet.endpoints.withdraw(
+                endpoint_id, now=now, is_lapse=is_lapse, hold_seconds=hold
+            )
             self._log_standing(endpoint_id, "lapsed" if is_lapse else "gone")
             if known is not None and not is_lapse:
                 self._on_endpoint_removed(known)
@@ -112,9 +143,9 @@
 
     def _apply_evacuations(self, replica: Replica) -> None:
         domains = {
-            FailureDomain(item.key.removeprefix(EVACUATION_PREFIX))
-            for item in replica.items
-            if item.key.startswith(EVACUATION_PREFIX)
+            FailureDomain(key.removeprefix(EVACUATION_PREFIX))
+            for key in replica.keys
+            if key.startswith(EVACUATION_PREFIX)
         }
         self._fleet.endpoints.set_domains_out(domains)
         self._log.write(LogEvent.DOMAINS_OUT, domains=sorted(domains))
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -9,11 +9,16 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
-from bilberryring.fleet import FleetState
+from bilberryring.fleet import FleetState, Revision
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.store_readers import ReadingDuty, StoreAccess
-from bilberryring.platform.store import HistoryLost, Listing, StoreClient, StoreError
+from bilberryring.platform.store import (
+    HistoryLost,
+    Listing,
+    StoreClient,
+    StoreError,
+)
 from bilberryring.telemetry import EventLog, LogEvent
 
 WATCH_SECONDS_PER_ENTRY = 1.2
@@ -140,7 +145,7 @@
         self._duty = duty
         self._is_reading = False
         self._must_read = True
-        self._revision: int | None = None
+        self._revision: Revision | None = None
         self._task: Deferred | None = None
         self._call: Deferred[Listing] | None = None
         self._is_stopped = False
@@ -172,8 +177,14 @@
                     self._health.record_idle(self._prefix)
                     await self._pause(DUTY_CHECK_SECONDS)
                 delay = INITIAL_RETRY_SECONDS
-            except HistoryLost:
-                self._log.write(LogEvent.HISTORY_LOST, prefix=self._prefix)
+            except HistoryLost as error:
+                self._log.write(
+                    LogEvent.HISTORY_LOST,
+                    prefix=self._prefix,
+                    era=self._revision and self._revision.era,
+                    revision=self._revision and self._revision.number,
+                    detail=str(error),
+                )
                 self._revision = None
             except StoreError as error:
                 if self._is_stopped:
@@ -200,38 +211,54 @@
         """Let the next watch begin after the changes that were copied from peers."""
         replica = self._copies.replica(self._prefix)
         if self._revision is not None and replica is not None:
-            self._revision = max(self._revision, replica.revision)
+            self._revision = max(self._revision, replica.position.latest)
 
     async def _read_once(self) -> None:
         if self._revision is None:
             listing = await self._store.list(self._prefix)
+            self._check_not_older(listing.era)
             self._health.record_success(self._prefix)
             changed = self._copies.replace(
-                self._prefix, listing.items, revision=listing.revision
+                self._prefix,
+                listing.items,
+                revision=listing.revision,
+                era=listing.era,
             )
             self._log.write(
                 LogEvent.ITEMS_LISTED,
                 prefix=self._prefix,
                 revision=listing.revision,
+                era=listing.era,
                 items=len(listing.items),
                 changed=changed,
             )
         else:
             listing = await self._watch(self._revision)
-        self._revision = listing.revision
+        self._revision = Revision(era=listing.era, number=listing.revision)
+
+    def _check_not_older(self, era: int) -> None:
+        """Raise `StoreError` if a peer knows of a later era than the store's answer."""
+        known = self._copies.replica(self._prefix).era
+        if era < known:
+            raise StoreError(
+                f"store_outdated: era {era}, known is {known}. Remedy: read again later"
+            )
 
-    async def _watch(self, after: int) -> Listing:
+    async def _watch(self, after: Revision) -> Listing:
         is_quick = self._must_read or self._health.is_failing(self._prefix)
         wait = 0.0 if is_quick else self._watch_seconds()
         self._call = Deferred.fromCoroutine(
-            self._store.watch(self._prefix, after=after, wait=wait)
+            self._store.watch(
+                self._prefix, after=after.number, era=after.era, wait=wait
+            )
         )
         try:
             listing = await self._call
         finally:
             self._call = None
+        self._check_not_older(listing.era)
         self._health.record_success(self._prefix)
-        self._copies.apply(self._prefix, listing.items)
+        self._copies.apply(self._prefix, listing.items, era=listing.era)
         if listing.items:
             await self._pause(BATCH_SECONDS)
         return listing
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -64,6 +64,16 @@
         "info",
         "The list of failure domains taken out of service changed",
     )
+    STORE_RESTORED = (
+        217,
+        "warning",
+        "The platform came back from an older copy; what it lost is kept for a while",
+    )
+    LOST_WRITES_EXPIRED = (
+        218,
+        "warning",
+        "What the platform had lost was not written again in time and is dropped",
+    )
     LINK_OPENED = (300, "info", "A link to another process opened")
     LINK_CLOSED = (301, "info", "A link to another process closed")
     ENDPOINT_STANDING_CHANGED = (310, "info", "The standing of an endpoint changed")
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -273,7 +273,7 @@
             view=view,
             slices=slices,
             tracker=tracker,
-            copies=PublishedCopies(prefixes=("a/", "b/")),
+            copies=PublishedCopies(prefixes=("a/", "b/"), clock=self._clock),
             crashes=crashes,
             duty=duty,
             log=EventLog(process=host, role="gateway", stream=StringIO()),
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -2548,18 +2548,27 @@
     Attributes:
      - prefix
      - revision
+     - era
+     - lost_era
+     - lost_revision
 
     """
 
     __slots__ = (
         'prefix',
         'revision',
+        'era',
+        'lost_era',
+        'lost_revision',
     )
 
 
-    def __init__(self, prefix=None, revision=None,):
+    def __init__(self, prefix=None, revision=None, era=None, lost_era=None, lost_revision=None,):
         self.prefix = prefix
         self.revision = revision
+        self.era = era
+        self.lost_era = lost_era
+        self.lost_revision = lost_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2580,6 +2589,21 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.lost_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.lost_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2598,6 +2622,18 @@
             oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.lost_era is not None:
+            oprot.writeFieldBegin('lost_era', TType.I64, 4)
+            oprot.writeI64(self.lost_era)
+            oprot.writeFieldEnd()
+        if self.lost_revision is not None:
+            oprot.writeFieldBegin('lost_revision', TType.I64, 5)
+            oprot.writeI64(self.lost_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3016,23 +3052,143 @@
         return not (self == other)
 
 
+class LostWrite(object):
+    """
+    Attributes:
+     - key
+     - era
+     - revision
+     - value
+     - removed
+
+    """
+
+    __slots__ = (
+        'key',
+        'era',
+        'revision',
+        'value',
+        'removed',
+    )
+
+
+    def __init__(self, key=None, era=None, revision=None, value=None, removed=None,):
+        self.key = key
+        self.era = era
+        self.revision = revision
+        self.value = value
+        self.removed = removed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.removed = CopyItem()
+                    self.removed.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LostWrite')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 3)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 4)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.removed is not None:
+            oprot.writeFieldBegin('removed', TType.STRUCT, 5)
+            self.removed.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CopyQuery(object):
     """
     Attributes:
      - prefix
      - revision
+     - era
 
     """
 
     __slots__ = (
         'prefix',
         'revision',
+        'era',
     )
 
 
-    def __init__(self, prefix=None, revision=None,):
+    def __init__(self, prefix=None, revision=None, era=None,):
         self.prefix = prefix
         self.revision = revision
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3053,6 +3209,11 @@
                     self.revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3071,6 +3232,10 @@
             oprot.writeFieldBegin('revision', TType.I64, 2)
             oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 3)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3103,6 +3268,10 @@
      - revision
      - items
      - is_delta
+     - era
+     - lost_era
+     - lost_revision
+     - lost_writes
 
     """
 
@@ -3111,14 +3280,22 @@
         'revision',
         'items',
         'is_delta',
+        'era',
+        'lost_era',
+        'lost_revision',
+        'lost_writes',
     )
 
 
-    def __init__(self, prefix=None, revision=None, items=None, is_delta=None,):
+    def __init__(self, prefix=None, revision=None, items=None, is_delta=None, era=None, lost_era=None, lost_revision=None, lost_writes=None,):
         self.prefix = prefix
         self.revision = revision
         self.items = items
         self.is_delta = is_delta
+        self.era = era
+        self.lost_era = lost_era
+        self.lost_revision = lost_revision
+        self.lost_writes = lost_writes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3155,6 +3332,32 @@
                     self.is_delta = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.lost_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.lost_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.lost_writes = []
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = LostWrite()
+                        _elem139.read(iprot)
+                        self.lost_writes.append(_elem139)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3176,14 +3379,33 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter134 in self.items:
-                iter134.write(oprot)
+            for iter140 in self.items:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_delta is not None:
             oprot.writeFieldBegin('is_delta', TType.BOOL, 4)
             oprot.writeBool(self.is_delta)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 5)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.lost_era is not None:
+            oprot.writeFieldBegin('lost_era', TType.I64, 6)
+            oprot.writeI64(self.lost_era)
+            oprot.writeFieldEnd()
+        if self.lost_revision is not None:
+            oprot.writeFieldBegin('lost_revision', TType.I64, 7)
+            oprot.writeI64(self.lost_revision)
+            oprot.writeFieldEnd()
+        if self.lost_writes is not None:
+            oprot.writeFieldBegin('lost_writes', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.lost_writes))
+            for iter141 in self.lost_writes:
+                iter141.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3727,6 +3949,9 @@
     None,  # 0
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.I64, 'lost_era', None, None, ),  # 4
+    (5, TType.I64, 'lost_revision', None, None, ),  # 5
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -3755,11 +3980,21 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
 )
+all_structs.append(LostWrite)
+LostWrite.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'revision', None, None, ),  # 3
+    (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
+    (5, TType.STRUCT, 'removed', [CopyItem, None], None, ),  # 5
+)
 all_structs.append(CopyQuery)
 CopyQuery.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I64, 'era', None, None, ),  # 3
 )
 all_structs.append(CopyAnswer)
 CopyAnswer.thrift_spec = (
@@ -3768,6 +4003,10 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.LIST, 'items', (TType.STRUCT, [CopyItem, None], False), None, ),  # 3
     (4, TType.BOOL, 'is_delta', None, None, ),  # 4
+    (5, TType.I64, 'era', None, None, ),  # 5
+    (6, TType.I64, 'lost_era', None, None, ),  # 6
+    (7, TType.I64, 'lost_revision', None, None, ),  # 7
+    (8, TType.LIST, 'lost_writes', (TType.STRUCT, [LostWrite, None], False), None, ),  # 8
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -172,6 +172,10 @@
 struct CopyRevision {
   1: string prefix,
   2: i64 revision,
+  // Gateways of earlier versions send no eras; their revisions cannot be compared.
+  3: optional i64 era,
+  4: optional i64 lost_era,
+  5: optional i64 lost_revision,
 }
 
 struct Member {
@@ -198,9 +202,18 @@
   3: binary value,
 }
 
+struct LostWrite {
+  1: string key,
+  2: i64 era,
+  3: i64 revision,
+  4: optional binary value,
+  5: optional CopyItem removed,
+}
+
 struct CopyQuery {
   1: string prefix,
   2: i64 revision,
+  3: optional i64 era,
 }
 
 struct CopyAnswer {
@@ -208,6 +221,10 @@
   2: i64 revision,
   3: list<CopyItem> items,
   4: bool is_delta,
+  5: optional i64 era,
+  6: optional i64 lost_era,
+  7: optional i64 lost_revision,
+  8: list<LostWrite> lost_writes,
 }
 
 struct Envelope {
