Simulated gateways draw from generators of their own

peers.py and peer_view.py drew from the global generator, so that no seed repeated a simulation; the generator is passed in, as the clock is, and the simulated engines keep the order of their prompts. test_a_simulation_with_a_seed_can_be_repeated failed before.

--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -112,7 +112,14 @@
     (('10.0.0.2',), 2)
     """
 
-    def __init__(self, *, own_host: str, seed_hosts: tuple[str, ...]):
+    def __init__(
+        self,
+        *,
+        own_host: str,
+        seed_hosts: tuple[str, ...],
+        generator: random.Random | None = None,
+    ):
+        self._random = generator or random.Random()
         self._own_host = own_host
         self._seed_hosts = seed_hosts
         self._peers: dict[str, _Peer] = {}
@@ -218,7 +225,7 @@
         """Return up to `most` hosts that were heard, drawn at random."""
         hosts = list(self._heard_at)
         if len(hosts) > most:
-            hosts = random.sample(hosts, most)
+            hosts = self._random.sample(hosts, most)
         return tuple(
             Member(host=host, silent_seconds=max(0.0, now - self._heard_at[host]))
             for host in hosts
@@ -273,7 +280,7 @@
             if (known.latest, known.latest_lost) == latest
         ]
         near = [host for host in hosts if self._peers[host].failure_domain == domain]
-        return random.choice(near or hosts)
+        return self._random.choice(near or hosts)
 
     def _hear(self, host: str, *, at: float, now: float) -> None:
         if host == self._own_host or now - at > PEER_EXPIRY_SECONDS:
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -94,7 +94,9 @@
         crashes: CrashRecord,
         duty: ReadingDuty,
         log: EventLog,
+        generator: random.Random | None = None,
     ):
+        self._random = generator or random.Random()
         self._reactor = reactor
         self._settings = settings
         self._incarnation = incarnation
@@ -202,7 +204,9 @@
             deaths=encode_deaths(news.deaths), parts=encode_parts(news.parts)
         )
         hosts = self._view.hosts(now=self._reactor.seconds())
-        self._send_report(report, random.sample(hosts, min(NEWS_PEERS, len(hosts))))
+        self._send_report(
+            report, self._random.sample(hosts, min(NEWS_PEERS, len(hosts)))
+        )
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
@@ -227,7 +231,9 @@
         report.members, report.deaths = for_others
         others = [host for host in self._view.hosts(now=now) if host not in neighbours]
         pool = others or neighbours
-        self._send_report(report, random.sample(pool, min(GOSSIP_PEERS, len(pool))))
+        self._send_report(
+            report, self._random.sample(pool, min(GOSSIP_PEERS, len(pool)))
+        )
 
     def _report_changes(self) -> None:
         self._cancel_pending()
--- a/bilberryring/gateway/tests/test_peer_network.py
+++ b/bilberryring/gateway/tests/test_peer_network.py
@@ -118,3 +118,13 @@
     network.record_death(network.gateways[0], "e1", "f1")
     network.advance(3.0)
     assert all(network.knows_death(item, "f1") for item in network.gateways)
+
+
+def test_a_simulation_with_a_seed_can_be_repeated():
+    totals = []
+    for _ in range(2):
+        network = PeerNetwork(gateways=30, endpoints=60, seed=4, loss=0.05)
+        network.place_requests(per_second=100.0, seconds=4.0)
+        network.advance(4.0)
+        totals.append([item.bytes_received for item in network.gateways])
+    assert totals[0] == totals[1]
--- a/bilberryring/testing/crashing_parts.py
+++ b/bilberryring/testing/crashing_parts.py
@@ -44,7 +44,7 @@
     name: str
     starts: int = 1
     is_up: bool = True
-    running: set[_Prompt] = field(default_factory=set)
+    running: dict[str, _Prompt] = field(default_factory=dict)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -119,7 +119,7 @@
         if prompt.is_bad:
             self.outcomes.bad_sends.append((self._network.now, prompt.gateway))
         engine = self._random.choice(up)
-        engine.running.add(prompt)
+        engine.running[prompt.name] = prompt
         self._network.call_later(
             BEGIN_SECONDS, self._begin, prompt, engine, engine.starts
         )
@@ -133,7 +133,7 @@
             self._network.call_later(0.1, self._attempt, prompt)
 
     def _begin(self, prompt: _Prompt, engine: _Engine, starts: int) -> None:
-        if engine.starts != starts or prompt not in engine.running:
+        if engine.starts != starts or prompt.name not in engine.running:
             return
         if prompt.is_bad:
             self._crash(engine)
@@ -142,14 +142,14 @@
         self._network.call_later(WRITE_SECONDS, self._finish, prompt, engine, starts)
 
     def _finish(self, prompt: _Prompt, engine: _Engine, starts: int) -> None:
-        if engine.starts == starts and prompt in engine.running:
-            engine.running.remove(prompt)
+        if engine.starts == starts and prompt.name in engine.running:
+            del engine.running[prompt.name]
             prompt.gateway.crashes.record_served(prompt.parts, began_at=prompt.began_at)
 
     def _crash(self, engine: _Engine) -> None:
         self.outcomes.crashes.append(self._network.now)
         death = f"{engine.name}/{engine.starts}"
-        cut, engine.running = engine.running, set()
+        cut, engine.running = tuple(engine.running.values()), {}
         engine.starts += 1
         engine.is_up = False
         self._network.call_later(RESTART_SECONDS, setattr, engine, "is_up", True)
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -250,7 +250,10 @@
 
     def _start(self, host: str) -> None:
         settings = make_settings(host, self._seeds)
-        view = PeerView(own_host=host, seed_hosts=settings.seed_hosts)
+        generator = random.Random(self._random.randrange(2**32))
+        view = PeerView(
+            own_host=host, seed_hosts=settings.seed_hosts, generator=generator
+        )
         slices = EndpointSlices(
             clock=self._clock,
             settings=settings,
@@ -265,7 +268,7 @@
             peers=lambda: view.store_access(now=self._clock.seconds()),
         )
         duty.record(StoreAccess.WORKING)
-        crashes = CrashRecord(clock=self._clock)
+        crashes = CrashRecord(clock=self._clock, seed=generator.randrange(2**32))
         exchange = PeerExchange(
             reactor=self._clock,
             settings=settings,
@@ -277,6 +280,7 @@
             crashes=crashes,
             duty=duty,
             log=EventLog(process=host, role="gateway", stream=StringIO()),
+            generator=generator,
         )
         exchange.transport = _Transport(network=self, host=host)
         self._gateways[host] = SimulatedGateway(
