--- a/bilberryring/gateway/tests/test_peer_network.py
+++ b/bilberryring/gateway/tests/test_peer_network.py
@@ -124,6 +124,7 @@
     totals = []
     for _ in range(2):
         network = PeerNetwork(gateways=30, endpoints=60, seed=4, loss=0.05)
+        network.advance(1.0)
         network.place_requests(per_second=100.0, seconds=4.0)
         network.advance(4.0)
         totals.append([item.bytes_received for item in network.gateways])
