News of crashes go to the neighbours on the ring too

Change: four at random, and the two neighbours on the ring, so that a gateway is missed only if both neighbours are missed or their datagrams lost; as many datagrams as before.

--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -67,9 +67,12 @@
 """Members in one report; others follow in later ones, drawn at random."""
 INCARNATION_CHARS = 8
 """Characters of the incarnation that reports contain, to tell restarts apart."""
-NEWS_PEERS = 6
-"""Gateways that get the news of a crash at once, and pass it on. A few rounds reach
-hundreds of gateways, each of them several times."""
+NEWS_PEERS = 4
+"""Gateways, drawn at random, that get news of a crash at once, and pass it on. A few
+rounds reach hundreds of gateways."""
+NEWS_DISTANCE = 1
+"""Distance on the ring of the gateways that get them too, so that no gateway depends on
+chance alone: those that nobody draws hear from their neighbours."""
 NEWS_SECONDS = 0.05
 """Seconds for which news of crashes are collected before they are sent together."""
 COPY_RETRY_SECONDS = 0.2
@@ -203,10 +206,14 @@
         report = CrashReport(
             deaths=encode_deaths(news.deaths), parts=encode_parts(news.parts)
         )
-        hosts = self._view.hosts(now=self._reactor.seconds())
-        self._send_report(
-            report, self._random.sample(hosts, min(NEWS_PEERS, len(hosts)))
-        )
+        near = self._view.neighbours(distance=NEWS_DISTANCE)
+        others = [
+            host
+            for host in self._view.hosts(now=self._reactor.seconds())
+            if host not in near
+        ]
+        drawn = self._random.sample(others, min(NEWS_PEERS, len(others)))
+        self._send_report(report, (*near, *drawn))
 
     def _tick(self) -> None:
         now = self._reactor.seconds()
