Lost writes: unreadable ones never hold, and none holds longer when it is passed on

- the time for which a lost write holds began anew at each gateway that took it over;

Gateways of earlier versions: what they ask gets the answer that they know, and their own positions are not compared (tests).

--- a/bilberryring/fleet/lost_writes.py
+++ b/bilberryring/fleet/lost_writes.py
@@ -10,7 +10,7 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol as Interface
 
 MAX_LOST_WRITES = 8_192
@@ -47,13 +47,14 @@
     """The last write of a key before the store came back without it.
 
     For a removal `value` is `None`, and `removed` is the item that it removed, which
-    an older copy of the store can still have.
+    an older copy of the store can still have. It holds for at most `left_seconds`.
     """
 
     key: str
     revision: Revision
     value: bytes | None
     removed: PublishedItem | None = None
+    left_seconds: float = math.inf
 
 
 class LossRules(Interface):
@@ -100,6 +101,13 @@
         self._writes: dict[str, LostWrite] = {}
         self._until: dict[str, float] = {}
 
+    def remaining(self, *, now: float) -> tuple[LostWrite, ...]:
+        """Return all of them with the time that each has left."""
+        return tuple(
+            replace(write, left_seconds=self._until[write.key] - now)
+            for write in self.all
+        )
+
     @property
     def all(self) -> tuple[LostWrite, ...]:
         """All of them, the oldest first."""
@@ -128,7 +136,8 @@
         if is_removed or not self._holds(write, stored):
             return False
         self._writes[write.key] = write
-        self._until[write.key] = now + self._rules.hold_seconds(write.key)
+        seconds = min(write.left_seconds, self._rules.hold_seconds(write.key))
+        self._until[write.key] = now + seconds
         while len(self._writes) > MAX_LOST_WRITES:
             self._drop(next(iter(self._writes)))
         return True
@@ -148,8 +157,16 @@
             self._drop(key)
         return expired
 
-    def replace(self, writes: Iterable[tuple[LostWrite, PublishedItem | None]], *, now):
-        """Begin a new era with the writes that its first list lacks."""
+    def begin_era(
+        self,
+        writes: Iterable[tuple[LostWrite, PublishedItem | None]],
+        *,
+        now: float,
+    ) -> None:
+        """Begin a new era with the writes that its first list may lack.
+
+        Each comes with what the list has under its key.
+        """
         self._writes, self._until = {}, {}
         for write, stored in writes:
             self.add(write, stored=stored, is_removed=False, now=now)
--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -91,10 +91,9 @@
         """The items in the store, without removed ones."""
         return tuple(self._items.values())
 
-    @property
-    def lost_writes(self) -> tuple[LostWrite, ...]:
-        """The writes that the store has lost and that still hold."""
-        return self._lost.all
+    def lost_writes(self, *, now: float) -> tuple[LostWrite, ...]:
+        """Return the writes that the store has lost and that still hold."""
+        return self._lost.remaining(now=now)
 
     @property
     def keys(self) -> frozenset[str]:
@@ -117,11 +116,19 @@
         return item.value if item else None
 
     def begin_era(
-        self, items: Iterable[PublishedItem], *, revision: int, era: int, now: float
+        self,
+        items: Iterable[PublishedItem],
+        *,
+        revision: int,
+        era: int,
+        now: float,
+        latest: int = 0,
     ) -> tuple[str, ...]:
         """Start a later era with its first full copy; return the keys that changed.
 
-        What the copy lacks of the era before holds for as long as the rules say.
+        The copy is complete up to `revision`. `latest` is that of a peer's latest
+        change, which may be a removal. What the copy lacks of the era before holds for
+        as long as the rules say.
         """
         items = tuple(items)
         before = {key: self.value(key) for key in self.keys}
@@ -131,8 +138,9 @@
         self._removed, self._removed_revisions = {}, {}
         self._era = era
         self._revision = max((item.revision for item in items), default=0)
+        self._revision = max(self._revision, latest)
         self._complete_revision, self._dropped_revision = revision, 0
-        self._lost.replace(
+        self._lost.begin_era(
             ((write, self._items.get(write.key)) for write in known), now=now
         )
         return tuple(
--- a/bilberryring/gateway/copy_codec.py
+++ b/bilberryring/gateway/copy_codec.py
@@ -1,8 +1,10 @@
 """Translation between published items and the messages that copy them."""
 
+import math
 from collections.abc import Iterable
 
 from bilberryring.fleet import (
+    MS_PER_SECOND,
     LostWrite,
     PublishedItem,
     Replica,
@@ -46,7 +48,7 @@
     )
 
 
-def answer_query(query: CopyQuery, replica: Replica) -> CopyAnswer:
+def answer_query(query: CopyQuery, replica: Replica, *, now: float) -> CopyAnswer:
     """Return the changes since the query's revision, or all items.
 
     A gateway of an earlier version names no era, and gets the answer that it knows.
@@ -63,7 +65,9 @@
         era=replica.era,
         lost_era=position.latest_lost.era,
         lost_revision=position.latest_lost.number,
-        lost_writes=[_encode_lost_write(write) for write in replica.lost_writes],
+        lost_writes=[
+            _encode_lost_write(write) for write in replica.lost_writes(now=now)
+        ],
     )
 
 
@@ -80,6 +84,9 @@
             revision=_decode_lost(write.era, write.revision),
             value=write.value,
             removed=None if write.removed is None else _decode_item(write.removed),
+            left_seconds=math.inf
+            if write.left_ms is None
+            else write.left_ms / MS_PER_SECOND,
         )
         for write in answer.lost_writes or ()
     )
@@ -109,4 +116,7 @@
         revision=write.revision.number,
         value=write.value,
         removed=None if write.removed is None else _encode_item(write.removed),
+        left_ms=None
+        if math.isinf(write.left_seconds)
+        else max(0, round(write.left_seconds * MS_PER_SECOND)),
     )
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -395,7 +395,7 @@
                 if replica is None:
                     link.transport.abortConnection()
                     return
-                link.send(answer_query(message, replica))
+                link.send(answer_query(message, replica, now=self._copies.now()))
 
 
 def _resolve(waiting: Deferred, message: object) -> None:
--- a/bilberryring/gateway/published_copies.py
+++ b/bilberryring/gateway/published_copies.py
@@ -42,6 +42,10 @@
         """The prefixes that have a replica."""
         return tuple(self._replicas)
 
+    def now(self) -> float:
+        """Return the time in seconds, as for what the replicas hold."""
+        return self._clock.seconds()
+
     def replica(self, prefix: str) -> Replica | None:
         """Return the replica of a prefix, or `None` if there is none."""
         return self._replicas.get(prefix)
@@ -84,7 +88,9 @@
         """
         replica = self._replicas[prefix]
         if era > replica.era:
-            return self._begin_era(prefix, items, revision=revision, era=era)
+            return self._begin_era(
+                prefix, items, revision=revision, era=era, latest=revision
+            )
         if era < replica.era:
             return 0
         return self._notify(replica, replica.take_copy(items, revision=revision))
@@ -116,13 +122,13 @@
         replica = self._replicas[prefix]
         if era != replica.era:
             return 0
-        now = self._clock.seconds()
+        now = self.now()
         changed = replica.add_lost_writes(writes, latest_lost=latest_lost, now=now)
         return self._notify(replica, changed)
 
     def expire(self) -> tuple[str, ...]:
         """Forget lost writes that were not written again in time; return their keys."""
-        now = self._clock.seconds()
+        now = self.now()
         keys: list[str] = []
         for replica in self._replicas.values():
             expired = replica.expire_lost_writes(now=now)
@@ -131,11 +137,19 @@
         return tuple(keys)
 
     def _begin_era(
-        self, prefix: str, items: Iterable[PublishedItem], *, revision: int, era: int
+        self,
+        prefix: str,
+        items: Iterable[PublishedItem],
+        *,
+        revision: int,
+        era: int,
+        latest: int = 0,
     ) -> int:
         replica = self._replicas[prefix]
-        now = self._clock.seconds()
-        changed = replica.begin_era(items, revision=revision, era=era, now=now)
+        now = self.now()
+        changed = replica.begin_era(
+            items, revision=revision, era=era, now=now, latest=latest
+        )
         for listener in self._era_listeners:
             listener(prefix, replica)
         return self._notify(replica, changed)
--- /dev/null
+++ b/bilberryring/gateway/tests/test_copy_codec.py
@@ -0,0 +1,86 @@
+"""Copies between gateways, some of which are of an earlier version."""
+
+from bilberryring.fleet import NoLossRules, PublishedItem, Replica, Revision
+from bilberryring.gateway.copy_codec import (
+    answer_query,
+    decode_items,
+    decode_latest_lost,
+    decode_lost_writes,
+    make_query,
+)
+from bilberryring.gateway.report_codec import decode_report
+from bilberryring.wire import (
+    CopyQuery,
+    CopyRevision,
+    GatewayReport,
+    decode_envelope,
+    encode_envelope,
+)
+from bilberryring.wire.gen.ttypes import Envelope
+
+PREFIX = "op/"
+
+
+class KeepingRules(NoLossRules):
+    def supersedes(self, key, stored, lost):
+        return False
+
+    def keeps_missing(self, key):
+        return True
+
+    def hold_seconds(self, key):
+        return 9.0
+
+
+def item(key, revision, value=b"1"):
+    return PublishedItem(key=key, revision=revision, value=value)
+
+
+def restored_replica():
+    """A replica in era 2, whose store has lost `a` and the removal of `b`."""
+    replica = Replica(rules=KeepingRules())
+    before = [item("a", 7), item("b", 2), item("c", 3)]
+    replica.begin_era(before, revision=8, era=1, now=0.0)
+    replica.apply([item("b", 9, None)])
+    replica.begin_era([item("b", 2), item("c", 3)], revision=4, era=2, now=0.0)
+    return replica
+
+
+def transfer(query, replica, *, now=0.0):
+    answer = answer_query(query, replica, now=now)
+    return decode_envelope(encode_envelope(Envelope(copy_answer=answer))).copy_answer
+
+
+def test_lost_writes_go_with_a_copy():
+    replica = restored_replica()
+    answer = transfer(make_query(PREFIX, Replica().position), replica, now=4.0)
+    assert (answer.era, answer.is_delta) == (2, False)
+    assert decode_items(answer) == replica.items
+    assert decode_lost_writes(answer) == replica.lost_writes(now=4.0)
+    assert decode_latest_lost(answer) == Revision(era=1, number=9)
+
+
+def test_changes_are_sent_only_within_an_era():
+    replica = restored_replica()
+    replica.apply([item("d", 5)])
+    same_era = CopyQuery(prefix=PREFIX, revision=4, era=2)
+    earlier_era = CopyQuery(prefix=PREFIX, revision=9, era=1)
+    assert [each.key for each in decode_items(transfer(same_era, replica))] == ["d"]
+    assert not transfer(earlier_era, replica).is_delta
+
+
+def test_a_gateway_of_an_earlier_version_gets_the_answer_that_it_knows():
+    replica = restored_replica()
+    replica.apply([item("d", 5)])
+    answer = transfer(CopyQuery(prefix=PREFIX, revision=4), replica)
+    assert (answer.is_delta, answer.revision) == (True, 5)
+
+
+def test_the_positions_of_a_gateway_of_an_earlier_version_are_not_compared():
+    report = GatewayReport(
+        incarnation="i",
+        sequence=1,
+        revisions=[CopyRevision(prefix=PREFIX, revision=90)],
+    )
+    decoded = decode_report(report, host="10.0.0.2")
+    assert (decoded.knows_eras, decoded.positions) == (False, ())
--- a/bilberryring/platform/loss_rules.py
+++ b/bilberryring/platform/loss_rules.py
@@ -31,15 +31,17 @@
         """Whether the value in the store is as new as the lost one, or newer.
 
         Configurations go by their version; of one start of an endpoint, that it is
-        leaving is the later word. A value that cannot be read supersedes nothing.
+        leaving is the later word. A lost value that cannot be read never holds, and a
+        stored one supersedes none that can.
         """
-        try:
-            if key == CONFIGURATION_KEY:
-                return _version_of(stored) >= _version_of(lost)
-            if key.startswith(ENDPOINT_PREFIX):
-                return _is_as_late(key, stored, lost)
-        except ContentError:
+        if not _is_readable(key, lost):
+            return True
+        if not _is_readable(key, stored):
             return False
+        if key == CONFIGURATION_KEY:
+            return _version_of(stored) >= _version_of(lost)
+        if key.startswith(ENDPOINT_PREFIX):
+            return _is_as_late(key, stored, lost)
         return True
 
     def is_same(self, key: str, stored: bytes, removed: bytes) -> bool:
@@ -67,6 +69,17 @@
         return EVACUATION_HOLD_SECONDS
 
 
+def _is_readable(key: str, value: bytes) -> bool:
+    try:
+        if key == CONFIGURATION_KEY:
+            decode_configuration(value)
+        elif key.startswith(ENDPOINT_PREFIX):
+            decode_endpoint(key, value, now=0.0)
+    except ContentError:
+        return False
+    return True
+
+
 def _version_of(value: bytes) -> int:
     return decode_configuration(value).version
 
--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -60,7 +60,8 @@
         latest_lost = replica.position.latest_lost
         if latest_lost == Revision():
             return
-        self._restored_at = self._reactor.seconds()
+        self._restored_at = now = self._reactor.seconds()
+        held = [write.key for write in replica.lost_writes(now=now)]
         self._log.write(
             LogEvent.STORE_RESTORED,
             prefix=prefix,
@@ -69,8 +70,8 @@
             items=len(replica.items),
             lost_era=latest_lost.era,
             lost_revision=latest_lost.number,
-            holds=[write.key for write in replica.lost_writes[:MAX_LOGGED_KEYS]],
-            n_holds=len(replica.lost_writes),
+            holds=held[:MAX_LOGGED_KEYS],
+            n_holds=len(held),
         )
 
     def update_fleet(self, replica: Replica, keys: tuple[str, ...]) -> None:
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -3060,6 +3060,7 @@
      - revision
      - value
      - removed
+     - left_ms
 
     """
 
@@ -3069,15 +3070,17 @@
         'revision',
         'value',
         'removed',
+        'left_ms',
     )
 
 
-    def __init__(self, key=None, era=None, revision=None, value=None, removed=None,):
+    def __init__(self, key=None, era=None, revision=None, value=None, removed=None, left_ms=None,):
         self.key = key
         self.era = era
         self.revision = revision
         self.value = value
         self.removed = removed
+        self.left_ms = left_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3114,6 +3117,11 @@
                     self.removed.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3144,6 +3152,10 @@
             oprot.writeFieldBegin('removed', TType.STRUCT, 5)
             self.removed.write(oprot)
             oprot.writeFieldEnd()
+        if self.left_ms is not None:
+            oprot.writeFieldBegin('left_ms', TType.I32, 6)
+            oprot.writeI32(self.left_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3988,6 +4000,7 @@
     (3, TType.I64, 'revision', None, None, ),  # 3
     (4, TType.STRING, 'value', 'BINARY', None, ),  # 4
     (5, TType.STRUCT, 'removed', [CopyItem, None], None, ),  # 5
+    (6, TType.I32, 'left_ms', None, None, ),  # 6
 )
 all_structs.append(CopyQuery)
 CopyQuery.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -208,6 +208,8 @@
   3: i64 revision,
   4: optional binary value,
   5: optional CopyItem removed,
+  // Without it there is no limit.
+  6: optional i32 left_ms,
 }
 
 struct CopyQuery {
