Gateways of all sizes of fleet keep what a restored store has lost

- an endpoint that the copy lacks lapsed although the store had returned a second time since (two returns in a row failed with 3, 25 and 68 gateways): a return extends the time;
- a gateway that had started just before did not know which endpoints had left, and did not ask, as it had copied everything else (3 gateways, with and without a dropped history): a process younger than 10 s takes the lost writes of any older peer.

StoreWatch draws from a generator that can be passed in.

--- a/bilberryring/fleet/endpoints.py
+++ b/bilberryring/fleet/endpoints.py
@@ -126,6 +126,11 @@
             return
         self._remove(endpoint_id)
 
+    def hold_lapsed(self, *, until: float) -> None:
+        """Keep all lapsed endpoints until a time at least."""
+        for endpoint_id, lapses_at in self._lapsed_until.items():
+            self._lapsed_until[endpoint_id] = max(lapses_at, until)
+
     def expire_lapsed(self, *, now: float) -> tuple[EndpointId, ...]:
         """Remove and return lapsed endpoints that were not announced again in time."""
         expired = tuple(
--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -123,17 +123,22 @@
         era: int,
         now: float,
         latest: int = 0,
+        is_young: bool = False,
     ) -> tuple[str, ...]:
         """Start a later era with its first full copy; return the keys that changed.
 
         The copy is complete up to `revision`. `latest` is that of a peer's latest
         change, which may be a removal. What the copy lacks of the era before holds for
-        as long as the rules say.
+        as long as the rules say. A replica that `is_young` does not know what was
+        removed shortly before, so that any peer which is not knows more of the losses.
         """
         items = tuple(items)
         before = {key: self.value(key) for key in self.keys}
         known = self._known_writes()
-        self._latest_lost = max(self._latest_lost, self.position.latest)
+        number = 0 if is_young else self._revision
+        self._latest_lost = max(
+            self._latest_lost, Revision(era=self._era, number=number)
+        )
         self._items = {item.key: item for item in items}
         self._removed, self._removed_revisions = {}, {}
         self._era = era
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -132,7 +132,7 @@
         port, host = self._settings.peer_port, self._settings.host
         self._reactor.listenUDP(port, self, interface=host)
         self._listener = self._reactor.listenTCP(
-            port, _CopyFactory(copies=self._copies), interface=host
+            port, CopyFactory(copies=self._copies), interface=host
         )
         self.start_reports()
 
@@ -375,7 +375,7 @@
         )
 
 
-class _CopyFactory(Factory):
+class CopyFactory(Factory):
     """Sends the published items to peers that request them."""
 
     def __init__(self, *, copies: PublishedCopies):
--- a/bilberryring/gateway/published_copies.py
+++ b/bilberryring/gateway/published_copies.py
@@ -11,6 +11,10 @@
     Revision,
 )
 
+YOUNG_SECONDS = 10.0
+"""Seconds after its start in which a process may lack removals that an older copy of
+the store undoes."""
+
 ChangeListener = Callable[[Replica, tuple[str, ...]], None]
 EraListener = Callable[[str, Replica], None]
 
@@ -26,6 +30,7 @@
         self, *, prefixes: tuple[str, ...], clock, rules: LossRules | None = None
     ):
         self._clock = clock
+        self._started_at = clock.seconds()
         self._replicas = {prefix: Replica(rules=rules) for prefix in prefixes}
         self._listeners: list[ChangeListener] = []
         self._era_listeners: list[EraListener] = []
@@ -148,7 +153,12 @@
         replica = self._replicas[prefix]
         now = self.now()
         changed = replica.begin_era(
-            items, revision=revision, era=era, now=now, latest=latest
+            items,
+            revision=revision,
+            era=era,
+            now=now,
+            latest=latest,
+            is_young=now - self._started_at < YOUNG_SECONDS,
         )
         for listener in self._era_listeners:
             listener(prefix, replica)
--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -61,6 +61,7 @@
         if latest_lost == Revision():
             return
         self._restored_at = now = self._reactor.seconds()
+        self._fleet.endpoints.hold_lapsed(until=now + RECOVERY_GRACE_SECONDS)
         held = [write.key for write in replica.lost_writes(now=now)]
         self._log.write(
             LogEvent.STORE_RESTORED,
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -134,7 +134,9 @@
         duty: ReadingDuty,
         log: EventLog,
         entry_count,
+        generator: random.Random | None = None,
     ):
+        self._random = generator or random.Random()
         self._reactor = reactor
         self._store = store
         self._prefix = prefix
@@ -190,7 +192,7 @@
                 if self._is_stopped:
                     return
                 self._health.record_failure(self._prefix, error)
-                await self._pause(delay * random.uniform(0.7, 1.3))
+                await self._pause(delay * self._random.uniform(0.7, 1.3))
                 delay = min(delay * 2, MAX_RETRY_SECONDS)
             except CancelledError:
                 return
@@ -266,7 +268,7 @@
     def _watch_seconds(self) -> float:
         wait = WATCH_SECONDS_PER_ENTRY * self._entry_count()
         wait = min(max(wait, MIN_WATCH_SECONDS), MAX_WATCH_SECONDS)
-        wait *= random.uniform(0.8, 1.0)
+        wait *= self._random.uniform(0.8, 1.0)
         return min(wait, self._duty.seconds_until_settled or wait)
 
     async def _pause(self, seconds: float) -> None:
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -6,10 +6,13 @@
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from io import StringIO
 
+from twisted.internet.error import TCPTimedOutError
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
 
 from bilberryring.core import Fingerprint
 from bilberryring.fleet import (
@@ -17,6 +20,7 @@
     EndpointState,
     FleetConfiguration,
     FleetState,
+    LossRules,
     RequestKind,
     Route,
     Service,
@@ -26,7 +30,7 @@
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.peer_view import EndpointDeath, PeerView
-from bilberryring.gateway.peers import PeerExchange
+from bilberryring.gateway.peers import CopyFactory, PeerExchange
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.gateway.store_readers import ReadingDuty, StoreAccess
@@ -55,6 +59,8 @@
     duty: ReadingDuty
     exchange: PeerExchange
     crashes: CrashRecord
+    copies: PublishedCopies
+    generator: random.Random
     bytes_sent: int = 0
     bytes_received: int = 0
     datagrams_received: int = 0
@@ -82,12 +88,84 @@
         self._network.send(self._host, address[0], datagram)
 
 
+class _LinkTransport:
+    """One end of a simulated TCP connection between two gateways."""
+
+    def __init__(self, *, clock: Clock):
+        self._clock = clock
+        self._is_open = True
+        self.peer = None
+
+    def write(self, data: bytes) -> None:
+        self._clock.callLater(DELAY_SECONDS, self._deliver, data)
+
+    def abortConnection(self) -> None:
+        self._is_open = False
+
+    def loseConnection(self) -> None:
+        self._is_open = False
+
+    def getHandle(self) -> None:
+        return None
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        pass
+
+    def setTcpKeepAlive(self, enabled: bool) -> None:
+        pass
+
+    def _deliver(self, data: bytes) -> None:
+        if self._is_open:
+            self.peer.dataReceived(data)
+
+
+class SimulatedReactor:
+    """The clock of the network, with connections to the peers of one gateway."""
+
+    def __init__(self, *, network: "PeerNetwork", host: str):
+        self._network = network
+        self._host = host
+
+    def seconds(self) -> float:
+        """Return the simulated time."""
+        return self._network.clock.seconds()
+
+    def callLater(self, delay, call, *args, **kwargs):
+        """Call a function after some simulated time."""
+        return self._network.clock.callLater(delay, call, *args, **kwargs)
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None) -> None:
+        """Connect to the gateway on another host, unless one of them is down."""
+        clock = self._network.clock
+        source, target = (self._network.gateway(name) for name in (self._host, host))
+        if target is None or source.is_down or target.is_down:
+            failure = Failure(TCPTimedOutError())
+            clock.callLater(timeout, factory.clientConnectionFailed, None, failure)
+            return
+        near, far = _LinkTransport(clock=clock), _LinkTransport(clock=clock)
+        far.peer = factory.buildProtocol(None)
+        near.peer = CopyFactory(copies=target.copies).buildProtocol(None)
+        near.peer.makeConnection(far)
+        far.peer.makeConnection(near)
+
+
 class PeerNetwork:
     """Gateways before one service of engines; `loss` is the share of lost datagrams."""
 
     def __init__(
-        self, *, gateways: int, endpoints: int, seed: int = 1, loss: float = 0.0
+        self,
+        *,
+        gateways: int,
+        endpoints: int,
+        seed: int = 1,
+        loss: float = 0.0,
+        prefixes: tuple[str, ...] = ("a/", "b/"),
+        rules: LossRules | None = None,
+        on_start: Callable[["SimulatedGateway"], None] = lambda gateway: None,
     ):
+        self._prefixes = prefixes
+        self._rules = rules
+        self._on_start = on_start
         self._clock = Clock()
         self._random = random.Random(seed)
         self._loss = loss
@@ -99,6 +177,11 @@
         for host in self._hosts:
             self._clock.callLater(self._random.uniform(0.0, 0.3), self._start, host)
 
+    @property
+    def clock(self) -> Clock:
+        """The simulated clock."""
+        return self._clock
+
     @property
     def gateways(self) -> tuple[SimulatedGateway, ...]:
         """All gateways that were started, by the order of their start."""
@@ -114,6 +197,10 @@
         """The simulated time in seconds."""
         return self._clock.seconds()
 
+    def gateway(self, host: str) -> SimulatedGateway | None:
+        """Return the gateway on a host, if it was started."""
+        return self._gateways.get(host)
+
     def advance(self, seconds: float) -> None:
         """Let simulated time pass."""
         for _ in range(round(seconds / DELAY_SECONDS)):
@@ -269,14 +356,17 @@
         )
         duty.record(StoreAccess.WORKING)
         crashes = CrashRecord(clock=self._clock, seed=generator.randrange(2**32))
+        copies = PublishedCopies(
+            prefixes=self._prefixes, clock=self._clock, rules=self._rules
+        )
         exchange = PeerExchange(
-            reactor=self._clock,
+            reactor=SimulatedReactor(network=self, host=host),
             settings=settings,
             incarnation=host,
             view=view,
             slices=slices,
             tracker=tracker,
-            copies=PublishedCopies(prefixes=("a/", "b/"), clock=self._clock),
+            copies=copies,
             crashes=crashes,
             duty=duty,
             log=EventLog(process=host, role="gateway", stream=StringIO()),
@@ -291,8 +381,11 @@
             duty=duty,
             exchange=exchange,
             crashes=crashes,
+            copies=copies,
+            generator=generator,
         )
         exchange.start_reports()
+        self._on_start(self._gateways[host])
 
 
 def make_host(number: int) -> str:
--- /dev/null
+++ b/bilberryring/testing/restored_store.py
@@ -0,0 +1,176 @@
+"""Many gateways that read a store which comes back from an older copy.
+
+The gateways run what they read from the store and copy from each other; time and
+network are simulated.
+"""
+
+import json
+from io import StringIO
+
+from twisted.internet.task import deferLater
+
+from bilberryring.fleet import FleetState, PublishedItem
+from bilberryring.platform.loss_rules import PlatformLossRules
+from bilberryring.platform.store import (
+    HistoryLost,
+    Listing,
+    StoreError,
+    StoreRestored,
+)
+from bilberryring.platform.translation import PREFIXES, Translator
+from bilberryring.platform.watch import StoreHealth, StoreWatch
+from bilberryring.standins.gateway_site import make_configuration
+from bilberryring.standins.operator_store import OperatorStore, StoreChange
+from bilberryring.telemetry import EventLog
+from bilberryring.testing.peer_network import PeerNetwork, SimulatedGateway
+from bilberryring.wire import GatewayReport, decode_message, encode_message
+
+STORE_SECONDS = 0.004
+WATCH_STEP_SECONDS = 0.05
+EXPIRE_SECONDS = 0.25
+SERVICE = "model"
+
+
+class _GatewayStoreClient:
+    """The store as one gateway reaches it."""
+
+    def __init__(self, *, fleet: "RestoredStoreFleet", gateway: SimulatedGateway):
+        self._fleet = fleet
+        self._gateway = gateway
+
+    async def list(self, prefix: str) -> Listing:
+        await self._answer()
+        store = self._fleet.store
+        items = tuple(_to_item(item) for item in store.items(prefix))
+        return Listing(items=items, revision=store.revision, era=store.era)
+
+    async def watch(self, prefix: str, *, after: int, era: int, wait: float) -> Listing:
+        store, clock = self._fleet.store, self._fleet.network.clock
+        until = clock.seconds() + wait
+        while True:
+            await self._answer()
+            changes = store.changes(prefix, after=after)
+            if changes is None:
+                raise HistoryLost("status 410")
+            if changes or clock.seconds() >= until:
+                break
+            await deferLater(clock, WATCH_STEP_SECONDS)
+        if store.era != era:
+            raise StoreRestored("another era")
+        items = tuple(_to_item(item) for item in changes)
+        return Listing(items=items, revision=max(after, store.revision), era=era)
+
+    async def _answer(self) -> None:
+        await deferLater(self._fleet.network.clock, STORE_SECONDS)
+        if self._fleet.is_store_down or self._gateway.is_down:
+            raise StoreError("store_unreachable: simulated")
+
+
+class _EarlierTransport:
+    """Sends reports as a gateway of an earlier version does, without eras."""
+
+    def __init__(self, transport):
+        self._transport = transport
+
+    def write(self, datagram: bytes, address: tuple[str, int]) -> None:
+        message = decode_message(datagram)
+        if isinstance(message, GatewayReport):
+            for revision in message.revisions:
+                revision.era = revision.lost_era = revision.lost_revision = None
+            datagram = encode_message(message)
+        self._transport.write(datagram, address)
+
+
+class RestoredStoreFleet:
+    """A network of gateways, their store, and the fleet state of each."""
+
+    def __init__(self, *, gateways: int, seed: int):
+        self.store = OperatorStore()
+        self.is_store_down = False
+        self._fleets: dict[str, FleetState] = {}
+        self._translators: dict[str, Translator] = {}
+        self.network = PeerNetwork(
+            gateways=gateways,
+            endpoints=10,
+            seed=seed,
+            loss=0.01,
+            prefixes=PREFIXES,
+            rules=PlatformLossRules(),
+            on_start=self._start,
+        )
+
+    def state(self, gateway: SimulatedGateway) -> FleetState:
+        """Return what a gateway believes."""
+        return self._fleets[gateway.host]
+
+    def publish(self, version: int) -> None:
+        """Write a configuration."""
+        content = json.dumps(make_configuration(version)).encode()
+        self.store.put("op/config", content)
+
+    def announce(self, name: str, *, state: str = "ready", born: int = 1) -> None:
+        """Write the announcement of an endpoint."""
+        entry = {
+            "service": SERVICE,
+            "address": "10.9.9.9:1",
+            "zone": "d1",
+            "slots": 5,
+            "state": state,
+            "born": born,
+        }
+        self.store.put(f"servers/{name}", json.dumps(entry).encode())
+
+    def restore(self, copy, *, away: float, is_compacted: bool = False) -> None:
+        """Take the store away for some seconds; it comes back from the copy."""
+        self.is_store_down = True
+        self.network.advance(away)
+        self.store.restore(copy)
+        if is_compacted:
+            self.store.drop_history()
+        self.is_store_down = False
+
+    def make_earlier(self, gateway: SimulatedGateway) -> None:
+        """Let a gateway send reports as an earlier version does."""
+        gateway.exchange.transport = _EarlierTransport(gateway.exchange.transport)
+
+    def _start(self, gateway: SimulatedGateway) -> None:
+        clock = self.network.clock
+        log = EventLog(process=gateway.host, role="gateway", stream=StringIO())
+        fleet = self._fleets[gateway.host] = FleetState()
+        health = StoreHealth(
+            reactor=clock, fleet=fleet, peers=gateway.view, duty=gateway.duty, log=log
+        )
+        translator = self._translators[gateway.host] = Translator(
+            reactor=clock,
+            fleet=fleet,
+            health=health,
+            log=log,
+            on_endpoint_removed=lambda endpoint: None,
+        )
+        gateway.copies.add_era_listener(translator.begin_era)
+        gateway.copies.add_listener(translator.update_fleet)
+        gateway.copies.add_listener(
+            lambda replica, keys: gateway.exchange.report_change(is_urgent=True)
+        )
+        for prefix in PREFIXES:
+            StoreWatch(
+                reactor=clock,
+                store=_GatewayStoreClient(fleet=self, gateway=gateway),
+                prefix=prefix,
+                copies=gateway.copies,
+                health=health,
+                duty=gateway.duty,
+                log=log,
+                entry_count=lambda: gateway.view.entry_count(now=clock.seconds()),
+                generator=gateway.generator,
+            ).start()
+        self._expire(gateway)
+
+    def _expire(self, gateway: SimulatedGateway) -> None:
+        gateway.copies.expire()
+        self._translators[gateway.host].expire()
+        self.network.call_later(EXPIRE_SECONDS, self._expire, gateway)
+
+
+def _to_item(change: StoreChange) -> PublishedItem:
+    return PublishedItem(key=change.key, revision=change.revision, value=change.value)
