--- a/bilberryring/standins/store_server.py
+++ b/bilberryring/standins/store_server.py
@@ -22,7 +22,8 @@
 class StoreMode(msgspec.Struct, frozen=True, kw_only=True):
     """The faults that are injected into the store, and its page size.
 
-    With `refusing`, reads are answered with status 503; with `silent`, not at all.
+    With `refusing`, reads are answered with status 503, also watches that wait; with
+    `silent`, not at all.
     """
 
     refusing: bool = False
@@ -94,6 +95,9 @@
         closed: list[object] = []
         request.notifyFinish().addBoth(closed.append)
         while not closed:
+            if self._mode.refusing:
+                write_json(request, {"error": "busy"}, status=503)
+                return
             changes = self._store.changes(prefix, after=after)
             if changes is None:
                 write_json(request, {"error": "history is gone"}, status=410)
@@ -134,6 +138,7 @@
 
     async def _set_mode(self, request: Request) -> None:
         self._mode = msgspec.json.decode(request.read_body(), type=StoreMode)
+        self._waiters.wake_all()
         write_json(request, self._mode)
 
     async def _get_call_count(self, request: Request) -> None:
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -348,6 +348,46 @@
         test="bilberryring/platform/tests/test_answer_ends.py"
         "::test_a_stream_that_is_not_known_to_be_complete_is_resumed_or_cut",
     ),
+    Mechanism(
+        name="a watch notices that the store is in another era",
+        module="platform/store.py",
+        present="        _check_era(_era_of(response), expected=era)\n",
+        absent="",
+        test="bilberryring/platform/tests/test_restored_store.py"
+        "::test_an_endpoint_that_is_not_back_in_time_gets_no_more_requests",
+    ),
+    Mechanism(
+        name="what the store has lost goes with the copies",
+        module="gateway/copy_codec.py",
+        present="for write in replica.lost_writes(now=now)",
+        absent="for write in ()",
+        test="bilberryring/platform/tests/test_restored_store.py"
+        "::test_a_gateway_that_starts_after_the_return_gets_the_lost_writes_from_a_peer",
+    ),
+    Mechanism(
+        name="lost configurations and evacuations hold",
+        module="platform/loss_rules.py",
+        present="return key.startswith(OPERATOR_PREFIX)",
+        absent="return False",
+        test="bilberryring/platform/tests/test_restored_store_fleets.py"
+        "::test_two_returns_in_a_row_and_gateways_that_start_then",
+    ),
+    Mechanism(
+        name="a second return extends the time of missing endpoints",
+        module="platform/translation.py",
+        present="self._fleet.endpoints.hold_lapsed(until=now + RECOVERY_GRACE_SECONDS)",
+        absent="pass",
+        test="bilberryring/platform/tests/test_restored_store_fleets.py"
+        "::test_two_returns_in_a_row_and_gateways_that_start_then",
+    ),
+    Mechanism(
+        name="gateways of earlier versions are no readers",
+        module="gateway/peer_view.py",
+        present="            if self._peers[host].knows_eras\n",
+        absent="",
+        test="bilberryring/gateway/tests/test_peer_view.py"
+        "::test_a_peer_that_knows_no_eras_is_no_reader",
+    ),
     Mechanism(
         name="endpoints at the limit that they state get no request",
         module="gateway/endpoint_choice.py",
