--- a/bilberryring/testing/restored_store.py
+++ b/bilberryring/testing/restored_store.py
@@ -11,6 +11,7 @@
 
 from bilberryring.fleet import FleetState, PublishedItem
 from bilberryring.platform.loss_rules import PlatformLossRules
+from bilberryring.platform.names import CONFIGURATION_KEY, ENDPOINT_PREFIX
 from bilberryring.platform.store import (
     HistoryLost,
     Listing,
@@ -106,7 +107,7 @@
     def publish(self, version: int) -> None:
         """Write a configuration."""
         content = json.dumps(make_configuration(version)).encode()
-        self.store.put("op/config", content)
+        self.store.put(CONFIGURATION_KEY, content)
 
     def announce(self, name: str, *, state: str = "ready", born: int = 1) -> None:
         """Write the announcement of an endpoint."""
@@ -118,7 +119,7 @@
             "state": state,
             "born": born,
         }
-        self.store.put(f"servers/{name}", json.dumps(entry).encode())
+        self.store.put(f"{ENDPOINT_PREFIX}{name}", json.dumps(entry).encode())
 
     def restore(self, copy, *, away: float, is_compacted: bool = False) -> None:
         """Take the store away for some seconds; it comes back from the copy."""
