--- a/bilberryring/acceptance/accepted_sets.py
+++ b/bilberryring/acceptance/accepted_sets.py
@@ -125,7 +125,12 @@
         """Refuse the pending set for its content; the set in force stays."""
         if self._pending is not None:
             self._record_refusal(self._pending, reason.value, remedy)
-        self._drop_pending()
+        self.drop_pending()
+
+    def drop_pending(self) -> None:
+        """Forget the pending set and the parts fetched for it; it may come again."""
+        self._pending = None
+        self._pending_parts = {}
 
     def put_in_force(self, checked: SetInForce) -> bool:
         """Put a checked set in force; `False` when it is no longer acceptable.
@@ -141,7 +146,7 @@
             return False
         self._in_force = checked
         if self._pending is None or self._pending.number <= checked.manifest.number:
-            self._drop_pending()
+            self.drop_pending()
         return True
 
     def _not_first_digests(self) -> frozenset[Digest]:
@@ -154,10 +159,6 @@
     def _is_newer_than_pending(self, manifest: Manifest) -> bool:
         return self._pending is None or manifest.number > self._pending.number
 
-    def _drop_pending(self) -> None:
-        self._pending = None
-        self._pending_parts = {}
-
     def _record_refusal(self, manifest: Manifest, reason: str, remedy: str) -> None:
         self._refused[manifest.digest] = RefusedSet(
             number=manifest.number,
--- a/bilberryring/adapters/__init__.py
+++ b/bilberryring/adapters/__init__.py
@@ -4,10 +4,12 @@
     CALL_TIMEOUT_SECONDS,
     EngineClient,
     EngineError,
+    EngineSilentError,
     Generation,
     GenerationEnd,
 )
 from bilberryring.adapters.engine_protocol import (
+    MAX_FENCE,
     CancelRequest,
     GenerateEvent,
     GenerateRequest,
@@ -20,6 +22,7 @@
     SET_KEY_DIGEST_LENGTH,
     SET_KEY_DIGITS,
     SET_PREFIX,
+    ManifestChanges,
     PlatformError,
     PlatformReader,
     PlatformValue,
@@ -29,10 +32,12 @@
 from bilberryring.adapters.platform_protocol import ListedVm, WatchItem, WatchResponse
 
 __all__ = [
+    "MAX_FENCE",
     "CALL_TIMEOUT_SECONDS",
     "CancelRequest",
     "EngineClient",
     "EngineError",
+    "EngineSilentError",
     "GenerateEvent",
     "GenerateRequest",
     "Generation",
@@ -40,6 +45,7 @@
     "HeldRequest",
     "HeldResponse",
     "ListedVm",
+    "ManifestChanges",
     "PART_PREFIX",
     "PlatformError",
     "PlatformReader",
--- a/bilberryring/adapters/engine.py
+++ b/bilberryring/adapters/engine.py
@@ -13,7 +13,7 @@
     HeldResponse,
 )
 from bilberryring.core import MalformedJsonError, decode_json
-from bilberryring.http import HttpClient, LineStream
+from bilberryring.http import HttpClient, LineStream, ResponseTimeoutError
 
 CALL_TIMEOUT_SECONDS = 1.0
 """Timeout of requests other than generations."""
@@ -27,6 +27,10 @@
     """
 
 
+class EngineSilentError(EngineError):
+    """Raised when the engine gives no answer in time; it may be sound."""
+
+
 class GenerationEnd(Enum):
     """How a generation ended."""
 
@@ -34,6 +38,8 @@
     OUT_OF_MEMORY = "out_of_memory"
     CANCELLED = "cancelled"
     INTERRUPTED = "broken"
+    MALFORMED = "malformed"
+    """The engine sent something that is no answer; it may still hold the prompt."""
 
 
 class Generation:
@@ -54,8 +60,10 @@
         self._on_held = on_held
         self._decoder = msgspec.json.Decoder(GenerateEvent)
         self._end_event: GenerateEvent | None = None
+        self._opening: Deferred[LineStream] | None = None
         self._stream: LineStream | None = None
         self._is_aborted = False
+        self._malformation = ""
 
     @property
     def was_accepted(self) -> bool:
@@ -67,28 +75,42 @@
         """The number of tokens in the answer, or 0 until the engine reports the end."""
         return self._end_event.count if self._end_event else 0
 
+    @property
+    def malformation(self) -> str:
+        """What is wrong with the answer, or an empty string."""
+        return self._malformation
+
     def receive_lines(self, lines: list[bytes]) -> None:
-        """Decode lines of the answer and pass their tokens on."""
-        texts: list[str] = []
-        first_index = 0
-        for line in lines:
-            if not line:
-                continue
-            event = self._decoder.decode(line)
-            if event.held:
-                self._on_held()
-                continue
-            if event.end:
-                self._end_event = event
-                continue
-            if not texts:
-                first_index = event.index
-            texts.append(event.text)
-        if texts and not self._is_aborted:
-            self._on_tokens(first_index, texts)
+        """Decode lines of the answer and pass their tokens on.
+
+        The stream is closed after a line that is malformed; the tokens before it count.
+        """
+        if self._malformation:
+            return
+        tokens: list[GenerateEvent] = []
+        try:
+            for line in lines:
+                if line:
+                    self._receive_event(self._decoder.decode(line), tokens)
+        except (
+            MalformedJsonError,
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
+            self._malformation = str(error)
+        if tokens and not self._is_aborted:
+            self._on_tokens(tokens[0].index, [token.text for token in tokens])
+        if self._malformation:
+            self.abort()
+
+    def attach_opening(self, opening: Deferred[LineStream]) -> None:
+        """Attach what waits for the head of the answer."""
+        self._opening = opening
 
     def attach_stream(self, stream: LineStream) -> None:
         """Attach the stream that delivers the answer."""
+        self._opening = None
         self._stream = stream
         if self._is_aborted:
             stream.abort()
@@ -99,6 +121,8 @@
         This does not cancel the prompt in the engine; see `EngineClient.cancel`.
         """
         self._is_aborted = True
+        if self._opening is not None:
+            self._opening.cancel()
         if self._stream is not None:
             self._stream.abort()
 
@@ -108,6 +132,8 @@
         The engine's last event alone proves that the answer is complete, however the
         connection was closed after it.
         """
+        if self._malformation:
+            return GenerationEnd.MALFORMED
         if self._end_event is None:
             return GenerationEnd.INTERRUPTED
         match self._end_event.end:
@@ -118,6 +144,17 @@
             case _:
                 return GenerationEnd.COMPLETED
 
+    def _receive_event(self, event: GenerateEvent, tokens: list[GenerateEvent]) -> None:
+        """Handle an event; a token is added to those received at the same time."""
+        if event.held:
+            self._on_held()
+        elif event.end:
+            self._end_event = event
+        elif tokens and event.index != tokens[-1].index + 1:
+            raise MalformedJsonError(f"token {event.index} is out of order")
+        else:
+            tokens.append(event)
+
 
 class EngineClient:
     """Sends orders, which carry fencing numbers, to one engine."""
@@ -132,12 +169,16 @@
 
         Tokens are passed to `generation` as they arrive.
         """
-        try:
-            stream = await self._client.open_line_stream(
+        opening = Deferred.fromCoroutine(
+            self._client.open_line_stream(
                 "/v1/generate",
                 body=msgspec.json.encode(order),
                 on_lines=generation.receive_lines,
             )
+        )
+        generation.attach_opening(opening)
+        try:
+            stream = await opening
         except Exception as error:
             raise EngineError(f"engine_unreachable: {error}")
         if stream.status != 200:
@@ -167,6 +208,8 @@
             answer = await self._client.request(
                 method, path, body=body, timeout=CALL_TIMEOUT_SECONDS
             )
+        except ResponseTimeoutError as error:
+            raise EngineSilentError(f"engine_silent: {error}")
         except Exception as error:
             raise EngineError(f"engine_unreachable: {error}")
         if answer.status != 200:
--- a/bilberryring/adapters/engine_protocol.py
+++ b/bilberryring/adapters/engine_protocol.py
@@ -1,7 +1,19 @@
 """Messages of the HTTP interface of model engines."""
 
+from typing import Annotated
+
 import msgspec
 
+MAX_FENCE = 10**18
+"""Highest fencing number that counts as one."""
+MAX_INDEX = 2**31 - 1
+"""Highest index of a token in an answer; messages between processes hold no higher."""
+MAX_TOKENS = 2**53 - 1
+
+_Fence = Annotated[int, msgspec.Meta(ge=0, le=MAX_FENCE)]
+_Index = Annotated[int, msgspec.Meta(ge=0, le=MAX_INDEX)]
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+
 
 class GenerateRequest(msgspec.Struct, frozen=True, kw_only=True):
     """The body of `POST /v1/generate`.
@@ -33,11 +45,11 @@
     or gives the reason for the `end` and the `count` of tokens in the whole answer.
     """
 
-    index: int = 0
+    index: _Index = 0
     text: str = ""
     held: bool = False
     end: str = ""
-    count: int = 0
+    count: _Index = 0
 
 
 class CancelRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -52,7 +64,7 @@
 
     request: str
     holder: str
-    kv_tokens: int
+    kv_tokens: _Tokens
 
 
 class HeldResponse(msgspec.Struct, frozen=True, kw_only=True):
@@ -63,7 +75,7 @@
     """
 
     incarnation: str
-    kv_used: int
-    kv_tokens: int
-    highest_fence: int
+    kv_used: _Tokens
+    kv_tokens: _Tokens
+    highest_fence: _Fence
     requests: tuple[HeldRequest, ...]
--- a/bilberryring/adapters/platform.py
+++ b/bilberryring/adapters/platform.py
@@ -3,19 +3,33 @@
 It writes nothing to the platform.
 """
 
+import re
 from dataclasses import dataclass
 from urllib.parse import quote
 
-from bilberryring.adapters.platform_protocol import ListedVm, WatchResponse
+import msgspec
+
+from bilberryring.adapters.platform_protocol import (
+    ListedVm,
+    WatchItem,
+    WatchResponse,
+)
 from bilberryring.core import MalformedJsonError, decode_json
-from bilberryring.http import HttpClient
+from bilberryring.fleet import Revision, parse_era
+from bilberryring.http import HttpClient, HttpResponse
+from bilberryring.objects import NAME_PATTERN, is_address
+from bilberryring.platform.names import STORE_ERA
 
 SET_PREFIX = "set/"
 PART_PREFIX = "part/"
 SET_KEY_DIGITS = 12
+SET_KEY = re.compile(rf"{SET_PREFIX}([0-9]{{1,18}})(?:-[0-9A-Za-z]*)?")
+"""Keys of manifests; messages hold no numbers of more digits."""
 READ_TIMEOUT_SECONDS = 5.0
 """Timeout of a read; a watch has it in addition to its own waiting time."""
 SET_KEY_DIGEST_LENGTH = 16
+MAX_DETAIL_CHARS = 200
+"""Characters of a header that an error keeps."""
 
 
 class PlatformError(Exception):
@@ -30,6 +44,25 @@
     is_written_once: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ManifestChanges:
+    """The keys of manifests that were written after a revision.
+
+    `revision` is the newest one that the platform took into account, with its era.
+    """
+
+    revision: Revision
+    items: tuple[WatchItem, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VmList:
+    """The VMs in the platform's list, and how many entries of it name none."""
+
+    vms: tuple[ListedVm, ...]
+    n_unreadable: int = 0
+
+
 def set_key(number: int, digest: str) -> str:
     """Return the key under which operators publish a manifest.
 
@@ -47,10 +80,8 @@
 
     The result is `None` if `key` is not the key of a manifest.
     """
-    digits = key.removeprefix(SET_PREFIX).split("-")[0]
-    if not key.startswith(SET_PREFIX) or not digits.isdigit():
-        return None
-    return int(digits)
+    found = SET_KEY.fullmatch(key)
+    return int(found.group(1)) if found else None
 
 
 class PlatformReader:
@@ -71,7 +102,7 @@
 
     async def read(self, key: str) -> PlatformValue | None:
         """Return the value of a key, or `None` if the key does not exist."""
-        answer = await self._get(f"/v1/values/{key}?reader={self._reader}")
+        answer = await self._get(f"/v1/values/{quote(key)}?reader={self._reader}")
         if answer.status == 404:
             return None
         created = answer.header("x-created")
@@ -79,22 +110,32 @@
             content=answer.body, is_written_once=created == answer.header("x-modified")
         )
 
-    async def watch_manifests(self, *, after: int, wait: float) -> WatchResponse:
+    async def watch_manifests(self, *, after: int, wait: float) -> ManifestChanges:
         """Return the keys of manifests written after the revision `after`.
 
-        If there are none, the platform waits up to `wait` seconds for one.
+        If there are none, the platform waits up to `wait` seconds for one. The answer
+        can be of another era than `after`, and then lacks keys of its own era.
         """
         answer = await self._get(
             f"/v1/watch?prefix={SET_PREFIX}&after={after}&wait={wait}"
             f"&reader={self._reader}",
             timeout=wait + READ_TIMEOUT_SECONDS,
         )
-        return _decode(answer.body, WatchResponse)
+        changes = _decode(answer.body, WatchResponse)
+        return ManifestChanges(
+            revision=Revision(era=_era_of(answer), number=changes.revision),
+            items=changes.items,
+        )
+
+    async def list_vms(self) -> VmList:
+        """Return the platform's VM list, which may be out of date.
 
-    async def list_vms(self) -> tuple[ListedVm, ...]:
-        """Return the platform's VM list, which may be out of date."""
+        An entry that names no VM with an address is left out and counted.
+        """
         answer = await self._get(f"/v1/vms?reader={self._reader}")
-        return _decode(answer.body, tuple[ListedVm, ...])
+        entries = _decode(answer.body, tuple[msgspec.Raw, ...])
+        vms = tuple(vm for entry in entries if (vm := _decode_vm(entry)) is not None)
+        return VmList(vms=vms, n_unreadable=len(entries) - len(vms))
 
     async def _get(self, path: str, *, timeout: float = READ_TIMEOUT_SECONDS):
         self._calls += 1
@@ -113,6 +154,25 @@
         return answer
 
 
+def _era_of(answer: HttpResponse) -> int:
+    stated = answer.header(STORE_ERA)
+    era = parse_era(stated)
+    if era is None:
+        raise PlatformError(
+            f"platform_malformed: era {stated[:MAX_DETAIL_CHARS]!r}. "
+            "Remedy: none, the read is repeated later"
+        )
+    return era
+
+
+def _decode_vm(entry: msgspec.Raw) -> ListedVm | None:
+    try:
+        vm = decode_json(entry, ListedVm)
+    except MalformedJsonError:
+        return None
+    return vm if NAME_PATTERN.match(vm.name) and is_address(vm.address) else None
+
+
 def _decode(body: bytes, message_type):
     try:
         return decode_json(body, message_type)
--- a/bilberryring/core/__init__.py
+++ b/bilberryring/core/__init__.py
@@ -6,6 +6,7 @@
     to_micros,
     use_monotonic_time,
 )
+from bilberryring.core.delivery import Delivery
 from bilberryring.core.errors import (
     ErrorCode,
     RunOutcome,
@@ -22,12 +23,20 @@
     new_request_id,
 )
 from bilberryring.core.json_decoding import MalformedJsonError, decode_json
+from bilberryring.core.numbers import parse_number, parse_whole_number
+from bilberryring.core.tcp_options import (
+    KEEPALIVE_SECONDS,
+    TCP_USER_TIMEOUT_MS,
+    set_tcp_options,
+)
 
 __all__ = [
     "AttemptId",
+    "Delivery",
     "ErrorCode",
     "Fingerprint",
     "Incarnation",
+    "KEEPALIVE_SECONDS",
     "MalformedJsonError",
     "PromptPartId",
     "ReceiverClock",
@@ -35,10 +44,14 @@
     "RunOutcome",
     "ServingError",
     "SettingsError",
+    "TCP_USER_TIMEOUT_MS",
     "decode_json",
     "from_micros",
     "new_incarnation",
     "new_request_id",
+    "set_tcp_options",
+    "parse_number",
+    "parse_whole_number",
     "to_micros",
     "use_monotonic_time",
 ]
--- /dev/null
+++ b/bilberryring/core/delivery.py
@@ -0,0 +1,15 @@
+"""What a caller has got of the response to its request."""
+
+from enum import Enum
+
+
+class Delivery(Enum):
+    """What a caller has got of the response to its request."""
+
+    WHOLE = "whole"
+    """All of it, with the mark of its end."""
+    UNMARKED = "unmarked"
+    """All that is known of it, without a mark of its end."""
+    CUT = "cut"
+    """A part of it; for a stream, also one that ends with an error."""
+    NOTHING = "nothing"
--- a/bilberryring/entry/answer_sinks.py
+++ b/bilberryring/entry/answer_sinks.py
@@ -6,10 +6,9 @@
 
 import msgspec
 from twisted.internet.interfaces import IPushProducer
-from twisted.web.server import Request
 from zope.interface import implementer
 
-from bilberryring.core import ServingError
+from bilberryring.core import Delivery, ServingError
 from bilberryring.entry.openai_messages import (
     AnswerMessage,
     ChatChoice,
@@ -19,7 +18,12 @@
     TextChoice,
     Usage,
 )
-from bilberryring.http import problem_from_error, write_json, write_problem
+from bilberryring.http import (
+    BoundedRequest,
+    problem_from_error,
+    write_json,
+    write_problem,
+)
 
 MAX_UNREAD_BYTES = 256 * 1024
 MAX_PAUSE_SECONDS = 30.0
@@ -74,7 +78,7 @@
         self,
         *,
         reactor,
-        request: Request,
+        request: BoundedRequest,
         answer_format: AnswerFormat,
         on_too_slow: Callable[[], None],
     ):
@@ -88,6 +92,7 @@
         self._is_paused = False
         self._pause_timer = None
         self._is_closed = False
+        self._has_failed = False
         self._kind = (
             "chat.completion.chunk" if answer_format.is_chat else "text_completion"
         )
@@ -97,6 +102,11 @@
         """Whether the response headers and a first event were written."""
         return self._has_begun
 
+    @property
+    def delivery(self) -> Delivery:
+        """What the caller has got; a stream that ends with an error is cut."""
+        return Delivery.CUT if self._has_failed else self._request.delivery
+
     def write_tokens(self, texts: list[str]) -> None:
         """Send the texts of new tokens as one event."""
         text = "".join(texts)
@@ -133,6 +143,7 @@
             self._is_closed = True
             write_problem(self._request, error, request_id=self._format.request_id)
             return
+        self._has_failed = True
         problem = problem_from_error(error, request_id=self._format.request_id)
         body = _ENCODER.encode({"error": problem})
         self._write(b"event: error\ndata: " + body + b"\n\n")
@@ -212,7 +223,7 @@
 class JsonSink:
     """Sends the complete answer as one JSON body."""
 
-    def __init__(self, *, request: Request, answer_format: AnswerFormat):
+    def __init__(self, *, request: BoundedRequest, answer_format: AnswerFormat):
         self._request = request
         self._format = answer_format
         self._is_closed = False
@@ -222,6 +233,11 @@
         """Always false, since nothing is written before the answer is complete."""
         return False
 
+    @property
+    def delivery(self) -> Delivery:
+        """What the caller has got."""
+        return self._request.delivery
+
     def write_tokens(self, texts: list[str]) -> None:
         """Do nothing: `finish` is given the whole text."""
 
--- a/bilberryring/entry/attempt_channel.py
+++ b/bilberryring/entry/attempt_channel.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointSilent:
-    """The sidecar sent nothing for too long, although its link is open."""
+    """The endpoint has been silent for too long, although its link is open.
+
+    It may be sound, so the attempt goes on; this is repeated while it is silent.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/bilberryring/entry/caller_site.py
+++ b/bilberryring/entry/caller_site.py
@@ -1,11 +1,12 @@
 """The HTTP site for callers: completions, models, and plain services."""
 
 import hashlib
+from collections.abc import Coroutine
 from dataclasses import dataclass
 
 import msgspec
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.web.resource import Resource
-from twisted.web.server import Request
 
 from bilberryring.core import (
     ErrorCode,
@@ -33,6 +34,7 @@
     ModelList,
 )
 from bilberryring.entry.prompt_request import PromptRequest
+from bilberryring.entry.request_ending import RequestEnding
 from bilberryring.entry.service_request import (
     ServiceCall,
     ServiceRequest,
@@ -60,16 +62,30 @@
 class _Caller:
     """An identified caller and the objects in force when its request came."""
 
-    request_id: RequestId
+    ending: RequestEnding
     objects: ObjectSet
     workspace: Workspace
 
+    @property
+    def request_id(self) -> RequestId:
+        """The id of the request."""
+        return self.ending.request_id
+
 
 class CallerSite:
     """Builds the HTTP resources for callers from the state of the entry."""
 
     def __init__(self, *, state: EntryState):
         self._state = state
+        self._tasks: set[Deferred] = set()
+
+    def end_all(self) -> None:
+        """Answer all requests in progress, as the process exits.
+
+        Their outcome is unknown.
+        """
+        for task in tuple(self._tasks):
+            task.cancel()
 
     def resource(self) -> Resource:
         """Return the root of the site."""
@@ -85,22 +101,44 @@
         return root
 
     def _leaf(self, handle) -> AsyncResource:
-        """Return a resource that identifies the caller before it calls `handle`."""
+        """Return a resource that identifies the caller before it calls `handle`.
+
+        Each request leaves one last record, which says what its caller got.
+        """
 
         async def handle_request(request: BoundedRequest) -> None:
-            request_id = new_request_id()
+            ending = RequestEnding(request=request, request_id=new_request_id())
             self._state.request_began()
             try:
-                await handle(request, self._identify_caller(request, request_id))
+                caller = self._identify_caller(request, ending)
+                await self._run(handle(request, caller))
+                self._state.record_finished(ending)
             except ServingError as error:
-                self._report_failure(request, request_id, error)
+                self._report_failure(ending, error)
+            except Exception as error:
+                self._state.log_fault(error)
+                fault = ServingError(
+                    code=ErrorCode.INTERNAL, outcome=RunOutcome.UNKNOWN
+                )
+                self._report_failure(ending, fault)
             finally:
                 self._state.request_ended()
 
         return AsyncResource(handle=handle_request, on_fault=self._state.log_fault)
 
+    async def _run(self, handling: Coroutine) -> None:
+        """Run the task of a request, which `end_all` may end with `ServingError`."""
+        task = Deferred.fromCoroutine(handling)
+        self._tasks.add(task)
+        try:
+            await task
+        except CancelledError:
+            raise _stopped_error()
+        finally:
+            self._tasks.discard(task)
+
     def _identify_caller(
-        self, request: BoundedRequest, request_id: RequestId
+        self, request: BoundedRequest, ending: RequestEnding
     ) -> _Caller:
         """Return the caller that the API key identifies.
 
@@ -119,21 +157,19 @@
             raise _not_run_error(ErrorCode.KEY_UNKNOWN)
         if request.is_body_too_large:
             raise _not_run_error(ErrorCode.BODY_TOO_LARGE)
-        return _Caller(request_id=request_id, objects=objects, workspace=workspace)
-
-    def _report_failure(
-        self, request: Request, request_id: RequestId, error: ServingError
-    ) -> None:
-        self._state.log.write(
-            LogEvent.REQUEST_FAILED,
-            request=request_id,
-            code=error.code.value,
-            outcome=error.outcome.value,
-        )
-        self._state.count_failure(error.code)
-        is_open = not request.finished and not request._disconnected
-        if is_open and not request.startedWriting:
-            write_problem(request, error, request_id=request_id)
+        return _Caller(ending=ending, objects=objects, workspace=workspace)
+
+    def _report_failure(self, ending: RequestEnding, error: ServingError) -> None:
+        """Send the error if nothing was sent, and write the last record."""
+        request = ending.request
+        if not request.finished and not request.has_caller_left:
+            if request.startedWriting:
+                request.loseConnection()
+            else:
+                if self._state.is_draining:
+                    _close_after_response(request)
+                write_problem(request, error, request_id=ending.request_id)
+        self._state.record_failed(ending, error)
 
     async def _models(self, request: BoundedRequest, caller: _Caller) -> None:
         entries = tuple(ModelEntry(id=name) for name in caller.workspace.models)
@@ -181,10 +217,11 @@
         task = self._state.create_prompt_request(prompt, sink)
         tasks.append(task)
         request.notifyFinish().addErrback(lambda _: task.caller_disconnected())
-        await self._run_prompt(prompt, task, sink)
+        caller.ending.sink = sink
+        await self._run_prompt(prompt, task, caller.ending)
 
     async def _run_prompt(
-        self, prompt: CallerPrompt, task: PromptRequest, sink: AnswerSink
+        self, prompt: CallerPrompt, task: PromptRequest, ending: RequestEnding
     ) -> None:
         self._state.log.write(
             LogEvent.REQUEST_RECEIVED,
@@ -196,9 +233,13 @@
         try:
             times = await task.run()
         except ServingError as error:
-            sink.fail(error)
+            ending.sink.fail(error)
             raise
-        self._state.observe_answer(prompt, times)
+        except CancelledError:
+            error = _stopped_error()
+            ending.sink.fail(error)
+            raise error
+        ending.fields = self._state.observe_answer(prompt, times)
 
     def _build_prompt(
         self, caller: _Caller, body: ChatRequest | CompletionRequest, text: str
@@ -242,7 +283,7 @@
         return model
 
     async def _service(self, request: BoundedRequest, caller: _Caller) -> None:
-        path = [part.decode() for part in request.postpath]
+        path = [_decode_text(part) for part in request.postpath]
         service = self._find_service(caller, path[0] if path else "")
         match path[1:]:
             case ["tickets"] if request.method == b"POST":
@@ -267,7 +308,7 @@
     async def _call_service(
         self, request: BoundedRequest, caller: _Caller, service: Service, path: str
     ) -> None:
-        method = request.method.decode()
+        method = _decode_text(request.method)
         ticket = request.getHeader(IDEMPOTENCY_HEADER) or ""
         if not ticket and method not in service.repeatable_methods:
             raise _not_run_error(ErrorCode.TICKET_REQUIRED)
@@ -292,9 +333,10 @@
         task: ServiceRequest = self._state.create_service_request(call)
         request.notifyFinish().addErrback(lambda _: task.caller_disconnected())
         answer = await task.run()
-        self._state.log.write(LogEvent.REQUEST_FINISHED, request=caller.request_id)
         request.setResponseCode(answer.status)
         request.setHeader(b"content-type", answer.content_type.encode())
+        if answer.content_encoding:
+            request.setHeader(b"content-encoding", answer.content_encoding.encode())
         request.setHeader(b"x-request-id", caller.request_id.encode())
         if answer.replayed:
             request.setHeader(REPLAYED_HEADER, b"true")
@@ -302,6 +344,13 @@
         request.finish()
 
 
+def _decode_text(data: bytes) -> str:
+    try:
+        return data.decode()
+    except UnicodeDecodeError as error:
+        raise _not_run_error(ErrorCode.REQUEST_MALFORMED, detail=str(error))
+
+
 def _decode(data: bytes, body_type):
     try:
         return decode_json(data, body_type)
@@ -317,6 +366,25 @@
     return Fingerprint(fingerprint_hash.hexdigest())
 
 
+def _close_after_response(request: BoundedRequest) -> None:
+    """Announce that the connection is closed after the response, and close it then.
+
+    A connection on which another request has been received stays open for that one.
+    """
+    if not request.channel.has_next_request:
+        request.channel.persistent = False
+        request.setHeader(b"connection", b"close")
+
+
+def _stopped_error() -> ServingError:
+    """Return the error of a request that is in progress when the process exits."""
+    return ServingError(
+        code=ErrorCode.OUTCOME_UNKNOWN,
+        outcome=RunOutcome.UNKNOWN,
+        detail="the entry shuts down",
+    )
+
+
 def _no_ledger_error(request: BoundedRequest, code: ErrorCode) -> ServingError:
     """Return the error of a request that is refused before its ledger is asked.
 
--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -5,11 +5,11 @@
 
 from functools import partial
 
-from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from bilberryring.adapters import PlatformError, PlatformReader
 from bilberryring.core import new_incarnation
+from bilberryring.entry.caller_channel import CALLER_LIMITS, EntryChannel
 from bilberryring.entry.caller_site import CallerSite
 from bilberryring.entry.entry_state import EntryState
 from bilberryring.entry.explain import explain_prompt
@@ -18,6 +18,7 @@
 from bilberryring.objects import ModelEndpoint, ObjectSet
 from bilberryring.process.configuration import ConfigurationTask
 from bilberryring.process.explanations import ExplainQuery
+from bilberryring.process.loops import make_loop, start_task
 from bilberryring.process.operator_site import (
     EndpointStatus,
     ProcessStatus,
@@ -80,19 +81,30 @@
             configuration=self._configuration,
             links=self._links,
         )
+        self._caller_site = CallerSite(state=self._state)
         self._is_ready_logged = False
         self._is_leaving = False
-        self._vm_list_loop = LoopingCall(self._start_vm_list_read)
-        self._vm_list_loop.clock = reactor
-        self._track_loop = LoopingCall(self._update_tracking)
-        self._track_loop.clock = reactor
+        self._unreadable_vms = 0
+        self._vm_list_loop = make_loop(
+            reactor=reactor, work=self._start_vm_list_read, log=log
+        )
+        self._track_loop = make_loop(
+            reactor=reactor, work=self._update_tracking, log=log
+        )
 
     def start(self) -> None:
         """Bind the listening addresses and start the periodic tasks."""
-        root = CallerSite(state=self._state).resource()
+        root = self._caller_site.resource()
         add_health_resources(root, is_ready=self._is_ready)
         self._listeners.listen_http(
-            self._settings.caller_address, root, key="caller_address"
+            self._settings.caller_address,
+            root,
+            key="caller_address",
+            channel=EntryChannel,
+            limits=CALLER_LIMITS,
+            on_refused=lambda code: self._log.write(
+                LogEvent.CALLER_REFUSED, code=code.value
+            ),
         )
         operators = operator_resource(
             status=self._status, metrics=self._metrics, is_ready=self._is_ready
@@ -112,7 +124,8 @@
         """Stop taking new requests and wait for those in progress.
 
         Readiness fails first. New requests are still accepted for
-        `leave_balancer_seconds`, so that the load balancer can notice it.
+        `leave_balancer_seconds`, so that the load balancer can notice it. Requests that
+        are left when the drain time has passed get an error.
         """
         self._is_leaving = True
         await deferLater(self._reactor, self._settings.leave_balancer_seconds)
@@ -121,7 +134,10 @@
         while self._state.in_progress:
             if self._reactor.seconds() >= until:
                 self._log.write(LogEvent.DRAIN_TIMED_OUT, left=self._state.in_progress)
-                return
+                # Answers that have arrived are read first.
+                await deferLater(self._reactor, 0)
+                self._caller_site.end_all()
+                break
             await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
         await self._listeners.close_http("caller_address")
 
@@ -155,7 +171,7 @@
         )
 
     def _start_vm_list_read(self) -> None:
-        Deferred.fromCoroutine(self._read_vm_list())
+        start_task(self._read_vm_list(), log=self._log)
 
     async def _read_vm_list(self) -> None:
         """Read the platform's VM list.
@@ -165,10 +181,13 @@
         they can be asked for theirs.
         """
         try:
-            vms = await self._platform.list_vms()
+            listed = await self._platform.list_vms()
         except PlatformError:
             return
-        sidecars = [vm for vm in vms if vm.role == SIDECAR_ROLE]
+        if listed.n_unreadable != self._unreadable_vms:
+            self._unreadable_vms = listed.n_unreadable
+            self._log.write(LogEvent.VM_UNREADABLE, entries=listed.n_unreadable)
+        sidecars = [vm for vm in listed.vms if vm.role == SIDECAR_ROLE]
         self._links.set_listed_leaving(
             frozenset(vm.address for vm in sidecars if vm.state == "leaving")
         )
--- a/bilberryring/entry/endpoint_record.py
+++ b/bilberryring/entry/endpoint_record.py
@@ -9,6 +9,7 @@
     SidecarReport,
     SidecarState,
     Standing,
+    is_silent,
     standing_of,
 )
 from bilberryring.routing import (
@@ -26,6 +27,14 @@
 """
 
 
+NUMBER_FIELDS = ("sender_clock", "running", "allowance", "set_number", "prefill_rate")
+"""Fields of a report that every sidecar sends."""
+
+
+class MalformedReportError(Exception):
+    """A report lacks a field, or has a figure that no sidecar would send."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _SentPrompt:
     """A prompt that the last report may not include yet.
@@ -101,8 +110,10 @@
     def apply_heartbeat(self, heartbeat: Heartbeat, *, now: float) -> None:
         """Store a full report.
 
-        Prompts that it certainly includes no longer count as sent since.
+        Prompts that it certainly includes no longer count as sent since. Raises
+        `MalformedReportError` if the load cannot be calculated from it.
         """
+        _check_report(heartbeat)
         sent_at = from_micros(heartbeat.sender_clock)
         self._heartbeat = heartbeat
         self._record_message(sent_at, now)
@@ -126,6 +137,13 @@
         age = self._clock.receiver_time(own_time=now) - sent_at
         self._last_message_sent_at = now - age
 
+    def exclude_pause(self, seconds: float, *, now: float) -> None:
+        """Do not count a pause of this process as a silence of the sidecar.
+
+        What the sidecar sent meanwhile may not have been read yet.
+        """
+        self._last_message_sent_at = min(now, self._last_message_sent_at + seconds)
+
     def receiver_time(self, own_time: float) -> float | None:
         """Return a time of this process on the sidecar's clock, or `None`.
 
@@ -135,19 +153,17 @@
 
     def standing(self, *, domain_out: bool, now: float) -> Standing:
         """Return the endpoint's standing, which decides how it is used now."""
-        report = None
-        if self._heartbeat is not None:
-            report = SidecarReport(
-                state=SidecarState(self._heartbeat.state),
-                received_at=self._last_message_sent_at,
-            )
         evidence = EndpointEvidence(
             domain_out=domain_out,
             listed_leaving=self._is_listed_leaving,
-            report=report,
+            report=self._report(),
         )
         return standing_of(evidence, now=now)
 
+    def is_silent(self, *, now: float) -> bool:
+        """Whether nothing is heard of the endpoint, whatever its standing."""
+        return is_silent(self._report(), now=now)
+
     def begin_attempt(self, shape: PromptShape | None, *, now: float) -> None:
         """Count an attempt that is sent to the endpoint.
 
@@ -193,3 +209,31 @@
             round_trip_seconds=round_trip_seconds,
             is_cold=heartbeat.state == SidecarState.COLD.value,
         )
+
+    def _report(self) -> SidecarReport | None:
+        if self._heartbeat is None:
+            return None
+        return SidecarReport(
+            state=_state_of(self._heartbeat),
+            received_at=self._last_message_sent_at,
+        )
+
+
+def _check_report(heartbeat: Heartbeat) -> None:
+    for name in NUMBER_FIELDS:
+        value = getattr(heartbeat, name)
+        if value is None or value < 0:
+            raise MalformedReportError(f"{name} is {value}")
+    backlog = heartbeat.backlog_tokens
+    if backlog is None or len(backlog) not in (0, len(LENGTH_CLASSES)):
+        raise MalformedReportError(f"backlog_tokens is {backlog}")
+    if any(tokens < 0 for tokens in backlog):
+        raise MalformedReportError(f"backlog_tokens is {backlog}")
+
+
+def _state_of(heartbeat: Heartbeat) -> SidecarState:
+    """Return the reported state; one that a newer version has added counts as out."""
+    try:
+        return SidecarState(heartbeat.state)
+    except ValueError:
+        return SidecarState.OUT
--- a/bilberryring/entry/entry_state.py
+++ b/bilberryring/entry/entry_state.py
@@ -1,11 +1,12 @@
 """State that all requests of an entry share."""
 
 from bilberryring.admission import LENGTH_CLASSES
-from bilberryring.core import ErrorCode
+from bilberryring.core import ErrorCode, ServingError
 from bilberryring.entry.answer_sinks import AnswerSink
 from bilberryring.entry.caller_prompt import AnswerTimes, CallerPrompt
 from bilberryring.entry.prompt_placement import PromptPlacement
 from bilberryring.entry.prompt_request import PromptRequest
+from bilberryring.entry.request_ending import RequestEnding
 from bilberryring.entry.service_request import ServiceCall, ServiceRequest
 from bilberryring.entry.sidecar_links import SidecarLinks
 from bilberryring.execution import RetryBudget
@@ -70,6 +71,10 @@
         self._failures = metrics.counter(
             name="bilberryring_failures_total", doc="Errors told to callers by code"
         )
+        self._deliveries = metrics.counter(
+            name="bilberryring_deliveries_total",
+            doc="Requests by what their callers got, and whether these left",
+        )
 
     @property
     def reactor(self):
@@ -113,9 +118,33 @@
         """Count a request that ended."""
         self._in_progress -= 1
 
-    def count_failure(self, code: ErrorCode) -> None:
-        """Count an error that was sent to a caller."""
-        self._failures.inc({"code": code.value})
+    def record_finished(self, ending: RequestEnding) -> None:
+        """Write the last record of a request that was answered, and count it.
+
+        This or `record_failed` is called once for each request.
+        """
+        event = (
+            LogEvent.CALLER_LEFT
+            if ending.has_caller_left
+            else LogEvent.REQUEST_FINISHED
+        )
+        self._record_ending(event, ending, **ending.fields)
+
+    def record_failed(self, ending: RequestEnding, error: ServingError) -> None:
+        """Write the last record of a request that got an error, and count it."""
+        self._failures.inc({"code": error.code.value})
+        event = (
+            LogEvent.CALLER_LEFT
+            if error.code is ErrorCode.CANCELLED or ending.has_caller_left
+            else LogEvent.REQUEST_FAILED
+        )
+        self._record_ending(
+            event,
+            ending,
+            code=error.code.value,
+            outcome=error.outcome.value,
+            detail=error.detail,
+        )
 
     def log_fault(self, error: BaseException) -> None:
         """Log an unexpected exception of this process."""
@@ -149,18 +178,29 @@
             log=self._log,
         )
 
-    def observe_answer(self, prompt: CallerPrompt, times: AnswerTimes) -> None:
-        """Record a complete answer in the histograms and the log."""
+    def observe_answer(
+        self, prompt: CallerPrompt, times: AnswerTimes
+    ) -> dict[str, object]:
+        """Record a complete answer in the histograms.
+
+        Returns the fields that describe it in the last record of its request.
+        """
         length = prompt.shape.length_class.label
         first = None
         if times.first_token_at is not None:
             first = times.first_token_at - prompt.received_at
             self._first_token_by_workspace.observe((prompt.workspace.name,), first)
             self._first_token_by_class.observe((length, prompt.priority.name), first)
-        self._log.write(
-            LogEvent.REQUEST_FINISHED,
-            request=prompt.request_id,
-            first_token_seconds=first,
-            seconds=times.ended_at - prompt.received_at,
-            tokens=times.token_count,
-        )
+        return {
+            "first_token_seconds": first,
+            "seconds": times.ended_at - prompt.received_at,
+            "tokens": times.token_count,
+        }
+
+    def _record_ending(
+        self, event: LogEvent, ending: RequestEnding, **fields: object
+    ) -> None:
+        delivered = ending.delivery.value
+        has_left = str(event is LogEvent.CALLER_LEFT).lower()
+        self._deliveries.inc({"delivered": delivered, "caller_left": has_left})
+        self._log.write(event, request=ending.request_id, delivered=delivered, **fields)
--- a/bilberryring/entry/service_request.py
+++ b/bilberryring/entry/service_request.py
@@ -10,7 +10,6 @@
     RequestId,
     RunOutcome,
     ServingError,
-    from_micros,
     to_micros,
 )
 from bilberryring.entry.attempt_channel import (
@@ -20,6 +19,7 @@
     LinkLost,
     deadline_timer,
 )
+from bilberryring.entry.refusals import error_from_refusal
 from bilberryring.entry.sidecar_links import SidecarLinks, find_endpoint
 from bilberryring.execution import RetryBudget, Ticket, new_ticket, parse_ticket
 from bilberryring.objects import ObjectSet, Service, Workspace
@@ -115,13 +115,14 @@
                 raise _unknown_outcome_error(
                     "The ticket's endpoint is not in the fleet."
                 )
-            if record.incarnation == ticket.incarnation:
-                channel = self._links.open_attempt(ticket.endpoint, self._mailbox)
-                if channel is not None and record.receiver_time(0.0) is not None:
+            channel = self._links.open_attempt(
+                ticket.endpoint, self._mailbox, incarnation=ticket.incarnation
+            )
+            if channel is not None:
+                if channel.record.receiver_time(0.0) is not None:
                     return channel
-                if channel is not None:
-                    channel.close()
-            elif record.incarnation:
+                channel.close()
+            elif record.incarnation not in ("", ticket.incarnation):
                 raise _unknown_outcome_error(
                     "The process that kept the ticket's ledger has ended."
                 )
@@ -131,16 +132,21 @@
         )
 
     async def _run_repeatable(self) -> ServiceAnswer:
-        """Try one endpoint after another while the retry budget allows it."""
+        """Try one endpoint after another while the retry budget allows it.
+
+        The outcome of an error covers all attempts.
+        """
         excluded: set[str] = set()
         last_error: ServingError | None = None
         while True:
             name = choose_service_endpoint(
                 self._links, self._objects(), self._call.service, frozenset(excluded)
             )
-            channel = None
-            if name is not None:
-                channel = self._links.open_attempt(name, self._mailbox)
+            if name is None:
+                raise last_error or _not_run_error(ErrorCode.NO_ENDPOINT)
+            if last_error is not None and not self._budget.try_spend():
+                raise last_error
+            channel = self._links.open_attempt(name, self._mailbox)
             if channel is None:
                 raise last_error or _not_run_error(ErrorCode.NO_ENDPOINT)
             excluded.add(name)
@@ -148,13 +154,14 @@
                 answer = await self._exchange(channel)
                 if answer is not None:
                     return answer
-                last_error = _unknown_outcome_error("The link closed.")
-            except ServingError as error:
-                last_error = error
+                error = _unknown_outcome_error("The link closed.")
+            except ServingError as refusal:
+                error = refusal
             finally:
                 channel.close()
+            last_error = _after(last_error, error)
             is_past_deadline = self._reactor.seconds() >= self._call.deadline
-            if is_past_deadline or not self._budget.try_spend():
+            if is_past_deadline or error.code is ErrorCode.CANCELLED:
                 raise last_error
 
     async def _exchange(self, channel: AttemptChannel) -> ServiceAnswer | None:
@@ -192,7 +199,7 @@
                         return message
                 case Refused():
                     if message.attempt == channel.attempt:
-                        raise _error_from_refusal(message)
+                        raise error_from_refusal(message)
                 case LinkLost():
                     if not channel.link.is_open:
                         return None
@@ -246,12 +253,16 @@
     )
 
 
-def _error_from_refusal(message: Refused) -> ServingError:
+def _after(earlier: ServingError | None, error: ServingError) -> ServingError:
+    """Return an error whose outcome covers the attempts before it as well."""
+    is_not_run = error.outcome is RunOutcome.NOT_RUN
+    if earlier is None or earlier.outcome is RunOutcome.NOT_RUN or not is_not_run:
+        return error
     return ServingError(
-        code=ErrorCode(message.code),
-        outcome=RunOutcome(message.outcome),
-        detail=message.detail,
-        retry_after=from_micros(message.retry_after) or None,
+        code=error.code,
+        outcome=RunOutcome.UNKNOWN,
+        detail=error.detail,
+        retry_after=error.retry_after,
     )
 
 
--- a/bilberryring/entry/sidecar_link.py
+++ b/bilberryring/entry/sidecar_link.py
@@ -48,6 +48,9 @@
     def link_closed(self, sidecar: "SidecarLink", link: LinkProtocol) -> None:
         """Handle a closed connection."""
 
+    def message_failed(self, sidecar: "SidecarLink", error: Exception) -> None:
+        """Handle an exception in the handling of a message."""
+
     def hello_received(self, sidecar: "SidecarLink", hello: Hello) -> None:
         """Handle the first message of a sidecar, which names its incarnation."""
 
@@ -112,6 +115,7 @@
         factory = ClientFactory()
         factory.noisy = False
         factory.buildProtocol = lambda address: LinkProtocol(
+            clock=self._reactor,
             on_open=self._opened,
             on_message=self._received,
             on_closed=self._closed,
@@ -124,6 +128,10 @@
             host, port, factory, timeout=CONNECT_TIMEOUT_SECONDS
         )
 
+    def retire(self) -> None:
+        """Keep the connection for its attempts, but do not reconnect."""
+        self._is_stopped = True
+
     def stop(self) -> None:
         """Close the connection and do not reconnect."""
         self._is_stopped = True
@@ -154,6 +162,13 @@
         self._schedule_reconnect()
 
     def _received(self, link: LinkProtocol, message: object) -> None:
+        """Handle a message; one that cannot be handled is dropped."""
+        try:
+            self._handle_message(link, message)
+        except Exception as error:
+            self._owner.message_failed(self, error)
+
+    def _handle_message(self, link: LinkProtocol, message: object) -> None:
         match message:
             case TokenBatch():
                 for tokens in message.items:
--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -3,16 +3,16 @@
 import itertools
 
 from twisted.internet.defer import Deferred, DeferredQueue
-from twisted.internet.task import LoopingCall
 
 from bilberryring.core import AttemptId
 from bilberryring.entry.attempt_channel import AttemptChannel, EndpointSilent
-from bilberryring.entry.endpoint_record import EndpointRecord
+from bilberryring.entry.endpoint_record import EndpointRecord, MalformedReportError
 from bilberryring.entry.sidecar_link import SidecarLink
 from bilberryring.entry.suspect_queries import SuspectQueries
 from bilberryring.membership import Standing
 from bilberryring.objects import ObjectSet
 from bilberryring.process.engine_death_broadcaster import EngineDeathBroadcaster
+from bilberryring.process.loops import make_loop
 from bilberryring.routing import Endpoint, EndpointLoad, PromptShape
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
@@ -26,6 +26,8 @@
 
 UNTRACK_DELAY_SECONDS = 600.0
 SILENCE_CHECK_SECONDS = 0.5
+LATE_CHECK_SECONDS = 2 * SILENCE_CHECK_SECONDS
+"""Seconds after a check from which on this process counts as paused."""
 CROSS_DOMAIN_ROUND_TRIP_SECONDS = 0.01
 """The assumed round-trip time to an endpoint of another failure domain."""
 
@@ -34,7 +36,8 @@
     """Tracks endpoints, keeps a link to the sidecar of each, and opens attempts.
 
     An endpoint that is no longer wanted stays tracked for
-    `UNTRACK_DELAY_SECONDS`, and longer while attempts at it are open.
+    `UNTRACK_DELAY_SECONDS`, and longer while attempts at it are open. So does the
+    link to an earlier address of an endpoint, for its attempts and its ledger.
     """
 
     def __init__(
@@ -54,12 +57,15 @@
         self._hello = hello
         self._configuration = configuration
         self._links: dict[str, SidecarLink] = {}
+        self._retired: dict[SidecarLink, float] = {}
+        self._last_check = reactor.seconds()
         self._standings: dict[str, Standing] = {}
         self._untrack_at: dict[str, float] = {}
         self._attempts = itertools.count(1)
         self._hello_waiters: list[Deferred[None]] = []
-        self._silence_loop = LoopingCall(self._check_silence)
-        self._silence_loop.clock = reactor
+        self._silence_loop = make_loop(
+            reactor=reactor, work=self._check_silence, log=log
+        )
         self._silence_loop.start(SILENCE_CHECK_SECONDS, now=False)
 
     @property
@@ -80,7 +86,7 @@
     @property
     def open_attempts(self) -> int:
         """The number of attempts that have not ended."""
-        return sum(len(link.channels) for link in self._links.values())
+        return sum(len(link.channels) for link in self._all_links())
 
     def track(self, endpoints: dict[str, Endpoint]) -> None:
         """Track these endpoints, and untrack others once that is due.
@@ -93,6 +99,10 @@
             self._track_endpoint(name, endpoint)
         for name in tuple(self._links.keys() - endpoints.keys()):
             self._untrack_when_due(name, now)
+        for link, until in tuple(self._retired.items()):
+            if not link.channels and (until <= now or link.protocol is None):
+                link.stop()
+                del self._retired[link]
 
     def ensure_tracked(
         self, name: str, endpoint: Endpoint | None
@@ -121,7 +131,11 @@
         objects = self._configuration.objects
         domain = record.endpoint.failure_domain
         is_out = objects is not None and domain in objects.domains_out
-        return record.standing(domain_out=is_out, now=self._reactor.seconds())
+        return record.standing(domain_out=is_out, now=self._silence_counts_until())
+
+    def is_silent(self, record: EndpointRecord) -> bool:
+        """Whether nothing is heard of an endpoint, whatever its standing."""
+        return record.is_silent(now=self._silence_counts_until())
 
     def loads(
         self, names: list[str], *, excluded: frozenset[str] = frozenset()
@@ -145,13 +159,22 @@
         return found
 
     def open_attempt(
-        self, name: str, mailbox: DeferredQueue, *, shape: PromptShape | None = None
+        self,
+        name: str,
+        mailbox: DeferredQueue,
+        *,
+        shape: PromptShape | None = None,
+        incarnation: str = "",
     ) -> AttemptChannel | None:
         """Open an attempt at an endpoint, or return `None` when its link is closed.
 
-        `shape` is that of the prompt, or `None` for a call to a service.
+        `shape` is that of the prompt, or `None` for a call to a service. With
+        `incarnation`, only that of the sidecar will do, if need be at an earlier
+        address.
         """
         link = self._links.get(name)
+        if incarnation:
+            link = self._find_incarnation(name, incarnation)
         if link is None or link.protocol is None:
             return None
         channel = AttemptChannel(
@@ -180,7 +203,7 @@
 
     def stop(self) -> None:
         """Close all links."""
-        for link in self._links.values():
+        for link in self._all_links():
             link.stop()
 
     def link_opened(self, link: LinkProtocol) -> None:
@@ -195,6 +218,17 @@
         self._log.write(LogEvent.LINK_CLOSED, endpoint=sidecar.record.endpoint.name)
         self._update_standing(sidecar)
 
+    def message_failed(self, sidecar: SidecarLink, error: Exception) -> None:
+        """Log why a message is dropped."""
+        if isinstance(error, MalformedReportError):
+            self._log.write(
+                LogEvent.PEER_REPORT_MALFORMED,
+                peer=sidecar.record.endpoint.name,
+                detail=str(error),
+            )
+            return
+        self._log.write(LogEvent.INTERNAL_FAULT, detail=repr(error))
+
     def hello_received(self, sidecar: SidecarLink, hello: Hello) -> None:
         """Log the sidecar's incarnation and wake those who wait for a hello."""
         self._log.write(
@@ -226,8 +260,25 @@
             case SetAnswer():
                 self._configuration.handle_answer(link, message)
 
+    def _all_links(self) -> tuple[SidecarLink, ...]:
+        return (*self._links.values(), *self._retired)
+
+    def _find_incarnation(self, name: str, incarnation: str) -> SidecarLink | None:
+        for link in self._all_links():
+            record = link.record
+            if record.endpoint.name == name and record.incarnation == incarnation:
+                return link
+        return None
+
+    def _silence_counts_until(self) -> float:
+        """Return the time up to which a silence counts, which is mostly now.
+
+        While this process was paused, it could not hear anything.
+        """
+        return min(self._reactor.seconds(), self._last_check + LATE_CHECK_SECONDS)
+
     def _open_links(self) -> list[LinkProtocol]:
-        protocols = [link.protocol for link in self._links.values()]
+        protocols = [link.protocol for link in self._all_links()]
         return [protocol for protocol in protocols if protocol is not None]
 
     def _heard_links(self) -> list[LinkProtocol]:
@@ -243,18 +294,24 @@
 
         No answer about a suspected prompt is expected from them either.
         """
-        for name, link in self._links.items():
+        now = self._reactor.seconds()
+        pause = now - self._silence_counts_until()
+        self._last_check = now
+        for link in self._all_links():
+            if pause > 0.0:
+                link.record.exclude_pause(pause, now=now)
             self._update_standing(link)
-            if self._standings.get(name) is Standing.SILENT and link.protocol:
+            if not self.is_silent(link.record):
+                continue
+            if link.protocol is not None:
                 self._suspects.link_closed(link.protocol)
-            if link.channels and self._standings.get(name) is Standing.SILENT:
-                for channel in link.channels:
-                    channel.deliver(EndpointSilent())
+            for channel in link.channels:
+                channel.deliver(EndpointSilent())
 
     def _track_endpoint(self, name: str, endpoint: Endpoint) -> None:
         link = self._links.get(name)
         if link is not None and link.record.endpoint.sidecar != endpoint.sidecar:
-            link.stop()
+            self._retire(link)
             link = None
         if link is None:
             link = SidecarLink(
@@ -268,6 +325,14 @@
         self._untrack_at.pop(name, None)
         link.record.replace_endpoint(endpoint)
 
+    def _retire(self, link: SidecarLink) -> None:
+        """Stop using a link for new work, as the sidecar has another address."""
+        if link.protocol is None:
+            link.stop()
+            return
+        link.retire()
+        self._retired[link] = self._reactor.seconds() + UNTRACK_DELAY_SECONDS
+
     def _untrack_when_due(self, name: str, now: float) -> None:
         link = self._links[name]
         untrack_at = self._untrack_at.setdefault(name, now + UNTRACK_DELAY_SECONDS)
--- a/bilberryring/execution/__init__.py
+++ b/bilberryring/execution/__init__.py
@@ -27,6 +27,7 @@
 )
 from bilberryring.execution.retry_budget import RETRY_RESERVE, RETRY_SHARE, RetryBudget
 from bilberryring.execution.retry_window import RetryWindow
+from bilberryring.execution.silence import SilenceDecision
 from bilberryring.execution.ticket import (
     MAX_TICKET_LENGTH,
     NONCE_BYTES,
@@ -65,6 +66,7 @@
     "Replay",
     "RetryBudget",
     "Run",
+    "SilenceDecision",
     "TICKET_CLOCK_TOLERANCE_SECONDS",
     "TICKET_FIELD_COUNT",
     "TICKET_PREFIX",
--- a/bilberryring/execution/ledger.py
+++ b/bilberryring/execution/ledger.py
@@ -41,11 +41,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
-    """The service's answer, kept for further copies of the call."""
+    """The service's answer, kept for further copies of the call.
+
+    `content_encoding` is empty if the body is not encoded.
+    """
 
     status: int
     content_type: str
     body: bytes
+    content_encoding: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/bilberryring/execution/retry_window.py
+++ b/bilberryring/execution/retry_window.py
@@ -42,13 +42,17 @@
 
     def try_spend(self, *, now: float, entries: int) -> bool:
         """Count one retry, or return `False` if it could exceed the limit."""
-        self._drop_expired(now)
-        limit = self._ratio * len(self._requests) + self._slack / max(1, entries)
-        if len(self._retries) + 1 > SAFETY_FACTOR * limit:
+        if not self.can_spend(now=now, entries=entries):
             return False
         self._retries.append(now)
         return True
 
+    def can_spend(self, *, now: float, entries: int) -> bool:
+        """Whether one more retry is within the limit now; it is not counted."""
+        self._drop_expired(now)
+        limit = self._ratio * len(self._requests) + self._slack / max(1, entries)
+        return len(self._retries) + 1 <= SAFETY_FACTOR * limit
+
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_seconds:
--- a/bilberryring/fleet/__init__.py
+++ b/bilberryring/fleet/__init__.py
@@ -22,6 +22,12 @@
     EndpointRunId,
     EndpointState,
 )
+from bilberryring.fleet.eras import (
+    MAX_REVISION,
+    EraOrder,
+    compare_era,
+    parse_era,
+)
 from bilberryring.fleet.lost_writes import (
     NO_LIMIT,
     LossRules,
@@ -40,12 +46,14 @@
     "EndpointList",
     "EndpointRunId",
     "EndpointState",
+    "EraOrder",
     "FailureDomain",
     "FleetConfiguration",
     "FleetState",
     "LAPSE_HOLD_SECONDS",
     "LossRules",
     "LostWrite",
+    "MAX_REVISION",
     "MS_PER_SECOND",
     "NO_LIMIT",
     "NoLossRules",
@@ -61,4 +69,6 @@
     "ServiceShare",
     "Workspace",
     "WorkspaceName",
+    "compare_era",
+    "parse_era",
 ]
--- a/bilberryring/fleet/configuration.py
+++ b/bilberryring/fleet/configuration.py
@@ -40,10 +40,10 @@
 
     Times are in seconds. `first_answer_objective` and `gap_objective` are the targets
     for the first byte of a response and for the gap between parts of a stream.
-    `max_endpoints` limits the sends of one request, and a stream that breaks is
-    resumed elsewhere only if `may_resume` is set. Requests without a known API key are
-    admitted if `is_anonymous_allowed` is set. `regions` lists the allowed regions;
-    when it is empty, all are allowed.
+    `max_endpoints` limits the endpoints to which one request is sent, and a stream that
+    breaks is resumed elsewhere only if `may_resume` is set. Requests without a known
+    API key are admitted if `is_anonymous_allowed` is set. `regions` lists the allowed
+    regions; when it is empty, all are allowed.
     """
 
     name: str
--- a/bilberryring/fleet/lost_writes.py
+++ b/bilberryring/fleet/lost_writes.py
@@ -142,6 +142,30 @@
             self._drop(next(iter(self._writes)))
         return True
 
+    def drop_ended(
+        self, held: Iterable[LostWrite], *, latest_lost: Revision
+    ) -> tuple[str, ...]:
+        """Forget the writes that a peer knew and holds no more; return their keys.
+
+        `held` are all that the peer holds, and `latest_lost` is the latest write that
+        it knows to be lost. It knows each value of that era up to there, but not each
+        removal, since a full copy has none. A write that holds without a time limit
+        ends only with a value that supersedes it.
+        """
+        held_keys = {write.key for write in held}
+        ended = tuple(
+            write.key
+            for write in self.all
+            if write.key not in held_keys
+            and write.value is not None
+            and self._until[write.key] < math.inf
+            and write.revision.era == latest_lost.era
+            and write.revision <= latest_lost
+        )
+        for key in ended:
+            self._drop(key)
+        return ended
+
     def check(self, key: str, stored: PublishedItem | None) -> None:
         """Forget the lost write of a key that was written again or removed."""
         write = self._writes.get(key)
--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -157,9 +157,15 @@
     def add_lost_writes(
         self, writes: Iterable[LostWrite], *, latest_lost: Revision, now: float
     ) -> tuple[str, ...]:
-        """Take over lost writes that a peer knows; return the keys that changed."""
+        """Take over what a peer knows of lost writes; return the keys that changed.
+
+        `writes` are all that the peer holds. One that it held before was written or
+        removed again since, which the peer's copy of the items may not show.
+        """
+        writes = tuple(writes)
+        ended = self._lost.drop_ended(writes, latest_lost=latest_lost)
         self._latest_lost = max(self._latest_lost, latest_lost)
-        return tuple(
+        added = tuple(
             write.key
             for write in writes
             if self._lost.add(
@@ -169,6 +175,7 @@
                 now=now,
             )
         )
+        return ended + added
 
     def expire_lost_writes(self, *, now: float) -> tuple[str, ...]:
         """Forget the lost writes whose time is over; return the keys that changed."""
--- a/bilberryring/fleet/tests/test_eras.py
+++ b/bilberryring/fleet/tests/test_eras.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from bilberryring.fleet import PublishedItem, Replica
+from bilberryring.fleet import NO_LIMIT, PublishedItem, Replica
 from bilberryring.standins.operator_store import OperatorStore
 
 CONFIGURATION = "config"
@@ -231,3 +231,71 @@
     replica = make_replica(*items)
     replica.begin_era([], revision=0, era=2, now=0.0)
     assert len(replica.lost_writes(now=0.0)) == 3
+
+
+def begin_era_without(replica):
+    replica.begin_era(
+        [PublishedItem(key="config", revision=1, value=b"1")],
+        revision=1,
+        era=replica.era + 1,
+        now=0.0,
+    )
+    return replica
+
+
+def test_a_hold_ends_with_that_of_a_peer_whose_copy_cannot_show_why():
+    items = (("config", 1, b"1"), ("evacuate/a", 2, b"{}"))
+    behind = begin_era_without(make_replica(*items))
+    ahead = begin_era_without(make_replica(*items))
+    ahead.apply([PublishedItem(key="evacuate/a", revision=2, value=b"{}")])
+    ahead.apply([PublishedItem(key="evacuate/a", revision=3, value=None)])
+    behind.take_copy(ahead.items, revision=ahead.revision)
+    changed = behind.add_lost_writes(
+        ahead.lost_writes(now=0.0), latest_lost=ahead.position.latest_lost, now=0.0
+    )
+    assert changed == ("evacuate/a",)
+    assert behind.value("evacuate/a") is None
+
+
+class RulesWithoutLimit(Rules):
+    def hold_seconds(self, key):
+        return NO_LIMIT
+
+
+def test_a_hold_without_a_time_limit_outlives_that_of_a_peer():
+    """Without this a version of the configuration could go back."""
+    replica = Replica(rules=RulesWithoutLimit())
+    replica.begin_era(
+        [PublishedItem(key="config", revision=2, value=b"2")],
+        revision=2,
+        era=1,
+        now=0.0,
+    )
+    begin_era_without(replica)
+    replica.add_lost_writes((), latest_lost=replica.position.latest_lost, now=0.0)
+    assert replica.value("config") == b"2"
+
+
+def test_a_hold_stays_beside_a_peer_that_never_knew_the_write():
+    replica = begin_era_without(
+        make_replica(("config", 1, b"1"), ("evacuate/a", 2, b"{}"))
+    )
+    knew_less = begin_era_without(make_replica(("config", 1, b"1")))
+    of_a_later_era = begin_era_without(make_replica(("config", 3, b"1"), era=2))
+    for peer in (knew_less, of_a_later_era):
+        replica.add_lost_writes(
+            peer.lost_writes(now=0.0), latest_lost=peer.position.latest_lost, now=0.0
+        )
+        assert replica.value("evacuate/a") == b"{}"
+
+
+def test_a_lost_removal_stays_beside_a_peer_that_copied_after_it():
+    replica = make_replica(("config", 1, b"1"), ("evacuate/a", 2, b"{}"))
+    replica.apply([PublishedItem(key="evacuate/a", revision=9, value=None)])
+    copied = [
+        PublishedItem(key="config", revision=1, value=b"1"),
+        PublishedItem(key="evacuate/a", revision=2, value=b"{}"),
+    ]
+    replica.begin_era(copied, revision=2, era=2, now=0.0)
+    replica.add_lost_writes((), latest_lost=replica.position.latest_lost, now=0.0)
+    assert replica.value("evacuate/a") is None
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -1,11 +1,14 @@
 """One attempt: send a request to an endpoint and relay its response to the caller."""
 
+import math
+from dataclasses import dataclass
+
 from bilberryring.execution import AnswerEnd, Framing, Place, Proof, proof_of_end
-from bilberryring.fleet import FleetState, RequestKind
+from bilberryring.fleet import MS_PER_SECOND, FleetState, RequestKind
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
-from bilberryring.gateway.endpoint_connection import EndpointResponse
+from bilberryring.gateway.endpoint_connection import EndpointResponse, Event
 from bilberryring.gateway.event_stream import EventTooLargeError, has_data
 from bilberryring.gateway.messages import (
     AttemptError,
@@ -20,6 +23,7 @@
 from bilberryring.gateway.request_context import (
     SERVER_ERROR,
     SUCCESS,
+    Attempt,
     HeaderCodec,
     NotRun,
     RequestContext,
@@ -27,9 +31,15 @@
 )
 from bilberryring.gateway.request_log import RequestLog
 from bilberryring.gateway.reservations import MemoryReservation, ReservationManager
+from bilberryring.gateway.running_attempts import RunningAttempts
 from bilberryring.gateway.statement_recorder import StatementRecorder
 from bilberryring.membership import EndpointHealth
-from bilberryring.routing import WorkTracker
+from bilberryring.routing import (
+    WorkTracker,
+    busy_seconds,
+    silent_from,
+    slot_wait_seconds,
+)
 
 DEADLINE_GRACE_SECONDS = 0.15
 """Seconds after the deadline for which the endpoint's response is still awaited. The
@@ -40,18 +50,28 @@
 MAX_IDLE_WITHOUT_RETRY_SECONDS = 0.5
 """The same for a request that must not run twice. It is shorter because the outcome is
 unknown if the endpoint closes the idle connection while the request is sent."""
-FIRST_RESPONSE_TIMEOUT_FACTOR = 2.0
-"""Multiple of the route's objective for the first response after which an attempt
-times out, if the request may be retried."""
+FIRST_RESPONSE_LIMIT_FACTOR = 2.0
+"""Multiple of the route's objective for the first response, or of the predicted time if
+that is longer, after which an endpoint counts as silent."""
 FIRST_RESPONSE_MARGIN_SECONDS = 0.5
-"""Seconds added to that timeout."""
-GAP_TIMEOUT_FACTOR = 3.0
+"""Seconds added to that limit."""
+GAP_LIMIT_FACTOR = 3.0
 """Multiple of the route's objective for the gap between two chunks of a stream after
-which the stream times out, if the request may be retried."""
+which its endpoint counts as silent."""
 GAP_MARGIN_SECONDS = 0.25
-"""Seconds added to that timeout."""
+"""Seconds added to that limit."""
+NOT_RUN_STATUSES = frozenset({408, 421, 429})
+"""Statuses that tell the caller that its request has not run; a server error apart."""
+MAX_UNSENT_BYTES = 64 * 1024
+"""Most bytes of comments that wait until it is known which attempt answers."""
+SILENCE_REPORT_SECONDS = 0.25
+"""Seconds between two reports of a silence. An endpoint for another attempt may have
+become free, or the retry budget."""
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Largest answer, other than a stream, in bytes; an endpoint may send without end."""
+LATE_REPORTS_SECONDS = 0.25
+"""Seconds after the sending at which the wait for a slot is looked at once more. Peers
+collect changes for 0.2 s: by then they have reported what they placed just before."""
 URGENT_PREFILL_MS = 100.0
 """Prefill time in milliseconds of one part of a prompt from which the peers are
 notified at once. Two gateways that place such parts on the same engine would stop its
@@ -92,16 +112,19 @@
         self._log = log
         self._on_work_changed = on_work_changed
 
-    async def attempt(self, context: RequestContext, choice: Choice) -> None:
+    async def run(
+        self, context: RequestContext, attempt: Attempt, running: RunningAttempts
+    ) -> None:
         """Send the request to the chosen endpoint and relay its response.
 
+        Other attempts of the request may run at the same time. The first one with an
+        answer for the caller claims it from `running`.
+
         Raises `NotRun`, `RetryableFailure` or `AttemptError` when the caller did not
         get a complete response.
         """
-        endpoint = choice.endpoint
-        context.tried_endpoints.add(endpoint.id)
-        context.answer_began_at = None
-        context.answer_end = None
+        choice = attempt.choice
+        context.tried_endpoints.add(attempt.endpoint)
         self._tracker.place(choice.placed, now=self._reactor.seconds())
         self._on_work_changed(is_urgent=choice.placed.part_ms >= URGENT_PREFILL_MS)
         response: EndpointResponse | None = None
@@ -113,22 +136,25 @@
                     context.request_id,
                     choice.holders,
                     choice.holder_tokens,
-                    lead=endpoint,
+                    lead=choice.endpoint,
                 )
-            response = await self._send(context, choice, reservation)
-            await self._relay(context, choice, response)
+            response = await self._send(context, attempt, reservation)
+            await self._relay(_Relay(context, attempt, running, response))
             is_complete = True
-            self._health.record_success(endpoint.id)
+            self._health.record_success(attempt.endpoint)
             self._crashes.clear(context.fingerprint)
-            self._record_served(context)
+            self._record_served(context, attempt)
         except (NotRun, RetryableFailure):
             is_complete = True
             raise
         finally:
             self._tracker.remove(choice.placed, now=self._reactor.seconds())
             self._on_work_changed()
-            if response is not None and not is_complete and self._may_abort(context):
-                response.abort()
+            if response is not None and not is_complete:
+                if self._may_abort(context):
+                    response.abort()
+                else:
+                    response.abandon()
             if reservation is not None:
                 reservation.release()
 
@@ -165,9 +191,10 @@
     async def _send(
         self,
         context: RequestContext,
-        choice: Choice,
+        attempt: Attempt,
         reservation: MemoryReservation | None,
     ) -> EndpointResponse:
+        choice = attempt.choice
         may_repeat = context.route.may_repeat
         connection = await self._pool.acquire(
             choice.endpoint.address,
@@ -186,24 +213,34 @@
         if self._crashes.quarantined_part(context.metadata.shared_parts) is not None:
             self._pool.release(connection)
             raise AttemptError(reason=FailureReason.QUARANTINED, was_sent=False)
+        if not self._retry_policy.try_spend(context):
+            self._pool.release(connection)
+            raise AttemptError(reason=FailureReason.NO_RETRY, was_sent=False)
         send_metadata = AttemptMetadata(
             endpoint=choice.endpoint.id,
             seconds_left=seconds_left,
             workspace=context.workspace.name if context.workspace else None,
             helpers=_helper_addresses(choice, reservation),
-            last_event_id=context.stream.last_id if context.stream else "",
+            last_event_id=attempt.stream.last_id if attempt.stream else "",
         )
         context.sends += 1
-        context.sent_at = now
+        attempt.number = context.sends
+        attempt.sent_at = now
+        attempt.progress_at = now
+        attempt.silence_limit = self._first_response_limit(context, choice)
+        attempt.silent_at = now + attempt.silence_limit
+        if context.service.engine is not None:
+            self._update_slot_wait(context, attempt)
+            attempt.silent_at = min(attempt.silent_at, now + LATE_REPORTS_SECONDS)
         self._chooser.record_start(choice.endpoint.id, now=now)
         self._health.record_start(choice.endpoint.id, now=now)
         self._log.attempt_started(
-            context, choice, seconds_left, self._fleet.configuration.version
+            context, attempt, seconds_left, self._fleet.configuration.version
         )
 
         def is_expected(head: ResponseHead) -> bool:
             return self._is_answer(
-                context, choice, head, is_reused=connection.is_reused
+                context, attempt, head, is_reused=connection.is_reused
             )
 
         return connection.send(
@@ -220,7 +257,7 @@
     def _is_answer(
         self,
         context: RequestContext,
-        choice: Choice,
+        attempt: Attempt,
         head: ResponseHead,
         *,
         is_reused: bool,
@@ -234,7 +271,7 @@
             return True
         if metadata.request_id is None and not is_reused:
             return True
-        self._log.answer_skipped(context, choice, metadata)
+        self._log.answer_skipped(context, attempt, metadata)
         return False
 
     def _is_still_usable(self, context: RequestContext, choice: Choice) -> bool:
@@ -247,143 +284,257 @@
             for endpoint in (choice.endpoint, *choice.helpers)
         )
 
-    async def _relay(
-        self, context: RequestContext, choice: Choice, response: EndpointResponse
-    ) -> None:
-        head = await response.receive(
-            timeout=self._first_response_timeout(context, choice)
-        )
+    async def _relay(self, relay: "_Relay") -> None:
+        context, attempt, response = relay.context, relay.attempt, relay.response
+        head = await self._receive(relay)
         metadata = self._codec.decode_response_headers(head.status, head.headers)
-        self._statements.record_answer(context, choice.endpoint, metadata)
+        self._statements.record_answer(context, attempt, metadata)
         if metadata.request_id is None:
             response.forbid_reuse()
         if metadata.has_not_run:
-            await self._read_body(context, response)
+            await self._read_body(relay)
             raise NotRun(metadata=metadata)
         if head.status in SUCCESS and (not metadata.is_stamped or metadata.is_encoded):
             raise AttemptError(reason=FailureReason.MALFORMED, was_sent=True)
-        context.status = head.status
         if context.stream is not None and head.status in SUCCESS:
-            await self._relay_stream(context, choice, response, head)
+            await self._relay_stream(relay, head)
             return
-        body = await self._read_body(context, response)
-        if head.status >= SERVER_ERROR and context.route.may_repeat:
+        body = await self._read_body(relay)
+        if self._is_retryable(relay, head):
             raise RetryableFailure(head=head, body=body)
+        self._claim(relay, head)
         self._record_first_response(context)
         self.send_to_caller(context, head, body)
 
-    async def _read_body(
-        self, context: RequestContext, response: EndpointResponse
-    ) -> ResponseBody:
+    def _is_retryable(self, relay: "_Relay", head: ResponseHead) -> bool:
+        """Whether an error of the endpoint is not yet for the caller.
+
+        An error of the caller's request is an answer like any other, unless the caller
+        has a part of a stream.
+        """
+        if head.status in SUCCESS:
+            return False
+        context = relay.context
+        if context.exchange.has_started:
+            return True
+        if head.status in NOT_RUN_STATUSES and len(relay.running) > 1:
+            return True
+        return head.status >= SERVER_ERROR and context.route.may_repeat
+
+    async def _receive(self, relay: "_Relay") -> Event:
+        """Return the next event of the response.
+
+        An endpoint that sends nothing until `silent_at` is reported as silent, unless
+        its known work explains that, again and again, and is awaited all the same.
+        Raises `AttemptError` at the deadline; the endpoint is at fault only if it has
+        been silent for too long then.
+        """
+        context, attempt = relay.context, relay.attempt
+        gives_up_at = context.deadline + DEADLINE_GRACE_SECONDS
+        while True:
+            wakes_at = min(attempt.silent_at, gives_up_at)
+            try:
+                return await relay.response.receive(
+                    timeout=wakes_at - self._reactor.seconds()
+                )
+            except AttemptError as error:
+                is_silent = error.reason is FailureReason.SILENT
+                if not is_silent or wakes_at == gives_up_at:
+                    if is_silent and not self._is_overdue(relay):
+                        raise AttemptError(reason=FailureReason.DEADLINE, was_sent=True)
+                    raise
+            self._report_silence(relay)
+
+    def _report_silence(self, relay: "_Relay") -> None:
+        attempt = relay.attempt
+        now = self._reactor.seconds()
+        since = self._silent_since(relay)
+        silent_at = since + attempt.silence_limit
+        if not attempt.is_silent:
+            silent_at = self._silent_from(
+                relay.context,
+                attempt,
+                since,
+                limit=attempt.silence_limit,
+                deadline=relay.context.deadline,
+            )
+        if now < silent_at:
+            attempt.silent_at = silent_at
+            return
+        attempt.silent_at = now + SILENCE_REPORT_SECONDS
+        if not attempt.is_silent:
+            attempt.is_silent = True
+            self._health.record_silence(attempt.endpoint, now=now)
+        relay.running.report_silence(attempt)
+
+    def _silent_since(self, relay: "_Relay") -> float:
+        since = relay.attempt.progress_at
+        if relay.context.attempt is relay.attempt:
+            # Nothing is read while the caller reads slowly.
+            since = max(since, relay.context.exchange.held_back_until)
+        return since
+
+    def _is_overdue(self, relay: "_Relay") -> bool:
+        """Whether an endpoint has been silent for longer than its known work explains.
+
+        Unlike `is_silent`, this holds for requests that must not be repeated as well,
+        and their deadline does not limit what is explained.
+        """
+        context, attempt = relay.context, relay.attempt
+        limit = attempt.silence_limit
+        if not math.isfinite(limit):
+            limit = self._response_limit(context, attempt.choice)
+        silent_at = self._silent_from(
+            context,
+            attempt,
+            self._silent_since(relay),
+            limit=limit,
+            deadline=math.inf,
+        )
+        return self._reactor.seconds() >= silent_at
+
+    def _record_progress(self, relay: "_Relay", *, limit: float) -> None:
+        attempt = relay.attempt
+        attempt.progress_at = self._reactor.seconds()
+        attempt.silence_limit = limit
+        attempt.silent_at = attempt.progress_at + limit
+        if attempt.is_silent:
+            attempt.is_silent = False
+            self._health.end_silence(attempt.endpoint)
+            self._log.silence_ended(relay.context, attempt)
+
+    async def _read_body(self, relay: "_Relay") -> ResponseBody:
         """Return the body, of at most `MAX_BODY_BYTES`, unless it is broken off."""
         parts: list[bytes] = []
         size = 0
+        limit = self._first_response_limit(relay.context, relay.attempt.choice)
         while True:
-            match await response.receive(timeout=self._time_left(context)):
+            self._record_progress(relay, limit=limit)
+            match await self._receive(relay):
                 case ResponseData(data):
                     parts.append(data)
                     size += len(data)
                     if size > MAX_BODY_BYTES:
-                        response.abort()
+                        relay.response.abort()
                         # The traceback of the error would keep them for a while.
                         parts.clear()
                         raise AttemptError(
                             reason=FailureReason.MALFORMED, was_sent=True
                         )
                 case ResponseEnd() as ended:
-                    proof = self._proof_of(context, ended, Place.IN_BODY)
+                    proof = self._proof_of(relay.attempt, ended, Place.IN_BODY)
                     if proof is Proof.BROKEN_OFF:
                         raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     return ResponseBody(
                         data=b"".join(parts), has_end_mark=proof is Proof.COMPLETE
                     )
 
-    async def _relay_stream(
-        self,
-        context: RequestContext,
-        choice: Choice,
-        response: EndpointResponse,
-        head: ResponseHead,
-    ) -> None:
+    async def _relay_stream(self, relay: "_Relay", head: ResponseHead) -> None:
+        context, attempt = relay.context, relay.attempt
+        limit = self._first_response_limit(context, attempt.choice)
+        self._record_progress(relay, limit=limit)
+        while True:
+            match await self._receive(relay):
+                case ResponseData(data):
+                    if self._relay_data(relay, head, data):
+                        self._record_progress(relay, limit=self._gap_limit(context))
+                case ResponseEnd() as ended:
+                    self._check_stream_end(context, attempt, ended)
+                    self._claim(relay, head)
+                    rest = relay.unsent + attempt.stream.take_partial()
+                    if rest and not context.exchange.is_closed:
+                        context.exchange.write(rest)
+                    context.exchange.end()
+                    return
+
+    def _claim(self, relay: "_Relay", head: ResponseHead) -> None:
+        """Make this attempt the one whose answer the caller gets.
+
+        Other attempts end here. A stream has the head of its first endpoint.
+        """
+        context, attempt = relay.context, relay.attempt
+        relay.running.claim(attempt)
+        if context.attempt is attempt:
+            return
+        context.attempt = attempt
+        context.status = head.status
+        if attempt.stream is None or head.status not in SUCCESS:
+            return
+        context.stream = attempt.stream
         exchange = context.exchange
-        context.stream.begin_attempt()
         if not exchange.has_started:
             headers = self._codec.encode_response_headers(head.headers)
             if head.framing is Framing.CONNECTION and not context.route.may_repeat:
                 exchange.omit_end_mark()
             exchange.start(head.status, head.reason, headers)
-        exchange.apply_backpressure(response.transport)
-        limit = self._first_response_timeout(context, choice)
-        progress_at = self._reactor.seconds()
-        while True:
-            silent_at = progress_at + limit
-            match await response.receive(timeout=silent_at - self._reactor.seconds()):
-                case ResponseData(data):
-                    if self._relay_data(context, choice, data):
-                        limit = self._gap_timeout(context)
-                        progress_at = self._reactor.seconds()
-                case ResponseEnd() as ended:
-                    self._check_stream_end(context, ended)
-                    trailing_data = context.stream.take_partial()
-                    if trailing_data and not exchange.is_closed:
-                        exchange.write(trailing_data)
-                    exchange.end()
-                    return
+        exchange.apply_backpressure(relay.response.transport)
 
-    def _check_stream_end(self, context: RequestContext, ended: ResponseEnd) -> None:
+    def _check_stream_end(
+        self, context: RequestContext, attempt: Attempt, ended: ResponseEnd
+    ) -> None:
         """Raise `AttemptError` unless the stream is known to be complete.
 
         A stream of unknown end that cannot be resumed has no end mark for the caller
         either.
         """
-        match self._proof_of(context, ended, context.stream.place):
+        match self._proof_of(attempt, ended, attempt.stream.place):
             case Proof.BROKEN_OFF:
                 raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
             case Proof.UNKNOWN if context.exchange.has_end_mark:
                 context.may_be_complete = True
                 raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
 
-    def _proof_of(
-        self, context: RequestContext, ended: ResponseEnd, place: Place
-    ) -> Proof:
+    def _proof_of(self, attempt: Attempt, ended: ResponseEnd, place: Place) -> Proof:
         """Record how the answer ended; return what that proves."""
-        context.answer_end = AnswerEnd(
+        attempt.answer_end = AnswerEnd(
             framing=ended.framing,
             close=ended.close,
             place=place,
-            is_resumed=place is not Place.IN_BODY and context.stream.is_resumed,
+            is_resumed=place is not Place.IN_BODY and attempt.stream.is_resumed,
         )
-        return proof_of_end(context.answer_end)
+        return proof_of_end(attempt.answer_end)
 
-    def _relay_data(self, context: RequestContext, choice: Choice, data: bytes) -> bool:
+    def _relay_data(self, relay: "_Relay", head: ResponseHead, data: bytes) -> bool:
         """Pass on the events that are complete; return whether one carries data.
 
         Other bytes are no progress: an endpoint may send some now and then for ever.
+        They wait while another attempt runs, which may be the one that answers.
         """
+        context, attempt = relay.context, relay.attempt
         try:
-            complete_events = context.stream.feed(data)
+            complete_events = attempt.stream.feed(data)
         except EventTooLargeError:
             raise AttemptError(reason=FailureReason.MALFORMED, was_sent=True)
+        is_progress = has_data(complete_events)
+        relay.unsent += complete_events
+        if not is_progress and len(relay.running) > 1:
+            if len(relay.unsent) > MAX_UNSENT_BYTES:
+                raise AttemptError(reason=FailureReason.MALFORMED, was_sent=True)
+            return False
+        self._claim(relay, head)
         context.may_be_complete = False
         self._record_gap(context)
-        if context.answer_began_at is None and has_data(complete_events):
-            context.answer_began_at = self._reactor.seconds()
-        if choice.placed.is_in_prefill:
+        if attempt.answer_began_at is None and is_progress:
+            attempt.answer_began_at = self._reactor.seconds()
+        if attempt.choice.placed.is_in_prefill:
             self._record_first_response(context)
-            self._tracker.mark_prefilled(choice.placed, now=self._reactor.seconds())
+            self._tracker.mark_prefilled(
+                attempt.choice.placed, now=self._reactor.seconds()
+            )
             self._on_work_changed()
-        if complete_events and not context.exchange.is_closed:
-            context.exchange.write(complete_events)
-        return has_data(complete_events)
+        events, relay.unsent = relay.unsent, b""
+        if events and not context.exchange.is_closed:
+            context.exchange.write(events)
+        return is_progress
 
     def _record_first_response(self, context: RequestContext) -> None:
         if context.first_response_at is None:
             context.first_response_at = self._reactor.seconds()
 
-    def _record_served(self, context: RequestContext) -> None:
-        if context.answer_began_at is not None:
+    def _record_served(self, context: RequestContext, attempt: Attempt) -> None:
+        if attempt.answer_began_at is not None:
             self._crashes.record_served(
-                context.metadata.shared_parts, began_at=context.answer_began_at
+                context.metadata.shared_parts, began_at=attempt.answer_began_at
             )
 
     def _record_gap(self, context: RequestContext) -> None:
@@ -392,26 +543,89 @@
             context.longest_gap = max(context.longest_gap, now - context.last_data_at)
         context.last_data_at = now
 
-    def _time_left(self, context: RequestContext) -> float:
-        return context.deadline - self._reactor.seconds() + DEADLINE_GRACE_SECONDS
+    def _silent_from(
+        self,
+        context: RequestContext,
+        attempt: Attempt,
+        since: float,
+        *,
+        limit: float,
+        deadline: float,
+    ) -> float:
+        """Return when an endpoint counts as silent by the work it is known to have.
+
+        It has sent nothing since `since`. `limit` and `deadline` are those of
+        `routing.silent_from`.
+        """
+        now = self._reactor.seconds()
+        placed = attempt.choice.placed
+        is_in_prefill = placed.is_in_prefill
+        if context.service.engine is not None:
+            attempt.busy_seconds = max(
+                busy_seconds(
+                    self._chooser.work(endpoint, now=now),
+                    context.service.engine,
+                    is_in_prefill=is_in_prefill,
+                )
+                for endpoint in (placed.endpoints if is_in_prefill else (placed.lead,))
+            )
+        if is_in_prefill:
+            self._update_slot_wait(context, attempt)
+            attempt.busy_seconds += attempt.slot_wait_seconds
+        return silent_from(
+            since=since,
+            limit=limit,
+            busy=attempt.busy_seconds,
+            margin=(
+                FIRST_RESPONSE_MARGIN_SECONDS if is_in_prefill else GAP_MARGIN_SECONDS
+            ),
+            deadline=deadline,
+        )
+
+    def _update_slot_wait(self, context: RequestContext, attempt: Attempt) -> None:
+        """Record the longest wait for a slot by what is known since the sending.
 
-    def _first_response_timeout(self, context: RequestContext, choice: Choice) -> float:
-        seconds_left = self._time_left(context)
-        if not self._retry_policy.allows_retry(context):
-            return seconds_left
-        limit = context.route.first_answer_objective * FIRST_RESPONSE_TIMEOUT_FACTOR
-        limit = (
-            max(limit, choice.predicted_ms / 1_000.0 * 2)
+        Requests that were ahead then may have ended now, and those that peers placed
+        before may be reported later.
+        """
+        if context.service.engine is None:
+            return
+        work = self._chooser.work(attempt.endpoint, now=self._reactor.seconds())
+        attempt.slot_wait_seconds = max(
+            attempt.slot_wait_seconds, slot_wait_seconds(work, context.service.engine)
+        )
+
+    def _first_response_limit(self, context: RequestContext, choice: Choice) -> float:
+        """Return the seconds after which an endpoint without an answer is silent."""
+        if not context.route.may_repeat:
+            return math.inf
+        return self._response_limit(context, choice)
+
+    def _response_limit(self, context: RequestContext, choice: Choice) -> float:
+        limit = context.route.first_answer_objective * FIRST_RESPONSE_LIMIT_FACTOR
+        predicted = choice.predicted_ms / MS_PER_SECOND
+        return (
+            max(limit, predicted * FIRST_RESPONSE_LIMIT_FACTOR)
             + FIRST_RESPONSE_MARGIN_SECONDS
         )
-        return min(seconds_left, limit)
 
-    def _gap_timeout(self, context: RequestContext) -> float:
-        seconds_left = self._time_left(context)
+    def _gap_limit(self, context: RequestContext) -> float:
+        """Return the seconds without data after which a stream is silent."""
         objective = context.route.gap_objective
-        if objective is None or not self._retry_policy.allows_retry(context):
-            return seconds_left
-        return min(seconds_left, objective * GAP_TIMEOUT_FACTOR + GAP_MARGIN_SECONDS)
+        if objective is None or not context.route.may_repeat:
+            return math.inf
+        return objective * GAP_LIMIT_FACTOR + GAP_MARGIN_SECONDS
+
+
+@dataclass(slots=True)
+class _Relay:
+    """An answer that is read; `unsent` are events that the caller has not got."""
+
+    context: RequestContext
+    attempt: Attempt
+    running: RunningAttempts
+    response: EndpointResponse
+    unsent: bytes = b""
 
 
 def _helper_addresses(
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -8,13 +8,21 @@
 from twisted.web.http_headers import Headers
 from zope.interface import implementer
 
+from bilberryring.core import Delivery
 from bilberryring.fleet import CallerLimits
-from bilberryring.gateway.caller_channel import CallerChannel, OnRefused
 from bilberryring.gateway.messages import CallerRequest, HeaderPairs
-from bilberryring.http import BoundedRequest
-
-MIN_IDLE_SECONDS = 0.5
-"""Seconds without a request after which a connection is closed at a stop."""
+from bilberryring.http import (
+    MIN_IDLE_SECONDS,
+    BoundedRequest,
+    CallerChannel,
+    OnRefused,
+)
+
+LINGER_BYTES = 8 * 1024 * 1024
+"""Bytes of a refused request that are read and dropped, so that its caller, which may
+write all of it first, gets the answer."""
+LINGER_SECONDS = 2.0
+"""Seconds for which they are."""
 
 OnRequest = Callable[["CallerExchange"], None]
 
@@ -23,19 +31,42 @@
 class _BackpressureProducer:
     """Pauses the endpoint's connection while the caller reads the response slowly."""
 
-    def __init__(self):
-        self.source = None
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._source = None
+        self._is_paused = False
+        self._resumed_at = 0.0
+
+    @property
+    def held_until(self) -> float:
+        """The time until which data was last held back; now while it is."""
+        return self._clock.seconds() if self._is_paused else self._resumed_at
+
+    def hold(self, source) -> None:
+        """Pause and resume the transport `source` from now on."""
+        self._source = source
+        if self._is_paused:
+            source.pauseProducing()
+
+    def release_source(self) -> None:
+        """Let the transport be read, whatever the caller does; it may be reused."""
+        if self._source is not None and self._is_paused:
+            self._source.resumeProducing()
+        self._source = None
 
     def pauseProducing(self) -> None:
-        if self.source is not None:
-            self.source.pauseProducing()
+        self._is_paused = True
+        if self._source is not None:
+            self._source.pauseProducing()
 
     def resumeProducing(self) -> None:
-        if self.source is not None:
-            self.source.resumeProducing()
+        self._is_paused = False
+        self._resumed_at = self._clock.seconds()
+        if self._source is not None:
+            self._source.resumeProducing()
 
     def stopProducing(self) -> None:
-        self.source = None
+        self.release_source()
 
 
 class CallerExchange(BoundedRequest):
@@ -51,6 +82,8 @@
         self._backpressure: _BackpressureProducer | None = None
         self._is_disconnected = False
         self._has_end_mark = True
+        self._is_left_incomplete = False
+        self._closes_after_response = False
 
     @property
     def max_body_bytes(self) -> int:
@@ -72,6 +105,20 @@
         """Whether the status line of the response has been sent."""
         return bool(self.startedWriting)
 
+    @property
+    def held_back_until(self) -> float:
+        """The time until which the caller last held the answer back; now if it does."""
+        return 0.0 if self._backpressure is None else self._backpressure.held_until
+
+    @property
+    def delivery(self) -> Delivery:
+        """What the caller has got of the response."""
+        if not self.has_started:
+            return Delivery.NOTHING
+        if not self.finished:
+            return Delivery.UNMARKED if self._is_left_incomplete else Delivery.CUT
+        return Delivery.WHOLE if self._has_end_mark else Delivery.UNMARKED
+
     def read_request(self) -> CallerRequest:
         """Return the request with its complete body."""
         return CallerRequest(
@@ -91,6 +138,8 @@
 
         A second call before the first body bytes replaces the earlier values.
         """
+        if self._closes_after_response and not self.channel.has_next_request:
+            self.channel.persistent = False
         self.setResponseCode(status, reason or None)
         self.responseHeaders = Headers()
         for name, value in headers:
@@ -104,7 +153,7 @@
         Called before the response starts, if its end may be unknown.
         """
         self._has_end_mark = False
-        self.close_after_response()
+        self.channel.persistent = False
 
     def write(self, data: bytes) -> None:
         """Send body bytes; the first ones follow the status line and headers."""
@@ -114,8 +163,11 @@
         super().write(data)
 
     def close_after_response(self) -> None:
-        """Close the connection after this response, and send `Connection: close`."""
-        self.channel.persistent = False
+        """Close the connection after this response, and send `Connection: close`.
+
+        A connection on which another request has been received stays open for that one.
+        """
+        self._closes_after_response = True
 
     def apply_backpressure(self, source) -> None:
         """Pause the transport `source` while the caller reads too slowly.
@@ -123,9 +175,9 @@
         A later call replaces the source.
         """
         if self._backpressure is None:
-            self._backpressure = _BackpressureProducer()
+            self._backpressure = _BackpressureProducer(clock=self._reactor)
             self.registerProducer(self._backpressure, True)
-        self._backpressure.source = source
+        self._backpressure.hold(source)
 
     def end(self) -> None:
         """Complete the response."""
@@ -152,23 +204,33 @@
         if self.is_closed:
             return
         self._remove_backpressure()
+        self._is_left_incomplete = True
         self.channel.loseConnection()
 
     def connectionLost(self, reason) -> None:
         self._is_disconnected = True
+        if self._backpressure is not None:
+            self._backpressure.release_source()
         super().connectionLost(reason)
 
     def _remove_backpressure(self) -> None:
         if self._backpressure is not None:
-            self._backpressure.source = None
+            self._backpressure.release_source()
             self._backpressure = None
             self.unregisterProducer()
 
 
+class GatewayChannel(CallerChannel):
+    """Reads a part of what a caller still sends of a request that is refused."""
+
+    linger_bytes = LINGER_BYTES
+    linger_seconds = LINGER_SECONDS
+
+
 class CallerSite(http.HTTPFactory):
     """Accepts callers' connections and keeps track of the open ones."""
 
-    protocol = CallerChannel
+    protocol = GatewayChannel
     """Only HTTP/1.1, because its channel lists the requests in progress."""
 
     def __init__(
@@ -227,7 +289,7 @@
             if channel.idle_seconds(now=now) >= MIN_IDLE_SECONDS
         ]
         for channel in idle:
-            channel.transport.loseConnection()
+            channel.close_if_idle(seconds=MIN_IDLE_SECONDS)
         return len(idle)
 
     def log(self, request) -> None:
--- a/bilberryring/gateway/connection_pool.py
+++ b/bilberryring/gateway/connection_pool.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientCreator
 
@@ -107,6 +107,8 @@
         )
         try:
             return await opening
+        except CancelledError:
+            raise
         except ConnectionRefusedError:
             raise AttemptError(reason=FailureReason.REFUSED, was_sent=False)
         except Exception:
--- a/bilberryring/gateway/copy_codec.py
+++ b/bilberryring/gateway/copy_codec.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from bilberryring.fleet import (
     MS_PER_SECOND,
@@ -15,6 +16,23 @@
 from bilberryring.wire import LostWrite as LostWriteMessage
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Copy:
+    """What a peer has under a prefix, up to its latest change `revision`.
+
+    With `is_delta` it is what changed since the revision in the query, otherwise all.
+    `latest_lost` is the latest write that the peer knows to be lost.
+    """
+
+    prefix: str
+    items: tuple[PublishedItem, ...]
+    revision: int
+    era: int
+    is_delta: bool
+    lost_writes: tuple[LostWrite, ...]
+    latest_lost: Revision
+
+
 def encode_positions(
     positions: Iterable[tuple[str, ReplicaPosition]],
 ) -> list[CopyRevision]:
@@ -33,10 +51,8 @@
 
 def decode_position(message: CopyRevision) -> ReplicaPosition:
     """Return the position that a peer reported; raise `ValueError` if it lacks one."""
-    if message.revision is None or message.era is None:
-        raise ValueError("a position lacks its revision or its era")
     return ReplicaPosition(
-        latest=Revision(era=message.era, number=message.revision),
+        latest=Revision(era=_count(message.era), number=_count(message.revision)),
         latest_lost=_decode_lost(message.lost_era, message.lost_revision),
     )
 
@@ -71,6 +87,26 @@
     )
 
 
+def decode_copy(answer: CopyAnswer) -> Copy:
+    """Return what a peer answered; raise `ValueError` if a figure is out of range.
+
+    Nothing of an answer may be applied before all of it is decoded: what changed
+    without notice would never reach the fleet state.
+    """
+    items = decode_items(answer)
+    if any(not item.key.startswith(answer.prefix) for item in items):
+        raise ValueError(f"an item has a key outside of {answer.prefix!r}")
+    return Copy(
+        prefix=answer.prefix,
+        items=items,
+        revision=_count(answer.revision),
+        era=_count(answer.era),
+        is_delta=bool(answer.is_delta),
+        lost_writes=decode_lost_writes(answer),
+        latest_lost=decode_latest_lost(answer),
+    )
+
+
 def decode_items(answer: CopyAnswer) -> tuple[PublishedItem, ...]:
     """Return the items in an answer."""
     return tuple(_decode_item(item) for item in answer.items or ())
@@ -80,7 +116,7 @@
     """Return the writes in an answer that the store has lost."""
     return tuple(
         LostWrite(
-            key=write.key,
+            key=_text(write.key),
             revision=_decode_lost(write.era, write.revision),
             value=write.value,
             removed=None if write.removed is None else _decode_item(write.removed),
@@ -98,7 +134,19 @@
 
 
 def _decode_lost(era: int | None, number: int | None) -> Revision:
-    return Revision(era=era or 0, number=number or 0)
+    return Revision(era=_count(era or 0), number=_count(number or 0))
+
+
+def _text(value: str | None) -> str:
+    if value is None:
+        raise ValueError("a copy has an item without a key")
+    return value
+
+
+def _count(value: int | None) -> int:
+    if value is None or value < 0:
+        raise ValueError(f"{value} is no revision and no era")
+    return value
 
 
 def _encode_item(item: PublishedItem) -> CopyItem:
@@ -106,7 +154,9 @@
 
 
 def _decode_item(item: CopyItem) -> PublishedItem:
-    return PublishedItem(key=item.key, revision=item.revision, value=item.value)
+    return PublishedItem(
+        key=_text(item.key), revision=_count(item.revision), value=item.value
+    )
 
 
 def _encode_lost_write(write: LostWrite) -> LostWriteMessage:
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -5,7 +5,7 @@
 from twisted.web import http
 from twisted.web.resource import Resource
 
-from bilberryring.admission import EndpointStatements, StatedStanding
+from bilberryring.admission import EndpointStatements, PlannedStop, StatedStanding
 from bilberryring.core import (
     ErrorCode,
     Incarnation,
@@ -50,14 +50,6 @@
 
 HOUSEKEEPING_SECONDS = 0.25
 """Seconds between two runs of the periodic housekeeping."""
-BALANCER_EXIT_SECONDS = 3.0
-"""Seconds after a stop signal for which new requests are still served. The load
-balancer checks readiness once a second and needs two failed checks to stop sending
-requests."""
-LISTENER_EXIT_SECONDS = 0.5
-"""Seconds before the end of a stop from which no caller is accepted."""
-EXIT_MARGIN_SECONDS = 0.7
-"""Seconds before the platform kills the process at which the drain ends."""
 DRAIN_CHECK_SECONDS = 0.05
 MAX_SERIES = 256
 """Maximum number of series of one histogram; further ones share a series."""
@@ -179,6 +171,7 @@
             health=self._health,
             statements=self._statements,
             crashes=crashes,
+            counters=self._counters,
         )
         retry_policy = RetryPolicy(
             clock=self._reactor, bounds=self._settings.bounds, peers=self._peer_view
@@ -195,6 +188,14 @@
             chooser=chooser,
             log=self._log,
         )
+        self._reservations = ReservationManager(
+            reactor=self._reactor,
+            pool=self._pool,
+            codec=codec,
+            statements=statements,
+            log=self._log,
+            owner_id=incarnation[:8],
+        )
         attempts = AttemptRunner(
             reactor=self._reactor,
             codec=codec,
@@ -203,14 +204,7 @@
             pool=self._pool,
             tracker=self._tracker,
             health=self._health,
-            reservations=ReservationManager(
-                reactor=self._reactor,
-                pool=self._pool,
-                codec=codec,
-                statements=statements,
-                log=self._log,
-                owner_id=incarnation[:8],
-            ),
+            reservations=self._reservations,
             crashes=crashes,
             retry_policy=retry_policy,
             statements=statements,
@@ -282,36 +276,59 @@
 
         The gateway reports that it is not ready, serves requests until the load
         balancer has noticed, then refuses new requests and waits for those in progress.
-        It stops waiting `EXIT_MARGIN_SECONDS` before the end of the drain time.
+        Those that are left at the end get an error.
         """
-        started_at = self._reactor.seconds()
-        self._is_draining = True
-        self._forwarder.drain()
-        deadline = (
-            started_at + self._settings.bounds.drain_seconds - EXIT_MARGIN_SECONDS
+        stop = PlannedStop(
+            signalled_at=self._reactor.seconds(),
+            grace=self._settings.bounds.drain_seconds,
         )
-        await deferLater(self._reactor, BALANCER_EXIT_SECONDS)
+        self._is_draining = True
+        self._forwarder.drain(stop)
+        await deferLater(self._reactor, stop.refuses_at - stop.signalled_at)
         self._forwarder.refuse_new()
-        self._site.close_idle()
-        while self._reactor.seconds() < deadline - LISTENER_EXIT_SECONDS:
-            if not self._forwarder.in_progress and not self._site.open_connections:
-                break
+        await self._wait_for_callers(until=stop.listens_until)
+        await self._listeners.close("caller_address")
+        await self._wait_for_callers(until=stop.ends_at)
+        await self._answer_the_rest()
+        await self._wait_for_callers(until=stop.exits_at)
+        await self._wait_for_releases(until=stop.exits_at)
+        self._adapter.stop()
+        self._peers.stop()
+
+    async def _wait_for_callers(self, *, until: float) -> None:
+        """Wait until all connections are closed; those that are idle are closed.
+
+        Timers run before sockets are served: what waits to be accepted, read or written
+        when the time has passed, as after a pause of this process, is served first.
+        """
+        while True:
             self._site.close_idle()
             await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
-        await self._close_listener(deadline)
+            if not self._has_callers() or self._reactor.seconds() >= until:
+                return
+
+    def _has_callers(self) -> bool:
+        return bool(
+            self._site.open_connections or self._listeners.has_waiting("caller_address")
+        )
+
+    async def _wait_for_releases(self, *, until: float) -> None:
+        """Wait until engines have answered that memory is released."""
+        while (
+            self._reservations.releases_in_progress and self._reactor.seconds() < until
+        ):
+            await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
+
+    async def _answer_the_rest(self) -> None:
+        if not self._forwarder.in_progress:
+            return
+        # Answers that have arrived are read first: timers run before sockets are read.
+        await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
         if self._forwarder.in_progress:
             self._log.write(
                 LogEvent.DRAIN_TIMED_OUT, in_progress=self._forwarder.in_progress
             )
-        self._adapter.stop()
-        self._peers.stop()
-
-    async def _close_listener(self, deadline: float) -> None:
-        """Accept no more callers, and answer those that were accepted until now."""
-        self._listeners.close("caller_address")
-        while self._site.open_connections and self._reactor.seconds() < deadline:
-            self._site.close_idle()
-            await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
+        self._forwarder.end_all()
 
     def reload(self) -> None:
         """Read the settings again and apply those that may change at run time."""
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -101,13 +101,26 @@
         excluded: frozenset[EndpointId],
         now: float,
         seconds_left: float,
+        allows_avoided: bool = True,
+        among: frozenset[EndpointId] | None = None,
     ) -> Choice | None:
         """Return the endpoint for the next attempt, or `None` if there is none.
 
-        Endpoints in `excluded` are not considered. `now` and `seconds_left`, the time
-        until the deadline, are in seconds.
+        Endpoints in `excluded`, and others than `among` if it is given, are not
+        considered, and those to avoid only if `allows_avoided` and no other can take
+        the request. `now` and `seconds_left`,
+        the time until the deadline, are in seconds.
         """
-        usable = self._usable_endpoints(route, service, workspace, excluded, now)
+        allowed = self._allowed_endpoints(route, service, workspace, excluded, now)
+        if among is not None:
+            allowed = [endpoint for endpoint in allowed if endpoint.id in among]
+        usable = [
+            endpoint
+            for endpoint in allowed
+            if not self._health.is_avoided(endpoint.id, now=now)
+        ]
+        if not usable and allows_avoided:
+            usable = allowed
         if not usable:
             return None
         self._random.shuffle(usable)
@@ -185,7 +198,7 @@
         """Count a request against the start rate of the endpoint."""
         self._starts.record_start(endpoint, now=now)
 
-    def _usable_endpoints(
+    def _allowed_endpoints(
         self,
         route: Route,
         service: Service,
@@ -197,7 +210,7 @@
         if regions is None:
             return []
         per_second = self._slices.starts_per_second(service, regions=regions)
-        allowed = [
+        return [
             endpoint
             for endpoint in self._slices.endpoints(service, regions=regions)
             if endpoint.id not in excluded
@@ -207,12 +220,6 @@
                 or self._starts.may_start(endpoint.id, now=now, per_second=per_second)
             )
         ]
-        healthy = [
-            endpoint
-            for endpoint in allowed
-            if not self._health.is_avoided(endpoint.id, now=now)
-        ]
-        return healthy or allowed
 
     def _choose_by_load(
         self, usable: Sequence[AnnouncedEndpoint], now: float
--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 connections to endpoints, each of which carries one request at a time."""
 
-import socket
+import select
 from collections import deque
 from collections.abc import Callable
 
@@ -10,7 +10,14 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from bilberryring.core import RequestId
+from bilberryring.core import (
+    ErrorCode,
+    RequestId,
+    RunOutcome,
+    ServingError,
+    parse_whole_number,
+    set_tcp_options,
+)
 from bilberryring.execution import Close, Framing
 from bilberryring.gateway.messages import (
     AttemptError,
@@ -21,14 +28,14 @@
     ResponseHead,
 )
 
-TCP_USER_TIMEOUT_MS = 2_000
-"""Milliseconds after which a connection with unacknowledged data is closed."""
 DEFAULT_IDLE_SECONDS = 2.0
 """Seconds for which an idle connection may be reused when the endpoint sends no
 `Keep-Alive` timeout."""
 IDLE_FRACTION = 0.6
 """Fraction of the endpoint's `Keep-Alive` timeout for which a connection may be reused,
 so that it is not used while the endpoint closes it."""
+MAX_KEEP_ALIVE_SECONDS = 2**31 - 1
+"""Longest `Keep-Alive` timeout in seconds; a longer one counts as absent."""
 MAX_HEAD_BYTES = 64 * 1024
 """Maximum size in bytes of a status line with headers."""
 MAX_SKIPPED_BYTES = 1024 * 1024
@@ -37,6 +44,15 @@
 MAX_SKIPPED_HEADS = 16
 """Most interim responses and responses to other requests that are skipped before the
 response to a request. Reading thousands of them would hold up other requests."""
+MAX_DROPPED_BYTES = 16 * 1024 * 1024
+"""Most bytes of a response that are dropped after its request has ended."""
+MAX_REUSE_BODY_BYTES = 16 * 1024
+"""Longest request body after which a connection is used again. An endpoint may answer
+before it has read a longer one, and the next request would wait for it to read on."""
+ABANDONED_SECONDS = 5.0
+"""Seconds for which a response is read on after its request has ended."""
+MAX_DETAIL_CHARS = 200
+"""Characters of a parser's message that an error keeps; it can quote the value."""
 MAX_REMEMBERED_IDS = 256
 """Request ids that are remembered for one connection."""
 NO_BODY_STATUSES = frozenset({204, 304})
@@ -45,16 +61,6 @@
 IsExpected = Callable[[ResponseHead], bool]
 
 
-def set_tcp_options(transport) -> None:
-    """Disable Nagle's algorithm and limit the time in which data is acknowledged.
-
-    Without that limit a connection to an unreachable host stays open for minutes.
-    """
-    transport.setTcpNoDelay(True)
-    raw = transport.getHandle()
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-
-
 class EndpointResponse:
     """The response to one request, received as a sequence of events.
 
@@ -69,6 +75,8 @@
         self._failure: AttemptError | None = None
         self._waiting: Deferred[None] | None = None
         self._is_complete = False
+        self._is_abandoned = False
+        self._dropped_bytes = 0
 
     @property
     def transport(self):
@@ -81,8 +89,11 @@
         Raises `AttemptError` if none arrives within `timeout` seconds or the connection
         has failed.
         """
-        if not self._events and self._failure is None:
-            await self._wait(timeout)
+        for seconds in (timeout, 0.0):
+            # Timers run before sockets are read: the second wait lets data that has
+            # arrived while the process was busy be read.
+            if not self._events and self._failure is None:
+                await self._wait(seconds)
         if self._events:
             return self._events.popleft()
         if self._failure is not None:
@@ -94,6 +105,16 @@
         if not self._is_complete:
             self._connection.abort()
 
+    def abandon(self) -> None:
+        """Drop what is left of the response, so that the endpoint can finish it.
+
+        The connection is closed if it does not within `ABANDONED_SECONDS`.
+        """
+        self._is_abandoned = True
+        self._events.clear()
+        if self._failure is None and not self._is_complete:
+            self._reactor.callLater(ABANDONED_SECONDS, self._end_abandoned)
+
     def forbid_reuse(self) -> None:
         """Close the connection once the response is complete."""
         self._connection.forbid_reuse()
@@ -101,6 +122,9 @@
     def add(self, event: Event) -> None:
         """Queue an event for the task that receives the response."""
         self._is_complete = isinstance(event, ResponseEnd)
+        if self._is_abandoned:
+            self._drop(event)
+            return
         self._events.append(event)
         self._wake()
 
@@ -109,6 +133,16 @@
         self._failure = failure
         self._wake()
 
+    def _end_abandoned(self) -> None:
+        if self._failure is None:
+            self.abort()
+
+    def _drop(self, event: Event) -> None:
+        if isinstance(event, ResponseData):
+            self._dropped_bytes += len(event.data)
+            if self._dropped_bytes > MAX_DROPPED_BYTES:
+                self._connection.abort()
+
     async def _wait(self, timeout: float) -> None:
         waiting: Deferred[None] = Deferred()
         self._waiting = waiting
@@ -154,6 +188,7 @@
         self._n_requests = 0
         self._request_ids: deque[RequestId | None] = deque(maxlen=MAX_REMEMBERED_IDS)
         self._is_last_request = False
+        self._has_long_body = False
         self._idle_since = 0.0
 
     @property
@@ -190,7 +225,12 @@
 
     def may_be_reused(self) -> bool:
         """Whether the connection is open and the endpoint is not about to close it."""
-        return self._is_open and self.idle_seconds() < self._max_idle_seconds
+        if not self._is_open or self.idle_seconds() >= self._max_idle_seconds:
+            return False
+        # The end of the connection may have arrived and not been read yet.
+        poll = select.poll()
+        poll.register(self.transport.fileno(), select.POLLIN)
+        return not poll.poll(0)
 
     def connectionMade(self) -> None:
         self._is_open = True
@@ -207,16 +247,28 @@
         is_expected: IsExpected,
         request_id: RequestId | None = None,
     ) -> EndpointResponse:
-        """Write a complete request and return its response, still to be received."""
-        self._n_requests += 1
-        self._request_ids.append(request_id)
-        self._is_expected = is_expected
+        """Write a complete request and return its response, still to be received.
+
+        Raises `ServingError` if HTTP does not allow the request; nothing is written
+        then, and the connection stays idle.
+        """
         framed_headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         if not body and method in (b"GET", b"HEAD"):
             framed_headers = list(headers)
-        self._request = h11.Request(
-            method=method, target=target, headers=framed_headers
-        )
+        try:
+            request = h11.Request(method=method, target=target, headers=framed_headers)
+        except h11.LocalProtocolError as error:
+            self._on_idle(self)
+            raise ServingError(
+                code=ErrorCode.REQUEST_MALFORMED,
+                outcome=RunOutcome.NOT_RUN,
+                detail=str(error)[:MAX_DETAIL_CHARS],
+            )
+        self._n_requests += 1
+        self._has_long_body = len(body) > MAX_REUSE_BODY_BYTES
+        self._request_ids.append(request_id)
+        self._is_expected = is_expected
+        self._request = request
         self._framing = None
         self._skipped_bytes = 0
         self._skipped_heads = 0
@@ -326,8 +378,9 @@
                 continue
             for part in value.split(b","):
                 key, _, number = part.strip().partition(b"=")
-                if key.strip().lower() == b"timeout" and number.strip().isdigit():
-                    self._max_idle_seconds = int(number) * IDLE_FRACTION
+                seconds = parse_whole_number(number, most=MAX_KEEP_ALIVE_SECONDS)
+                if key.strip().lower() == b"timeout" and seconds is not None:
+                    self._max_idle_seconds = seconds * IDLE_FRACTION
 
     def _handle_end(self) -> None:
         if self._is_skipping:
@@ -337,7 +390,11 @@
         is_clean = self._http.trailing_data[0] == b""
         can_reuse = self._http.our_state is h11.DONE and is_clean
         can_reuse = can_reuse and self._http.their_state is h11.DONE
-        if can_reuse and self._is_open and not self._is_last_request:
+        if can_reuse and self._is_open and self._has_long_body:
+            # What the endpoint has not read yet still goes to it.
+            self._is_open = False
+            self.transport.loseConnection()
+        elif can_reuse and self._is_open and not self._is_last_request:
             self._http.start_next_cycle()
             self._idle_since = self._reactor.seconds()
             self._on_idle(self)
--- a/bilberryring/gateway/event_stream.py
+++ b/bilberryring/gateway/event_stream.py
@@ -10,8 +10,7 @@
 '1'
 >>> events.place
 <Place.INSIDE_EVENT: 'inside_event'>
->>> events.begin_attempt()
->>> events.feed(b"id: 2\\ndata: b\\n\\n")
+>>> events.resumed().feed(b"id: 2\\ndata: b\\n\\n")
 b'id: 2\\ndata: b\\n\\n'
 """
 
@@ -27,6 +26,8 @@
 ID_FIELD = b"id:"
 DATA_FIELD = b"data:"
 COMMENT = b":"
+ID_IN_HEADER = re.compile(rb"[^\x00\x0b\x0c]+")
+"""An id that the header of a request to continue the stream can carry."""
 
 
 class EventTooLargeError(Exception):
@@ -70,12 +71,12 @@
 
     @property
     def is_resumed(self) -> bool:
-        """Whether the current attempt continues after an event that the caller has."""
+        """Whether the stream continues after an event that the caller has."""
         return self._is_resumed
 
     @property
     def place(self) -> Place:
-        """The place in the stream of the current attempt."""
+        """The place in the stream."""
         if any(
             line and not line.startswith(COMMENT) for line in self._buffer.splitlines()
         ):
@@ -96,11 +97,9 @@
         self._read_fields(complete)
         return complete
 
-    def begin_attempt(self) -> None:
-        """Discard an incomplete event of the attempt before, which broke within it."""
-        self._buffer = b""
-        self._has_events = False
-        self._is_resumed = bool(self._last_id)
+    def resumed(self) -> "EventStream":
+        """Return a stream that another attempt continues after the last event."""
+        return EventStream(last_id=self._last_id)
 
     def take_partial(self) -> bytes:
         """Remove and return the bytes after the last event of an ended stream."""
@@ -114,12 +113,13 @@
         return end
 
     def _read_fields(self, complete: bytes) -> None:
-        """Note the last id, and whether data followed that has none."""
+        """Note the last id, and whether data followed without one to resume after."""
         has_id = has_data = False
         for line in complete.splitlines():
             if line.startswith(ID_FIELD):
-                self._last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
-                has_id = True
+                event_id = line[len(ID_FIELD) :].strip()
+                self._last_id = event_id.decode("latin-1")
+                has_id = ID_IN_HEADER.fullmatch(event_id) is not None
             elif line.startswith(DATA_FIELD):
                 has_data = self._has_events = True
             elif not line:
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -159,6 +159,7 @@
     DEADLINE = "deadline"
     WITHDRAWN = "withdrawn"
     NO_MEMORY = "no_memory"
+    NO_RETRY = "no_retry"
     QUARANTINED = "quarantined"
 
 
--- a/bilberryring/gateway/operator_queries.py
+++ b/bilberryring/gateway/operator_queries.py
@@ -11,6 +11,7 @@
     Service,
     ServiceName,
 )
+from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.messages import CallerMetadata
@@ -44,6 +45,7 @@
         health: EndpointHealth,
         statements: EndpointStatements,
         crashes: CrashRecord,
+        counters: GatewayCounters,
     ):
         self._clock = clock
         self._settings = settings
@@ -53,6 +55,7 @@
         self._health = health
         self._statements = statements
         self._crashes = crashes
+        self._counters = counters
 
     def status(
         self, *, state: str, in_progress: int, links: int, is_reader: bool
@@ -87,6 +90,8 @@
                 *self._crashes.quarantined(),
                 *(f"part {part}" for part in self._crashes.quarantined_parts()),
             ),
+            silent_attempts=self._counters.silent_attempts,
+            reread_tokens=self._counters.reread_tokens,
         )
 
     def explain(self, question: ExplainRequest) -> Explanation:
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -21,6 +21,10 @@
 """Seconds without a sign of life after which a gateway is forgotten. Until then it
 still counts as one of those that share the operators' limits, since it may only be
 cut off: regions can lose each other for minutes."""
+MAX_GATEWAYS = 2_048
+"""Other gateways that are remembered; further ones count when others are forgotten."""
+MAX_PEER_ENDPOINTS = 8_192
+"""Endpoints of which one peer's work is remembered; twice those of a large fleet."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -165,6 +169,8 @@
         is_same = peer is not None and peer.incarnation == report.incarnation
         if is_same and report.sequence <= peer.sequence:
             return False
+        if not self._may_know(report.host):
+            return False
         is_new = peer is None or now - peer.heard_at > PEER_TIMEOUT_SECONDS
         if peer is not None and (report.is_complete or not is_same):
             self._remove_work(report.host, peer)
@@ -282,9 +288,14 @@
         near = [host for host in hosts if self._peers[host].failure_domain == domain]
         return self._random.choice(near or hosts)
 
+    def _may_know(self, host: str) -> bool:
+        return host in self._heard_at or len(self._heard_at) < MAX_GATEWAYS
+
     def _hear(self, host: str, *, at: float, now: float) -> None:
         if host == self._own_host or now - at > PEER_EXPIRY_SECONDS:
             return
+        if not self._may_know(host):
+            return
         if host not in self._heard_at:
             self._gateways = None
         self._heard_at[host] = max(at, self._heard_at.get(host, at))
@@ -298,6 +309,8 @@
     def _store_work(self, report: PeerReport, now: float) -> None:
         endpoints = self._peers[report.host].endpoints
         for endpoint, work in report.work:
+            if endpoint not in endpoints and len(endpoints) >= MAX_PEER_ENDPOINTS:
+                continue
             self._sums.pop(endpoint, None)
             placed = self._work.setdefault(endpoint, {})
             if work.requests or work.prefill_ms or work.kv_tokens:
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -11,6 +11,8 @@
 import random
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import MessageLengthError
+from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.protocol import ClientCreator, DatagramProtocol, Factory
 from twisted.internet.task import LoopingCall
 
@@ -18,9 +20,7 @@
 from bilberryring.fleet import ReplicaPosition
 from bilberryring.gateway.copy_codec import (
     answer_query,
-    decode_items,
-    decode_latest_lost,
-    decode_lost_writes,
+    decode_copy,
     encode_positions,
     make_query,
 )
@@ -29,6 +29,7 @@
 from bilberryring.gateway.peer_view import CrashNews, PeerReport, PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.report_codec import (
+    MAX_MEMBERS,
     ReportError,
     decode_crash_report,
     decode_report,
@@ -63,8 +64,8 @@
 """Seconds between two complete reports."""
 GOSSIP_PEERS = 2
 """Gateways outside the neighbourhood that get each complete report."""
-MAX_MEMBERS = 128
-"""Members in one report; others follow in later ones, drawn at random."""
+MAX_MALFORMED_PEERS = 256
+"""Senders of malformed reports that are remembered, so that each is logged once."""
 INCARNATION_CHARS = 8
 """Characters of the incarnation that reports contain, to tell restarts apart."""
 NEWS_PEERS = 4
@@ -79,6 +80,17 @@
 """Seconds after a failed copy before another one is requested."""
 COPY_TIMEOUT_SECONDS = 1.0
 """Timeout in seconds, both for connecting to a peer and for its published items."""
+MAX_COPY_BYTES = 16 * 1024 * 1024
+"""Bytes of a peer's published items: 16 values of the largest size in the store."""
+MAX_QUERY_BYTES = 1024
+"""Bytes of a peer's query, which names a prefix and a revision."""
+QUERY_SECONDS = 2 * COPY_TIMEOUT_SECONDS
+"""Seconds after which the connection of a peer that copies is closed; by then the peer
+has given the copy up."""
+
+
+class CopyError(Exception):
+    """A peer has sent no copy of what it was asked for."""
 
 
 class PeerExchange(DatagramProtocol):
@@ -120,6 +132,7 @@
         self._copy_retry_at = 0.0
         self._loop: LoopingCall | None = None
         self._n_sent = 0
+        self._malformed: dict[str, str] = {}
         self._listener = None
 
     @property
@@ -132,7 +145,9 @@
         port, host = self._settings.peer_port, self._settings.host
         self._reactor.listenUDP(port, self, interface=host)
         self._listener = self._reactor.listenTCP(
-            port, CopyFactory(copies=self._copies), interface=host
+            port,
+            CopyFactory(copies=self._copies, clock=self._reactor),
+            interface=host,
         )
         self.start_reports()
 
@@ -176,9 +191,18 @@
                 case CrashReport():
                     self._handle_news(decode_crash_report(message))
         except (FrameError, ReportError) as error:
-            self._log.write(
-                LogEvent.PEER_REPORT_MALFORMED, peer=addr[0], detail=str(error)
-            )
+            self._log_malformed(addr[0], str(error))
+        else:
+            self._malformed.pop(addr[0], None)
+
+    def _log_malformed(self, host: str, detail: str) -> None:
+        """Log why reports cannot be read, once while that stays the same."""
+        if self._malformed.get(host) == detail:
+            return
+        self._malformed[host] = detail
+        if len(self._malformed) > MAX_MALFORMED_PEERS:
+            del self._malformed[next(iter(self._malformed))]
+        self._log.write(LogEvent.PEER_REPORT_MALFORMED, peer=host, detail=detail)
 
     def _handle_report(self, report: PeerReport) -> None:
         now = self._reactor.seconds()
@@ -291,7 +315,7 @@
         try:
             self.transport.write(datagram, (host, self._settings.peer_port))
             self._n_sent += 1
-        except OSError as error:
+        except (OSError, ValueError, MessageLengthError) as error:
             self._log.write(LogEvent.PEER_UNREACHABLE, peer=host, detail=str(error))
 
     def _is_ahead(self, report: PeerReport) -> bool:
@@ -325,9 +349,11 @@
             creator = ClientCreator(
                 self._reactor,
                 LinkProtocol,
+                clock=self._reactor,
                 on_open=lambda link: None,
                 on_message=lambda link, message: _resolve(received, message),
                 on_closed=lambda link: _resolve(received, None),
+                max_frame_bytes=MAX_COPY_BYTES,
             )
             link = await creator.connectTCP(
                 host, self._settings.peer_port, timeout=COPY_TIMEOUT_SECONDS
@@ -335,8 +361,9 @@
             link.send(make_query(prefix, position))
             received.addTimeout(COPY_TIMEOUT_SECONDS, self._reactor)
             answer = await received
-            if isinstance(answer, CopyAnswer) and answer.prefix == prefix:
-                self._apply_copy(host, answer)
+            if not isinstance(answer, CopyAnswer) or answer.prefix != prefix:
+                raise CopyError(f"no copy of {prefix!r}")
+            self._apply_copy(host, answer)
         except Exception as error:
             # Twisted raises many kinds of exceptions for a failed connection.
             self._copy_retry_at = self._reactor.seconds() + COPY_RETRY_SECONDS
@@ -349,53 +376,68 @@
     def _apply_copy(self, host: str, answer: CopyAnswer) -> None:
         if answer.era is None:
             return
-        take = self._copies.take_changes if answer.is_delta else self._copies.take_copy
-        changed = take(
-            answer.prefix,
-            decode_items(answer),
-            revision=answer.revision,
-            era=answer.era,
-        )
-        lost_writes = decode_lost_writes(answer)
+        copy = decode_copy(answer)
+        take = self._copies.take_changes if copy.is_delta else self._copies.take_copy
+        changed = take(copy.prefix, copy.items, revision=copy.revision, era=copy.era)
         held = self._copies.add_lost_writes(
-            answer.prefix,
-            lost_writes,
-            era=answer.era,
-            latest_lost=decode_latest_lost(answer),
+            copy.prefix,
+            copy.lost_writes,
+            era=copy.era,
+            latest_lost=copy.latest_lost,
         )
         self._log.write(
             LogEvent.COPY_TAKEN,
             peer=host,
-            prefix=answer.prefix,
-            revision=answer.revision,
-            era=answer.era,
+            prefix=copy.prefix,
+            revision=copy.revision,
+            era=copy.era,
             changed=changed,
-            lost_writes=len(lost_writes),
+            lost_writes=len(copy.lost_writes),
             held=held,
         )
 
 
 class CopyFactory(Factory):
-    """Sends the published items to peers that request them."""
+    """Sends the published items to peers that request them.
+
+    A connection is for one query, and is closed after `QUERY_SECONDS`.
+    """
 
-    def __init__(self, *, copies: PublishedCopies):
+    def __init__(self, *, copies: PublishedCopies, clock):
         self._copies = copies
+        self._clock = clock
+        self._timers: dict[LinkProtocol, IDelayedCall] = {}
+        self._answered: set[LinkProtocol] = set()
 
     def buildProtocol(self, addr):
         return LinkProtocol(
-            on_open=lambda link: None,
+            clock=self._clock,
+            on_open=self._opened,
             on_message=self._answer,
-            on_closed=lambda link: None,
+            on_closed=self._closed,
+            max_frame_bytes=MAX_QUERY_BYTES,
         )
 
+    def _opened(self, link: LinkProtocol) -> None:
+        self._timers[link] = self._clock.callLater(
+            QUERY_SECONDS, link.transport.abortConnection
+        )
+
+    def _closed(self, link: LinkProtocol) -> None:
+        timer = self._timers.pop(link)
+        if timer.active():
+            timer.cancel()
+        self._answered.discard(link)
+
     def _answer(self, link: LinkProtocol, message: object) -> None:
         match message:
-            case CopyQuery(prefix=prefix):
+            case CopyQuery(prefix=prefix) if link not in self._answered:
                 replica = self._copies.replica(prefix)
-                if replica is None:
-                    link.transport.abortConnection()
+                if replica is not None:
+                    self._answered.add(link)
+                    link.send(answer_query(message, replica, now=self._copies.now()))
                     return
-                link.send(answer_query(message, replica, now=self._copies.now()))
+        link.transport.abortConnection()
 
 
 def _resolve(waiting: Deferred, message: object) -> None:
--- a/bilberryring/gateway/repeat_rules.py
+++ b/bilberryring/gateway/repeat_rules.py
@@ -48,26 +48,47 @@
         """Count a caller's request towards the retry budget of its service."""
         self._window(context.service.name).record_request(now=self._clock.seconds())
 
-    def allows_retry(self, context: RequestContext) -> bool:
-        """Whether another attempt makes sense, regardless of the retry budget."""
-        if context.stream is not None and not context.stream.can_resume:
+    def allows_another(self, context: RequestContext) -> bool:
+        """Whether another attempt is allowed, regardless of the retry budget."""
+        if context.sends >= context.route.max_endpoints:
             return False
-        return context.route.may_repeat and context.sends < context.route.max_endpoints
+        return self._can_repeat(context)
 
-    def try_spend_retry(self, context: RequestContext) -> bool:
-        """Return whether another attempt is allowed, and spend one retry if so.
+    def allows_return(self, context: RequestContext) -> bool:
+        """Whether a stream may go on at the endpoint that another one has replaced.
 
-        Nothing is spent while the request has not been sent to any endpoint.
+        It has been sent there already, so that it reaches no further endpoint.
         """
-        now = self._clock.seconds()
-        if context.exchange.is_closed or context.sends >= context.route.max_endpoints:
+        return context.replaced_endpoint is not None and self._can_repeat(context)
+
+    def _can_repeat(self, context: RequestContext) -> bool:
+        if context.exchange.is_closed:
             return False
         if context.stream is not None and not context.stream.can_resume:
             return False
-        if context.deadline - now < MIN_SEND_SECONDS:
+        return context.deadline - self._clock.seconds() >= MIN_SEND_SECONDS
+
+    def may_retry(self, context: RequestContext) -> bool:
+        """Whether another attempt is allowed and within the retry budget.
+
+        The first send of a request costs nothing.
+        """
+        if not self.allows_another(context) and not self.allows_return(context):
             return False
         if context.sends == 0:
             return True
+        now = self._clock.seconds()
+        entries = self._peers.entry_count(now=now)
+        return self._window(context.service.name).can_spend(now=now, entries=entries)
+
+    def try_spend(self, context: RequestContext) -> bool:
+        """Spend a retry for a request that is about to be sent, unless it is the first.
+
+        Returns whether it may be sent.
+        """
+        if context.sends == 0:
+            return True
+        now = self._clock.seconds()
         entries = self._peers.entry_count(now=now)
         return self._window(context.service.name).try_spend(now=now, entries=entries)
 
@@ -85,11 +106,11 @@
         """
         match cause:
             case NotRun():
-                if not self.try_spend_retry(context):
+                if not self.may_retry(context):
                     raise self._refusal_error(context, cause.metadata, seconds)
             case AttemptError():
                 is_safe = context.route.may_repeat or not context.may_have_run
-                if not is_safe or not self.try_spend_retry(context):
+                if not is_safe or not self.may_retry(context):
                     raise self._failed_attempt_error(context, cause)
 
     def deadline_error(self, context: RequestContext) -> ServingError:
@@ -163,11 +184,17 @@
         return window
 
 
+def is_in_time(choice: Choice, seconds_left: float) -> bool:
+    """Whether the first token is predicted to come well before the deadline."""
+    predicted = choice.predicted_ms / MS_PER_SECOND
+    return predicted <= MAX_FIRST_TOKEN_FRACTION * seconds_left
+
+
 def check_deadline(choice: Choice, seconds_left: float) -> None:
     """Raise `ServingError` if the first token is predicted to come too late."""
-    predicted = choice.predicted_ms / MS_PER_SECOND
-    if predicted <= MAX_FIRST_TOKEN_FRACTION * seconds_left:
+    if is_in_time(choice, seconds_left):
         return
+    predicted = choice.predicted_ms / MS_PER_SECOND
     backlog = choice.backlog_ms / MS_PER_SECOND
     raise not_run(
         ErrorCode.TOO_LATE,
--- a/bilberryring/gateway/report_codec.py
+++ b/bilberryring/gateway/report_codec.py
@@ -1,6 +1,12 @@
-"""Translation between reports of gateways and their messages."""
+"""Translation between reports of gateways and their messages.
 
+A report is sent with figures in range, and one with a figure out of range is refused:
+its work would keep other gateways from endpoints that are free.
+"""
+
+import functools
 import ipaddress
+import itertools
 from collections.abc import Iterable
 
 from bilberryring.core import Fingerprint, PromptPartId
@@ -29,6 +35,20 @@
 HUNDREDTHS = 100.0
 MAX_MILLISECONDS = 3_600_000
 """The longest time in a report; a request without an objective has no due time."""
+MAX_REQUESTS = 1_000_000
+"""Most requests of one gateway on one endpoint."""
+MAX_TOKENS = 2**53 - 1
+MAX_GAP_MS = MAX_COUNT = 2**31 - 1
+"""Largest objective for token gaps, and the largest other figure; messages hold no
+larger ones."""
+MAX_STREAMS = 1_024
+"""Most groups of streams, and most streams in prefill, of one endpoint's work."""
+MAX_MEMBERS = 128
+"""Most members in one report; others follow in later ones, drawn at random."""
+MAX_CACHED_HOSTS = 4_096
+"""Hosts whose packed form is kept: each report names up to `MAX_MEMBERS` of them."""
+MAX_DETAIL_CHARS = 200
+"""Characters of a decoder's message that an error keeps."""
 
 
 class ReportError(Exception):
@@ -36,7 +56,8 @@
 
     def __init__(self, detail: str):
         super().__init__(
-            f"report_malformed: {detail}. Remedy: compare the versions of the gateways."
+            f"report_malformed: {detail[:MAX_DETAIL_CHARS]}. "
+            "Remedy: compare the versions of the gateways."
         )
 
 
@@ -44,25 +65,25 @@
     """Return the message with the work on one endpoint."""
     return WorkReport(
         endpoint=endpoint,
-        requests=work.requests,
-        prefill_ms=round(work.prefill_ms),
-        prefill_elapsed_ms=round(work.prefill_elapsed_ms),
-        kv_tokens=work.kv_tokens,
+        requests=_clamp(work.requests, MAX_REQUESTS),
+        prefill_ms=_clamp(work.prefill_ms, MAX_MILLISECONDS),
+        prefill_elapsed_ms=_clamp(work.prefill_elapsed_ms, MAX_MILLISECONDS),
+        kv_tokens=_clamp(work.kv_tokens, MAX_TOKENS),
         decode_groups=[
             DecodeGroupReport(
-                gap_ms=group.gap_ms,
-                count=group.count,
-                value_hundredths=round(group.value * HUNDREDTHS),
+                gap_ms=_clamp(group.gap_ms, MAX_GAP_MS),
+                count=_clamp(group.count, MAX_COUNT),
+                value_hundredths=_clamp(group.value * HUNDREDTHS, MAX_COUNT),
             )
-            for group in work.decode_groups
+            for group in work.decode_groups[:MAX_STREAMS]
         ],
         prefill_streams=[
             PrefillStreamReport(
-                gap_ms=stream.gap_ms,
-                value_hundredths=round(stream.value * HUNDREDTHS),
+                gap_ms=_clamp(stream.gap_ms, MAX_GAP_MS),
+                value_hundredths=_clamp(stream.value * HUNDREDTHS, MAX_COUNT),
                 due_ms=_clamp_milliseconds(stream.due_ms),
             )
-            for stream in work.prefill_streams
+            for stream in work.prefill_streams[:MAX_STREAMS]
         ],
     )
 
@@ -71,7 +92,7 @@
     """Return the messages of known gateways."""
     return [
         MemberMessage(
-            address=ipaddress.ip_address(member.host).packed,
+            address=_encode_host(member.host),
             silent_ms=round(member.silent_seconds * MS_PER_SECOND),
         )
         for member in members
@@ -141,7 +162,7 @@
                 (_required(item.endpoint), _decode_work(item))
                 for item in message.work or ()
             ),
-            members=tuple(_decode_member(item) for item in message.members or ()),
+            members=_decode_members(message.members or ()),
             deaths=tuple(_decode_death(item) for item in message.deaths or ()),
             parts=tuple(_decode_part(item) for item in message.parts or ()),
         )
@@ -149,11 +170,32 @@
         raise ReportError(str(error))
 
 
-def _decode_member(message: MemberMessage) -> Member:
-    return Member(
-        host=str(ipaddress.ip_address(_required(message.address))),
-        silent_seconds=max(0, _required(message.silent_ms)) / MS_PER_SECOND,
+def _decode_members(messages: Iterable[MemberMessage]) -> tuple[Member, ...]:
+    """Return the first members to which reports can be sent."""
+    usable = (
+        Member(
+            host=host,
+            silent_seconds=max(0, _required(message.silent_ms)) / MS_PER_SECOND,
+        )
+        for message in messages
+        if (host := _decode_host(_required(message.address))) is not None
+    )
+    return tuple(itertools.islice(usable, MAX_MEMBERS))
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_HOSTS)
+def _encode_host(host: str) -> bytes:
+    return ipaddress.ip_address(host).packed
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_HOSTS)
+def _decode_host(packed: bytes) -> str | None:
+    """Return the host, or `None` if no gateway can have it: reports use IPv4."""
+    address = ipaddress.ip_address(packed)
+    is_usable = address.version == 4 and not (
+        address.is_multicast or address.is_unspecified or address.is_reserved
     )
+    return str(address) if is_usable else None
 
 
 def _decode_death(message: EngineDeath) -> EndpointDeath:
@@ -178,18 +220,21 @@
 
 
 def _decode_work(message: WorkReport) -> EndpointWork:
+    groups, streams = message.decode_groups or (), message.prefill_streams or ()
+    if max(len(groups), len(streams)) > MAX_STREAMS:
+        raise ValueError(f"the work has more than {MAX_STREAMS} groups or streams")
     return EndpointWork(
-        requests=_count(message.requests),
-        prefill_ms=float(_count(message.prefill_ms)),
-        prefill_elapsed_ms=float(_count(message.prefill_elapsed_ms)),
-        kv_tokens=_count(message.kv_tokens),
+        requests=_count(message.requests, MAX_REQUESTS),
+        prefill_ms=float(_count(message.prefill_ms, MAX_MILLISECONDS)),
+        prefill_elapsed_ms=float(_count(message.prefill_elapsed_ms, MAX_MILLISECONDS)),
+        kv_tokens=_count(message.kv_tokens, MAX_TOKENS),
         decode_groups=tuple(
             DecodeGroup(
                 gap_ms=_count(item.gap_ms),
                 count=_count(item.count),
                 value=_count(item.value_hundredths) / HUNDREDTHS,
             )
-            for item in message.decode_groups or ()
+            for item in groups
         ),
         prefill_streams=tuple(
             PrefillStream(
@@ -197,11 +242,16 @@
                 value=_count(item.value_hundredths) / HUNDREDTHS,
                 due_ms=float(_required(item.due_ms)),
             )
-            for item in message.prefill_streams or ()
+            for item in streams
         ),
     )
 
 
+def _clamp(figure: float, most: int) -> int:
+    """Return the whole number from 0 to `most` that is nearest to a figure."""
+    return round(min(max(figure, 0), most))
+
+
 def _clamp_milliseconds(milliseconds: float) -> int:
     """Return whole milliseconds that fit the message; no due time is infinite."""
     return round(min(max(milliseconds, -MAX_MILLISECONDS), MAX_MILLISECONDS))
@@ -213,8 +263,8 @@
     return value
 
 
-def _count(value: int | None) -> int:
+def _count(value: int | None, most: int = MAX_COUNT) -> int:
     count = _required(value)
-    if count < 0:
-        raise ValueError(f"the count {count} is negative")
+    if not 0 <= count <= most:
+        raise ValueError(f"the count {count} is not from 0 to {most}")
     return count
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -1,12 +1,14 @@
 """The state of one request in progress and the ways in which an attempt can fail."""
 
+import math
 from dataclasses import dataclass, field
 from typing import Protocol as Interface
 
 from bilberryring.core import Fingerprint, RequestId
-from bilberryring.execution import AnswerEnd
+from bilberryring.execution import AnswerEnd, SilenceDecision
 from bilberryring.fleet import EndpointId, Route, Service, Workspace
 from bilberryring.gateway.caller_site import CallerExchange
+from bilberryring.gateway.endpoint_choice import Choice
 from bilberryring.gateway.event_stream import EventStream
 from bilberryring.gateway.messages import (
     AttemptMetadata,
@@ -46,13 +48,14 @@
     """The state of one request in progress; times are those of the reactor's clock.
 
     `stream` is set if the route streams responses. `sends` counts the attempts that
-    sent the request, and `unknown_sends` those after which it may have run. `status` is
-    that of the response that the caller gets. `failure_response` is the last complete
-    error response of an endpoint; the caller gets it if no later attempt succeeds.
-    The current attempt was sent at `sent_at`; `answer_began_at` is when it got
-    the first data of its answer, and `stated_limit` the requests per second to which
-    its endpoint limits all gateways; `answer_end` is how its answer ended, if it did.
-    `may_be_complete` is true if the caller has a stream that may be complete.
+    sent the request, `unknown_sends` those after which it may have run and
+    `not_run_sends` those that the endpoint refused. `status` is that of the response
+    that the caller gets. `failure_response` is the last complete error response of an
+    endpoint; the caller gets it if no later attempt succeeds. `configuration` is the
+    version under which the request was admitted.
+    `attempt` is the one whose answer the caller gets. `may_be_complete` is true if the
+    caller has a stream that may be complete. `replaced_endpoint` had the request
+    when another one answered; a stream that breaks may return to it once.
     """
 
     exchange: CallerExchange
@@ -64,16 +67,16 @@
     deadline: float
     stream: EventStream | None
     fingerprint: Fingerprint
+    configuration: int = 0
     sends: int = 0
     unknown_sends: int = 0
+    not_run_sends: int = 0
     tried_endpoints: set[EndpointId] = field(default_factory=set)
     first_response_at: float | None = None
     last_data_at: float | None = None
-    answer_began_at: float | None = None
-    sent_at: float = 0.0
-    stated_limit: float | None = None
-    answer_end: AnswerEnd | None = None
+    attempt: "Attempt | None" = None
     may_be_complete: bool = False
+    replaced_endpoint: EndpointId | None = None
     longest_gap: float = 0.0
     status: int = 0
     failure_response: "RetryableFailure | None" = None
@@ -89,6 +92,42 @@
         return self.unknown_sends > 0
 
 
+@dataclass(slots=True, kw_only=True, eq=False)
+class Attempt:
+    """One attempt of a request at a chosen endpoint; times are as in `RequestContext`.
+
+    `number` counts the attempts that sent the request. `stream` is what the attempt has
+    read of a stream. The request was sent at `sent_at`; `answer_began_at` is when the
+    first data of the answer came, and `answer_end` how it ended, if it did.
+    `stated_limit` is the requests per second to which the endpoint limits all gateways.
+    An endpoint that sends nothing for `silence_limit` seconds after `progress_at`,
+    until `silent_at`, counts as silent unless its known work takes longer: for
+    `busy_seconds` it may send no event, of which it may not begin the prompt for
+    `slot_wait_seconds`. `is_silent` is true while it counts as silent;
+    `silence_decision` is what last followed from it.
+    """
+
+    choice: Choice
+    stream: EventStream | None
+    number: int = 0
+    sent_at: float = 0.0
+    answer_began_at: float | None = None
+    answer_end: AnswerEnd | None = None
+    stated_limit: float | None = None
+    silence_limit: float = math.inf
+    progress_at: float = 0.0
+    busy_seconds: float = 0.0
+    slot_wait_seconds: float = 0.0
+    silent_at: float = math.inf
+    is_silent: bool = False
+    silence_decision: SilenceDecision | None = None
+
+    @property
+    def endpoint(self) -> EndpointId:
+        """The endpoint that gets the request."""
+        return self.choice.endpoint.id
+
+
 class NotRun(Exception):
     """The endpoint responded that it did not run the request."""
 
--- a/bilberryring/gateway/request_gate.py
+++ b/bilberryring/gateway/request_gate.py
@@ -65,6 +65,7 @@
             deadline=request.received_at + min(timeout, route.timeout),
             stream=EventStream(last_id=metadata.last_event_id) if is_stream else None,
             fingerprint=fingerprint,
+            configuration=configuration.version,
         )
 
     def _unknown_error(self, code: ErrorCode) -> ServingError:
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -1,12 +1,11 @@
 """Log events and metrics of requests."""
 
-from bilberryring.core import ServingError
-from bilberryring.execution import AnswerEnd, proof_of_end
+from bilberryring.core import Delivery, ServingError
+from bilberryring.execution import AnswerEnd, SilenceDecision, proof_of_end
 from bilberryring.fleet import EndpointId
-from bilberryring.gateway.counters import GatewayCounters
-from bilberryring.gateway.endpoint_choice import Choice
+from bilberryring.gateway.counters import CALLER_LEFT, GatewayCounters
 from bilberryring.gateway.messages import CallerMetadata, ResponseMetadata
-from bilberryring.gateway.request_context import RequestContext
+from bilberryring.gateway.request_context import Attempt, RequestContext
 from bilberryring.quarantine import PartAction, PartDecision
 from bilberryring.telemetry import EventLog, LogEvent
 
@@ -34,15 +33,27 @@
         self._log.write(event, request=metadata.request_id, **fields)
 
     def attempt_started(
-        self, context: RequestContext, choice: Choice, seconds_left: float, version: int
+        self,
+        context: RequestContext,
+        attempt: Attempt,
+        seconds_left: float,
+        version: int,
     ) -> None:
-        """Log that a request is sent, `seconds_left` before its deadline."""
+        """Log that a request is sent, `seconds_left` before its deadline.
+
+        Its prompt is counted as read again unless all earlier sends were refused.
+        """
+        if context.sends - 1 > context.not_run_sends:
+            self._counters.count_reread(
+                context.route.name, context.metadata.prompt_tokens
+            )
+        choice = attempt.choice
         self._log.write(
             LogEvent.ATTEMPT_STARTED,
             request=context.request_id,
             route=context.route.name,
-            endpoint=choice.endpoint.id,
-            attempt=context.sends,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
             helpers=[helper.id for helper in choice.helpers],
             part_ms=round(choice.placed.part_ms),
             prompt_tokens=context.metadata.prompt_tokens,
@@ -53,7 +64,7 @@
         )
 
     def attempt_failed(
-        self, context: RequestContext, choice: Choice, reason: str, culprit: str = ""
+        self, context: RequestContext, attempt: Attempt, reason: str, culprit: str = ""
     ) -> None:
         """Log and count an attempt that failed.
 
@@ -63,28 +74,59 @@
         self._log.write(
             LogEvent.ATTEMPT_FAILED,
             request=context.request_id,
-            endpoint=choice.endpoint.id,
-            attempt=context.sends,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
             reason=reason,
             culprit=culprit,
-            helpers=[helper.id for helper in choice.helpers],
-            writing_ms=self._writing_ms(context),
-            answer_end=_describe_end(context.answer_end),
+            helpers=[helper.id for helper in attempt.choice.helpers],
+            writing_ms=self._writing_ms(attempt),
+            answer_end=_describe_end(attempt.answer_end),
+        )
+
+    def attempt_silent(
+        self, context: RequestContext, attempt: Attempt, decision: SilenceDecision
+    ) -> None:
+        """Log that an endpoint is silent, and what follows from it.
+
+        The first decision for an attempt counts it.
+        """
+        if attempt.silence_decision is None:
+            self._counters.count_silent_attempt(context.route.name)
+        self._log.write(
+            LogEvent.ATTEMPT_SILENT,
+            request=context.request_id,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
+            sent_ago=round(self._clock.seconds() - attempt.sent_at, 3),
+            writing_ms=self._writing_ms(attempt),
+            left_ms=round((context.deadline - self._clock.seconds()) * 1_000),
+            busy_ms=round(attempt.busy_seconds * 1_000),
+            decision=decision.value,
+        )
+
+    def silence_ended(self, context: RequestContext, attempt: Attempt) -> None:
+        """Log that a silent endpoint goes on."""
+        self._log.write(
+            LogEvent.SILENCE_ENDED,
+            request=context.request_id,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
+            sent_ago=round(self._clock.seconds() - attempt.sent_at, 3),
         )
 
     def answer_skipped(
-        self, context: RequestContext, choice: Choice, metadata: ResponseMetadata
+        self, context: RequestContext, attempt: Attempt, metadata: ResponseMetadata
     ) -> None:
         """Log an answer that is not known to belong to the request it came for."""
         self._log.write(
             LogEvent.ANSWER_SKIPPED,
             request=context.request_id,
-            endpoint=choice.endpoint.id,
-            attempt=context.sends,
+            endpoint=attempt.endpoint,
+            attempt=attempt.number,
             status=metadata.status,
             answered_request=metadata.request_id,
             has_not_run=metadata.has_not_run,
-            sent_ago=round(self._clock.seconds() - context.sent_at, 3),
+            sent_ago=round(self._clock.seconds() - attempt.sent_at, 3),
         )
 
     def prompt_suspected(self, context: RequestContext, endpoint: EndpointId) -> None:
@@ -97,14 +139,19 @@
         )
 
     def request_finished(self, context: RequestContext) -> None:
-        """Log and count a request that got a complete response from an endpoint."""
+        """Log and count a request that got the response of an endpoint.
+
+        This, `request_failed` or `caller_left` is the last record of each request.
+        """
         now = self._clock.seconds()
+        attempt = context.attempt
         first_response_at = context.first_response_at or now
         first_seconds = first_response_at - context.request.received_at
         self._observe_first_response(
             context.route.name, context.workspace, first_seconds
         )
-        self._counters.count_request(context.route.name, str(context.status))
+        delivery = context.exchange.delivery
+        self._counters.count_request(context.route.name, str(context.status), delivery)
         self._log.write(
             LogEvent.REQUEST_FINISHED,
             request=context.request_id,
@@ -112,8 +159,12 @@
             first_ms=round(first_seconds * 1_000),
             gap_ms=round(context.longest_gap * 1_000),
             total_ms=round((now - context.request.received_at) * 1_000),
-            stated_limit=context.stated_limit,
-            answer_end=_describe_end(context.answer_end),
+            attempt=attempt.number if attempt else None,
+            stated_limit=attempt.stated_limit if attempt else None,
+            answer_end=_describe_end(attempt.answer_end if attempt else None),
+            sends=context.sends,
+            configuration=context.configuration,
+            delivered=delivery.value,
         )
 
     def request_failed(
@@ -121,10 +172,11 @@
         metadata: CallerMetadata,
         context: RequestContext | None,
         error: ServingError,
+        delivery: Delivery,
     ) -> None:
         """Log and count a request that got an error from the gateway."""
         route = context.route.name if context else ""
-        self._counters.count_request(route, error.code.value)
+        self._counters.count_request(route, error.code.value, delivery)
         self._log.write(
             LogEvent.REQUEST_FAILED,
             request=metadata.request_id,
@@ -134,13 +186,33 @@
             sends=context.sends if context else 0,
             retry_after=error.retry_after,
             detail=error.detail,
+            configuration=context.configuration if context else None,
+            delivered=delivery.value,
+        )
+
+    def caller_left(
+        self,
+        metadata: CallerMetadata,
+        context: RequestContext | None,
+        delivery: Delivery,
+    ) -> None:
+        """Log and count a request whose caller closed its connection."""
+        route = context.route.name if context else ""
+        self._counters.count_request(route, CALLER_LEFT, delivery)
+        self._log.write(
+            LogEvent.CALLER_LEFT,
+            request=metadata.request_id,
+            route=route,
+            sends=context.sends if context else 0,
+            configuration=context.configuration if context else None,
+            delivered=delivery.value,
         )
 
-    def _writing_ms(self, context: RequestContext) -> int | None:
+    def _writing_ms(self, attempt: Attempt) -> int | None:
         """Return for how long the endpoint had been writing its answer."""
-        if context.answer_began_at is None:
+        if attempt.answer_began_at is None:
             return None
-        return round((self._clock.seconds() - context.answer_began_at) * 1_000)
+        return round((self._clock.seconds() - attempt.answer_began_at) * 1_000)
 
 
 def _describe_end(end: AnswerEnd | None) -> dict[str, object] | None:
--- a/bilberryring/gateway/reservations.py
+++ b/bilberryring/gateway/reservations.py
@@ -6,9 +6,15 @@
 """
 
 import itertools
+import re
 from typing import Protocol as Interface
 
-from twisted.internet.defer import CancelledError, Deferred, gatherResults
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    FirstError,
+    gatherResults,
+)
 from twisted.internet.task import LoopingCall, deferLater
 
 from bilberryring.core import RequestId
@@ -30,13 +36,19 @@
 RESERVATION_SECONDS = 3.5
 """Seconds after which a reservation expires. Memory must be free four seconds after the
 last request that used it."""
-RENEWAL_INTERVAL_SECONDS = 1.2
-"""Seconds between renewals. A reservation survives two failed renewals."""
+RENEWAL_INTERVAL_SECONDS = 0.6
+"""Seconds between renewals. With the last one that old, a reservation outlives a pause
+of 2.2 s of an engine, and the timeout of the connection that was opened in it."""
+REFUSED_CHECK_SECONDS = 0.1
+"""Seconds after which a lead that refused a connection is checked again."""
 ORDER_TIMEOUT_SECONDS = 0.5
 """Timeout in seconds, both for connecting to an engine and for its response."""
-RELEASE_DELAYS_SECONDS = (0.0, 2.5, 5.0, 8.0, 12.5)
+REPEAT_DELAYS_SECONDS = (2.5, 5.0, 8.0, 12.5)
 """Seconds after the first release at which memory is released again if an order got no
 response. Engines execute such an order up to twelve seconds later."""
+MAX_PROMPT_CHARS = 64
+"""Characters of a request id that are kept in the ids of its reservations."""
+UNSAFE_CHARACTER = re.compile(r"[^0-9A-Za-z_-]")
 MAX_IDLE_SECONDS = 30.0
 """Longest idle time in seconds after which a connection is reused for an order."""
 
@@ -68,6 +80,9 @@
         self._prompt = prompt
         self._tokens = tokens
         self._has_unanswered_order = False
+        self._is_over = False
+        self._has_logged_fault = False
+        self._in_renewal: set[AnnouncedEndpoint] = set()
         self._renewal = LoopingCall(lambda: Deferred.fromCoroutine(self._renew()))
 
     @property
@@ -95,7 +110,7 @@
         orders = [
             Deferred.fromCoroutine(self._reserve_on(endpoint)) for endpoint in endpoints
         ]
-        results = await gatherResults(orders)
+        results = await gatherResults(orders, consumeErrors=True)
         if not all(results):
             self.release()
             raise AttemptError(reason=FailureReason.NO_MEMORY, was_sent=False)
@@ -104,40 +119,72 @@
 
     def release(self) -> None:
         """Stop renewing and release the memory on all endpoints in the background."""
+        self._is_over = True
         if self._renewal.running:
             self._renewal.stop()
         for endpoint, reservation_id in self._reservation_ids.items():
             self._manager.release(
                 endpoint,
                 reservation_id,
-                has_unanswered_order=self._has_unanswered_order,
+                has_unanswered_order=(
+                    self._has_unanswered_order or endpoint in self._in_renewal
+                ),
             )
         self._reservation_ids = {}
 
     async def _reserve_on(self, endpoint: AnnouncedEndpoint) -> bool:
-        reservation_id = self._reservation_ids[endpoint]
-        status = await self._manager.send_order(
-            endpoint,
-            MemoryOrder(
-                endpoint=endpoint.id,
-                reservation_id=reservation_id,
-                tokens=self._tokens,
-                hold_seconds=RESERVATION_SECONDS,
-            ),
-        )
-        if status is None:
-            self._has_unanswered_order = True
+        status = await self._send_order(endpoint)
         return status is not None and status < 300
 
+    async def _send_order(self, endpoint: AnnouncedEndpoint) -> int | None:
+        order = MemoryOrder(
+            endpoint=endpoint.id,
+            reservation_id=self._reservation_ids[endpoint],
+            tokens=self._tokens,
+            hold_seconds=RESERVATION_SECONDS,
+        )
+        status = None
+        try:
+            status = await self._manager.send_order(endpoint, order)
+        finally:
+            if status is None:
+                self._has_unanswered_order = True
+        return status
+
     async def _renew(self) -> None:
         """Renew unless the lead is unreachable: its end is not seen on a silent link.
 
-        A reservation that is not renewed expires before the memory must be free.
+        A reservation that is not renewed expires before the memory must be free. The
+        lead may only pause: it is checked until it accepts a connection. An unknown
+        error ends neither the renewals nor the prompt.
         """
-        if not await self._manager.can_connect(self._lead):
-            return
+        try:
+            while not await self._manager.can_connect(self._lead):
+                await deferLater(self._manager.clock, REFUSED_CHECK_SECONDS)
+                if self._is_over:
+                    return
+        except Exception as error:
+            self._record_fault(error)
         for endpoint in tuple(self._reservation_ids):
-            Deferred.fromCoroutine(self._reserve_on(endpoint))
+            if endpoint not in self._in_renewal:
+                Deferred.fromCoroutine(self._renew_on(endpoint))
+
+    async def _renew_on(self, endpoint: AnnouncedEndpoint) -> None:
+        """Send the order until the engine answers it, which may pause."""
+        self._in_renewal.add(endpoint)
+        try:
+            while not self._is_over and await self._send_order(endpoint) is None:
+                await deferLater(self._manager.clock, REFUSED_CHECK_SECONDS)
+        except Exception as error:
+            self._record_fault(error)
+        finally:
+            self._in_renewal.discard(endpoint)
+
+    def _record_fault(self, error: Exception) -> None:
+        """Log the first unknown error of the renewals, which are tried again."""
+        if not self._has_logged_fault:
+            self._has_logged_fault = True
+            self._manager.record_fault(error, request=self._prompt)
 
 
 class ReservationManager:
@@ -160,6 +207,12 @@
         self._log = log
         self._owner_id = owner_id
         self._numbers = itertools.count()
+        self._n_releasing = 0
+
+    @property
+    def releases_in_progress(self) -> int:
+        """The number of reservations whose first release is not answered yet."""
+        return self._n_releasing
 
     @property
     def clock(self):
@@ -167,8 +220,9 @@
         return self._reactor
 
     def new_reservation_id(self, prompt: str) -> str:
-        """Return a unique id for a reservation."""
-        return f"{prompt}-{self._owner_id}-{next(self._numbers)}"
+        """Return a unique id for a reservation that a list in a header can carry."""
+        readable = UNSAFE_CHARACTER.sub("_", prompt[:MAX_PROMPT_CHARS])
+        return f"{readable}-{self._owner_id}-{next(self._numbers)}"
 
     def wants_prompt(self, endpoint: AnnouncedEndpoint, prompt: str) -> bool:
         """Return whether an engine takes another prompt; it may rest or leave."""
@@ -196,6 +250,9 @@
         )
         try:
             await reservation.acquire(endpoints)
+        except FirstError as error:
+            reservation.release()
+            error.subFailure.raiseException()
         except CancelledError:
             reservation.release()
             raise
@@ -224,14 +281,37 @@
         has_unanswered_order: bool,
     ) -> None:
         order = MemoryOrder(endpoint=endpoint.id, reservation_id=reservation_id)
+        has_logged_fault = False
+
+        async def send() -> int | None:
+            nonlocal has_logged_fault
+            try:
+                return await self.send_order(endpoint, order)
+            except Exception as error:
+                if not has_logged_fault:
+                    has_logged_fault = True
+                    self.record_fault(error, ticket=reservation_id)
+                return None
+
+        self._n_releasing += 1
+        try:
+            status = await send()
+        finally:
+            self._n_releasing -= 1
+        if status is not None and not has_unanswered_order:
+            return
         elapsed = 0.0
-        for delay in RELEASE_DELAYS_SECONDS:
-            await deferLater(self._reactor, max(0.0, delay - elapsed))
-            elapsed = max(elapsed, delay)
-            status = await self.send_order(endpoint, order)
+        for delay in REPEAT_DELAYS_SECONDS:
+            await deferLater(self._reactor, delay - elapsed)
+            elapsed = delay
+            status = await send()
             if status is not None and not has_unanswered_order:
                 return
 
+    def record_fault(self, error: Exception, **fields: object) -> None:
+        """Log an unknown error of a task that nothing waits for."""
+        self._log.write(LogEvent.INTERNAL_FAULT, detail=repr(error), **fields)
+
     async def send_order(
         self, endpoint: AnnouncedEndpoint, order: MemoryOrder
     ) -> int | None:
--- a/bilberryring/gateway/statement_recorder.py
+++ b/bilberryring/gateway/statement_recorder.py
@@ -7,7 +7,7 @@
 from bilberryring.fleet import AnnouncedEndpoint
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.messages import ResponseMetadata
-from bilberryring.gateway.request_context import RequestContext
+from bilberryring.gateway.request_context import Attempt, RequestContext
 from bilberryring.telemetry import EventLog, LogEvent
 
 STATEMENT_EVENTS = {
@@ -85,11 +85,12 @@
     def record_answer(
         self,
         context: RequestContext,
-        endpoint: AnnouncedEndpoint,
+        attempt: Attempt,
         metadata: ResponseMetadata,
     ) -> None:
         """Record what the answer to a request says of its endpoint."""
-        context.stated_limit = metadata.requests_per_second
+        attempt.stated_limit = metadata.requests_per_second
+        endpoint = attempt.choice.endpoint
         is_relevant = not metadata.statement.is_empty
         if not is_relevant and not self._statements.is_limited(endpoint.run):
             return
@@ -103,7 +104,7 @@
             endpoint,
             metadata,
             place=place,
-            sent_at=context.sent_at,
+            sent_at=attempt.sent_at,
             request=context.request_id,
         )
 
--- a/bilberryring/gateway/store_readers.py
+++ b/bilberryring/gateway/store_readers.py
@@ -52,10 +52,15 @@
     everyone = {**peers, own_host: own_access}
     if own_host in hash_order(everyone, salt=SALT)[:READERS]:
         return True
+    return own_host in _order_of_able(everyone)[:READERS]
+
+
+def _order_of_able(everyone: Mapping[str, StoreAccess]) -> tuple[str, ...]:
+    """Return the hosts whose reads do not fail, in the order in which they read."""
     able = [
         host for host, access in everyone.items() if access is not StoreAccess.FAILING
     ]
-    return own_host in hash_order(able, salt=SALT)[:READERS]
+    return hash_order(able, salt=SALT)
 
 
 class ReadingDuty:
@@ -103,6 +108,12 @@
             own_host=self._own_host, own_access=self.access, peers=self._peers()
         )
 
+    @property
+    def is_first(self) -> bool:
+        """Whether this gateway is the first of those whose reads do not fail."""
+        everyone = {**self._peers(), self._own_host: self.access}
+        return _order_of_able(everyone)[:1] == (self._own_host,)
+
     def record(self, access: StoreAccess) -> None:
         """Record the outcome of a read, or that this gateway reads no more."""
         self._access = access
--- a/bilberryring/gateway/tests/test_attempts.py
+++ b/bilberryring/gateway/tests/test_attempts.py
@@ -11,6 +11,7 @@
 from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.endpoint_choice import Choice
 from bilberryring.gateway.messages import AttemptError, FailureReason
+from bilberryring.gateway.request_context import Attempt
 from bilberryring.gateway.statement_recorder import StatementRecorder
 from bilberryring.routing import PlacedRequest, WorkTracker
 from bilberryring.telemetry import EventLog, LogEvent
@@ -72,7 +73,8 @@
         request_id="r",
     )
     failures = []
-    Deferred.fromCoroutine(runner.attempt(context, choice)).addErrback(
+    running = Attempt(choice=choice, stream=None)
+    Deferred.fromCoroutine(runner.run(context, running, None)).addErrback(
         lambda failure: failures.append(failure.value)
     )
     assert isinstance(failures[0], AttemptError)
--- a/bilberryring/gateway/tests/test_caller_site.py
+++ b/bilberryring/gateway/tests/test_caller_site.py
@@ -1,11 +1,19 @@
 """Which of the callers' connections are closed at a stop."""
 
+import socket
+import time
+
 import pytest
+from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from bilberryring.gateway.caller_site import MIN_IDLE_SECONDS, CallerSite
+from bilberryring.fleet import CallerLimits
+from bilberryring.gateway.caller_site import CallerSite
+from bilberryring.http import MIN_IDLE_SECONDS, CallerChannel
 
+IDLE_SECONDS = 0.2
+UNREAD_BYTES = 32 * 1024 * 1024
 HEAD = b"POST /look/ HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
 
 
@@ -52,3 +60,105 @@
     assert site.close_idle() == 0
     clock.advance(MIN_IDLE_SECONDS)
     assert site.close_idle() == 1
+
+
+class AdvancedReactor(EPollReactor):
+    """A reactor whose clock the test can advance by `seconds_ahead`."""
+
+    seconds_ahead = 0.0
+
+    def seconds(self):
+        return super().seconds() + self.seconds_ahead
+
+
+class BusySite:
+    """A site on a reactor whose turns the test makes, and a caller's open connection.
+
+    A reactor runs its timers before it reads what has arrived meanwhile.
+    """
+
+    def __init__(self, *, idle_timeout=IDLE_SECONDS, header_timeout=3.0):
+        self.exchanges = []
+        self.reactor = AdvancedReactor()
+        limits = CallerLimits(idle_timeout=idle_timeout, header_timeout=header_timeout)
+        self.site = CallerSite(
+            reactor=self.reactor,
+            on_request=self.exchanges.append,
+            limits=lambda: limits,
+        )
+        port = self.reactor.listenTCP(0, self.site, interface="127.0.0.1")
+        self.caller = socket.create_connection(("127.0.0.1", port.getHost().port))
+        self.caller.settimeout(1.0)
+        self.turn()
+
+    def turn(self, times=1):
+        for _ in range(times):
+            self.reactor.runUntilCurrent()
+            self.reactor.doIteration(0)
+
+
+@pytest.fixture
+def busy():
+    busy = BusySite()
+    yield busy
+    busy.caller.close()
+
+
+def test_a_request_that_waits_unread_at_the_idle_limit_is_answered(busy):
+    """The process is busy, as with a new configuration, while the request arrives."""
+    busy.caller.sendall(HEAD + b"xy")
+    time.sleep(2 * IDLE_SECONDS)
+    busy.turn(4)
+    (exchange,) = busy.exchanges
+    exchange.start(200, b"", ((b"Content-Length", b"0"),))
+    exchange.end()
+    busy.turn(2)
+    assert busy.caller.recv(1_024).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("n_turns", range(4))
+def test_a_request_that_arrives_while_a_connection_closes_is_answered_or_unread(
+    busy, n_turns
+):
+    time.sleep(2 * IDLE_SECONDS)
+    busy.turn(n_turns)
+    busy.reactor.runUntilCurrent()
+    busy.caller.sendall(HEAD + b"xy")
+    busy.reactor.doIteration(0)
+    busy.turn(4)
+    assert not any(exchange.is_closed for exchange in busy.exchanges)
+
+
+def test_a_stop_closes_no_connection_on_which_a_request_waits_unread():
+    busy = BusySite(idle_timeout=60.0)
+    busy.caller.sendall(HEAD + b"xy")
+    time.sleep(MIN_IDLE_SECONDS)
+    busy.reactor.callLater(0, busy.site.close_idle)
+    busy.turn(4)
+    (exchange,) = busy.exchanges
+    assert not exchange.is_closed
+
+
+def test_a_caller_that_never_reads_its_answer_is_disconnected(busy):
+    """A connection that closes waits for what is written until it is reset."""
+    busy.caller.sendall(HEAD + b"xy")
+    busy.turn(2)
+    (exchange,) = busy.exchanges
+    exchange.start(200, b"", ((b"Content-Length", b"%d" % UNREAD_BYTES),))
+    exchange.write(b"x" * UNREAD_BYTES)
+    exchange.end()
+    time.sleep(2 * IDLE_SECONDS)
+    busy.turn(4)
+    busy.reactor.seconds_ahead = 2 * CallerChannel.abortTimeout
+    busy.turn(4)
+    assert busy.site.open_connections == 0
+
+
+def test_a_head_that_waits_unread_at_its_time_limit_is_not_refused():
+    busy = BusySite(idle_timeout=60.0, header_timeout=IDLE_SECONDS)
+    busy.caller.sendall(HEAD[:20])
+    busy.turn(2)
+    busy.caller.sendall(HEAD[20:] + b"xy")
+    time.sleep(2 * IDLE_SECONDS)
+    busy.turn(4)
+    assert len(busy.exchanges) == 1
--- a/bilberryring/gateway/tests/test_endpoint_choice.py
+++ b/bilberryring/gateway/tests/test_endpoint_choice.py
@@ -113,7 +113,16 @@
     )
 
 
-def choose(chooser, *, route=None, service=None, workspace=None, now=0.0):
+def choose(
+    chooser,
+    *,
+    route=None,
+    service=None,
+    workspace=None,
+    now=0.0,
+    allows_avoided=True,
+    among=None,
+):
     choice = chooser.choose(
         route=route or make_route(),
         service=service or make_service(),
@@ -122,6 +131,8 @@
         excluded=frozenset(),
         now=now,
         seconds_left=1.0,
+        allows_avoided=allows_avoided,
+        among=among,
     )
     return choice.endpoint.id if choice else None
 
@@ -154,3 +165,23 @@
     assert {choose(chooser, now=0.1) for _ in range(10)} == {"distant"}
     fleet.endpoints.withdraw("distant", now=0.1)
     assert choose(chooser, now=0.2) == "near"
+
+
+def test_a_return_goes_to_its_endpoint_even_if_others_are_free(fleet):
+    health = EndpointHealth()
+    chooser = make_chooser(fleet, entries=1, health=health)
+    health.record_silence("near", now=0.0)
+    assert choose(chooser, now=0.1, among=frozenset({"near"})) == "near"
+    fleet.endpoints.withdraw("near", now=0.1)
+    assert choose(chooser, now=0.2, among=frozenset({"near"})) is None
+
+
+def test_endpoints_that_are_all_silent_get_requests_but_no_second_attempts(fleet):
+    health = EndpointHealth()
+    chooser = make_chooser(fleet, health=health)
+    for name in ("near", "distant"):
+        health.record_silence(name, now=0.0)
+    assert choose(chooser, now=1.0) is not None
+    assert choose(chooser, now=1.0, allows_avoided=False) is None
+    health.end_silence("distant")
+    assert choose(chooser, now=1.0, allows_avoided=False) == "distant"
--- a/bilberryring/gateway/tests/test_endpoint_connection.py
+++ b/bilberryring/gateway/tests/test_endpoint_connection.py
@@ -6,6 +6,7 @@
 
 from bilberryring.core import RequestId
 from bilberryring.gateway.endpoint_connection import (
+    MAX_HEAD_BYTES,
     MAX_SKIPPED_HEADS,
     EndpointConnection,
 )
@@ -58,3 +59,34 @@
     sent.connection.dataReceived(head * 2_000 + OWN)
     assert not sent.connection.is_open
     assert sent.n_heads <= MAX_SKIPPED_HEADS + 1
+
+
+@pytest.mark.parametrize(
+    ("begin", "block"),
+    [
+        (b"HTTP/1.1 200 OK\r\n", b"X-Filler: some text\r\n" * 100),
+        (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"x" * 2_000),
+        (b"", b"x" * 2_000),
+        (OWN[:15] + b"\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x" * 2_000),
+    ],
+    ids=["headers", "header line", "no head", "chunk extension"],
+)
+def test_a_head_or_a_line_has_a_bound(begin, block):
+    sent = Sent()
+    sent.connection.dataReceived(begin)
+    n_sent = 0
+    while sent.connection.is_open and n_sent < 2 * MAX_HEAD_BYTES:
+        sent.connection.dataReceived(block)
+        n_sent += len(block)
+    assert not sent.connection.is_open
+    assert n_sent <= MAX_HEAD_BYTES + len(block)
+
+
+@pytest.mark.parametrize("n_bytes", [1_000, MAX_HEAD_BYTES - 2_000])
+def test_a_head_within_the_bound_is_an_answer(n_bytes):
+    sent = Sent()
+    line = b"X-Filler: " + b"x" * 990 + b"\r\n"
+    head = OWN[:17] + line * (n_bytes // len(line)) + OWN[17:]
+    for start in range(0, len(head), 1_460):
+        sent.connection.dataReceived(head[start : start + 1_460])
+    assert sent.idle == [sent.connection]
--- a/bilberryring/http/__init__.py
+++ b/bilberryring/http/__init__.py
@@ -15,6 +15,7 @@
     IDLE_TIMEOUT_SECONDS,
     MAX_BODY_BYTES,
     BoundedRequest,
+    DrainableCallerChannel,
     DrainableSite,
     make_site,
 )
@@ -23,6 +24,11 @@
     MAX_ANSWER_BYTES,
     MAX_HEAD_BYTES,
 )
+from bilberryring.http.caller_channel import (
+    MIN_IDLE_SECONDS,
+    CallerChannel,
+    OnRefused,
+)
 from bilberryring.http.client import (
     MAX_IDLE_CONNECTIONS_PER_HOST,
     MAX_LINE_BYTES,
@@ -30,15 +36,19 @@
     HttpClient,
     HttpResponse,
     LineStream,
+    ResponseTimeoutError,
 )
 
 __all__ = [
     "MAX_ANSWER_BYTES",
     "MAX_HEAD_BYTES",
     "MAX_LINE_BYTES",
+    "MIN_IDLE_SECONDS",
     "AsyncResource",
     "BoundedRequest",
     "CONNECT_TIMEOUT_SECONDS",
+    "CallerChannel",
+    "DrainableCallerChannel",
     "DrainableSite",
     "HttpResponse",
     "HttpClient",
@@ -48,10 +58,12 @@
     "LineStream",
     "MAX_BODY_BYTES",
     "MAX_IDLE_CONNECTIONS_PER_HOST",
+    "OnRefused",
     "PROBLEM_TYPE",
     "PROBLEM_TYPE_PREFIX",
     "Problem",
     "RESPONSE_TIMEOUT_SECONDS",
+    "ResponseTimeoutError",
     "make_site",
     "problem_from_error",
     "write_json",
--- a/bilberryring/http/bodies.py
+++ b/bilberryring/http/bodies.py
@@ -6,6 +6,13 @@
 from twisted.web.http import HTTPChannel
 from twisted.web.server import Request, Site
 
+from bilberryring.core import Delivery
+from bilberryring.http.caller_channel import (
+    MIN_IDLE_SECONDS,
+    CallerChannel,
+    OnRefused,
+)
+
 MAX_BODY_BYTES = 24 * 1024 * 1024
 IDLE_TIMEOUT_SECONDS = 60.0
 """How long a connection may send nothing before or during a request."""
@@ -54,13 +61,25 @@
         """Whether the body is larger than `max_body_bytes`."""
         return self._body_buffer.is_limit_exceeded
 
+    @property
+    def delivery(self) -> Delivery:
+        """What the caller has got of the response."""
+        if not self.startedWriting:
+            return Delivery.NOTHING
+        return Delivery.WHOLE if self.finished else Delivery.CUT
+
+    @property
+    def has_caller_left(self) -> bool:
+        """Whether the connection was closed before the response was complete."""
+        return self._disconnected and not self.finished
+
     def read_body(self) -> bytes:
         """Return the body, which is incomplete when `is_body_too_large`."""
         self.content.seek(0)
         return self.content.read()
 
 
-class _DrainableChannel(HTTPChannel):
+class _TrackedChannel(HTTPChannel):
     """A connection that its site knows of while it is open."""
 
     def connectionMade(self) -> None:
@@ -72,14 +91,45 @@
         super().connectionLost(reason)
 
 
+class DrainableCallerChannel(_TrackedChannel, CallerChannel):
+    """A caller's connection that its site knows of while it is open."""
+
+
 class DrainableSite(Site):
-    """A site that counts its open connections and can close them after their output."""
+    """A site that counts its open connections and can close them after their output.
+
+    With `limits`, connections are those of callers: `channel` is their class, and
+    `on_refused` is called with the code of each request that is refused unread.
+    """
 
-    protocol = _DrainableChannel
+    protocol = _TrackedChannel
 
-    def __init__(self, *args, **kwargs):
+    def __init__(
+        self,
+        *args,
+        channel: type[DrainableCallerChannel] = DrainableCallerChannel,
+        limits: object = None,
+        on_refused: OnRefused | None = None,
+        **kwargs,
+    ):
         super().__init__(*args, **kwargs)
         self._channels: set[HTTPChannel] = set()
+        self._limits = limits
+        self._on_refused = on_refused
+        self.timeOut = IDLE_TIMEOUT_SECONDS
+        if limits is not None:
+            self.protocol = channel
+            self.timeOut = limits.idle_timeout
+
+    @property
+    def limits(self):
+        """The limits on callers' requests."""
+        return self._limits
+
+    def buildProtocol(self, addr):
+        channel = super().buildProtocol(addr)
+        channel.on_refused = self._on_refused
+        return channel
 
     @property
     def open_connections(self) -> int:
@@ -94,17 +144,32 @@
         """Forget a connection that was closed."""
         self._channels.discard(channel)
 
+    def close_idle(self) -> None:
+        """Close the callers' connections that were just idle, after their output.
+
+        One that was opened a moment ago has its request still under way.
+        """
+        now = self.reactor.seconds()
+        for channel in tuple(self._channels):
+            if channel.idle_seconds(now=now) >= MIN_IDLE_SECONDS:
+                channel.close_after_output(seconds=MIN_IDLE_SECONDS)
+
     def close_connections(self) -> None:
         """Close each connection once its written data has been sent."""
         for channel in tuple(self._channels):
             channel.loseConnection()
 
 
-def make_site(resource) -> DrainableSite:
-    """Return a site whose requests keep their bodies in memory."""
+def make_site(resource, **options) -> DrainableSite:
+    """Return a site whose requests keep their bodies in memory.
+
+    `options` are those of `DrainableSite`.
+    """
     site = DrainableSite(
-        resource, requestFactory=BoundedRequest, parsePOSTFormSubmission=False
+        resource,
+        requestFactory=BoundedRequest,
+        parsePOSTFormSubmission=False,
+        **options,
     )
-    site.timeOut = IDLE_TIMEOUT_SECONDS
     site.displayTracebacks = False
     return site
