--- /dev/null
+++ b/bilberryring/http/caller_channel.py
@@ -0,0 +1,219 @@
+"""A caller's connection, with limits on the size and the duration of a request."""
+
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.python.failure import Failure
+from twisted.web.http import RESPONSES, HTTPChannel
+from zope.interface import implementer
+
+from bilberryring.core import ErrorCode, RunOutcome, ServingError
+from bilberryring.http.answers import PROBLEM_TYPE, problem_from_error
+
+MAX_BODY_SECONDS = 60.0
+"""Seconds within which a body must arrive, as long as callers are assumed to wait."""
+
+MIN_IDLE_SECONDS = 0.5
+"""Seconds without a request after which a connection is closed at a stop."""
+
+OnRefused = Callable[[ErrorCode], None]
+
+
+@implementer(IHalfCloseableProtocol)
+class CallerChannel(HTTPChannel):
+    """Refuses a request that is malformed, too large or too slow, and closes.
+
+    The request is refused at once and without reading the rest of it. The factory has
+    the limits as `limits`: `max_header_bytes`, `max_body_bytes`, and in seconds
+    `header_timeout` and `idle_timeout`.
+    """
+
+    on_refused: OnRefused | None = None
+    linger_bytes = 0
+    """Bytes of a refused request that are read and dropped before the close.
+
+    A caller that writes all of its request first would not get the answer otherwise: a
+    connection with unread data is reset."""
+    linger_seconds = 0.0
+    """The time in seconds for this."""
+    _timer = None
+    _linger_timer = None
+    _lingered_bytes = 0
+    _is_refused = False
+    _is_lost = False
+    _idle_since = 0.0
+
+    @property
+    def refusal_outcome(self) -> RunOutcome:
+        """Whether a refused request was executed."""
+        return RunOutcome.NOT_RUN
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether bytes of another request wait for the end of the current one."""
+        return any(self._dataBuffer)
+
+    def idle_seconds(self, *, now: float) -> float:
+        """Return for how long no request was received or answered; 0 during one."""
+        if self.requests or self._timer is not None:
+            return 0.0
+        return now - self._idle_since
+
+    def close_if_idle(self, *, seconds: float) -> None:
+        """Close the connection if it is idle for `seconds` once it has been read.
+
+        A request may have arrived while the process was busy: timers run before
+        sockets are read.
+        """
+        self.callLater(0, self._close_if_idle, seconds)
+
+    def close_after_output(self, *, seconds: float) -> None:
+        """Close the connection like `close_if_idle`, once its output has been read."""
+        self.callLater(0, self._close_after_output, seconds)
+
+    def _close_after_output(self, seconds: float) -> None:
+        is_idle = self.idle_seconds(now=self.factory.reactor.seconds()) >= seconds
+        if is_idle and not self._is_lost:
+            self.loseConnection()
+
+    def timeoutConnection(self) -> None:
+        self.callLater(0, self._handle_idle_timeout)
+
+    def _handle_idle_timeout(self) -> None:
+        limit = self.factory.limits.idle_timeout
+        if self._is_lost or self._handlingRequest or self._close_if_idle(limit):
+            return
+        # A request is being received, or a new configuration has a longer limit.
+        self.setTimeout(limit - self.idle_seconds(now=self.factory.reactor.seconds()))
+
+    def _close_if_idle(self, seconds: float) -> bool:
+        is_idle = self.idle_seconds(now=self.factory.reactor.seconds()) >= seconds
+        if is_idle and not self._is_lost:
+            # Resets the connection if the caller does not read what was written.
+            super().timeoutConnection()
+        return is_idle
+
+    def connectionMade(self) -> None:
+        self._idle_since = self.factory.reactor.seconds()
+        super().connectionMade()
+
+    def connectionLost(self, reason: Failure) -> None:
+        self._is_lost = True
+        self._set_timer(None)
+        if self._linger_timer is not None and self._linger_timer.active():
+            self._linger_timer.cancel()
+        super().connectionLost(reason)
+
+    def readConnectionLost(self) -> None:
+        """End the connection; the answer to a refused request is sent before."""
+        if self._is_refused:
+            self.loseConnection()
+        else:
+            self.transport.connectionLost(Failure(ConnectionDone()))
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: the caller may still send a part of a refused request."""
+
+    def dataReceived(self, data: bytes) -> None:
+        if self._is_refused:
+            self._drop(data)
+            return
+        if self._timer is None and not self._handlingRequest:
+            limits = self.factory.limits
+            self.totalHeadersSize = self.MAX_LENGTH = limits.max_header_bytes
+            self._set_timer(limits.header_timeout, ErrorCode.HEADERS_TOO_SLOW)
+        super().dataReceived(data)
+
+    def allHeadersReceived(self) -> None:
+        super().allHeadersReceived()
+        self._set_timer(MAX_BODY_SECONDS, ErrorCode.BODY_TOO_SLOW)
+        if self.length is not None and self.length > self.factory.limits.max_body_bytes:
+            self.refuse(ErrorCode.BODY_TOO_LARGE)
+
+    def allContentReceived(self) -> None:
+        self._set_timer(None)
+        if self.requests[-1].is_body_too_large:
+            self.refuse(ErrorCode.BODY_TOO_LARGE)
+        if not self._is_refused:
+            super().allContentReceived()
+
+    def lineReceived(self, line: bytes) -> None:
+        if not self._is_refused:
+            super().lineReceived(line)
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if self._is_refused:
+            return
+        super().rawDataReceived(data)
+        if self._handlingRequest or self._is_refused or not self.requests:
+            return
+        if self.requests[-1].is_body_too_large:
+            self.refuse(ErrorCode.BODY_TOO_LARGE)
+
+    def requestDone(self, request) -> None:
+        self._idle_since = self.factory.reactor.seconds()
+        super().requestDone(request)
+        if not self._handlingRequest and not self._is_lost:
+            self.setTimeout(self.factory.limits.idle_timeout)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self.refuse(ErrorCode.HEADERS_TOO_LARGE)
+
+    def writeHeaders(self, version, code, reason, headers) -> None:
+        # Responses state the version of this server.
+        super().writeHeaders(b"HTTP/1.1", code, reason, headers)
+
+    def refuse(self, code: ErrorCode) -> None:
+        """Send an error for the request that is being received, and close."""
+        if self._is_refused:
+            return
+        self._is_refused = True
+        self._set_timer(None)
+        if self.on_refused is not None:
+            self.on_refused(code)
+        self.transport.write(_encode_refusal(code, self.refusal_outcome))
+        if not self.linger_bytes:
+            self.loseConnection()
+            return
+        self.setTimeout(None)
+        self.transport.loseWriteConnection()
+        self._linger_timer = self.callLater(self.linger_seconds, self.loseConnection)
+
+    def _drop(self, data: bytes) -> None:
+        """Drop a part of a refused request, and close after too many of them."""
+        self._lingered_bytes += len(data)
+        if self.linger_bytes and self._lingered_bytes > self.linger_bytes:
+            self.loseConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:
+        is_too_large = self._receivedHeaderSize > self.totalHeadersSize
+        if is_too_large or self._receivedHeaderCount > self.maxHeaders:
+            self.refuse(ErrorCode.HEADERS_TOO_LARGE)
+        else:
+            self.refuse(ErrorCode.REQUEST_MALFORMED)
+
+    def _set_timer(self, seconds: float | None, code: ErrorCode | None = None) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+        if seconds is not None and not self._is_refused:
+            self._timer = self.callLater(seconds, self._handle_time_limit, code)
+
+    def _handle_time_limit(self, code: ErrorCode) -> None:
+        """Refuse the request unless the rest of it has arrived unread."""
+        self._timer = self.callLater(0, self.refuse, code)
+
+
+def _encode_refusal(code: ErrorCode, outcome: RunOutcome) -> bytes:
+    error = ServingError(code=code, outcome=outcome)
+    body = msgspec.json.encode(problem_from_error(error, request_id=""))
+    reason = RESPONSES.get(code.status, b"")
+    head = b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\n" % (
+        code.status,
+        reason,
+        PROBLEM_TYPE,
+    )
+    head += b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(body)
+    return head + body
--- a/bilberryring/http/client.py
+++ b/bilberryring/http/client.py
@@ -25,6 +25,10 @@
 RESPONSE_TIMEOUT_SECONDS = 60.0
 
 
+class ResponseTimeoutError(Exception):
+    """The server has not sent a complete response in time; it may be sound."""
+
+
 @implementer(IBodyProducer)
 class _BytesProducer:
     """Sends a request body that is held in memory."""
@@ -51,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpResponse:
-    """A complete HTTP response."""
+    """A complete HTTP response; the body is as it was sent, encoded or not."""
 
     status: int
     headers: Headers
@@ -59,8 +63,13 @@
 
     def header(self, name: str) -> str:
         """Return the first value of a header, or an empty string."""
-        values = self.headers.getRawHeaders(name, [""])
-        return values[0]
+        values = self.headers.getRawHeaders(name.encode(), [b""])
+        return values[0].decode("latin-1")
+
+    def list_header(self, name: str) -> str:
+        """Return all values of a header that is a list, joined by commas."""
+        values = self.headers.getRawHeaders(name.encode(), [])
+        return b", ".join(values).decode("latin-1")
 
 
 class _LineReceiver(Protocol):
@@ -121,13 +130,19 @@
 
 
 class HttpClient:
-    """Sends requests to one base URL over pooled connections.
+    """Sends requests to one base URL.
 
     Requests are never repeated, not even on a reused connection that the server
     has closed. The connection of an answer that is too long is closed.
+
+    Each request has its own connection unless `persistent` is true. On a connection
+    that is used again, a second copy of an answer counts as the answer to the next
+    request, since answers do not name the request that they belong to.
     """
 
-    def __init__(self, *, reactor: IReactorTCP, base_url: str, persistent: bool = True):
+    def __init__(
+        self, *, reactor: IReactorTCP, base_url: str, persistent: bool = False
+    ):
         self._reactor = reactor
         pool = HTTPConnectionPool(reactor, persistent=persistent)
         pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
@@ -150,14 +165,21 @@
         """Send a request and return the complete response.
 
         `timeout` is in seconds. It limits the time until the headers, including
-        the connection, and once more the time for the body.
+        the connection, and once more the time for the body. `ResponseTimeoutError` is
+        raised when it has passed.
         """
-        sending = self._send(method, path, body, content_type)
-        sending.addTimeout(timeout, self._reactor)
-        response = await sending
-        reading = readBody(response)
-        reading.addTimeout(timeout, self._reactor)
-        content = await reading
+        started_at = self._reactor.seconds()
+        try:
+            sending = self._send(method, path, body, content_type)
+            sending.addTimeout(timeout, self._reactor)
+            response = await sending
+            reading = readBody(response)
+            reading.addTimeout(timeout, self._reactor)
+            content = await reading
+        except Exception as error:
+            if self._reactor.seconds() - started_at >= timeout:
+                raise ResponseTimeoutError(f"no response in {timeout} s: {error}")
+            raise
         return HttpResponse(
             status=response.code, headers=response.headers, body=content
         )
--- a/bilberryring/http/tests/test_bounded_answers.py
+++ b/bilberryring/http/tests/test_bounded_answers.py
@@ -68,7 +68,8 @@
     assert ends == [False]
 
 
-def test_the_bound_is_that_of_one_answer(endpoint):
+def test_the_bound_is_that_of_one_answer():
+    endpoint = MemoryEndpoint(persistent=True)
     answers = []
     body = b"x" * (MAX_ANSWER_BYTES // 2)
     for _ in range(3):
--- a/bilberryring/membership/__init__.py
+++ b/bilberryring/membership/__init__.py
@@ -10,6 +10,7 @@
     SidecarReport,
     SidecarState,
     Standing,
+    is_silent,
     standing_of,
 )
 from bilberryring.membership.reporting import (
@@ -32,6 +33,7 @@
     "SidecarState",
     "Standing",
     "WAIT_CHANGE_SECONDS",
+    "is_silent",
     "needs_report",
     "standing_of",
 ]
--- a/bilberryring/membership/endpoint_health.py
+++ b/bilberryring/membership/endpoint_health.py
@@ -3,8 +3,9 @@
 The answers of health checks can be wrong in both directions, so only attempts count.
 After a connection that failed or closed before the end of the answer, here called a
 break, the endpoint is avoided for a time that doubles with each consecutive break.
-Endpoints that fail intermittently show by the share of failures among their recent
-attempts.
+An endpoint that is silent in the middle of an attempt is avoided until it sends
+something, as it may be sound. Endpoints that fail intermittently show by the share of
+failures among their recent attempts.
 
 >>> health = EndpointHealth()
 >>> health.record_broken_attempt("a", now=0.0)
@@ -32,6 +33,7 @@
     failure_share: float = 0.0
     consecutive_breaks: int = 0
     avoid_until: float = 0.0
+    silent_until: float = 0.0
 
 
 class EndpointHealth:
@@ -48,7 +50,7 @@
     def is_avoided(self, endpoint: str, *, now: float) -> bool:
         """Whether to send requests elsewhere while another endpoint can take them."""
         record = self._records.get(endpoint)
-        return record is not None and now < record.avoid_until
+        return record is not None and now < max(record.avoid_until, record.silent_until)
 
     def record_start(self, endpoint: str, *, now: float) -> None:
         """Record the start of an attempt.
@@ -60,6 +62,17 @@
         if record is not None and record.consecutive_breaks:
             record.avoid_until = max(record.avoid_until, now + TRIAL_SECONDS)
 
+    def record_silence(self, endpoint: str, *, now: float) -> None:
+        """Record that an endpoint has sent nothing for longer than expected."""
+        record = self._records.setdefault(endpoint, _Record())
+        record.silent_until = now + MAX_AVOID_SECONDS
+
+    def end_silence(self, endpoint: str) -> None:
+        """Record that a silent endpoint has sent something."""
+        record = self._records.get(endpoint)
+        if record is not None:
+            record.silent_until = 0.0
+
     def record_success(self, endpoint: str) -> None:
         """Record a complete answer, which ends the avoidance."""
         record = self._records.get(endpoint)
@@ -67,7 +80,7 @@
             return
         record.failure_share *= HISTORY_WEIGHT
         record.consecutive_breaks = 0
-        record.avoid_until = 0.0
+        record.avoid_until = record.silent_until = 0.0
 
     def record_failure(self, endpoint: str) -> None:
         """Record an answer that reports a failure, which causes no avoidance."""
--- a/bilberryring/membership/evidence.py
+++ b/bilberryring/membership/evidence.py
@@ -80,14 +80,13 @@
 
 def standing_of(evidence: EndpointEvidence, *, now: float) -> Standing:
     """Return how to treat an endpoint at the time `now`, in seconds."""
-    report = evidence.report
     if evidence.domain_out:
         return Standing.OUT
     if evidence.listed_leaving:
         return Standing.LEAVING
-    if report is None or now - report.received_at > REPORT_FRESH_SECONDS:
+    if is_silent(evidence.report, now=now):
         return Standing.SILENT
-    match report.state:
+    match evidence.report.state:
         case SidecarState.READY:
             return Standing.LIVE
         case SidecarState.COLD:
@@ -96,5 +95,14 @@
             return Standing.LEAVING
         case SidecarState.OUT:
             return Standing.OUT
-        case SidecarState.ENGINE_LOST:
-            return Standing.SILENT
+
+
+def is_silent(report: SidecarReport | None, *, now: float) -> bool:
+    """Whether nothing is heard of an endpoint, which may be leaving or out as well.
+
+    >>> is_silent(SidecarReport(state=SidecarState.LEAVING, received_at=10.0), now=20.0)
+    True
+    """
+    if report is None or report.state is SidecarState.ENGINE_LOST:
+        return True
+    return now - report.received_at > REPORT_FRESH_SECONDS
--- a/bilberryring/membership/tests/test_endpoint_health.py
+++ b/bilberryring/membership/tests/test_endpoint_health.py
@@ -1,6 +1,7 @@
 """Tests of endpoints whose connections break, that recover or fail intermittently."""
 
 from bilberryring.membership import EndpointHealth
+from bilberryring.membership.endpoint_health import MAX_AVOID_SECONDS
 
 
 def test_only_one_trial_request_goes_to_an_endpoint_after_a_break():
@@ -29,3 +30,18 @@
         else:
             health.record_success("a")
     assert 0.3 < health.failure_share("a") < 0.7
+
+
+def test_a_silent_endpoint_is_avoided_until_it_goes_on_and_has_not_failed():
+    health = EndpointHealth()
+    health.record_silence("a", now=0.0)
+    assert health.is_avoided("a", now=1.5)
+    health.end_silence("a")
+    assert not health.is_avoided("a", now=1.5)
+    assert health.failure_share("a") == 0.0
+
+
+def test_an_endpoint_that_stays_silent_is_tried_again():
+    health = EndpointHealth()
+    health.record_silence("a", now=0.0)
+    assert not health.is_avoided("a", now=MAX_AVOID_SECONDS)
--- a/bilberryring/objects/canonical.py
+++ b/bilberryring/objects/canonical.py
@@ -11,7 +11,7 @@
 import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
@@ -27,6 +27,10 @@
 HISTORY_LENGTH = 64
 """Maximum number of preceding sets whose digests a manifest lists."""
 MAX_PART_BYTES = 1_000_000
+MAX_DETAIL_CHARS = 200
+"""Characters of a decoder's message that an error keeps."""
+MAX_SET_NUMBER = 10**18 - 1
+"""Highest number of a set. Keys and messages hold no higher ones."""
 NO_DIGEST = Digest("")
 """Entry in a manifest's history for a number that was skipped."""
 
@@ -39,8 +43,8 @@
     """A manifest's reference to one part; `size` is in bytes."""
 
     kind: str
-    digest: Digest
-    size: int
+    digest: Annotated[Digest, msgspec.Meta(pattern=r"\A[0-9a-f]{64}\Z")]
+    size: Annotated[int, msgspec.Meta(ge=0, le=MAX_PART_BYTES)]
 
 
 class Manifest(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,7 +54,7 @@
     on, the most recent first. A skipped number has `NO_DIGEST`.
     """
 
-    number: SetNumber
+    number: Annotated[SetNumber, msgspec.Meta(ge=1, le=MAX_SET_NUMBER)]
     parts: tuple[PartReference, ...]
     history: tuple[Digest, ...] = ()
 
@@ -101,7 +105,10 @@
     try:
         return decode_json(content, Manifest)
     except MalformedJsonError as error:
-        raise SetError(f"manifest_malformed: {error}. Remedy: render and publish again")
+        detail = str(error)[:MAX_DETAIL_CHARS]
+        raise SetError(
+            f"manifest_malformed: {detail}. Remedy: render and publish again"
+        )
 
 
 def render_set(
@@ -151,7 +158,8 @@
         for raw in part.objects:
             yield kind, decode_json(raw, kind.struct)
     except ValueError as error:
-        raise SetError(f"part_malformed: {error}. Remedy: render and publish again")
+        detail = str(error)[:MAX_DETAIL_CHARS]
+        raise SetError(f"part_malformed: {detail}. Remedy: render and publish again")
 
 
 def _encode_parts(kind: Kind, objects: dict[str, PublishedObject]) -> Iterator[bytes]:
--- a/bilberryring/objects/kinds.py
+++ b/bilberryring/objects/kinds.py
@@ -28,9 +28,13 @@
 
 NAME_PATTERN = re.compile(r"[a-z0-9._-]{1,63}\Z")
 KEY_DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}\Z")
-ADDRESS_PATTERN = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})\Z")
+ADDRESS_PATTERN = re.compile(
+    r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})\Z", re.ASCII
+)
 MAX_PROMPT_TOKENS_LIMIT = 4_000_000
 """Highest value that operators may set as a model's `max_prompt_tokens`."""
+MAX_FIGURE = 2**31 - 1
+"""Largest figure of any object; messages between processes hold no larger ones."""
 MAX_PORT = 65535
 MAX_OCTET = 255
 
@@ -83,6 +87,10 @@
 
     def __post_init__(self):
         require_name(self.name)
+        for field in self.__struct_fields__:
+            value = getattr(self, field)
+            if isinstance(value, int | float):
+                require(value <= MAX_FIGURE, field, f"must be at most {MAX_FIGURE}")
         self.check_fields()
 
     def check_fields(self) -> None:
--- a/bilberryring/platform/adapter.py
+++ b/bilberryring/platform/adapter.py
@@ -108,11 +108,9 @@
         log: EventLog,
         on_endpoint_removed,
     ):
-        self._store = StoreClient(
-            client=HttpClient(
-                reactor=reactor, base_url=f"http://{settings.platform_address}"
-            )
-        )
+        self._stores = {
+            prefix: _connect_store(reactor, settings) for prefix in PREFIXES
+        }
         self._health = StoreHealth(
             reactor=reactor, fleet=fleet, peers=peers, duty=duty, log=log
         )
@@ -130,7 +128,7 @@
         self._watches = [
             StoreWatch(
                 reactor=reactor,
-                store=self._store,
+                store=store,
                 prefix=prefix,
                 copies=copies,
                 health=self._health,
@@ -138,13 +136,13 @@
                 log=log,
                 entry_count=lambda: peers.entry_count(now=reactor.seconds()),
             )
-            for prefix in PREFIXES
+            for prefix, store in self._stores.items()
         ]
 
     @property
     def store_calls(self) -> int:
         """The number of calls made to the store so far."""
-        return self._store.calls
+        return sum(store.calls for store in self._stores.values())
 
     def start(self) -> None:
         """Start the watches of all prefixes."""
@@ -178,3 +176,18 @@
                 n_keys=len(expired),
             )
         self._translator.expire()
+
+
+def _connect_store(reactor, settings: GatewaySettings) -> StoreClient:
+    """Return a client for the requests of one prefix.
+
+    Answers name neither their request nor its prefix. A second copy of one, on a
+    connection that is used again, then gives no items of another prefix, and no
+    revision up to which other items were not read.
+    """
+    client = HttpClient(
+        reactor=reactor,
+        base_url=f"http://{settings.platform_address}",
+        persistent=True,
+    )
+    return StoreClient(client=client)
--- a/bilberryring/platform/configuration.py
+++ b/bilberryring/platform/configuration.py
@@ -1,4 +1,11 @@
-"""Decodes the operators' configuration and the endpoints' announcements."""
+"""Decodes the operators' configuration and the endpoints' announcements.
+
+Anyone may have written a value. Each field is therefore bounded where it is decoded;
+one that is out of range makes its own value unreadable.
+"""
+
+import re
+from typing import Annotated
 
 import msgspec
 
@@ -19,81 +26,118 @@
     Workspace,
     WorkspaceName,
 )
+from bilberryring.objects import is_address
 from bilberryring.platform.names import ENDPOINT_PREFIX
 from bilberryring.routing import EngineFigures
 
 THOUSAND = 1_000.0
+MAX_COUNT = 2**53 - 1
+"""Largest whole number that every JSON decoder reads exactly."""
+MAX_SLOTS = 1_000_000
+"""Most requests that an endpoint can run at once."""
+MAX_MS = 365 * 86_400_000.0
+"""Longest time in milliseconds, a year."""
+MAX_RATE = 1e12
+"""Most tokens or requests per second."""
+MIN_RATE = 1e-3
+"""Fewest tokens per second that an engine can prefill."""
+MAX_WEIGHT = 1e12
+MAX_VERSION = 2**63 - 1
+MIN_OBJECTIVE_MS = 1.0
+"""Shortest objective in milliseconds; a shorter one counts as this."""
+MAX_NAME_CHARS = 200
+"""Longest name in characters of an endpoint, service or failure domain. The store's
+keys are not longer."""
+MAX_TEXT_CHARS = 4_096
+"""Longest text in characters in a configuration, such as a prefix."""
+MAX_DETAIL_CHARS = 200
+"""Characters of a decoder's message that an error keeps; it can quote the value."""
 
 
 class ContentError(Exception):
     """A published value cannot be decoded; the remedy is to publish it again."""
 
+    def __init__(self, code: str, detail: str, *, remedy: str):
+        super().__init__(f"{code}: {detail[:MAX_DETAIL_CHARS]}. Remedy: {remedy}")
+
+
+_ENDPOINT_ID = re.compile(rf"[!-~]{{1,{MAX_NAME_CHARS}}}")
+_Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_CHARS)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Size = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+_Priority = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+_Milliseconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_MS)]
+_Timeout = Annotated[float, msgspec.Meta(ge=1.0, le=MAX_MS)]
+
 
 class _Share(msgspec.Struct, kw_only=True):
-    service: str
-    weight: float = 1.0
+    service: _Text
+    weight: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_WEIGHT)] = 1.0
 
 
 class _Route(msgspec.Struct, kw_only=True):
-    name: str
-    host: str
-    prefix: str
+    name: _Text
+    host: _Text
+    prefix: _Text
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1_000.0
-    priority: int = 0
-    service: str = ""
+    timeout_ms: _Milliseconds
+    target_latency_ms: _Milliseconds = 1_000.0
+    priority: _Priority = 0
+    service: _Text = ""
     backends: tuple[_Share, ...] = ()
-    attempts: int = 1
+    attempts: _Count = 1
     allow_anonymous: bool = False
     stream_resume: bool = False
-    gap_aim_ms: float | None = None
+    gap_aim_ms: _Milliseconds | None = None
     allowed_regions: tuple[str, ...] = ()
 
 
 class _UsualLengths(msgspec.Struct, kw_only=True):
     # The mean number of tokens of a response.
-    answer: float = 1_600
+    answer: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COUNT)] = 1_600
 
 
 class _Engine(msgspec.Struct, kw_only=True):
-    slots: int
-    kv_tokens: int
-    stride: int = 1
-    step_ms: float = 1.0
-    per_seq_ms: float = 0.0
+    slots: _Slots
+    kv_tokens: _Count
+    stride: _Count = 1
+    step_ms: _Milliseconds = 1.0
+    per_seq_ms: _Milliseconds = 0.0
     # Milliseconds per thousand tokens of context.
-    context_per_k: float = 0.0
-    read_per_s: float = 1.0
+    context_per_k: _Milliseconds = 0.0
+    read_per_s: Annotated[float, msgspec.Meta(ge=MIN_RATE, le=MAX_RATE)] = 1.0
     # Milliseconds per million pairs of tokens.
-    pairs_per_m: float = 0.0
-    chunk: int = 1
+    pairs_per_m: _Milliseconds = 0.0
+    chunk: _Count = 1
     usual: _UsualLengths = msgspec.field(default_factory=_UsualLengths)
 
 
 class _Service(msgspec.Struct, kw_only=True):
-    name: str
-    max_connections: int = 64
-    cold_per_s: float = 0.0
+    name: _Text
+    max_connections: _Count = 64
+    cold_per_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE)] = 0.0
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, kw_only=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: _Size = 16_384
+    max_body_bytes: _Count = 4_194_304
+    header_timeout_ms: _Timeout = 3_000
+    idle_timeout_ms: _Timeout = 15_000
 
 
 class _Workspace(msgspec.Struct, kw_only=True):
-    name: str
+    # The name is sent to endpoints in a header.
+    name: Annotated[_Text, msgspec.Meta(pattern=r"\A(?!\s)[^\x00-\x1f\x7f]*(?<!\s)\Z")]
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: _Priority | None = None
     allowed_regions: tuple[str, ...] = ()
 
 
 class _Configuration(msgspec.Struct, kw_only=True):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -101,16 +145,19 @@
 
 
 class _Endpoint(msgspec.Struct, kw_only=True):
-    service: str
+    service: _Name
     address: str
-    zone: str
+    zone: _Name
     state: str
-    slots: int = 1
+    slots: _Slots
     # How much longer the endpoint stays cold, counted from the announcement.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: _Milliseconds = 0.0
     # The start time in Unix milliseconds, which distinguishes two runs of an
     # endpoint under the same id.
-    born: int = 0
+    born: _Count = 0
+    # These two are only checked: another type tells an entry of another writer.
+    version: str | int | float = ""
+    sequence: _Count = 0
 
 
 _STATES = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
@@ -125,7 +172,9 @@
         decoded = decode_json(content, _Configuration)
         return _convert_configuration(decoded)
     except ValueError as error:
-        raise ContentError(f"configuration_unreadable: {error}. Remedy: publish again")
+        raise ContentError(
+            "configuration_unreadable", str(error), remedy="publish again"
+        )
 
 
 def decode_endpoint(key: str, content: bytes, *, now: float) -> AnnouncedEndpoint:
@@ -134,18 +183,20 @@
     `now` is the time of this process's clock in seconds. `ContentError` is raised
     when the content is malformed.
     """
+    endpoint_id = key.removeprefix(ENDPOINT_PREFIX)
+    if not _ENDPOINT_ID.fullmatch(endpoint_id):
+        raise _endpoint_error("the id is no text that a header can carry")
     try:
         announced = decode_json(content, _Endpoint)
     except MalformedJsonError as error:
-        raise ContentError(f"endpoint_unreadable: {error}. Remedy: announce again")
+        raise _endpoint_error(str(error))
     state = _STATES.get(announced.state)
-    if state is None or not _is_address(announced.address):
-        raise ContentError(
-            "endpoint_unreadable: unknown state or malformed address. "
-            "Remedy: announce again"
-        )
+    if state is None:
+        raise _endpoint_error("unknown state")
+    if not is_address(announced.address):
+        raise _endpoint_error("the address is no IPv4 address with a port")
     return AnnouncedEndpoint(
-        id=EndpointId(key.removeprefix(ENDPOINT_PREFIX)),
+        id=EndpointId(endpoint_id),
         service=ServiceName(announced.service),
         address=announced.address,
         failure_domain=FailureDomain(announced.zone),
@@ -156,9 +207,8 @@
     )
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
+def _endpoint_error(detail: str) -> ContentError:
+    return ContentError("endpoint_unreadable", detail, remedy="announce again")
 
 
 def _convert_configuration(decoded: _Configuration) -> FleetConfiguration:
@@ -182,7 +232,10 @@
 
 def _convert_route(route: _Route) -> Route:
     shares = route.backends or (_Share(service=route.service),)
+    if not any(share.weight for share in shares):
+        raise ValueError("a route whose weights are all 0 leads to no service")
     gap_ms = route.gap_aim_ms
+    objective_ms = max(MIN_OBJECTIVE_MS, route.target_latency_ms)
     return Route(
         name=route.name,
         host=route.host,
@@ -193,7 +246,7 @@
             for share in shares
         ),
         timeout=route.timeout_ms / MS_PER_SECOND,
-        first_answer_objective=route.target_latency_ms / MS_PER_SECOND,
+        first_answer_objective=objective_ms / MS_PER_SECOND,
         gap_objective=None if gap_ms is None else gap_ms / MS_PER_SECOND,
         max_endpoints=max(1, route.attempts),
         may_resume=route.stream_resume,
--- a/bilberryring/platform/headers.py
+++ b/bilberryring/platform/headers.py
@@ -1,11 +1,16 @@
 """Translates HTTP headers to the gateway's types and back."""
 
-import math
 from collections.abc import Iterable
 
 import msgspec
+import xxhash
 
-from bilberryring.core import PromptPartId, RequestId
+from bilberryring.core import (
+    PromptPartId,
+    RequestId,
+    parse_number,
+    parse_whole_number,
+)
 from bilberryring.fleet import MS_PER_SECOND, WorkspaceName
 from bilberryring.gateway.messages import (
     AttemptMetadata,
@@ -42,6 +47,13 @@
 `Retry-After`, such as 429, concern the caller of the request."""
 MAX_SHARED_PARTS = 16
 """Parts of one prompt that are looked at."""
+MAX_PART_CHARS = 32
+"""Longest name in characters of a part. Peers are told of the parts of many prompts in
+one datagram, so longer names count by a hash."""
+MAX_COUNT = 2**31 - 1
+"""Largest number of tokens, requests or slots in a header."""
+MAX_STATED_RATE = 1e9
+"""Most requests per second that count as an endpoint's limit."""
 RequestParts = tuple[bytes, HeaderPairs, bytes]
 """The target, the headers and the body of a request."""
 BEARER_SCHEME = b"bearer "
@@ -171,6 +183,7 @@
     for name, value in headers:
         if name.lower() == b"connection":
             dropped.update(part.strip().lower() for part in value.split(b","))
+    dropped.discard(b"host")
     return ((name, value) for name, value in headers if name.lower() not in dropped)
 
 
@@ -189,35 +202,40 @@
 
 
 def _parse_milliseconds(value: bytes) -> float | None:
-    try:
-        return max(0.0, float(value) / MS_PER_SECOND)
-    except ValueError:
-        return None
+    milliseconds = parse_number(value)
+    return None if milliseconds is None else max(0.0, milliseconds / MS_PER_SECOND)
+
+
+def _parse_counts(value: bytes, count: int) -> tuple[int, ...] | None:
+    """Return the whole numbers of a list of that many, or `None` if it is none."""
+    numbers = tuple(
+        parse_whole_number(part, most=MAX_COUNT) for part in value.split(b",")
+    )
+    return None if len(numbers) != count or None in numbers else numbers
 
 
 def _parse_token_usage(value: bytes) -> tuple[int, int]:
-    parts = value.split(b",")
-    if len(parts) != 2 or not all(part.strip().isdigit() for part in parts):
-        return 0, 0
-    return int(parts[0]), int(parts[1])
+    return _parse_counts(value, 2) or (0, 0)
 
 
 def _parse_shared_parts(value: bytes) -> tuple[PromptPartId, ...]:
     """Return the parts of a prompt without the last, which is the request's own."""
-    names = [_decode_text(entry.partition(b":")[0]) for entry in value.split(b",")]
-    return tuple(PromptPartId(name) for name in names[:-1] if name)[:MAX_SHARED_PARTS]
+    names = [entry.partition(b":")[0].strip() for entry in value.split(b",")[:-1]]
+    names = [name for name in names if name][:MAX_SHARED_PARTS]
+    return tuple(PromptPartId(_shorten_name(name)) for name in names)
+
+
+def _shorten_name(name: bytes) -> str:
+    """Return the name of a part, or a hash of one that is too long for reports."""
+    if len(name) > MAX_PART_CHARS:
+        return xxhash.xxh3_128_hexdigest(name)
+    return _decode_text(name)
 
 
 def _parse_load(value: bytes) -> tuple[int, int, int] | None:
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return int(parts[0]), int(parts[1]), int(parts[2])
+    return _parse_counts(value, 3)
 
 
 def _parse_rate(value: bytes) -> float | None:
-    try:
-        rate = float(value) if value else None
-    except ValueError:
-        return None
-    return rate if rate is not None and 0.0 <= rate < math.inf else None
+    rate = parse_number(value)
+    return rate if rate is not None and 0.0 <= rate <= MAX_STATED_RATE else None
--- a/bilberryring/platform/settings.py
+++ b/bilberryring/platform/settings.py
@@ -71,7 +71,7 @@
     try:
         content = msgspec.convert(tomllib.loads(text), _SettingsFile)
     except (
-        tomllib.TOMLDecodeError,
+        ValueError,  # Also one of a number with too many digits.
         msgspec.ValidationError,
         RecursionError,
     ) as error:
--- a/bilberryring/platform/store.py
+++ b/bilberryring/platform/store.py
@@ -2,12 +2,20 @@
 
 import base64
 from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import quote
 
 import msgspec
 
 from bilberryring.core import MalformedJsonError, decode_json
-from bilberryring.fleet import MS_PER_SECOND, PublishedItem
+from bilberryring.fleet import (
+    MAX_REVISION,
+    MS_PER_SECOND,
+    EraOrder,
+    PublishedItem,
+    compare_era,
+    parse_era,
+)
 from bilberryring.http import HttpClient, HttpResponse
 from bilberryring.platform.names import RANGE_PATH, STORE_ERA, WATCH_PATH
 
@@ -17,6 +25,8 @@
 The store normally responds within milliseconds."""
 MAX_PAGES = 200
 """The most pages read for one list, in case the store never ends it."""
+MAX_DETAIL_CHARS = 200
+"""Characters of a header that an error keeps."""
 
 
 class StoreError(Exception):
@@ -44,22 +54,25 @@
     era: int = 0
 
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
 class _Item(msgspec.Struct, kw_only=True):
     key: str
-    revision: int
+    revision: _Revision
     value: str | None = None
     tombstone: bool = False
 
 
 class _RangePage(msgspec.Struct, kw_only=True):
     items: tuple[_Item, ...]
-    store_revision: int
+    store_revision: _Revision
     has_more: bool = False
 
 
 class _WatchResponse(msgspec.Struct, kw_only=True):
     events: tuple[_Item, ...]
-    store_revision: int
+    store_revision: _Revision
 
 
 class StoreClient:
@@ -98,14 +111,17 @@
             "store_endless: the list has too many pages. Remedy: list again later"
         )
 
-    async def watch(self, prefix: str, *, after: int, era: int, wait: float) -> Listing:
+    async def watch(
+        self, prefix: str, *, after: int, era: int, wait: float, patience: float
+    ) -> Listing:
         """Return the changes after a revision, waiting up to `wait` seconds for one.
 
+        The call counts as failed if there is no response `patience` seconds later.
         Raises `StoreRestored` if the store is in another era than the revision.
         """
         path = f"{WATCH_PATH}?prefix={quote(prefix, safe='')}&after={after}"
         path += f"&wait_ms={int(wait * MS_PER_SECOND)}"
-        response = await self._get(path, timeout=wait + READ_TIMEOUT_SECONDS)
+        response = await self._get(path, timeout=wait + patience)
         _check_era(_era_of(response), expected=era)
         changes = _decode(response.body, _WatchResponse)
         return Listing(
@@ -139,16 +155,16 @@
 
 def _era_of(response: HttpResponse) -> int:
     """Return the era of the store; 0 if it states none."""
-    era = response.header(STORE_ERA)
-    if not era:
-        return 0
-    if not era.isdigit():
-        raise StoreError(f"store_malformed: era {era!r}. Remedy: read again later")
-    return int(era)
+    stated = response.header(STORE_ERA)
+    era = parse_era(stated)
+    if era is None:
+        detail = repr(stated[:MAX_DETAIL_CHARS])
+        raise StoreError(f"store_malformed: era {detail}. Remedy: read again later")
+    return era
 
 
 def _check_era(era: int, *, expected: int) -> None:
-    if era != expected:
+    if compare_era(era, known=expected) is not EraOrder.SAME:
         raise StoreRestored(
             f"store_restored: era {era} instead of {expected}. Remedy: list again"
         )
--- a/bilberryring/platform/tests/conftest.py
+++ b/bilberryring/platform/tests/conftest.py
@@ -5,6 +5,18 @@
 from bilberryring.standins.gateway_site import GatewaySite, make_configuration
 
 
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item):
+    """Show the logs of the processes of a test that has failed."""
+    outcome = yield
+    report = outcome.get_result()
+    if report.failed and report.when != "teardown":
+        fixtures = {id(value): value for value in item.funcargs.values()}
+        for site in fixtures.values():
+            if isinstance(site, GatewaySite):
+                report.sections.extend(site.log_ends())
+
+
 @pytest.fixture
 def empty_site():
     """A running store without a configuration, endpoints or gateways."""
--- a/bilberryring/platform/tests/test_abusive_callers.py
+++ b/bilberryring/platform/tests/test_abusive_callers.py
@@ -2,15 +2,22 @@
 
 import contextlib
 import socket
-import threading
 import time
 
 import pytest
 
+from bilberryring.fleet import CallerLimits
 from bilberryring.standins.gateway_site import request_headers
 from bilberryring.standins.scripted_endpoint import answer_all
+from bilberryring.testing.abusive_requests import (
+    ENDLESS_REQUESTS,
+    MAX_SENT_BYTES,
+    UNCLEAR_LENGTHS,
+    endless_request,
+    read_all,
+    send_all,
+)
 
-MAX_SENT_BYTES = 64 * 1024 * 1024
 N_IDLE = 1_000
 N_WAITING = 300
 RETRANSMISSION_SECONDS = 1.0
@@ -30,54 +37,11 @@
     return "\r\n".join(["POST /look/ HTTP/1.1", *fields, *lines, "", ""]).encode()
 
 
-def send_all(caller, parts):
-    """Send parts until the connection ends; return the bytes sent and the answer."""
-    answer = []
-    reader = threading.Thread(target=lambda: answer.append(read_all(caller)))
-    reader.start()
-    n_sent = 0
-    with contextlib.suppress(OSError):
-        for part in parts:
-            caller.sendall(part)
-            n_sent += len(part)
-            if not reader.is_alive():
-                break
-    reader.join()
-    return n_sent, answer[0]
-
-
-def read_all(caller):
-    received = b""
-    with contextlib.suppress(OSError):
-        while data := caller.recv(65_536):
-            received += data
-    return received
-
-
-def repeat(first, block):
-    yield first
-    for _ in range(MAX_SENT_BYTES // len(block)):
-        yield block
-
-
-def chunk_block(size):
-    return b"%x\r\n%s\r\n" % (size, b"x" * size)
-
-
-ABUSES = {
-    "headers": (b"POST /look/ HTTP/1.1\r\n", b"X-Filler: some text\r\n" * 500, 431),
-    "header line": (b"POST /look/ HTTP/1.1\r\nX-Filler: ", b"x" * 65_536, 431),
-    "request line": (b"POST /look/", b"x" * 65_536, 431),
-    "chunked body": (head("Transfer-Encoding: chunked"), chunk_block(65_536), 413),
-    "chunk extension": (head("Transfer-Encoding: chunked") + b"1;", b"x" * 8_192, 400),
-    "body": (head("Content-Length: 9999999999"), b"x" * 65_536, 413),
-}
-
-
-@pytest.mark.parametrize("kind", ABUSES)
+@pytest.mark.parametrize("kind", ENDLESS_REQUESTS)
 def test_a_request_without_end_gets_an_error_and_harms_no_other(gateway, kind):
-    first, block, status = ABUSES[kind]
-    n_sent, answer = send_all(gateway.caller_socket(), repeat(first, block))
+    status = ENDLESS_REQUESTS[kind]
+    parts = endless_request(kind, target=b"/look/", head=head)
+    n_sent, answer = send_all(gateway.caller_socket(), parts)
     assert n_sent < MAX_SENT_BYTES
     assert answer.startswith(b"HTTP/1.1 %d " % status)
     assert b"not_run" in answer
@@ -85,17 +49,7 @@
     assert not gateway.log_events(event="internal_fault")
 
 
-@pytest.mark.parametrize(
-    "lines",
-    [
-        ("Content-Length: -1",),
-        ("Content-Length: 1", "Content-Length: 2"),
-        ("Content-Length: 1x",),
-        ("Content-Length: 5", "Transfer-Encoding: chunked"),
-        ("Transfer-Encoding: chunked, gzip",),
-        ("X Y: z",),
-    ],
-)
+@pytest.mark.parametrize("lines", UNCLEAR_LENGTHS)
 def test_a_request_whose_length_is_not_clear_is_refused(gateway, lines):
     caller = gateway.caller_socket()
     caller.sendall(head(*lines) + b"5\r\nhello\r\n0\r\n\r\n")
@@ -140,3 +94,20 @@
     finally:
         gateway.process("gateway-1").resume()
     assert gateway.call("/look/").status == 200
+
+
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_a_caller_that_writes_its_whole_body_first_reads_why_it_is_refused(
+    gateway, framing
+):
+    size = CallerLimits().max_body_bytes + 1_000_000
+    parts = [head(f"Content-Length: {size}"), b"x" * size]
+    if framing == "chunks":
+        parts = [
+            head("Transfer-Encoding: chunked"),
+            b"%x\r\n%s\r\n" % (size, b"x" * size),
+        ]
+    caller = gateway.caller_socket()
+    for part in parts:
+        caller.sendall(part)
+    assert read_all(caller).startswith(b"HTTP/1.1 413")
--- a/bilberryring/platform/tests/test_bytes_from_outside.py
+++ b/bilberryring/platform/tests/test_bytes_from_outside.py
@@ -5,8 +5,11 @@
 
 import contextlib
 import copy
+import itertools
 import json
+import math
 import os
+import random
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -16,10 +19,14 @@
 from twisted.python.failure import Failure
 
 from bilberryring.core import RequestId, SettingsError
+from bilberryring.fleet import MS_PER_SECOND
 from bilberryring.gateway.caller_site import CallerSite
 from bilberryring.gateway.endpoint_connection import EndpointConnection
 from bilberryring.gateway.messages import AttemptMetadata
+from bilberryring.objects import is_address
 from bilberryring.platform.configuration import (
+    MAX_COUNT,
+    MAX_SLOTS,
     ContentError,
     decode_configuration,
     decode_endpoint,
@@ -31,6 +38,13 @@
     encode_response_headers,
 )
 from bilberryring.platform.settings import decode_settings
+from bilberryring.routing import (
+    Candidate,
+    DecodeGroup,
+    EndpointWork,
+    PromptDemand,
+    PromptPlanner,
+)
 from bilberryring.standins.gateway_site import ENGINE, make_configuration
 from bilberryring.standins.scripted_endpoint import chunk, event, stream_head
 
@@ -48,6 +62,10 @@
     b"Content-Length: -3\r\n",
     b"Transfer-Encoding: chunked\r\n",
     b"Keep-Alive: timeout=99999999999999999999\r\n",
+    b"Keep-Alive: timeout=" + b"9" * 400 + b"\r\n",
+    b"Keep-Alive: timeout=" + b"9" * 5_000 + b"\r\n",
+    b"Content-Length: " + b"9" * 5_000 + b"\r\n",
+    b"9" * 5_000 + b"\r\n",
     b"Connection: close\r\n",
     b"\r\n",
     b"abc",
@@ -65,10 +83,12 @@
     b"Content-Length: 3\r\n",
     b"Content-Length: 0\r\n",
     b"Content-Length: 99999999999999999999\r\n",
+    b"Content-Length: " + b"9" * 5_000 + b"\r\n",
     b"Transfer-Encoding: chunked\r\n",
     b"Expect: 100-continue\r\n",
     b"Bilberryring-Deadline-Ms: nan\r\n",
     b"Bilberryring-Token-Usage: 1e400,-1\r\n",
+    b"Bilberryring-Token-Usage: " + b"9" * 5_000 + b",1\r\n",
     b"\r\n",
     b"abc",
     chunk(b"abc"),
@@ -98,8 +118,11 @@
         b"1e400",
         b"nan",
         b"inf",
+        b"9" * 400,
         b"9" * 5_000,
         b"1,2,3",
+        b"1," + b"9" * 5_000,
+        b"0,0," + b"9" * 5_000,
         b"a:b,c",
         b"\xff",
     ]
@@ -114,6 +137,7 @@
     st.none()
     | st.booleans()
     | st.integers(-(2**70), 2**70)
+    | st.sampled_from([2**53 - 1, 2**53, 2**63, 10**400, 1e308, 1e-320, 3e10])
     | st.floats(allow_nan=False)
     | st.text(max_size=6),
     lambda inner: (
@@ -128,6 +152,7 @@
     """Ends the connection when the protocol closes or aborts it."""
 
     is_closed = False
+    is_write_closed = False
 
     def loseConnection(self) -> None:
         if not self.is_closed:
@@ -136,6 +161,9 @@
 
     abortConnection = loseConnection
 
+    def loseWriteConnection(self) -> None:
+        self.is_write_closed = True
+
 
 def pieces_of(pieces):
     return st.lists(
@@ -165,6 +193,31 @@
     return changed
 
 
+def use_configuration(configuration):
+    """Calculate with the figures as requests do."""
+    for route in configuration.routes:
+        random.choices(route.shares, weights=[share.weight for share in route.shares])
+        assert 0.0 < route.first_answer_objective < math.inf
+        assert 0.0 <= route.timeout < math.inf
+        engines = [item.engine for item in configuration.services.values()]
+        for figures, tokens in itertools.product(filter(None, engines), (1, 10**6)):
+            demand = PromptDemand(
+                prompt_tokens=tokens,
+                max_tokens=tokens,
+                first_ms=route.first_answer_objective * MS_PER_SECOND,
+                gap_ms=route.gap_objective,
+            )
+            candidates = [Candidate(endpoint=name, work=BUSY) for name in "abcd"]
+            plan = PromptPlanner().plan(demand, figures, candidates, now=1.0)
+            assert plan is None or math.isfinite(plan.predicted_ms + plan.cost)
+
+
+BUSY = EndpointWork(
+    requests=3,
+    prefill_ms=50.0,
+    kv_tokens=9_000,
+    decode_groups=(DecodeGroup(gap_ms=200, count=2, value=2.0),),
+)
 CONFIGURATION = make_configuration(3)
 CONFIGURATION_PATHS = list(paths_of(CONFIGURATION))
 ANNOUNCEMENT = {
@@ -246,7 +299,7 @@
 def test_a_configuration_may_have_any_value_in_each_field(path, value):
     content = json.dumps(replaced(CONFIGURATION, path, value)).encode()
     with contextlib.suppress(ContentError):
-        decode_configuration(content)
+        use_configuration(decode_configuration(content))
 
 
 @FUZZED
@@ -254,7 +307,11 @@
 def test_an_announcement_may_have_any_value_in_each_field(path, value):
     content = json.dumps(replaced(ANNOUNCEMENT, path, value)).encode()
     with contextlib.suppress(ContentError):
-        decode_endpoint("servers/a", content, now=1.0)
+        endpoint = decode_endpoint("servers/a", content, now=1.0)
+        assert 1 <= endpoint.slots <= MAX_SLOTS
+        assert 1.0 <= endpoint.cold_until < math.inf
+        assert 0 <= endpoint.started_at_ms <= MAX_COUNT
+        assert is_address(endpoint.address)
 
 
 @FUZZED
--- a/bilberryring/platform/tests/test_endless_answers.py
+++ b/bilberryring/platform/tests/test_endless_answers.py
@@ -34,23 +34,13 @@
     connection.sendall(chunk(b""))
 
 
-def call_until_endless_is_met(site, endless, path):
-    """Call until the endless endpoint had a request; return all answers."""
-    answers = []
-    for _ in range(12):
-        answers.append(site.call(path))
-        if endless.sent:
-            return answers
-    raise AssertionError("the endpoint got no request")
-
-
 @pytest.mark.parametrize("kind", ENDLESS_ANSWERS)
 def test_an_endless_answer_is_cut_off_and_the_call_retried(site, kind):
     endless = ENDLESS_ANSWERS[kind].again()
     site.add_endpoint("a", endless)
     site.add_endpoint("b", answer_all)
     site.start_gateway()
-    answers = call_until_endless_is_met(site, endless, "/look/")
+    answers = site.call_until(lambda: endless.sent, "/look/")
     assert [answer.status for answer in answers] == [200] * len(answers)
     assert endless.is_closed.wait(3.0)
     assert endless.sent < MAX_SENT_BYTES
@@ -87,7 +77,7 @@
     site.start_gateway()
     # Before that a gateway starts few requests on each endpoint.
     pause(SETTLE_SECONDS)
-    answers = call_until_endless_is_met(site, endless, "/chat/")
+    answers = site.call_until(lambda: endless.sent, "/chat/")
     assert [answer.body for answer in answers] == [EVENTS] * len(answers)
     assert endless.is_closed.wait(3.0)
     assert endless.sent < MAX_SENT_BYTES
--- a/bilberryring/platform/tests/test_endpoint_statements.py
+++ b/bilberryring/platform/tests/test_endpoint_statements.py
@@ -22,6 +22,8 @@
 
 RETURN_SPREAD_SECONDS = 0.24
 """Seconds after a rest within which a gateway returns that knows no other yet."""
+N_SHARED_CALLS = 120
+"""Calls of which one of two equal endpoints gets less than a quarter once in 10**8."""
 
 
 def refusal(request_id, rest):
@@ -103,11 +105,16 @@
     resting = RestingEndpoint(site, "a", rest="0.4", n_refusals=1)
     site.add_endpoint("b", answer_all)
     site.start_gateway()
+    site.call_until(lambda: resting.arrivals, "/look/")
     call_for(site, 1.2)
-    assert len(resting.arrivals) > 1
+    site.call_until(lambda: len(resting.arrivals) > 1, "/look/")
     before = len(resting.arrivals)
-    answers = call_for(site, 1.5)
-    assert len(resting.arrivals) - before >= len(answers) / 4
+    n_calls = 0
+    until = time.monotonic() + 1.5
+    while n_calls < N_SHARED_CALLS or time.monotonic() < until:
+        site.call("/look/")
+        n_calls += 1
+    assert len(resting.arrivals) - before >= n_calls / 4
 
 
 @pytest.mark.parametrize(("path", "n_before"), [("/look/", 1), ("/charge/", 2)])
--- a/bilberryring/platform/tests/test_operator_queries.py
+++ b/bilberryring/platform/tests/test_operator_queries.py
@@ -1,6 +1,7 @@
 """Queries of the operators' tool, which gateways serve on their metrics address."""
 
 import json
+from functools import partial
 
 import pytest
 from click.testing import CliRunner
@@ -13,9 +14,12 @@
 from bilberryring.standins.scripted_endpoint import (
     NOT_EXECUTED_HEADER,
     answer_all,
+    chunk,
+    event,
+    stream_head,
     whole_answer,
 )
-from bilberryring.testing.processes import wait_until
+from bilberryring.testing.processes import pause, wait_until
 from bilberryring.tool.main import main
 
 
@@ -54,12 +58,13 @@
 
         return refuse
 
-    site.add_endpoint("a", refuse_with("Retry-After: 60"))
-    site.add_endpoint("b", refuse_with("Server-Leaving: 1"))
+    resting = site.add_endpoint("a", refuse_with("Retry-After: 60"))
+    leaving = site.add_endpoint("b", refuse_with("Server-Leaving: 1"))
     site.add_endpoint("c", answer_all)
     site.start_gateway()
-    for _ in range(12):
-        site.call("/look/")
+    site.call_until(
+        lambda: resting.requests and leaving.requests, "/look/", at_least=12
+    )
     process = json.loads(run("status").output)["processes"][0]
     standings = {item["endpoint"]: item["standing"] for item in process["endpoints"]}
     assert standings == {"a": "resting", "b": "leaving", "c": "live"}
@@ -73,6 +78,54 @@
     )
 
 
+def send_event(request, connection, *, requests):
+    """Send a stream of one event, silent before it for the first of all requests."""
+    requests.append(request.request_id)
+    if len(requests) == 1:
+        pause(2.0)
+    connection.sendall(stream_head(request.request_id))
+    connection.sendall(chunk(event(1)) + chunk(b""))
+
+
+def test_status_and_metrics_count_silent_attempts_and_tokens_read_again(site, run):
+    requests = []
+    for name in "ab":
+        script = partial(send_event, requests=requests)
+        site.add_endpoint(name, script, service=MODEL_SERVICE)
+    site.start_gateway()
+    assert site.call("/chat/").body == event(1)
+    assert len(requests) == 2
+    process = json.loads(run("status").output)["processes"][0]
+    assert (process["silent_attempts"], process["reread_tokens"]) == (1, 1_000)
+    text = site.metrics()
+    assert 'silent_attempts_total{route="r-chat"} 1' in text
+    assert 'reread_prompt_tokens_total{route="r-chat"} 1000' in text
+    shown = CliRunner().invoke(main, ["status", "--at", site.operator_address()])
+    assert "gateway-1 1, prompt tokens read again 1000" in shown.output
+
+
+def test_a_prompt_that_was_refused_before_does_not_count_as_read_again(site, run):
+    requests = []
+
+    def refuse_first(request, connection):
+        requests.append(request.request_id)
+        if len(requests) > 1:
+            answer_all(request, connection)
+            return
+        extra = NOT_EXECUTED_HEADER
+        connection.sendall(
+            whole_answer(request.request_id, b"", status="503 Full", extra=extra)
+        )
+
+    for name in "ab":
+        site.add_endpoint(name, refuse_first)
+    site.start_gateway()
+    assert site.call("/look/").status == 200
+    assert len(requests) == 2
+    process = json.loads(run("status").output)["processes"][0]
+    assert (process["silent_attempts"], process["reread_tokens"]) == (0, 0)
+
+
 def test_status_names_a_gateway_that_does_not_respond(site):
     site.add_endpoint("a", answer_all)
     for number in (1, 2):
--- a/bilberryring/platform/tests/test_published_state.py
+++ b/bilberryring/platform/tests/test_published_state.py
@@ -1,5 +1,6 @@
 """Changes of configurations and announcements while requests arrive."""
 
+import contextlib
 import json
 
 from bilberryring.standins.gateway_site import (
@@ -10,8 +11,9 @@
 from bilberryring.standins.scripted_endpoint import answer_all
 from bilberryring.testing.processes import pause, wait_until
 
+START_SECONDS = 30.0
 IN_FORCE_SECONDS = 2.0
-IN_FORCE_AFTER_SILENCE_SECONDS = 7.0
+IN_FORCE_AFTER_SILENCE_SECONDS = 3.0
 
 
 def configuration_without_key(version):
@@ -29,8 +31,17 @@
     )
 
 
+def accepts_connections(site):
+    with contextlib.suppress(ConnectionRefusedError), site.caller_socket():
+        return True
+    return False
+
+
 def test_a_process_without_a_configuration_refuses_requests(empty_site):
     empty_site.start_gateway(is_awaited=False)
+    wait_until(
+        lambda: accepts_connections(empty_site), START_SECONDS, "the gateway to listen"
+    )
     pause(2.0)
     assert not empty_site.is_ready()
     response = empty_site.call("/look/")
--- a/bilberryring/platform/tests/test_reservations.py
+++ b/bilberryring/platform/tests/test_reservations.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from bilberryring.standins.gateway_site import MODEL_SERVICE, request_headers
+from bilberryring.gateway.reservations import RENEWAL_INTERVAL_SECONDS
+from bilberryring.standins.gateway_site import (
+    MODEL_SERVICE,
+    make_configuration,
+    make_route,
+    request_headers,
+)
 from bilberryring.standins.scripted_endpoint import (
     chunk,
     event,
@@ -18,6 +24,8 @@
 LARGE = "340000,800"
 FREE_SECONDS = 4.0
 EVENT_SECONDS = 0.2
+CONFIGURATION_SECONDS = 1.0
+"""Seconds within which a configuration is in force."""
 
 
 class Memory:
@@ -25,7 +33,7 @@
 
     `status` is the status of the responses to reserve orders. With `repeats_answers`
     an order on a connection that had answers before is refused, and those answers are
-    written once more before the refusal.
+    written once more before the refusal. Orders are read after `order_seconds`.
     """
 
     def __init__(self):
@@ -37,6 +45,7 @@
         self.later_events = 1
         self.is_silent = False
         self.repeats_answers = False
+        self.order_seconds = 0.0
         self.answers_on = {}
         self.endpoints = {}
 
@@ -55,6 +64,7 @@
         connection.sendall(chunk(b""))
 
     def record_order(self, request, connection):
+        pause(self.order_seconds)
         order = json.loads(request.body) | {"at": time.monotonic()}
         self.orders.append(order)
         if order["op"] == "reserve" and not self.responds_to_reserves:
@@ -113,7 +123,8 @@
     memory.later_events = 8
     send_prompt(site)
     reserved = memory.ids("reserve")
-    assert len(reserved) == 2 * len(set(reserved))
+    renewals = int(8 * EVENT_SECONDS / RENEWAL_INTERVAL_SECONDS)
+    assert len(reserved) == (1 + renewals) * len(set(reserved))
     holds = [order["hold_ms"] for order in memory.orders if order["op"] == "reserve"]
     assert max(holds) < FREE_SECONDS * 1_000
 
@@ -196,3 +207,28 @@
     used = {helper.split("/")[1] for helper in helpers if "/" in helper}
     assert used
     assert used <= memory.granted
+
+
+@pytest.mark.parametrize("order_seconds", [0.0, 0.2])
+@pytest.mark.parametrize("is_over_before_the_end", [False, True])
+def test_memory_is_released_before_the_process_exits_in_a_stop(
+    site, memory, order_seconds, is_over_before_the_end
+):
+    routes = [make_route("/chat/", "streaming", MODEL_SERVICE, timeout_ms=20_000)]
+    site.publish(make_configuration(2, routes=routes))
+    pause(CONFIGURATION_SECONDS)
+    memory.later_events = 19 if is_over_before_the_end else 60
+    caller = threading.Thread(
+        target=lambda: send_prompt(site, Bilberryring_Deadline_Ms="20000")
+    )
+    caller.start()
+    wait_until(lambda: memory.requests, 3.0, "the request")
+    memory.order_seconds = order_seconds
+    process = site.process("gateway-1")
+    process.terminate()
+    assert process.wait(6.0) == 0
+    caller.join()
+    assert memory.ids("reserve")
+    assert set(memory.ids("release")) == set(memory.ids("reserve"))
+    released = [o for o in site.log_events(1, "memory_ordered") if not o["tokens"]]
+    assert len(released) == len(set(memory.ids("release")))
--- a/bilberryring/platform/tests/test_restored_store.py
+++ b/bilberryring/platform/tests/test_restored_store.py
@@ -7,6 +7,11 @@
 from bilberryring.testing.processes import pause, wait_until
 
 IN_FORCE_SECONDS = 2.0
+AWAY_SECONDS = 0.3
+"""Seconds for which the store is away; more of them pass on a busy machine."""
+LONG_SECONDS = 0.9
+"""Time away after which a gateway that missed the store between two returns does not
+know whether a key is new, and answers 503."""
 RETURN_SECONDS = 2.0
 """Seconds after its return within which live endpoints are in the store again."""
 
@@ -36,19 +41,31 @@
     )
 
 
+def statuses_until_read(site):
+    """Return the statuses, but 503, until a gateway has read the store again."""
+    statuses = []
+
+    def has_read():
+        statuses.append(status_of(site))
+        return statuses[-1] != 503
+
+    wait_until(has_read, IN_FORCE_SECONDS, "the store to be read again")
+    return set(statuses) - {503}
+
+
 def write_something(site, count=9):
     """Raise the store's revision by writes that mean nothing to a gateway."""
     for number in range(count):
         site.put("op/other", b"%d" % number)
 
 
-def restore(site, *, is_late=False):
+def restore(site, *, is_late=False, away_seconds=AWAY_SECONDS):
     """Return to the copy; the store is away for a moment.
 
     With `is_late` its revisions pass the old ones before a gateway reads it.
     """
     site.set_store_mode(refusing=True)
-    pause(0.3)
+    pause(away_seconds)
     site.restore_store()
     if is_late:
         write_something(site, 40)
@@ -211,14 +228,16 @@
     assert not leaving.requests
 
 
-def test_a_second_return_in_a_row_loses_nothing(site, is_late):
+@pytest.mark.parametrize("away_seconds", [AWAY_SECONDS, LONG_SECONDS])
+def test_a_second_return_in_a_row_loses_nothing(site, is_late, away_seconds):
     start(site)
     site.save_store()
     site.publish(without_key(5))
     wait_for_status(site, 401)
-    restore(site, is_late=is_late)
+    restore(site, is_late=is_late, away_seconds=away_seconds)
     pause(0.5)
-    restore(site, is_late=is_late)
+    restore(site, is_late=is_late, away_seconds=away_seconds)
+    assert statuses_until_read(site) == {401}
     for _ in range(6):
         assert status_of(site) == 401
         pause(0.2)
--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -51,6 +51,7 @@
         self._log = log
         self._on_endpoint_removed = on_endpoint_removed
         self._restored_at = -math.inf
+        self._unreadable: dict[EndpointId, str] = {}
 
     def begin_era(self, prefix: str, replica: Replica) -> None:
         """Note that the store is in a later era, and log what it has lost.
@@ -76,13 +77,15 @@
         )
 
     def update_fleet(self, replica: Replica, keys: tuple[str, ...]) -> None:
-        """Apply the changed keys of one replica to the fleet state."""
+        """Apply the changed keys of one replica to the fleet state.
+
+        The replica counts them as known, so none may be left out for another's fault.
+        """
         for key in keys:
-            value = replica.value(key)
-            if key == CONFIGURATION_KEY and value is not None:
-                self._apply_configuration(value)
-            elif key.startswith(ENDPOINT_PREFIX):
-                self._apply_announcement(key, value)
+            try:
+                self._apply(key, replica.value(key))
+            except Exception as error:
+                self._log.write(LogEvent.INTERNAL_FAULT, key=key, detail=repr(error))
         if any(key.startswith(EVACUATION_PREFIX) for key in keys):
             self._apply_evacuations(replica)
 
@@ -103,12 +106,19 @@
                 standing="gone",
             )
 
+    def _apply(self, key: str, value: bytes | None) -> None:
+        if key == CONFIGURATION_KEY and value is not None:
+            self._apply_configuration(value)
+        elif key.startswith(ENDPOINT_PREFIX):
+            self._apply_announcement(key, value)
+
     def _apply_configuration(self, value: bytes) -> None:
         try:
             configuration = decode_configuration(value)
         except ContentError as error:
-            self._fleet.record_refusal(str(error))
-            self._log.write(LogEvent.SET_REFUSED, detail=str(error))
+            if self._fleet.refusal != str(error):
+                self._fleet.record_refusal(str(error))
+                self._log.write(LogEvent.SET_REFUSED, detail=str(error))
             return
         if self._fleet.put_in_force(configuration):
             self._log.write(
@@ -129,6 +139,7 @@
             self._fleet.endpoints.withdraw(
                 endpoint_id, now=now, is_lapse=is_lapse, hold_seconds=hold
             )
+            self._unreadable.pop(endpoint_id, None)
             self._log_standing(endpoint_id, "lapsed" if is_lapse else "gone")
             if known is not None and not is_lapse:
                 self._on_endpoint_removed(known)
@@ -137,8 +148,9 @@
             endpoint = decode_endpoint(key, value, now=now)
         except ContentError as error:
             self._fleet.endpoints.withdraw(endpoint_id, now=now)
-            self._log_standing(endpoint_id, "unreadable", detail=str(error))
+            self._log_unreadable(endpoint_id, str(error))
             return
+        self._unreadable.pop(endpoint_id, None)
         self._fleet.endpoints.announce(endpoint)
         if known is None or known.state is not endpoint.state:
             self._log_standing(endpoint_id, endpoint.state.value)
@@ -152,6 +164,13 @@
         self._fleet.endpoints.set_domains_out(domains)
         self._log.write(LogEvent.DOMAINS_OUT, domains=sorted(domains))
 
+    def _log_unreadable(self, endpoint: EndpointId, detail: str) -> None:
+        """Log why an entry cannot be read, once while that stays the same."""
+        if self._unreadable.get(endpoint) == detail:
+            return
+        self._unreadable[endpoint] = detail
+        self._log_standing(endpoint, "unreadable", detail=detail)
+
     def _log_standing(self, endpoint: EndpointId, standing: str, **fields) -> None:
         self._log.write(
             LogEvent.ENDPOINT_STANDING_CHANGED,
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -9,11 +9,12 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 
-from bilberryring.fleet import FleetState, Revision
+from bilberryring.fleet import EraOrder, FleetState, Revision, compare_era
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.store_readers import ReadingDuty, StoreAccess
 from bilberryring.platform.store import (
+    READ_TIMEOUT_SECONDS,
     HistoryLost,
     Listing,
     StoreClient,
@@ -22,12 +23,17 @@
 from bilberryring.telemetry import EventLog, LogEvent
 
 WATCH_SECONDS_PER_ENTRY = 1.2
-"""Seconds that a watch lasts, multiplied by the number of gateways.
-
-A dead connection is noticed only when its watch ends. Gateways forward changes to
-each other, so it is enough that one watch of the whole group ends in time."""
+"""Seconds that a watch lasts, multiplied by the number of gateways."""
 MIN_WATCH_SECONDS = 3.0
 MAX_WATCH_SECONDS = 8.0
+FIRST_WATCH_SECONDS = 1.0
+"""Seconds that a watch of the first reader lasts.
+
+A lost watch is noticed only when its time is over. All readers may lose theirs
+together, since all watch again after the same change. The bounds hold 3 s after the end
+of a disruption. Gateways forward changes to each other, so one reader has to notice."""
+FIRST_PATIENCE_SECONDS = 1.0
+"""Seconds after its end for which the first reader awaits the response to a watch."""
 DUTY_CHECK_SECONDS = 0.25
 """Seconds between two checks of a gateway without the duty to read."""
 INITIAL_RETRY_SECONDS = 0.1
@@ -41,6 +47,10 @@
 into one call."""
 
 
+class _WatchReplacedError(Exception):
+    """A pending watch was cancelled because this gateway now has to read sooner."""
+
+
 class StoreHealth:
     """Tracks whether the reads of all watches of a process succeed.
 
@@ -150,6 +160,8 @@
         self._revision: Revision | None = None
         self._task: Deferred | None = None
         self._call: Deferred[Listing] | None = None
+        self._is_call_replaced = False
+        self._last_overrun = 0.0
         self._is_stopped = False
 
     def start(self) -> None:
@@ -171,6 +183,7 @@
     async def _run(self) -> None:
         delay = INITIAL_RETRY_SECONDS
         while not self._is_stopped:
+            began_at = self._reactor.seconds()
             try:
                 if self._must_read or self._has_duty():
                     await self._read_once()
@@ -188,11 +201,16 @@
                     detail=str(error),
                 )
                 self._revision = None
+            except _WatchReplacedError:
+                self._must_read = True
             except StoreError as error:
                 if self._is_stopped:
                     return
                 self._health.record_failure(self._prefix, error)
-                await self._pause(delay * self._random.uniform(0.7, 1.3))
+                # The interval counts from the start of a call that took long to fail.
+                rest = delay - (self._reactor.seconds() - began_at)
+                rest = max(INITIAL_RETRY_SECONDS, rest)
+                await self._pause(rest * self._random.uniform(0.7, 1.3))
                 delay = min(delay * 2, MAX_RETRY_SECONDS)
             except CancelledError:
                 return
@@ -248,35 +266,71 @@
     def _check_not_older(self, era: int) -> None:
         """Raise `StoreError` if a peer knows of a later era than the store's answer."""
         known = self._copies.replica(self._prefix).era
-        if era < known:
+        if compare_era(era, known=known) is EraOrder.EARLIER:
             raise StoreError(
                 f"store_outdated: era {era}, known is {known}. Remedy: read again later"
             )
 
     async def _watch(self, after: Revision) -> Listing:
+        began_at = self._reactor.seconds()
+        is_first = self._duty.is_first
         is_quick = self._must_read or self._health.is_failing(self._prefix)
-        wait = 0.0 if is_quick else self._watch_seconds()
-        self._call = Deferred.fromCoroutine(
+        wait = 0.0 if is_quick else self._watch_seconds(is_first)
+        self._call = call = Deferred.fromCoroutine(
             self._store.watch(
-                self._prefix, after=after.number, era=after.era, wait=wait
+                self._prefix,
+                after=after.number,
+                era=after.era,
+                wait=wait,
+                patience=self._patience(wait, is_first),
             )
         )
+        if wait > FIRST_WATCH_SECONDS:
+            self._replace_if_first(call)
         try:
-            listing = await self._call
+            listing = await call
+        except (StoreError, CancelledError):
+            if self._is_call_replaced and not self._is_stopped:
+                raise _WatchReplacedError
+            raise
         finally:
             self._call = None
+            self._is_call_replaced = False
         self._check_not_older(listing.era)
         self._health.record_success(self._prefix)
+        self._last_overrun = self._reactor.seconds() - began_at - wait
         self._copies.apply(self._prefix, listing.items, era=listing.era)
         if listing.items:
             await self._pause(BATCH_SECONDS)
         return listing
 
-    def _watch_seconds(self) -> float:
+    def _watch_seconds(self, is_first: bool) -> float:
         wait = WATCH_SECONDS_PER_ENTRY * self._entry_count()
         wait = min(max(wait, MIN_WATCH_SECONDS), MAX_WATCH_SECONDS)
         wait *= self._random.uniform(0.8, 1.0)
+        if is_first:
+            wait = FIRST_WATCH_SECONDS
         return min(wait, self._duty.seconds_until_settled or wait)
 
+    def _patience(self, wait: float, is_first: bool) -> float:
+        """Return how long after its end a watch is awaited.
+
+        A store that was slow to answer lately is awaited longer.
+        """
+        is_slow = self._last_overrun > FIRST_PATIENCE_SECONDS / 2
+        if wait == 0.0 or not is_first or is_slow:
+            return READ_TIMEOUT_SECONDS
+        return FIRST_PATIENCE_SECONDS
+
+    def _replace_if_first(self, call: Deferred[Listing]) -> None:
+        """Cancel a pending long watch once this gateway is the first reader."""
+        if call is not self._call or self._is_stopped:
+            return
+        if self._duty.is_first:
+            self._is_call_replaced = True
+            call.cancel()
+            return
+        self._reactor.callLater(DUTY_CHECK_SECONDS, self._replace_if_first, call)
+
     async def _pause(self, seconds: float) -> None:
         await deferLater(self._reactor, seconds)
--- a/bilberryring/process/configuration.py
+++ b/bilberryring/process/configuration.py
@@ -10,8 +10,7 @@
 import zlib
 from collections.abc import Callable
 
-from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from bilberryring.acceptance import (
     MAX_PEER_SILENCE_SECONDS,
@@ -32,6 +31,7 @@
     decode_manifest,
     encode_manifest,
 )
+from bilberryring.process.loops import make_loop, start_task
 from bilberryring.process.platform_watch import PlatformWatch
 from bilberryring.process.set_keeper import SetKeeper
 from bilberryring.telemetry import EventLog, LogEvent
@@ -77,13 +77,13 @@
             log=log,
             keeper=self._keeper,
             is_reader=lambda: self._is_reader,
+            announced_number=lambda: max(self._links.values(), default=0),
         )
         self._links: dict[LinkProtocol, int] = {}
         self._last_peer_activity = reactor.seconds()
         self._is_reader = False
         self._is_stopped = False
-        self._notices = LoopingCall(self._send_notices)
-        self._notices.clock = reactor
+        self._notices = make_loop(reactor=reactor, work=self._send_notices, log=log)
 
     @property
     def sets(self) -> AcceptedSets:
@@ -108,7 +108,7 @@
 
     def start(self) -> None:
         """Start to read the platform and to send notices."""
-        Deferred.fromCoroutine(self._read_forever())
+        start_task(self._read_forever(), log=self._log)
         self._notices.start(NOTICE_SECONDS, now=False)
 
     def stop(self) -> None:
@@ -189,7 +189,7 @@
             digests = list(missing[:PARTS_PER_QUERY])
             link.send(SetQuery(manifest=False, part_digests=digests))
             return
-        Deferred.fromCoroutine(self._keeper.validate())
+        start_task(self._keeper.validate(), log=self._log)
 
     def _on_in_force(self, current: SetInForce) -> None:
         self._update_reader_role(current.objects)
--- a/bilberryring/process/loops.py
+++ b/bilberryring/process/loops.py
@@ -1,7 +1,8 @@
-"""Periodic work that continues after an exception."""
+"""Periodic work and tasks whose exceptions are logged and end nothing else."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from bilberryring.telemetry import EventLog, LogEvent
@@ -14,6 +15,13 @@
 
     An exception is logged and does not end the loop.
     """
+    loop = make_loop(reactor=reactor, work=work, log=log)
+    loop.start(seconds)
+    return loop
+
+
+def make_loop(*, reactor, work: Callable[[], None], log: EventLog) -> LoopingCall:
+    """Return a loop that calls `work` once it is started, like `start_loop`."""
 
     def guarded() -> None:
         try:
@@ -23,5 +31,13 @@
 
     loop = LoopingCall(guarded)
     loop.clock = reactor
-    loop.start(seconds)
     return loop
+
+
+def start_task(work: Coroutine, *, log: EventLog) -> None:
+    """Run a coroutine whose result nobody awaits; an exception is logged."""
+
+    def failed(failure) -> None:
+        log.write(LogEvent.INTERNAL_FAULT, detail=repr(failure.value))
+
+    Deferred.fromCoroutine(work).addErrback(failed)
--- a/bilberryring/process/operator_site.py
+++ b/bilberryring/process/operator_site.py
@@ -34,7 +34,11 @@
 
 
 class ProcessStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """The state of a process and the configuration that it has in force."""
+    """The state of a process and the configuration that it has in force.
+
+    A gateway counts attempts whose endpoint was silent, and the prompt tokens that it
+    sent to be read again, since it started; other processes count none.
+    """
 
     process: str
     role: str
@@ -51,6 +55,8 @@
     endpoint: str = ""
     endpoints: tuple[EndpointStatus, ...] = ()
     quarantined: tuple[str, ...] = ()
+    silent_attempts: int = 0
+    reread_tokens: int = 0
 
 
 def refused_statuses(refused: tuple[RefusedSet, ...]) -> tuple[RefusedSetStatus, ...]:
--- a/bilberryring/process/platform_watch.py
+++ b/bilberryring/process/platform_watch.py
@@ -14,25 +14,29 @@
 )
 from bilberryring.adapters import (
     PART_PREFIX,
+    ManifestChanges,
     PlatformError,
     PlatformReader,
-    WatchResponse,
     parse_set_key,
+    set_key,
 )
+from bilberryring.fleet import EraOrder, Revision, compare_era
 from bilberryring.objects import SetError, decode_manifest
 from bilberryring.process.set_keeper import SetKeeper
 from bilberryring.telemetry import EventLog, LogEvent
 
 START_GRACE_SECONDS = 2.0
 """Seconds that a starting process waits for a set from a peer before it uses the
-platform's."""
+platform's. After a return of the platform every process waits as long: a set that was
+lost is still in force at peers, and another can have its number."""
 PEER_CHECK_SECONDS = 0.1
 
 
 class PlatformWatch:
     """Reads manifests and parts, and passes them to the keeper.
 
-    `is_reader` returns whether this process is chosen to watch the platform.
+    `is_reader` returns whether this process is chosen to watch the platform,
+    `announced_number` the highest number that a linked peer has in force.
     """
 
     def __init__(
@@ -43,6 +47,7 @@
         log: EventLog,
         keeper: SetKeeper,
         is_reader: Callable[[], bool],
+        announced_number: Callable[[], int],
     ):
         self._reactor = reactor
         self._platform = platform
@@ -50,9 +55,11 @@
         self._keeper = keeper
         self._sets = keeper.sets
         self._is_reader = is_reader
+        self._announced_number = announced_number
         self._published = PublishedKeys()
-        self._started_at = reactor.seconds()
-        self._revision = 0
+        self._peers_awaited_until = reactor.seconds() + START_GRACE_SECONDS
+        self._revision = Revision()
+        self._is_restored = False
         self._is_platform_up = True
 
     @property
@@ -82,9 +89,12 @@
 
     async def _read_platform(self) -> None:
         is_settled = self._sets.in_force is not None and self._sets.pending is None
-        wait = WATCH_TIMEOUT_SECONDS if self._is_reader() and is_settled else 0.0
-        answer = await self._platform.watch_manifests(after=self._revision, wait=wait)
+        may_wait = self._is_reader() and is_settled and self._is_platform_up
+        answer = await self._read_changes(WATCH_TIMEOUT_SECONDS if may_wait else 0.0)
         await self._wait_for_peers()
+        if self._is_restored:
+            await self._drop_lost_set()
+            self._is_restored = False
         keys = _published_keys(answer)
         for key in keys:
             self._published.add(key)
@@ -92,14 +102,78 @@
         await self._read_newest(keys)
         await self._read_parts()
         if self._sets.pending is None:
-            self._revision = max(self._revision, answer.revision)
+            # It can be lower, from a stale platform or one that lost its history;
+            # keys that are read again change nothing.
+            self._revision = answer.revision
+
+    async def _read_changes(self, wait: float) -> ManifestChanges:
+        """Return the changes since the last read; all keys when an era begins."""
+        answer = await self._watch_manifests(wait)
+        if compare_era(answer.revision.era, known=self._revision.era) is EraOrder.SAME:
+            return answer
+        is_complete = self._revision.number == 0
+        self._begin_era(answer.revision)
+        if is_complete:
+            return answer
+        answer = await self._watch_manifests(0.0)
+        if compare_era(answer.revision.era, known=self._revision.era) is EraOrder.SAME:
+            return answer
+        raise PlatformError(
+            "platform_restored: another era during a read. "
+            "Remedy: none, the read is repeated later"
+        )
+
+    async def _watch_manifests(self, wait: float) -> ManifestChanges:
+        """Return the changes since the last read, unless they are of an earlier era."""
+        answer = await self._platform.watch_manifests(
+            after=self._revision.number, wait=wait
+        )
+        era, known = answer.revision.era, self._revision.era
+        if compare_era(era, known=known) is EraOrder.EARLIER:
+            raise PlatformError(
+                f"platform_outdated: era {era}, known is {known}. "
+                "Remedy: none, the read is repeated later"
+            )
+        return answer
+
+    def _begin_era(self, revision: Revision) -> None:
+        """Forget the order of writes in the era before.
+
+        The set in force stays, since only a later set replaces it.
+        """
+        if self._revision != Revision():
+            self._log.write(
+                LogEvent.STORE_RESTORED,
+                era=revision.era,
+                revision=revision.number,
+                lost_era=self._revision.era,
+                lost_revision=self._revision.number,
+            )
+            self._is_restored = True
+            self._peers_awaited_until = self._reactor.seconds() + START_GRACE_SECONDS
+        self._published = PublishedKeys()
+        self._revision = Revision(era=revision.era)
 
     async def _wait_for_peers(self) -> None:
-        """Wait for a set from a peer if this process has just started and has none."""
-        deadline = self._started_at + START_GRACE_SECONDS
-        while self._sets.in_force is None and self._reactor.seconds() < deadline:
+        """Wait for what peers have in force before a set of the platform counts."""
+        while self._reactor.seconds() < self._peers_awaited_until and (
+            self._is_restored or self._sets.in_force is None
+        ):
             await deferLater(self._reactor, PEER_CHECK_SECONDS)
 
+    async def _drop_lost_set(self) -> None:
+        """Forget a half-published set that the platform has lost.
+
+        Its parts can come from no one unless a peer has it in force, and its number
+        may be published again.
+        """
+        pending = self._sets.pending
+        if pending is None or self._announced_number() >= pending.number:
+            return
+        value = await self._platform.read(set_key(pending.number, pending.digest))
+        if value is None and self._sets.pending is pending:
+            self._keeper.drop_incomplete()
+
     async def _read_duplicates(self, keys: list[PublishedKey]) -> None:
         """Record the digests of sets that were not the first under their number."""
         for key in keys:
@@ -155,7 +229,7 @@
         await self._keeper.validate()
 
 
-def _published_keys(answer: WatchResponse) -> list[PublishedKey]:
+def _published_keys(answer: ManifestChanges) -> list[PublishedKey]:
     """Return the keys of manifests among the items that changed."""
     keys = []
     for item in answer.items:
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -1,15 +1,17 @@
 """Binds the addresses of a process, handles signals and drains it."""
 
+import gc
+import select
 import signal
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
 from bilberryring.core import ErrorCode, SettingsError
-from bilberryring.http import DrainableSite, make_site
+from bilberryring.http import MIN_IDLE_SECONDS, DrainableSite, make_site
 from bilberryring.process.settings import host_and_port
 from bilberryring.telemetry import EventLog, LogEvent
 
@@ -20,6 +22,10 @@
 """Connections that wait to be accepted. The handshake of one more is dropped, and its
 retransmission comes after a second, when callers have given up."""
 
+MAX_ACCEPT_SECONDS = 0.2
+"""Longest time in seconds for which a listener that is to be closed goes on accepting
+the connections that wait."""
+
 
 class Listeners:
     """The listening ports of a process, by the settings key of their address."""
@@ -42,32 +48,73 @@
             )
         self._ports[key] = listening_port
 
-    def listen_http(self, address: str, resource, *, key: str) -> None:
-        """Serve a resource over HTTP on an address."""
-        site = make_site(resource)
+    def listen_http(self, address: str, resource, *, key: str, **options) -> None:
+        """Serve a resource over HTTP on an address.
+
+        `options` are those of `DrainableSite`.
+        """
+        site = make_site(resource, **options)
         self.listen(address, site, key=key)
         self._sites[key] = site
 
-    def close(self, key: str) -> None:
-        """Accept no more connections on an address; ignore a key that is not open."""
+    def has_waiting(self, key: str) -> bool:
+        """Whether connections wait to be accepted on an address.
+
+        Timers run before sockets are read, so that callers may have connected, and sent
+        requests, while the process was busy.
+        """
+        listening_port = self._ports.get(key)
+        return listening_port is not None and _has_waiting(listening_port)
+
+    async def close(self, key: str) -> None:
+        """Accept the connections that wait on an address, and none after them.
+
+        It returns once the socket is closed. The kernel accepts connections until then,
+        and until the process has exited if the reactor is stopped sooner. A key that is
+        not open is ignored.
+        """
+        deadline = self._reactor.seconds() + MAX_ACCEPT_SECONDS
+        while self.has_waiting(key) and self._reactor.seconds() < deadline:
+            await deferLater(self._reactor, 0)
         listening_port = self._ports.pop(key, None)
         if listening_port is not None:
-            listening_port.stopListening()
+            # Reading stops at once, and the socket is closed in the next pass.
+            self._reactor.callLater(0, _accept_waiting, listening_port)
+            await maybeDeferred(listening_port.stopListening)
 
     async def close_http(self, key: str) -> None:
-        """Stop accepting connections, and wait until all responses have been sent.
+        """Serve what callers have begun to send, and close all their connections.
 
-        The wait ends after `FLUSH_SECONDS`. A key that is not open is ignored.
+        Connections that wait to be accepted are accepted first. The wait for requests
+        that are half sent, and for callers to read their responses, ends after
+        `FLUSH_SECONDS`. A key that is not open is ignored.
         """
-        listening_port = self._ports.pop(key, None)
         site = self._sites.pop(key, None)
-        if listening_port is None or site is None:
+        if site is None:
             return
-        listening_port.stopListening()
-        site.close_connections()
-        deadline = self._reactor.seconds() + FLUSH_SECONDS
+        accepts_until = self._reactor.seconds() + MIN_IDLE_SECONDS
+        while self._reactor.seconds() < accepts_until:
+            await deferLater(self._reactor, FLUSH_CHECK_SECONDS)
+        await self.close(key)
+        deadline = accepts_until + FLUSH_SECONDS
         while site.open_connections and self._reactor.seconds() < deadline:
+            site.close_idle()
             await deferLater(self._reactor, FLUSH_CHECK_SECONDS)
+        site.close_connections()
+
+
+def _has_waiting(listening_port) -> bool:
+    poll = select.poll()
+    poll.register(listening_port.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def _accept_waiting(listening_port) -> None:
+    """Accept the connections that wait; one read accepts only some of them."""
+    for _ in range(LISTEN_BACKLOG):
+        if not _has_waiting(listening_port):
+            return
+        listening_port.doRead()
 
 
 def run_until_drained(*, reactor, daemon, log: EventLog) -> None:
@@ -75,7 +122,7 @@
 
     A second interrupt from a terminal ends it at once; further terminations, which a
     supervisor may repeat, change nothing. A hangup signal reloads the settings if the
-    daemon has a method for that.
+    daemon has a method for that, and changes nothing otherwise.
     """
     signals: list[int] = []
 
@@ -101,11 +148,18 @@
         if reactor.running:
             reactor.stop()
 
+    def ignore_hangup() -> None:
+        log.write(LogEvent.SETTINGS_KEPT)
+
+    reload = getattr(daemon, "reload", ignore_hangup)
+
     def on_hangup(_number: int, _frame) -> None:
-        reactor.callFromThread(daemon.reload)
+        reactor.callFromThread(reload)
 
-    if hasattr(daemon, "reload"):
-        signal.signal(signal.SIGHUP, on_hangup)
+    # Without a handler the signal would end the process at once.
+    signal.signal(signal.SIGHUP, on_hangup)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     reactor.run(installSignalHandlers=False)
+    # The interpreter collects garbage once more when it exits; it skips what is frozen.
+    gc.freeze()
--- a/bilberryring/process/set_keeper.py
+++ b/bilberryring/process/set_keeper.py
@@ -77,6 +77,11 @@
         self._log.write(LogEvent.SET_PART_CORRUPT, digest=digest)
         return False
 
+    def drop_incomplete(self) -> None:
+        """Forget a pending set whose parts are not all known."""
+        if self._sets.missing_parts():
+            self._sets.drop_pending()
+
     def refuse_malformed(self, number: int, remedy: str) -> None:
         """Log the refusal of a manifest that is malformed or does not match its key."""
         self._highest_seen = max(self._highest_seen, number)
--- /dev/null
+++ b/bilberryring/process/tests/test_listeners.py
@@ -0,0 +1,42 @@
+"""A process that has closed a listener accepts no connection while it exits.
+
+The kernel goes on accepting for a listener that is still open, and callers would wait
+for a process that reads nothing any more.
+"""
+
+import subprocess
+import sys
+
+PROGRAM = """
+import os, signal, socket, sys
+from io import StringIO
+from twisted.internet import reactor
+from twisted.internet.protocol import Factory
+from twisted.internet.task import deferLater
+from bilberryring.process.running import Listeners, run_until_drained
+from bilberryring.standins.gateway_site import free_ports
+from bilberryring.telemetry import EventLog
+
+port = free_ports(1)[0]
+listeners = Listeners(reactor=reactor)
+listeners.listen(f"127.0.0.1:{port}", Factory(), key="caller_address")
+
+class Daemon:
+    async def drain(self):
+        await deferLater(reactor, 0.01)
+        await listeners.close("caller_address")
+
+reactor.callWhenRunning(os.kill, os.getpid(), signal.SIGTERM)
+log = EventLog(process="p", role="gateway", stream=StringIO())
+run_until_drained(reactor=reactor, daemon=Daemon(), log=log)
+with socket.socket() as caller:
+    print(caller.connect_ex(("127.0.0.1", port)))
+"""
+CONNECTED = "0"
+
+
+def test_no_connection_is_accepted_after_the_drain():
+    command = [sys.executable, "-c", PROGRAM]
+    finished = subprocess.run(command, capture_output=True, text=True, timeout=20.0)
+    assert finished.stderr == ""
+    assert finished.stdout.strip() != CONNECTED
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -38,6 +38,7 @@
     neighbours,
     slice_size,
 )
+from bilberryring.routing.silence import busy_seconds, silent_from, slot_wait_seconds
 from bilberryring.routing.span_plan import needs_span, plan_span
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
@@ -48,6 +49,9 @@
     "hash_order",
     "neighbours",
     "slice_size",
+    "busy_seconds",
+    "silent_from",
+    "slot_wait_seconds",
     "needs_span",
     "plan_span",
     "Candidate",
--- a/bilberryring/routing/engine_figures.py
+++ b/bilberryring/routing/engine_figures.py
@@ -29,6 +29,8 @@
     3052
     >>> round(figures.pass_ms(streams=2, context_tokens=10_000))
     46
+    >>> round(figures.answer_ms(tokens=1_000, prompt_tokens=9_000))
+    946
     """
 
     slots: int
@@ -53,6 +55,15 @@
         pairs = tokens * tokens / 2.0 / MILLION
         return tokens / self.prefill_tokens_per_ms + self.million_pairs_ms * pairs
 
+    def answer_ms(self, *, tokens: int, prompt_tokens: int) -> float:
+        """Return the time in which an answer is decoded with all slots in use.
+
+        `tokens` is its length. Prefill of other prompts is not counted.
+        """
+        step = self.step_ms + self.sequence_ms * self.slots
+        step += self.context_ms * (prompt_tokens + tokens) / THOUSAND
+        return step * tokens
+
     def pass_ms(self, *, streams: int, context_tokens: int) -> float:
         """Return the duration of a pass without prefill.
 
@@ -62,3 +73,13 @@
         step = self.step_ms + self.sequence_ms * streams
         step += self.context_ms * context_tokens / THOUSAND
         return step * self.stride
+
+    @property
+    def pass_prefill_ms(self) -> float:
+        """The longest time for which one pass can prefill.
+
+        Each of its steps prefills at most `chunk_tokens`; the last ones of a prompt
+        that fills the memory take the longest.
+        """
+        before = max(0, self.kv_tokens - self.stride * self.chunk_tokens)
+        return self.prefill_ms(self.kv_tokens) - self.prefill_ms(before)
--- a/bilberryring/scenarios/tests/spans.feature
+++ b/bilberryring/scenarios/tests/spans.feature
@@ -27,3 +27,17 @@
     And after 3 s a member's engine crashes
     Then it ended in time, whole or with a typed error
     And no engine holds memory within 5 s
+
+  Scenario Outline: A member pauses
+    When 1 prompt of 2.5 engines' memory is sent
+    And after <wait> s a member's <process> pauses for 2.2 s
+    Then it is whole within 60 s
+    And it was sent once
+    And no engine holds memory within 5 s
+
+    Examples:
+      | process | wait |
+      | engine  | 1.0  |
+      | engine  | 2.3  |
+      | engine  | 3.6  |
+      | sidecar | 2.3  |
--- a/bilberryring/scenarios/tests/test_in_force.py
+++ b/bilberryring/scenarios/tests/test_in_force.py
@@ -1,7 +1,5 @@
 """Steps of the scenarios about published sets."""
 
-import itertools
-import time
 from dataclasses import replace
 
 import pytest
@@ -9,22 +7,23 @@
 
 from bilberryring.adapters import set_key
 from bilberryring.objects import (
-    ObjectSet,
-    Priority,
     SetNumber,
     encode_manifest,
     render_set,
 )
-from bilberryring.telemetry import LogEvent
 from bilberryring.testing.fleet import Fleet
 from bilberryring.testing.plan import MODEL, FleetPlan
 from bilberryring.testing.processes import pause, wait_until
+from bilberryring.testing.published_sets import (
+    assert_none_stepped_back,
+    changed_objects,
+    sets_by_run,
+    wait_in_force,
+)
 from bilberryring.tool.queries import collect_status
 
 scenarios("in_force.feature")
 
-_times = itertools.count(100)
-
 
 @pytest.fixture(scope="module")
 def config_fleet():
@@ -44,28 +43,6 @@
     return config_fleet
 
 
-def changed_objects(fleet: Fleet) -> ObjectSet:
-    """Return the objects with another time in one priority."""
-    priorities = dict(fleet.objects.priorities)
-    priorities["archive"] = Priority(
-        name="archive",
-        rank=2,
-        first_token_seconds=20.0,
-        total_seconds=float(next(_times)),
-    )
-    return replace(fleet.objects, priorities=priorities)
-
-
-def wait_in_force(fleet: Fleet, digest: str, seconds: float) -> None:
-    until = time.monotonic() + seconds
-    for name in fleet.daemons:
-        wait_until(
-            lambda name=name: fleet.status(name)["set_digest"] == digest,
-            max(0.0, until - time.monotonic()),
-            f"the set in force in {name}",
-        )
-
-
 def refusals(fleet: Fleet) -> list:
     addresses = [fleet.operator_address(name) for name in fleet.daemons]
     report = collect_status(addresses)
@@ -274,20 +251,6 @@
     assert result.is_whole, result
 
 
-def sets_by_run(fleet: Fleet, name: str) -> list[list[int]]:
-    """Return the numbers put in force, for each run of a process."""
-    runs: list[list[int]] = []
-    for event in fleet.log_events(name):
-        match event["number"]:
-            case LogEvent.PROCESS_STARTED.value:
-                runs.append([])
-            case LogEvent.SET_IN_FORCE.value:
-                runs[-1].append(event["set"])
-    return runs
-
-
 @then("no process stepped back")
 def none_stepped_back(fleet):
-    for name in fleet.daemons:
-        for run in sets_by_run(fleet, name):
-            assert run == sorted(set(run)), (name, run)
+    assert_none_stepped_back(fleet)
--- a/bilberryring/scenarios/tests/test_spans.py
+++ b/bilberryring/scenarios/tests/test_spans.py
@@ -9,6 +9,7 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from bilberryring.demo.work import filler_prompt
+from bilberryring.telemetry import LogEvent
 from bilberryring.testing.caller import PromptResult
 from bilberryring.testing.fleet import Fleet
 from bilberryring.testing.plan import MODEL, FleetPlan
@@ -33,6 +34,7 @@
     short: list[PromptResult] = field(default_factory=list)
     stop: threading.Event = field(default_factory=threading.Event)
     victim: str = ""
+    attempts_before: int = 0
 
 
 @pytest.fixture(scope="module")
@@ -84,6 +86,7 @@
     converters={"count": int, "engines": float},
 )
 def send_long(fleet, sending, count, engines):
+    sending.attempts_before = attempts_made(fleet)
     for index in range(count):
         caller = fleet.caller(fleet.entries[index % 2], "logs")
         text = filler_prompt(int(engines * KV_TOKENS), f"span {next(_labels)}")
@@ -92,6 +95,14 @@
         )
 
 
+def attempts_made(fleet: Fleet) -> int:
+    return sum(
+        event["number"] == LogEvent.ATTEMPT_STARTED.value
+        for entry in fleet.entries
+        for event in fleet.log_events(entry)
+    )
+
+
 def a_member(fleet: Fleet, sending: Sending) -> str:
     """Return an engine that holds a part of a prompt."""
     assert not sending.long[0].done(), sending.long[0].result()
@@ -116,6 +127,16 @@
     fleet.engine_control(a_member(fleet, sending), "crash")
 
 
+@when(parsers.parse("after {wait:g} s a member's {process} pauses for {seconds:g} s"))
+def pause_member(fleet, sending, wait, process, seconds):
+    pause(wait)
+    member = a_member(fleet, sending)
+    paused = fleet.process(member if process == "engine" else f"sidecar-{member}")
+    paused.suspend()
+    pause(seconds)
+    paused.resume()
+
+
 @then("the sidecar is started again")
 def start_sidecar(fleet, sending):
     fleet.start_sidecar(sending.victim)
@@ -130,6 +151,11 @@
     sending.stop.set()
 
 
+@then("it was sent once")
+def sent_once(fleet, sending):
+    assert attempts_made(fleet) - sending.attempts_before == 1
+
+
 @then("the short prompts are whole")
 def short_whole(sending):
     assert len(sending.short) > 10
--- /dev/null
+++ b/bilberryring/scenarios/tests/test_stops_under_load.py
@@ -0,0 +1,144 @@
+"""Requests on connections that are open, half sent or waiting when an entry stops."""
+
+import contextlib
+import json
+import socket
+
+import pytest
+
+from bilberryring.standins.stop_callers import parse_answers
+from bilberryring.testing.fleet import READY_TIMEOUT_SECONDS, Fleet
+from bilberryring.testing.plan import MODEL, FleetPlan, workspace_key
+from bilberryring.testing.processes import pause, wait_until
+
+ENTRY = "entry-1"
+EXIT_SECONDS = 15.0
+READ_SECONDS = 10.0
+N_TOKENS = 20
+N_PIPELINED = 5
+N_WAITING = 20
+HALVES = {"in the request line": 1, "in the head": 40, "in the body": -5}
+"""Bytes of a request that are sent before the stop."""
+
+
+@pytest.fixture(scope="module")
+def started_fleet():
+    plan = FleetPlan(
+        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
+    )
+    fleet = Fleet(plan=plan)
+    try:
+        yield fleet.start()
+    finally:
+        fleet.stop()
+
+
+@pytest.fixture
+def fleet(started_fleet):
+    if not started_fleet.process(ENTRY).is_running:
+        started_fleet.restart(ENTRY)
+        wait_until(
+            lambda: started_fleet.is_ready(ENTRY),
+            READY_TIMEOUT_SECONDS,
+            "the entry to return",
+        )
+    yield started_fleet
+    started_fleet.process(ENTRY).kill()
+
+
+def connect(fleet):
+    host, port = fleet.caller_address(ENTRY).rsplit(":", 1)
+    return socket.create_connection((host, int(port)), timeout=READ_SECONDS)
+
+
+def encode_request():
+    body = json.dumps({"model": MODEL, "prompt": "a", "max_tokens": N_TOKENS}).encode()
+    lines = [
+        "POST /v1/completions HTTP/1.1",
+        "Host: e",
+        f"Authorization: Bearer {workspace_key('bars')}",
+        f"Content-Length: {len(body)}",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def answers(caller):
+    """Return the status of each answer until the connection ends; 0 if it is cut."""
+    received = b""
+    with contextlib.suppress(OSError):
+        while data := caller.recv(65_536):
+            received += data
+    return [
+        answer.status if answer.is_whole else 0 for answer in parse_answers(received)
+    ]
+
+
+def wait_for_exit(fleet):
+    assert fleet.process(ENTRY).wait(EXIT_SECONDS) == 0
+    events = {line["event"] for line in fleet.log_events(ENTRY)}
+    assert "internal_fault" not in events
+
+
+def test_requests_that_are_half_sent_at_the_stop_are_answered(fleet):
+    request = encode_request()
+    callers = {place: connect(fleet) for place in HALVES}
+    for place, caller in callers.items():
+        caller.sendall(request[: HALVES[place]])
+    pause(0.1)
+    fleet.process(ENTRY).terminate()
+    pause(0.3)
+    for place, caller in callers.items():
+        with contextlib.suppress(OSError):
+            caller.sendall(request[HALVES[place] :])
+    for place, caller in callers.items():
+        assert answers(caller) in ([200], [503]), place
+    wait_for_exit(fleet)
+
+
+def test_pipelined_requests_at_the_stop_are_answered_in_turn(fleet):
+    caller = connect(fleet)
+    caller.sendall(encode_request() * N_PIPELINED)
+    pause(0.1)
+    fleet.process(ENTRY).terminate()
+    answered = answers(caller)
+    n_served = answered.count(200)
+    assert answered == [200] * n_served + [503] * (N_PIPELINED - n_served)
+    assert n_served
+    wait_for_exit(fleet)
+
+
+def test_requests_in_the_listen_queue_at_the_stop_are_answered(fleet):
+    fleet.process(ENTRY).suspend()
+    callers = [connect(fleet) for _ in range(N_WAITING)]
+    for caller in callers:
+        caller.sendall(encode_request())
+    fleet.process(ENTRY).terminate()
+    fleet.process(ENTRY).resume()
+    for caller in callers:
+        assert answers(caller) in ([200], [503])
+    wait_for_exit(fleet)
+
+
+def test_a_second_signal_during_the_stop_cuts_no_request(fleet):
+    callers = [connect(fleet) for _ in range(4)]
+    for caller in callers:
+        caller.sendall(encode_request())
+    pause(0.1)
+    for _ in range(2):
+        fleet.process(ENTRY).terminate()
+        pause(0.1)
+    assert [answers(caller) for caller in callers] == [[200]] * 4
+    wait_for_exit(fleet)
+
+
+def test_a_request_on_a_kept_connection_just_after_the_signal_is_answered(fleet):
+    caller = connect(fleet)
+    other = connect(fleet)
+    other.sendall(encode_request())
+    pause(0.1)
+    fleet.process(ENTRY).terminate()
+    pause(0.05)
+    caller.sendall(encode_request())
+    assert answers(caller) in ([200], [503])
+    assert answers(other) == [200]
+    wait_for_exit(fleet)
--- a/bilberryring/sidecar/attempt.py
+++ b/bilberryring/sidecar/attempt.py
@@ -1,5 +1,6 @@
 """The state that a sidecar keeps for one attempt at a prompt."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -50,6 +51,7 @@
     started_at: float = 0.0
     engine_incarnation: str = ""
     tokens_sent: int = 0
+    tokens_sent_at: float = -math.inf
     span: SpanLead | None = None
 
     @property
--- a/bilberryring/sidecar/daemon.py
+++ b/bilberryring/sidecar/daemon.py
@@ -1,11 +1,11 @@
 """The sidecar daemon, which alone decides what the endpoint beside it runs."""
 
 from twisted.internet.protocol import Factory
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import deferLater
 
 from bilberryring.adapters import EngineClient, PlatformReader
 from bilberryring.admission import EndpointLimits
-from bilberryring.core import ErrorCode, new_incarnation, to_micros
+from bilberryring.core import ErrorCode, RunOutcome, new_incarnation, to_micros
 from bilberryring.http import HttpClient
 from bilberryring.membership import (
     HEARTBEAT_SECONDS,
@@ -16,6 +16,7 @@
 from bilberryring.objects import ModelEndpoint, ObjectSet, ServiceEndpoint
 from bilberryring.process.configuration import ConfigurationTask
 from bilberryring.process.engine_death_broadcaster import EngineDeathBroadcaster
+from bilberryring.process.loops import make_loop
 from bilberryring.process.operator_site import (
     ProcessStatus,
     operator_resource,
@@ -29,6 +30,7 @@
 from bilberryring.sidecar.token_batcher import TokenBatcher
 from bilberryring.telemetry import EventLog, LogEvent, Metrics
 from bilberryring.wire import (
+    MAX_STRING_BYTES,
     Beat,
     CallService,
     Cancel,
@@ -48,6 +50,10 @@
 )
 
 ROLE = "sidecar"
+MAX_HELLO_BYTES = 64 * 1024
+"""Bytes of a frame of a peer that has not sent its hello."""
+HELLO_SECONDS = 10.0
+"""Seconds within which a peer has to send its hello, which it does at once."""
 DRAIN_CHECK_SECONDS = 0.1
 DRAIN_IDLE_SECONDS = 2.0
 """How long nothing must have run before a draining sidecar exits.
@@ -55,6 +61,9 @@
 Meanwhile it refuses calls with tickets issued before the drain, and reports them as
 "not run". After it has exited, whether they ran would be unknown.
 """
+LINK_END_SECONDS = 3.0
+"""How long a drained sidecar waits for its peers to read what it has sent. A host may
+pause for about two seconds and go on."""
 
 
 class SidecarDaemon:
@@ -89,8 +98,9 @@
             endpoint=settings.endpoint,
             on_change=self._set_changed,
         )
-        self._heartbeat_loop = LoopingCall(self._send_report_or_beat)
-        self._heartbeat_loop.clock = reactor
+        self._heartbeat_loop = make_loop(
+            reactor=reactor, work=self._send_report_or_beat, log=log
+        )
 
     @property
     def state(self) -> SidecarState:
@@ -109,9 +119,11 @@
         """Listen on the addresses and start the tasks."""
         factory = Factory.forProtocol(
             lambda: LinkProtocol(
+                clock=self._reactor,
                 on_open=self._link_opened,
                 on_message=self._message_received,
                 on_closed=self._link_closed,
+                max_frame_bytes=MAX_HELLO_BYTES,
             )
         )
         factory.noisy = False
@@ -132,10 +144,10 @@
         )
 
     async def drain(self) -> None:
-        """Refuse new work, and return once running work has ended.
+        """Refuse new work, and return once running work has ended and was answered.
 
-        At the latest it returns `drain_seconds` after the start, with a log line that
-        counts the work left.
+        At the latest it stops waiting for work `drain_seconds` after the start, with a
+        log line that counts the work left.
         """
         self._is_draining = True
         self._send_heartbeats()
@@ -146,9 +158,21 @@
             if self._in_progress():
                 idle_since = now
             if now - idle_since >= DRAIN_IDLE_SECONDS:
-                return
+                break
             if now >= until:
                 self._log.write(LogEvent.DRAIN_TIMED_OUT, left=self._in_progress())
+                break
+            await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
+        await self._end_links()
+
+    async def _end_links(self) -> None:
+        """Wait until the peers have read what was sent to them."""
+        links = tuple(self._peers)
+        for link in links:
+            link.end()
+        until = self._reactor.seconds() + LINK_END_SECONDS
+        while any(link in self._peers for link in links):
+            if self._reactor.seconds() >= until:
                 return
             await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
 
@@ -225,11 +249,7 @@
             return
         self._service_runner = ServiceRunner(
             reactor=self._reactor,
-            client=HttpClient(
-                reactor=self._reactor,
-                base_url=self._settings.target_url,
-                persistent=False,
-            ),
+            client=self._target,
             log=self._log,
             incarnation=self._incarnation,
             concurrency=lambda: self._endpoint.concurrency,
@@ -247,6 +267,15 @@
     def _link_opened(self, link: LinkProtocol) -> None:
         link.send(self._hello())
         self._configuration.add_link(link)
+        self._reactor.callLater(HELLO_SECONDS, self._hello_is_due, link)
+
+    def _hello_is_due(self, link: LinkProtocol) -> None:
+        """Close a link without a hello, once what has arrived meanwhile was read."""
+        self._reactor.callLater(0, self._close_unknown, link)
+
+    def _close_unknown(self, link: LinkProtocol) -> None:
+        if link.is_open and link not in self._peers:
+            link.transport.abortConnection()
 
     def _link_closed(self, link: LinkProtocol) -> None:
         self._configuration.remove_link(link)
@@ -260,6 +289,16 @@
             self._service_runner.drop_link(link)
 
     def _message_received(self, link: LinkProtocol, message: object) -> None:
+        """Handle a message; one that cannot be handled ends its attempt alone."""
+        try:
+            self._handle_message(link, message)
+        except Exception as error:
+            self._log.write(LogEvent.INTERNAL_FAULT, detail=repr(error))
+            peer = self._peers.get(link)
+            if peer is not None:
+                self._fail_attempt(peer, message)
+
+    def _handle_message(self, link: LinkProtocol, message: object) -> None:
         match message:
             case Hello():
                 self._register_peer(link, message)
@@ -280,6 +319,7 @@
 
     def _register_peer(self, link: LinkProtocol, hello: Hello) -> None:
         batcher = TokenBatcher(reactor=self._reactor, link=link)
+        link.set_max_frame(MAX_STRING_BYTES)
         self._peers[link] = PeerLink(
             link=link, incarnation=hello.incarnation, batcher=batcher
         )
@@ -303,9 +343,16 @@
             case CallService() if self._service_runner is not None:
                 self._service_runner.call(peer, message)
             case RunPrompt():
-                _refuse_without_set(peer, message.attempt, "not_run")
+                _refuse(peer, message.attempt, ErrorCode.NO_SET, RunOutcome.NOT_RUN)
             case CallService():
-                _refuse_without_set(peer, message.attempt, "unknown")
+                _refuse(peer, message.attempt, ErrorCode.NO_SET, RunOutcome.UNKNOWN)
+
+    def _fail_attempt(self, peer: PeerLink, message: object) -> None:
+        match message:
+            case RunPrompt() | CallService():
+                _refuse(peer, message.attempt, ErrorCode.INTERNAL, RunOutcome.UNKNOWN)
+            case PromptPart() if self._prompt_runner is not None:
+                self._prompt_runner.fail(peer, message)
 
     def _report_state_change(self) -> None:
         last = self._last_report
@@ -390,13 +437,13 @@
         )
 
 
-def _refuse_without_set(peer: PeerLink, attempt: int, outcome: str) -> None:
+def _refuse(peer: PeerLink, attempt: int, code: ErrorCode, outcome: RunOutcome) -> None:
     peer.link.send(
         Refused(
             attempt=attempt,
-            code=ErrorCode.NO_SET.value,
+            code=code.value,
             detail="",
-            outcome=outcome,
+            outcome=outcome.value,
             retry_after=0,
         )
     )
--- a/bilberryring/sidecar/engine_watch.py
+++ b/bilberryring/sidecar/engine_watch.py
@@ -8,10 +8,18 @@
 import time
 from collections.abc import Callable
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
-from bilberryring.adapters import CancelRequest, EngineClient, EngineError, HeldResponse
+from bilberryring.adapters import (
+    MAX_FENCE,
+    CancelRequest,
+    EngineClient,
+    EngineError,
+    EngineSilentError,
+    HeldResponse,
+)
+from bilberryring.core import parse_whole_number
+from bilberryring.process.loops import start_task
 from bilberryring.telemetry import EventLog, LogEvent
 
 POLL_SECONDS = 0.5
@@ -34,15 +42,18 @@
 def fence_of_holder(holder: str) -> int:
     """Return the fencing number in a holder's name, or 0 when it has none."""
     digits = holder.split(HOLDER_SEPARATOR)[0]
-    return int(digits) if digits.isdigit() else 0
+    return parse_whole_number(digits.encode(), most=MAX_FENCE) or 0
 
 
 class EngineWatch:
     """Polls the engine at intervals and cancels requests that no attempt owns.
 
     `owned_requests` returns the requests that this sidecar has in the engine.
-    `on_restart` is called when the engine's incarnation changed, `on_lost` when it
-    stopped answering, and `on_poll` after each successful poll.
+    `on_restart` is called when the engine's incarnation changed, and `on_poll` after
+    each successful poll. `on_silent` is called when the engine stopped answering: it
+    may be sound and go on with its requests. `on_lost` is called when it cannot be
+    reached, or refuses or breaks off polls, and `on_still_lost` at each further such
+    poll.
     """
 
     def __init__(
@@ -54,7 +65,9 @@
         incarnation: str,
         owned_requests: Callable[[], frozenset[str]],
         on_restart: Callable[[], None],
+        on_silent: Callable[[], None],
         on_lost: Callable[[], None],
+        on_still_lost: Callable[[], None],
         on_poll: Callable[[], None],
     ):
         self._reactor = reactor
@@ -63,12 +76,15 @@
         self._incarnation = incarnation
         self._owned_requests = owned_requests
         self._on_restart = on_restart
+        self._on_silent = on_silent
         self._on_lost = on_lost
+        self._on_still_lost = on_still_lost
         self._on_poll = on_poll
         self._engine_incarnation = ""
         self._last_poll = -MAX_POLL_AGE_SECONDS
         self._earliest_valid_poll = 0.0
         self._failed_polls = 0
+        self._broken_polls = 0
         self._is_polling = False
         self._fence = 0
         self._is_superseded = False
@@ -129,7 +145,7 @@
     def _start_poll(self) -> None:
         if not self._is_polling:
             self._is_polling = True
-            Deferred.fromCoroutine(self._poll())
+            start_task(self._poll(), log=self._log)
 
     async def _poll(self) -> None:
         """Ask the engine what it holds, and act on the answer.
@@ -141,14 +157,11 @@
         try:
             held = await self._engine.held()
         except EngineError as error:
-            self._failed_polls += 1
-            if self._failed_polls == FAILED_POLLS_UNTIL_LOST:
-                self._log.write(LogEvent.ENGINE_LOST, detail=str(error))
-                self._on_lost()
+            self._record_failed_poll(error)
             return
         finally:
             self._is_polling = False
-        self._failed_polls = 0
+        self._failed_polls = self._broken_polls = 0
         self._update_fence(held)
         self._update_incarnation(held)
         self._last_poll = poll_started_at
@@ -156,6 +169,18 @@
             await self._cancel_orphans(held, owned_before)
         self._on_poll()
 
+    def _record_failed_poll(self, error: EngineError) -> None:
+        self._failed_polls += 1
+        is_silent = isinstance(error, EngineSilentError)
+        self._broken_polls = 0 if is_silent else self._broken_polls + 1
+        if self._failed_polls == FAILED_POLLS_UNTIL_LOST:
+            self._log.write(LogEvent.ENGINE_LOST, detail=str(error))
+            self._on_silent()
+        if self._broken_polls == FAILED_POLLS_UNTIL_LOST:
+            self._on_lost()
+        elif self._broken_polls > FAILED_POLLS_UNTIL_LOST:
+            self._on_still_lost()
+
     def _update_fence(self, held: HeldResponse) -> None:
         """Choose the fence at the first poll; at later ones look for a higher one."""
         fences = [fence_of_holder(item.holder) for item in held.requests]
--- a/bilberryring/sidecar/prompt_runner.py
+++ b/bilberryring/sidecar/prompt_runner.py
@@ -1,10 +1,8 @@
 """The task that runs prompts on the one engine beside the sidecar."""
 
+import math
 from collections.abc import Callable
 
-from twisted.internet.defer import Deferred
-from twisted.internet.task import LoopingCall
-
 from bilberryring.adapters import (
     CancelRequest,
     EngineClient,
@@ -25,6 +23,7 @@
 from bilberryring.core import ErrorCode, Fingerprint, RunOutcome
 from bilberryring.objects import ObjectSet
 from bilberryring.process.engine_death_broadcaster import EngineDeathBroadcaster
+from bilberryring.process.loops import make_loop, start_task
 from bilberryring.quarantine import (
     PromptStanding,
     SuspectQuestion,
@@ -39,7 +38,11 @@
     send_refused,
     work_key,
 )
-from bilberryring.sidecar.engine_watch import EngineWatch
+from bilberryring.sidecar.engine_watch import (
+    FAILED_POLLS_UNTIL_LOST,
+    POLL_SECONDS,
+    EngineWatch,
+)
 from bilberryring.sidecar.peer import PeerLink
 from bilberryring.sidecar.span_lead import build_span_lead, start_gathering
 from bilberryring.sidecar.tombstones import Tombstones
@@ -56,6 +59,9 @@
 )
 
 DISPATCH_SECONDS = 0.05
+WRITING_SECONDS = FAILED_POLLS_UNTIL_LOST * POLL_SECONDS
+"""Seconds since its last tokens for which a prompt goes on at an engine that refuses
+polls."""
 MIN_RATE_SAMPLE_TOKENS = 2_000
 """Shorter prompts do not count as measurements of the prefill rate."""
 
@@ -102,11 +108,12 @@
             incarnation=incarnation,
             owned_requests=self._owned_requests,
             on_restart=self._engine_restarted,
-            on_lost=self._fail_running,
-            on_poll=self._dispatch,
+            on_silent=self._on_change,
+            on_lost=self._engine_lost,
+            on_still_lost=self._fail_silent,
+            on_poll=self._engine_polled,
         )
-        self._dispatch_loop = LoopingCall(self._dispatch)
-        self._dispatch_loop.clock = reactor
+        self._dispatch_loop = make_loop(reactor=reactor, work=self._dispatch, log=log)
 
     @property
     def watch(self) -> EngineWatch:
@@ -163,6 +170,12 @@
         else:
             self._request_admission(attempt)
 
+    def fail(self, peer: PeerLink, part: PromptPart) -> None:
+        """End the attempt of a part that could not be handled."""
+        attempt = self._attempts.get(work_key(peer, part.attempt))
+        if attempt is not None:
+            self._end_early(attempt, ErrorCode.INTERNAL)
+
     def cancel(self, peer: PeerLink, message: Cancel) -> None:
         """Cancel an attempt, or record it as cancelled when it has not arrived yet."""
         key = work_key(peer, message.attempt)
@@ -222,6 +235,7 @@
             b"".join(attempt.parts),
             on_gathered=lambda: self._helpers_gathered(attempt),
             on_lost=lambda: self._span_lost(attempt),
+            log=self._log,
         )
 
     def _helpers_gathered(self, attempt: PromptAttempt) -> None:
@@ -247,6 +261,13 @@
                 self._log.write(LogEvent.PROMPT_QUEUED, request=attempt.message.request)
                 self._dispatch()
 
+    def _engine_polled(self) -> None:
+        """Report the end of a silence of the engine, and go on."""
+        self._on_change()
+        if self._watch.is_superseded:
+            self._refuse_waiting(ErrorCode.LEAVING)
+        self._dispatch()
+
     def _dispatch(self) -> None:
         """Start the prompts that may start, and refuse those that may no longer run."""
         now = self._reactor.seconds()
@@ -262,7 +283,7 @@
             attempt.state = AttemptState.RUNNING
             attempt.started_at = now
             attempt.engine_incarnation = self._watch.engine_incarnation
-            Deferred.fromCoroutine(self._run(attempt, work))
+            start_task(self._run(attempt, work), log=self._log)
 
     def _refuse_quarantined(self) -> None:
         """Refuse the waiting prompts that were quarantined since they arrived."""
@@ -310,6 +331,7 @@
                 return
             is_first = attempt.tokens_sent == 0
             attempt.tokens_sent += len(texts)
+            attempt.tokens_sent_at = self._reactor.seconds()
             batcher.add(message.attempt, first_index, texts, is_urgent=is_first)
             if is_first:
                 self._record_first_token(attempt)
@@ -317,7 +339,31 @@
         attempt.generation = Generation(
             on_tokens=on_tokens, on_held=lambda: self._prompt_held(attempt)
         )
-        request = GenerateRequest(
+        try:
+            request = self._generate_request(attempt, work)
+            attempt.parts.clear()
+            end = await self._engine.generate(request, attempt.generation)
+        except EngineError as error:
+            self._log.write(
+                LogEvent.PROMPT_FAILED, request=message.request, detail=str(error)
+            )
+            end = GenerationEnd.INTERRUPTED
+        except Exception as error:
+            self._log.write(
+                LogEvent.INTERNAL_FAULT, request=message.request, detail=repr(error)
+            )
+            end = GenerationEnd.CANCELLED
+        try:
+            self._generation_ended(attempt, end)
+        except Exception:
+            self._end_after_fault(attempt)
+            raise
+
+    def _generate_request(
+        self, attempt: PromptAttempt, work: PromptWork
+    ) -> GenerateRequest:
+        message = attempt.message
+        return GenerateRequest(
             request=attempt.key,
             holder=self._watch.holder,
             prompt=attempt.prompt,
@@ -330,15 +376,6 @@
             imported_tokens=attempt.imported_tokens,
             fence=self._watch.fence,
         )
-        attempt.parts.clear()
-        try:
-            end = await self._engine.generate(request, attempt.generation)
-        except EngineError as error:
-            self._log.write(
-                LogEvent.PROMPT_FAILED, request=message.request, detail=str(error)
-            )
-            end = GenerationEnd.INTERRUPTED
-        self._generation_ended(attempt, end)
 
     def _prompt_held(self, attempt: PromptAttempt) -> None:
         """Tell the lead of a span that this endpoint holds its part of the prompt."""
@@ -373,13 +410,31 @@
             case GenerationEnd.OUT_OF_MEMORY:
                 self._refuse(attempt, ErrorCode.OUT_OF_MEMORY, outcome_of(attempt))
                 self._release_reservation(attempt, in_time=False)
-            case GenerationEnd.INTERRUPTED | GenerationEnd.CANCELLED:
+            case (
+                GenerationEnd.INTERRUPTED
+                | GenerationEnd.CANCELLED
+                | GenerationEnd.MALFORMED
+            ):
+                if end is GenerationEnd.MALFORMED:
+                    self._log.write(
+                        LogEvent.PROMPT_FAILED,
+                        request=message.request,
+                        detail=f"engine_malformed: {attempt.generation.malformation}",
+                    )
                 if end is GenerationEnd.INTERRUPTED and attempt.was_accepted:
                     self._report_engine_death(attempt)
                 self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, outcome_of(attempt))
                 self._release_reservation(attempt, in_time=False)
                 self._watch.require_new_poll()
 
+    def _end_after_fault(self, attempt: PromptAttempt) -> None:
+        """Free what a prompt holds whose end could not be handled, and refuse it."""
+        has_ended = attempt.state is AttemptState.ENDED
+        self._close_attempt(attempt)
+        self._release_reservation(attempt, in_time=False)
+        if not has_ended:
+            send_refused(attempt, ErrorCode.ENDPOINT_FAILED, outcome_of(attempt))
+
     def _end_early(self, attempt: PromptAttempt, code: ErrorCode) -> None:
         """End an attempt before the engine does, and cancel it there if it runs."""
         was_running = attempt.state is AttemptState.RUNNING
@@ -387,7 +442,7 @@
         outcome = outcome_of(attempt) if was_running else RunOutcome.NOT_RUN
         self._refuse(attempt, code, outcome)
         if was_running:
-            Deferred.fromCoroutine(self._cancel_in_engine(attempt))
+            start_task(self._cancel_in_engine(attempt), log=self._log)
 
     async def _cancel_in_engine(self, attempt: PromptAttempt) -> None:
         """Cancel a request in the engine.
@@ -418,6 +473,24 @@
         self._admission.restart()
         self._fail_running()
 
+    def _engine_lost(self) -> None:
+        """Refuse all that the engine has or would have got."""
+        self._refuse_waiting(ErrorCode.NO_ENDPOINT)
+        self._fail_silent()
+
+    def _fail_silent(self) -> None:
+        """Refuse the running attempts, but not those whose tokens arrive.
+
+        The engine may only refuse polls.
+        """
+        self._fail_running(since=self._reactor.seconds() - WRITING_SECONDS)
+
+    def _refuse_waiting(self, code: ErrorCode) -> None:
+        """Refuse the prompts that wait for the engine, as not run."""
+        for attempt in tuple(self._attempts.values()):
+            if attempt.state is AttemptState.QUEUED:
+                self._end_early(attempt, code)
+
     def _report_engine_death(self, attempt: PromptAttempt) -> None:
         """Tell all processes that the engine broke off while the prompt ran.
 
@@ -432,13 +505,15 @@
             EngineDeath(death=death, fingerprints=fingerprints), None
         )
 
-    def _fail_running(self) -> None:
+    def _fail_running(self, *, since: float = math.inf) -> None:
         """Refuse the running attempts, so that entries retry on other endpoints.
 
-        The watch cancels what the engine still holds of them.
+        Those that sent tokens at or after `since` go on. The watch cancels what the
+        engine still holds of the others.
         """
         for attempt in tuple(self._attempts.values()):
-            if attempt.state is AttemptState.RUNNING:
+            is_writing = attempt.tokens_sent_at >= since
+            if attempt.state is AttemptState.RUNNING and not is_writing:
                 self._refuse(attempt, ErrorCode.ENDPOINT_FAILED, outcome_of(attempt))
                 attempt.generation.abort()
         self._on_change()
--- a/bilberryring/sidecar/service_runner.py
+++ b/bilberryring/sidecar/service_runner.py
@@ -7,8 +7,8 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from urllib.parse import quote
 
-from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
 
 from bilberryring.core import ErrorCode, RunOutcome, ServingError, from_micros
@@ -22,15 +22,25 @@
     Run,
     parse_ticket,
 )
-from bilberryring.http import HttpClient, HttpResponse
+from bilberryring.http import RESPONSE_TIMEOUT_SECONDS, HttpClient, HttpResponse
+from bilberryring.process.loops import start_task
 from bilberryring.sidecar.peer import PeerLink
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import CallService, LinkProtocol, Refused, ServiceAnswer
 
 CALLS_PREFIX = "/calls/"
+PATH_CHARACTERS = "/!$&'()*+,;=:@"
+"""What a path may contain besides letters, digits and `-._~` (RFC 3986, 3.3)."""
 SPENT_DETAIL = "The ticket can no longer be used; take a new one."
 
 
+FINAL_STATUSES = range(200, 600)
+
+
+class MalformedAnswerError(Exception):
+    """The service sent a status that no answer has."""
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class _Waiter:
     """An entry's attempt that waits for the outcome of a running call."""
@@ -75,7 +85,7 @@
     def call(self, peer: PeerLink, message: CallService) -> None:
         """Run, join, replay or refuse one copy of a call."""
         if not message.ticket:
-            Deferred.fromCoroutine(self._run_without_ticket(peer, message))
+            start_task(self._run_without_ticket(peer, message), log=self._log)
             return
         try:
             ticket = parse_ticket(message.ticket)
@@ -94,7 +104,7 @@
         match decision:
             case Run():
                 self._add_waiter(peer, message)
-                Deferred.fromCoroutine(self._run(call, message))
+                start_task(self._run(call, message), log=self._log)
             case Join():
                 self._add_waiter(peer, message)
             case Replay(answer=answer):
@@ -175,14 +185,33 @@
         self._log.write(
             LogEvent.CALL_FINISHED, request=message.request, status=answer.status
         )
-        for waiter in self._pop_waiters(message.ticket):
-            _send_answer(waiter.peer, waiter.message, kept, replayed=False)
+        self._answer_waiters(
+            message,
+            lambda waiter: _send_answer(
+                waiter.peer, waiter.message, kept, replayed=False
+            ),
+        )
 
     def _refuse_waiters(
         self, message: CallService, code: ErrorCode, outcome: RunOutcome
     ) -> None:
+        self._answer_waiters(
+            message, lambda waiter: _refuse(waiter.peer, waiter.message, code, outcome)
+        )
+
+    def _answer_waiters(
+        self, message: CallService, answer: Callable[[_Waiter], None]
+    ) -> None:
+        """Answer all copies of a call; an unknown error for one ends no other."""
         for waiter in self._pop_waiters(message.ticket):
-            _refuse(waiter.peer, waiter.message, code, outcome)
+            try:
+                answer(waiter)
+            except Exception as error:
+                self._log.write(
+                    LogEvent.INTERNAL_FAULT,
+                    request=waiter.message.request,
+                    detail=repr(error),
+                )
 
     async def _run_without_ticket(self, peer: PeerLink, message: CallService) -> None:
         refusal = self._find_refusal()
@@ -192,7 +221,13 @@
         self._running += 1
         try:
             answer = await self._forward_call(message)
-        except Exception:
+        except ConnectError:
+            _refuse(peer, message, ErrorCode.NO_ENDPOINT, RunOutcome.NOT_RUN)
+            return
+        except Exception as error:
+            self._log.write(
+                LogEvent.CALL_UNKNOWN, request=message.request, detail=repr(error)
+            )
             _refuse(peer, message, ErrorCode.ENDPOINT_FAILED, RunOutcome.UNKNOWN)
             return
         finally:
@@ -200,12 +235,20 @@
         _send_answer(peer, message, _to_answer(answer), replayed=False)
 
     async def _forward_call(self, message: CallService) -> HttpResponse:
-        return await self._client.request(
+        """Return the service's answer; any error but `ConnectError` is one after which
+        the call may have run.
+        """
+        seconds_left = from_micros(message.deadline) - self._reactor.seconds()
+        answer = await self._client.request(
             message.method,
-            CALLS_PREFIX + message.path,
+            CALLS_PREFIX + quote(message.path, safe=PATH_CHARACTERS),
             body=message.body,
             content_type=message.content_type,
+            timeout=max(RESPONSE_TIMEOUT_SECONDS, seconds_left),
         )
+        if answer.status not in FINAL_STATUSES:
+            raise MalformedAnswerError(f"status {answer.status}")
+        return answer
 
 
 def _to_answer(answer: HttpResponse) -> Answer:
@@ -213,6 +256,7 @@
         status=answer.status,
         content_type=answer.header("content-type"),
         body=answer.body,
+        content_encoding=answer.list_header("content-encoding"),
     )
 
 
@@ -234,6 +278,7 @@
             content_type=answer.content_type,
             body=answer.body,
             replayed=replayed,
+            content_encoding=answer.content_encoding or None,
         )
     )
 
--- a/bilberryring/sidecar/span_lead.py
+++ b/bilberryring/sidecar/span_lead.py
@@ -9,14 +9,16 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from twisted.internet.defer import Deferred, DeferredQueue
+from twisted.internet.defer import DeferredQueue
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.task import deferLater
 
 from bilberryring.admission import span_shares
 from bilberryring.core import ReceiverClock, from_micros, to_micros
 from bilberryring.objects import ModelEndpoint, ObjectSet
+from bilberryring.process.loops import start_task
 from bilberryring.process.settings import host_and_port
+from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import (
     Beat,
     Cancel,
@@ -128,7 +130,10 @@
         factory = ClientFactory()
         factory.noisy = False
         factory.buildProtocol = lambda address: LinkProtocol(
-            on_open=self._opened, on_message=self._received, on_closed=self._closed
+            clock=self._reactor,
+            on_open=self._opened,
+            on_message=self._received,
+            on_closed=self._closed,
         )
         factory.clientConnectionFailed = lambda connector, reason: self._events.put(
             _Lost()
@@ -188,12 +193,10 @@
         `SpanError` is raised when one does not hold its part. `on_lost` is called
         when a helper loses a part later that it held.
         """
-        start = 0
         shares = span_shares(message.prompt_tokens, self._kv_tokens)
-        for link, tokens in zip(self._links, shares, strict=True):
-            end = start + tokens * BYTES_PER_TOKEN
-            await link.hold(message, text[start:end], tokens, on_lost)
-            start = end
+        parts = split_text(text, [tokens * BYTES_PER_TOKEN for tokens in shares])
+        for link, part, tokens in zip(self._links, parts, shares, strict=True):
+            await link.hold(message, part, tokens, on_lost)
 
     def release(self) -> None:
         """Have every helper free its part; this may be called repeatedly."""
@@ -201,6 +204,25 @@
             link.release()
 
 
+def split_text(text: bytes, sizes: Sequence[int]) -> list[bytes]:
+    """Return consecutive parts of an encoded text, of about these sizes in bytes.
+
+    No part ends within a character, so each is a text. What is left is in none.
+
+    >>> [part.decode() for part in split_text("a\u00f1b".encode(), [2, 1])]
+    ['a\u00f1', 'b']
+    """
+    parts = []
+    start = 0
+    for size in sizes:
+        end = min(start + size, len(text))
+        while end < len(text) and text[end] & 0xC0 == 0x80:
+            end += 1
+        parts.append(text[start:end])
+        start = end
+    return parts
+
+
 def build_span_lead(
     reactor, objects: ObjectSet, message: RunPrompt, hello: Hello
 ) -> SpanLead:
@@ -223,16 +245,25 @@
     *,
     on_gathered: Callable[[], None],
     on_lost: Callable[[], None],
+    log: EventLog,
 ) -> None:
     """Start gathering a span's helpers.
 
     `on_gathered` is called once all hold their parts, `on_lost` when one does not, or
-    loses its part later.
+    loses its part later. An unknown error is logged and counts as a loss.
     """
 
-    def failed(failure) -> None:
-        failure.trap(SpanError)
-        on_lost()
+    async def gather() -> None:
+        try:
+            await span.gather(message, text, on_lost)
+        except SpanError:
+            on_lost()
+        except Exception as error:
+            log.write(
+                LogEvent.INTERNAL_FAULT, request=message.request, detail=repr(error)
+            )
+            on_lost()
+        else:
+            on_gathered()
 
-    gathering = Deferred.fromCoroutine(span.gather(message, text, on_lost))
-    gathering.addCallbacks(lambda _: on_gathered(), failed)
+    start_task(gather(), log=log)
--- a/bilberryring/sidecar/tests/test_engine_watch.py
+++ b/bilberryring/sidecar/tests/test_engine_watch.py
@@ -2,6 +2,7 @@
 
 import io
 
+import pytest
 from twisted.internet.task import Clock
 
 from bilberryring.adapters import EngineError, HeldRequest, HeldResponse
@@ -54,7 +55,9 @@
             incarnation="sidecar-1",
             owned_requests=lambda: frozenset(self.owned),
             on_restart=lambda: self.calls.append("restart"),
+            on_silent=lambda: self.calls.append("silent"),
             on_lost=lambda: self.calls.append("lost"),
+            on_still_lost=lambda: self.calls.append("still lost"),
             on_poll=lambda: self.calls.append("poll"),
         )
 
@@ -125,6 +128,7 @@
     watched.clock.pump([POLL_SECONDS] * 5)
     assert watched.watch.is_lost and not watched.watch.can_send_requests
     assert watched.calls.count("lost") == 1
+    assert watched.calls.count("still lost") == 3
 
 
 def test_no_requests_after_a_broken_answer_until_a_new_poll():
@@ -137,3 +141,29 @@
     watched.engine.is_up = True
     watched.clock.advance(POLL_SECONDS)
     assert watched.watch.can_send_requests
+
+
+@pytest.mark.parametrize(
+    "holder",
+    [
+        "",
+        "-",
+        "9" * 400 + "-a",
+        "9" * 5_000 + "-a",
+        "\u00b2-a",
+        "\u0661-a",
+        "-1-a",
+        "x",
+    ],
+    ids=lambda holder: repr(holder[:9]),
+)
+def test_an_odd_holder_in_the_engine_keeps_no_sidecar_from_sending(holder):
+    watched = Watched()
+    odd = HeldRequest(request="r", holder=holder, kv_tokens=5)
+    watched.engine.requests = [odd]
+    watched.watch.start()
+    watched.clock.advance(POLL_SECONDS)
+    assert watched.watch.can_send_requests
+    assert 0 < watched.watch.fence < 2**62
+    assert watched.watch.holder
+    assert "r" in watched.engine.cancelled
--- a/bilberryring/sidecar/tests/test_prompt_runner.py
+++ b/bilberryring/sidecar/tests/test_prompt_runner.py
@@ -6,25 +6,36 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from bilberryring.adapters import EngineError, GenerationEnd, HeldResponse
+from bilberryring.adapters import (
+    EngineError,
+    EngineSilentError,
+    Generation,
+    GenerationEnd,
+    HeldRequest,
+    HeldResponse,
+)
 from bilberryring.admission import EndpointLimits
 from bilberryring.core import Fingerprint, to_micros
 from bilberryring.objects import ObjectSet
 from bilberryring.process.engine_death_broadcaster import EngineDeathBroadcaster
 from bilberryring.quarantine import PromptStanding
+from bilberryring.sidecar import prompt_runner
 from bilberryring.sidecar.engine_watch import FAILED_POLLS_UNTIL_LOST, POLL_SECONDS
 from bilberryring.sidecar.peer import PeerLink
 from bilberryring.sidecar.prompt_runner import DISPATCH_SECONDS, PromptRunner
 from bilberryring.sidecar.token_batcher import TokenBatcher
 from bilberryring.telemetry import EventLog
 from bilberryring.wire import (
+    Cancel,
     EngineDeath,
+    Finished,
     Hello,
     PromptPart,
     Refused,
     RunPrompt,
     SuspectAnswer,
     SuspectQuery,
+    TokenBatch,
 )
 
 CRASHER = Fingerprint("crasher")
@@ -57,26 +68,41 @@
     def __init__(self):
         self.incarnation = "engine-1"
         self.is_up = True
+        self.is_silent = False
+        self.highest_fence = 0
+        self.held_requests: tuple[str, ...] = ()
+        self.cancelled: list[str] = []
         self.ends: dict[str, Deferred[GenerationEnd]] = {}
+        self.generations: dict[str, Generation] = {}
 
     async def generate(self, request, generation) -> GenerationEnd:
         generation.attach_stream(FakeStream())
+        self.generations[request.request] = generation
         self.ends[request.request] = Deferred()
         return await self.ends[request.request]
 
     async def held(self) -> HeldResponse:
-        if not self.is_up:
-            raise EngineError("engine_unreachable")
+        self._check()
         return HeldResponse(
             incarnation=self.incarnation,
             kv_used=0,
             kv_tokens=100_000,
-            highest_fence=0,
-            requests=(),
+            highest_fence=self.highest_fence,
+            requests=tuple(
+                HeldRequest(request=name, holder="1-sidecar-1", kv_tokens=10)
+                for name in self.held_requests
+            ),
         )
 
     async def cancel(self, request) -> None:
-        pass
+        self.cancelled.append(request.request)
+        self._check()
+
+    def _check(self) -> None:
+        if self.is_silent:
+            raise EngineSilentError("engine_silent")
+        if not self.is_up:
+            raise EngineError("engine_unreachable")
 
 
 class RunnerHarness:
@@ -84,6 +110,7 @@
 
     def __init__(self):
         self.clock = Clock()
+        self.log = io.StringIO()
         self.engine = FakeEngine()
         self.link = FakeLink()
         self.deaths = EngineDeathBroadcaster(
@@ -97,18 +124,33 @@
         self.runner = PromptRunner(
             reactor=self.clock,
             engine=self.engine,
-            log=EventLog(process="p", role="sidecar", stream=io.StringIO()),
+            log=EventLog(process="p", role="sidecar", stream=self.log),
             incarnation="sidecar-1",
             hello=Hello(process="p", role="sidecar", failure_domain="d"),
             limits=EndpointLimits(kv_tokens=100_000, concurrency=8, cold_allowance=8),
             objects=ObjectSet,
             sidecar_refusal=lambda: None,
-            on_change=lambda: None,
+            on_change=self.record_state,
             deaths=self.deaths,
         )
+        self.states: list[str] = []
         self.runner.start()
 
-    def send(self, attempt: int, *, fingerprint: str = "f", isolated: bool = False):
+    def record_state(self) -> None:
+        state = "lost" if self.runner.watch.is_lost else "ready"
+        if self.states[-1:] != [state] and (self.states or state == "lost"):
+            self.states.append(state)
+
+    def send(
+        self,
+        attempt: int,
+        *,
+        fingerprint: str = "f",
+        isolated: bool = False,
+        prompt_tokens: int = 10,
+        text: bytes = b"hola",
+        span_members: tuple[str, ...] = (),
+    ):
         message = RunPrompt(
             attempt=attempt,
             request=f"r{attempt}",
@@ -117,7 +159,7 @@
             version="v",
             adapter="",
             priority="p",
-            prompt_tokens=10,
+            prompt_tokens=prompt_tokens,
             max_tokens=10,
             delivered_tokens=0,
             deadline=to_micros(60.0),
@@ -125,10 +167,10 @@
             fingerprint=fingerprint,
             prompt_parts=1,
             isolated=isolated,
-            span_members=[],
+            span_members=list(span_members),
         )
         self.runner.run_prompt(self.peer, message)
-        part = PromptPart(attempt=attempt, index=0, text=b"hola")
+        part = PromptPart(attempt=attempt, index=0, text=text)
         self.runner.add_prompt_part(self.peer, part)
 
     def end(self, attempt: int, end: GenerationEnd) -> None:
@@ -198,6 +240,101 @@
     assert harness.deaths.standing(CRASHER) is PromptStanding.CLEAR
 
 
+def test_an_engine_that_is_only_silent_loses_no_prompt(harness):
+    harness.send(1, fingerprint=CRASHER)
+    harness.engine.is_silent = True
+    harness.clock.pump([POLL_SECONDS] * FAILED_POLLS_UNTIL_LOST)
+    assert harness.runner.watch.is_lost and harness.states == ["lost"]
+    assert not harness.link.sent_of(Refused)
+    assert harness.deaths.standing(CRASHER) is PromptStanding.CLEAR
+    harness.engine.is_silent = False
+    harness.clock.advance(POLL_SECONDS)
+    assert harness.states == ["lost", "ready"]
+    harness.end(1, GenerationEnd.COMPLETED)
+    [finished] = harness.link.sent_of(Finished)
+    assert finished.attempt == 1
+
+
+def test_refused_polls_end_no_prompt_whose_tokens_arrive(harness):
+    """An engine at its limit of connections resets polls, and goes on with answers."""
+    harness.send(1)
+    generation = harness.engine.generations["entry-1/1"]
+    harness.engine.is_up = False
+    for index in range(2 * FAILED_POLLS_UNTIL_LOST):
+        generation.receive_lines([b'{"index":%d,"text":"t"}' % index])
+        harness.clock.advance(POLL_SECONDS)
+    assert not harness.link.sent_of(Refused)
+    harness.engine.is_up = True
+    harness.clock.advance(POLL_SECONDS)
+    harness.end(1, GenerationEnd.COMPLETED)
+    assert [item.attempt for item in harness.link.sent_of(Finished)] == [1]
+
+
+def test_refused_polls_end_a_prompt_once_its_tokens_no_longer_arrive(harness):
+    harness.send(1)
+    generation = harness.engine.generations["entry-1/1"]
+    harness.engine.is_up = False
+    for index in range(2 * FAILED_POLLS_UNTIL_LOST):
+        generation.receive_lines([b'{"index":%d,"text":"t"}' % index])
+        harness.clock.advance(POLL_SECONDS)
+    harness.clock.pump([POLL_SECONDS] * (FAILED_POLLS_UNTIL_LOST + 1))
+    assert [item.code for item in harness.link.sent_of(Refused)] == ["endpoint_failed"]
+
+
+def test_an_engine_that_goes_on_after_a_silence_still_holds_what_it_ran(harness):
+    harness.send(1)
+    harness.engine.is_silent = True
+    harness.clock.pump([POLL_SECONDS] * FAILED_POLLS_UNTIL_LOST)
+    harness.engine.is_silent = False
+    harness.engine.held_requests = ("entry-1/1",)
+    harness.clock.advance(POLL_SECONDS)
+    assert not harness.engine.cancelled
+
+
+def test_a_prompt_that_is_cancelled_while_the_engine_is_silent_leaves_it(harness):
+    harness.send(1)
+    harness.engine.is_silent = True
+    harness.clock.pump([POLL_SECONDS] * FAILED_POLLS_UNTIL_LOST)
+    harness.runner.cancel(harness.peer, Cancel(attempt=1))
+    harness.engine.cancelled.clear()
+    harness.engine.is_silent = False
+    harness.engine.held_requests = ("entry-1/1",)
+    harness.clock.advance(POLL_SECONDS)
+    assert harness.engine.cancelled == ["entry-1/1"]
+
+
+def test_a_prompt_that_waits_for_a_silent_engine_starts_once_it_goes_on(harness):
+    harness.send(1)
+    harness.engine.is_silent = True
+    harness.clock.advance(POLL_SECONDS)
+    harness.send(2)
+    harness.clock.pump([POLL_SECONDS] * 4)
+    assert not harness.link.sent_of(Refused)
+    harness.engine.is_silent = False
+    harness.clock.advance(POLL_SECONDS)
+    assert "entry-1/2" in harness.engine.ends
+
+
+def test_a_prompt_that_waits_for_an_engine_that_is_gone_is_not_run(harness):
+    harness.send(1)
+    harness.clock.advance(0.1)
+    harness.engine.is_up = False
+    harness.runner.watch.require_new_poll()
+    harness.send(2)
+    harness.clock.pump([POLL_SECONDS] * FAILED_POLLS_UNTIL_LOST)
+    outcomes = {item.attempt: item.outcome for item in harness.link.sent_of(Refused)}
+    assert outcomes == {1: "unknown", 2: "not_run"}
+
+
+def test_an_engine_that_is_gone_after_a_silence_loses_its_prompts_at_once(harness):
+    harness.send(1)
+    harness.engine.is_silent = True
+    harness.clock.pump([POLL_SECONDS] * FAILED_POLLS_UNTIL_LOST)
+    harness.engine.is_silent, harness.engine.is_up = False, False
+    harness.clock.pump([POLL_SECONDS] * FAILED_POLLS_UNTIL_LOST)
+    assert [item.attempt for item in harness.link.sent_of(Refused)] == [1]
+
+
 def test_a_question_is_answered_after_the_report_of_the_crash(harness):
     harness.send(1, fingerprint=CRASHER)
     harness.hear_of_death("elsewhere-1", CRASHER)
@@ -228,3 +365,117 @@
     harness.hear_of_death("elsewhere-1", CRASHER)
     harness.clock.advance(DISPATCH_SECONDS)
     assert [m.query for m in harness.link.sent_of(SuspectAnswer)] == [7, 8]
+
+
+def test_a_malformed_answer_makes_nothing_a_suspect_and_leaves_the_engine(harness):
+    harness.send(1, fingerprint=CRASHER)
+    harness.engine.held_requests = ("entry-1/1",)
+    harness.end(1, GenerationEnd.MALFORMED)
+    [refusal] = harness.link.sent_of(Refused)
+    assert (refusal.code, refusal.outcome) == ("endpoint_failed", "unknown")
+    assert harness.deaths.standing(CRASHER) is PromptStanding.CLEAR
+    harness.clock.advance(POLL_SECONDS)
+    assert set(harness.engine.cancelled) == {"entry-1/1"}
+
+
+def test_a_stalled_stream_of_an_engine_that_answers_polls_ends_at_its_deadline(harness):
+    harness.send(1)
+    harness.clock.pump([POLL_SECONDS] * 119)
+    assert not harness.link.sent_of(Refused)
+    harness.clock.advance(POLL_SECONDS)
+    [refusal] = harness.link.sent_of(Refused)
+    assert (refusal.code, refusal.outcome) == ("deadline_passed", "unknown")
+    assert harness.engine.cancelled == ["entry-1/1"]
+
+
+def test_a_slow_stream_lives_until_it_is_complete(harness):
+    harness.send(1)
+    for index in range(11):
+        harness.clock.pump([POLL_SECONDS] * 10)
+        harness.engine.generations["entry-1/1"].receive_lines(
+            [b'{"index":%d,"text":"a"}' % index]
+        )
+    harness.end(1, GenerationEnd.COMPLETED)
+    assert len(harness.link.sent_of(TokenBatch)) == 11
+    assert harness.link.sent_of(Finished) and not harness.link.sent_of(Refused)
+
+
+def test_a_prompt_that_waits_where_another_sidecar_took_over_is_not_run(harness):
+    harness.engine.is_silent = True
+    harness.clock.advance(0.1)
+    harness.runner.watch.require_new_poll()
+    harness.send(1)
+    harness.engine.is_silent = False
+    harness.engine.highest_fence = 2 * harness.runner.watch.fence
+    harness.clock.advance(POLL_SECONDS)
+    [refusal] = harness.link.sent_of(Refused)
+    assert (refusal.code, refusal.outcome) == ("leaving", "not_run")
+    assert not harness.engine.ends
+
+
+async def fail_unexpectedly(request, generation):
+    raise ValueError("unexpected")
+
+
+@pytest.mark.parametrize("fails_in_engine", [False, True])
+def test_an_unexpected_error_ends_one_prompt_and_gives_its_memory_back(
+    harness, fails_in_engine
+):
+    generate = harness.engine.generate
+    if fails_in_engine:
+        harness.engine.generate = fail_unexpectedly
+    harness.send(1, prompt_tokens=90_000, text=b"\xc3")
+    harness.engine.generate = generate
+    [refusal] = harness.link.sent_of(Refused)
+    assert (refusal.code, refusal.outcome) == ("endpoint_failed", "unknown")
+    assert harness.log.getvalue().count("internal_fault") == 1
+    assert harness.deaths.standing(Fingerprint("f")) is PromptStanding.CLEAR
+    harness.clock.advance(POLL_SECONDS)
+    harness.send(2, prompt_tokens=90_000)
+    assert "entry-1/2" in harness.engine.ends
+
+
+def test_an_unknown_error_at_the_end_of_a_prompt_gives_its_memory_back(
+    harness, monkeypatch
+):
+    harness.send(1, prompt_tokens=90_000)
+
+    def send_finished(attempt):
+        raise ValueError("x" * 100_000)
+
+    monkeypatch.setattr(prompt_runner, "send_finished", send_finished)
+    harness.engine.ends["entry-1/1"].callback(GenerationEnd.COMPLETED)
+    faults = [
+        line for line in harness.log.getvalue().splitlines() if "internal_fault" in line
+    ]
+    assert len(faults) == 1
+    assert len(faults[0]) < 2_000
+    [refusal] = harness.link.sent_of(Refused)
+    assert (refusal.code, refusal.outcome) == ("endpoint_failed", "unknown")
+    harness.send(2, prompt_tokens=90_000)
+    assert "entry-1/2" in harness.engine.ends
+
+
+def test_an_unknown_error_while_helpers_are_gathered_ends_the_prompt(
+    harness, monkeypatch
+):
+    class FaultySpan:
+        is_released = False
+
+        async def gather(self, message, text, on_lost):
+            raise ValueError("x" * 100_000)
+
+        def release(self):
+            self.is_released = True
+
+    span = FaultySpan()
+    monkeypatch.setattr(prompt_runner, "build_span_lead", lambda *arguments: span)
+    harness.send(1, span_members=("helper",))
+    faults = [
+        line for line in harness.log.getvalue().splitlines() if "internal_fault" in line
+    ]
+    assert len(faults) == 1
+    assert len(faults[0]) < 2_000
+    [refusal] = harness.link.sent_of(Refused)
+    assert (refusal.code, refusal.outcome) == ("endpoint_failed", "not_run")
+    assert span.is_released
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -8,8 +8,10 @@
 import http.client
 import json
 import os
+import random
 import shutil
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import quote
 
@@ -25,6 +27,13 @@
 WORKSPACE = "bars"
 READY_TIMEOUT_SECONDS = 15.0
 ANSWER_TIMEOUT_SECONDS = 15.0
+LOG_END_LINES = 40
+"""Lines of the log of each process that are shown when a test has failed."""
+MAX_DRAWS = 64
+"""Calls within which an endpoint gets one, if two or three alike are drawn at random.
+
+It is missed once in 10**11 times.
+"""
 MODEL_SERVICE = "model"
 PLAIN_SERVICE = "orders"
 ENGINE = {
@@ -68,6 +77,15 @@
         return [listener.getsockname()[1] for listener in listeners]
 
 
+def draw_network() -> str:
+    """Return the first three numbers of loopback addresses that no other site has.
+
+    A free port can be taken by a site of another process before its gateway listens.
+    """
+    numbers = random.SystemRandom()
+    return f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 255)}"
+
+
 def make_route(prefix: str, kind: str, service: str, **changes) -> dict:
     """Return a route in the form that operators publish.
 
@@ -122,18 +140,39 @@
 
     `gateways` is the number of gateways that know each other as peers; each one is
     started with `start_gateway`. `retry_slack` is the number of retries that they may
-    make in a window in any case.
+    make in a window in any case, and `retry_ratio` the number for each request.
+    `grace` is the seconds that a stop may take.
     """
 
-    def __init__(self, *, gateways: int = 1, retry_slack: int = 100):
+    def __init__(
+        self,
+        *,
+        gateways: int = 1,
+        retry_slack: int = 100,
+        retry_ratio: float = 0.2,
+        grace: float = 6.0,
+    ):
         self._directory = scratch_directory()
         self._n_gateways = gateways
         self._retry_slack = retry_slack
+        self._retry_ratio = retry_ratio
+        self._grace = grace
+        self._network = draw_network()
         self._peer_port, self._caller_port, self._ready_port = free_ports(3)
         self._processes: dict[str, ManagedProcess] = {}
         self._endpoints: list[ScriptedEndpoint] = []
         self._store_address = ""
 
+    @property
+    def grace(self) -> float:
+        """The seconds that a stop may take."""
+        return self._grace
+
+    @property
+    def store_address(self) -> str:
+        """The `host:port` of the store."""
+        return self._store_address
+
     def start(self) -> "GatewaySite":
         """Start the store, but no gateway, and return the site."""
         store = ManagedProcess(
@@ -159,8 +198,14 @@
         """Return the process with a name, such as `store` or `gateway-1`."""
         return self._processes[name]
 
-    def start_gateway(self, number: int = 1, *, is_awaited: bool = True) -> None:
-        """Start a gateway and, with `is_awaited`, wait until it is ready."""
+    def start_gateway(
+        self, number: int = 1, *, is_awaited: bool = True, store_address: str = ""
+    ) -> None:
+        """Start a gateway and, with `is_awaited`, wait until it is ready.
+
+        `store_address` is where it reads the store, if not from the store itself.
+        `RuntimeError` is raised when it exits before it is ready.
+        """
         name = f"gateway-{number}"
         host = self._host(number)
         seeds = [f"{self._host(other + 1)}:1" for other in range(self._n_gateways)]
@@ -171,8 +216,9 @@
             f'[zones]\nnorth = "here"\nsouth = "here"\n'
             f'[listen]\nfront = "{host}:{self._caller_port}"\n'
             f'ready = "{host}:{self._ready_port}"\n'
-            f'[platform]\naddress = "{self._store_address}"\n'
-            f"[bounds]\ngrace_s = 6.0\nretry_slack = {self._retry_slack}\n"
+            f'[platform]\naddress = "{store_address or self._store_address}"\n'
+            f"[bounds]\ngrace_s = {self._grace}\nretry_slack = {self._retry_slack}\n"
+            f"budget_ratio = {self._retry_ratio}\n"
         )
         path = self._directory / f"{name}.toml"
         path.write_text(text, "utf-8")
@@ -187,11 +233,15 @@
             del os.environ["BILBERRYRING_NODE_FILE"]
         if is_awaited:
             wait_until(
-                lambda: self.is_ready(number),
+                lambda: self.is_ready(number) or self._raise_if_exited(name),
                 READY_TIMEOUT_SECONDS,
                 f"{name} to be ready",
             )
 
+    def write_settings(self, content: bytes, number: int = 1) -> None:
+        """Replace a gateway's settings file, and send no signal."""
+        (self._directory / f"gateway-{number}.toml").write_bytes(content)
+
     def touch_settings(self, number: int = 1) -> None:
         """Append a comment to a gateway's settings file, and send no signal."""
         path = self._directory / f"gateway-{number}.toml"
@@ -295,6 +345,19 @@
         connection.request(method, path, body, request_headers() | extra_headers)
         return read_answer(connection)
 
+    def call_until(
+        self, is_drawn: Callable[[], object], path: str, *, at_least: int = 1
+    ) -> list[CallerAnswer]:
+        """Call at least so often and until `is_drawn()`; return all answers.
+
+        `AssertionError` is raised if it is still false after `MAX_DRAWS` calls.
+        """
+        answers = []
+        while len(answers) < at_least or not is_drawn():
+            assert len(answers) < MAX_DRAWS, "the endpoint got no request"
+            answers.append(self.call(path))
+        return answers
+
     def metrics(self, number: int = 1) -> str:
         """Return the text of a gateway's metrics page."""
         connection = http.client.HTTPConnection(
@@ -310,11 +373,44 @@
     def log_events(self, number: int = 1, event: str | None = None) -> list[dict]:
         """Return the log lines of a gateway, or only those of one event."""
         text = (self._directory / f"gateway-{number}.out").read_text("utf-8")
-        lines = [json.loads(line) for line in text.splitlines()]
+        complete = text[: text.rfind("\n") + 1]
+        lines = [json.loads(line) for line in complete.splitlines()]
         return [line for line in lines if event is None or line["event"] == event]
 
+    def log_lines(self, number: int = 1) -> tuple[str, ...]:
+        """Return the log of a gateway's last start as it is; the end may be torn."""
+        path = self._directory / f"gateway-{number}.out"
+        return tuple(path.read_text("utf-8", "replace").splitlines())
+
+    def log_ends(self) -> list[tuple[str, str]]:
+        """Return each process's name and exit status with the end of its log."""
+        ends = []
+        for name, process in self._processes.items():
+            lines = []
+            for suffix in ("log", "out"):
+                path = self._directory / f"{name}.{suffix}"
+                text = path.read_text("utf-8", "replace") if path.exists() else ""
+                lines += text.splitlines()[-LOG_END_LINES:]
+            ends.append(
+                (f"{name}, exit status {process.exit_status}", "\n".join(lines))
+            )
+        return ends
+
+    def start_process(self, name: str, arguments: list[str]) -> ManagedProcess:
+        """Start a further process, which `stop` kills, and return it."""
+        process = ManagedProcess(
+            name=name, arguments=arguments, directory=self._directory
+        )
+        self._processes[name] = process
+        return process
+
+    def _raise_if_exited(self, name: str) -> None:
+        process = self._processes[name]
+        if not process.is_running:
+            raise RuntimeError(f"{name} exited: {process.log_text[-2000:]}")
+
     def _host(self, number: int) -> str:
-        return f"127.0.1.{number}"
+        return f"{self._network}.{number}"
 
     def _control(self, action: str, query: str, body: bytes) -> None:
         connection = http.client.HTTPConnection(
--- a/bilberryring/standins/platform_server.py
+++ b/bilberryring/standins/platform_server.py
@@ -1,8 +1,9 @@
 """A simulated platform that is served over HTTP.
 
 Readers use `GET /v1/values/KEY`, `GET /v1/watch?prefix=&after=&wait=` and
-`GET /v1/vms`. Tests use `/control/...` to write, to make the platform unavailable,
-slow or stale, and to read the numbers of calls; bilberryring never calls it.
+`GET /v1/vms`. Each answer states the era of the store, in which its revisions count.
+Tests use `/control/...` to write, to make the platform unavailable, slow or stale, to
+return to an older copy, and to read the numbers of calls; bilberryring never calls it.
 """
 
 from urllib.parse import unquote
@@ -14,6 +15,7 @@
 
 from bilberryring.adapters.platform_protocol import ListedVm
 from bilberryring.http import AsyncResource, write_json
+from bilberryring.platform.names import STORE_ERA
 from bilberryring.standins.change_waiters import ChangeWaiters
 from bilberryring.standins.platform_store import (
     CallLimiter,
@@ -60,6 +62,7 @@
         self._calls_by_reader: dict[str, int] = {}
         self._mode = PlatformMode()
         self._waiters = ChangeWaiters(reactor=reactor)
+        self._copy_revision = 0
 
     def resource(self) -> Resource:
         """Return the root resource of the HTTP interface."""
@@ -80,12 +83,15 @@
             (b"vms", self._set_vms),
             (b"counts", self._get_counts),
             (b"revision", self._get_revision),
+            (b"save", self._save),
+            (b"restore", self._restore),
         ):
             control.putChild(name, self._leaf(handle, is_read=False))
         return root
 
     def _leaf(self, handle, *, is_read: bool) -> AsyncResource:
         async def guarded(request: Request) -> None:
+            request.setHeader(STORE_ERA, str(self._store.era))
             if is_read and not await self._admit(request):
                 return
             await handle(request)
@@ -133,12 +139,15 @@
         closed: list[bool] = []
         request.notifyFinish().addBoth(closed.append)
         deadline = self._reactor.seconds() + wait
+        era = self._store.era
         while not closed:
             answer = self._store.changes(
                 prefix=prefix, after=after, at=self._visible_revision(request)
             )
             remaining = deadline - self._reactor.seconds()
-            if answer.items or remaining <= 0 or self._mode.down:
+            is_restored = self._store.era != era
+            if answer.items or remaining <= 0 or self._mode.down or is_restored:
+                request.setHeader(STORE_ERA, str(self._store.era))
                 write_json(request, answer)
                 return
             await self._waiters.wait(remaining)
@@ -153,6 +162,15 @@
         self._waiters.wake_all()
         write_json(request, {"revision": revision})
 
+    async def _save(self, request: Request) -> None:
+        self._copy_revision = self._store.revision
+        write_json(request, {"revision": self._copy_revision})
+
+    async def _restore(self, request: Request) -> None:
+        self._store.restore(self._copy_revision)
+        self._waiters.wake_all()
+        write_json(request, {"revision": self._store.revision})
+
     async def _set_mode(self, request: Request) -> None:
         self._mode = msgspec.json.decode(request.read_body(), type=PlatformMode)
         self._waiters.wake_all()
--- a/bilberryring/standins/platform_store.py
+++ b/bilberryring/standins/platform_store.py
@@ -2,7 +2,8 @@
 
 Only operators write; bilberryring only reads. Each value carries the revision that
 created its key and the one that last modified it. The store can be made stale, so
-that readers see its content at an earlier revision.
+that readers see its content at an earlier revision, and it can come back from an older
+copy, which begins a new era of revisions.
 """
 
 from dataclasses import dataclass
@@ -28,11 +29,21 @@
 
 
 class PlatformStore:
-    """A key-value store that keeps every write, to show readers earlier revisions."""
+    """A key-value store that keeps every write, to show readers earlier revisions.
+
+    >>> store = PlatformStore()
+    >>> copy = store.put("a", b"1")
+    >>> store.put("a", b"2"), store.put("b", b"3")
+    (2, 3)
+    >>> store.restore(copy)
+    >>> store.era, store.revision, store.get("a").content, store.get("b")
+    (2, 1, b'1', None)
+    """
 
     def __init__(self):
         self._writes: dict[str, list[StoredValue]] = {}
         self._revision = 0
+        self._era = 1
         self._visible_revision: int | None = None
         self._vm_lists: list[tuple[float, tuple[ListedVm, ...]]] = [(0.0, ())]
 
@@ -43,6 +54,24 @@
             self._revision if self._visible_revision is None else self._visible_revision
         )
 
+    @property
+    def era(self) -> int:
+        """A number that rises each time the store is restored from a copy."""
+        return self._era
+
+    def restore(self, revision: int) -> None:
+        """Return to the state at a revision: later writes are lost.
+
+        Their revisions are used again, in a new era.
+        """
+        kept = {
+            key: [value for value in writes if value.modified <= revision]
+            for key, writes in self._writes.items()
+        }
+        self._writes = {key: writes for key, writes in kept.items() if writes}
+        self._revision = revision
+        self._era += 1
+
     def put(self, key: str, content: bytes) -> int:
         """Write a value and return the revision of this write."""
         if len(content) > MAX_VALUE_BYTES:
--- a/bilberryring/standins/store_server.py
+++ b/bilberryring/standins/store_server.py
@@ -7,6 +7,7 @@
 import base64
 
 import msgspec
+from twisted.internet.task import deferLater
 from twisted.web.resource import Resource
 from twisted.web.server import Request
 
@@ -23,11 +24,13 @@
     """The faults that are injected into the store, and its page size.
 
     With `refusing`, reads are answered with status 503, also watches that wait; with
-    `silent`, not at all.
+    `silent`, not at all: the answers that watches would get then are lost. Reads are
+    answered `delay_seconds` later.
     """
 
     refusing: bool = False
     silent: bool = False
+    delay_seconds: float = 0.0
     page_items: int = PAGE_ITEMS
 
 
@@ -71,6 +74,8 @@
             if is_read and self._mode.refusing:
                 write_json(request, {"error": "busy"}, status=503)
                 return
+            if is_read and self._mode.delay_seconds:
+                await deferLater(self._reactor, self._mode.delay_seconds)
             await handle(request)
 
         return AsyncResource(handle=guarded, on_fault=lambda error: None)
@@ -103,6 +108,8 @@
                 write_json(request, {"error": "history is gone"}, status=410)
                 return
             if changes or self._reactor.seconds() >= deadline:
+                if self._mode.silent:
+                    return
                 body = {
                     "events": [_encode_change(change) for change in changes],
                     "store_revision": self._store.revision,
--- a/bilberryring/telemetry/__init__.py
+++ b/bilberryring/telemetry/__init__.py
@@ -11,6 +11,7 @@
     LabelledHistogram,
     Metrics,
 )
+from bilberryring.telemetry.request_endings import RequestEndings, read_endings
 
 __all__ = [
     "BoundedOutput",
@@ -20,7 +21,9 @@
     "LogEvent",
     "Metrics",
     "OTHER_LABEL",
+    "RequestEndings",
     "SERIES_PER_SLICE",
     "TOKEN_GAP_BUCKETS",
+    "read_endings",
     "standard_output",
 ]
--- a/bilberryring/telemetry/bounded_output.py
+++ b/bilberryring/telemetry/bounded_output.py
@@ -20,8 +20,8 @@
 class BoundedOutput:
     """A text stream that limits its rate with a token bucket.
 
-    Each call of `write` takes one token. Text that finds no token, or that would
-    block the descriptor, is dropped and counted. `rate` is in lines per second.
+    Each call of `write` takes one token. Text that finds no token, or that
+    cannot be written at once, is dropped and counted. `rate` is in lines per second.
     """
 
     def __init__(
@@ -62,7 +62,8 @@
         self._available_lines -= 1.0
         try:
             self._write(text)
-        except BlockingIOError:
+        except OSError:
+            # The pipe or the disk is full; the process serves its callers all the same.
             self._dropped += 1
 
     def flush(self) -> None:
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -33,6 +33,11 @@
     )
     SETTINGS_RELOADED = (120, "info", "The settings file was read again")
     SETTINGS_REFUSED = (121, "error", "A changed settings file was refused")
+    SETTINGS_KEPT = (
+        122,
+        "info",
+        "A hangup signal changed nothing: the settings are read at the start alone",
+    )
     LOG_LINES_DROPPED = (
         130,
         "warning",
@@ -74,6 +79,11 @@
         "warning",
         "What the platform had lost was not written again in time and is dropped",
     )
+    VM_UNREADABLE = (
+        219,
+        "warning",
+        "The number of entries in the VM list that name no VM changed",
+    )
     LINK_OPENED = (300, "info", "A link to another process opened")
     LINK_CLOSED = (301, "info", "A link to another process closed")
     ENDPOINT_STANDING_CHANGED = (310, "info", "The standing of an endpoint changed")
@@ -116,7 +126,7 @@
     PEER_REPORT_MALFORMED = (
         323,
         "warning",
-        "A report from another entry could not be decoded",
+        "A report from another process could not be read",
     )
     CALLER_REFUSED = (
         404,
@@ -138,6 +148,12 @@
         "warning",
         "An answer was skipped, as it may belong to an earlier request",
     )
+    ATTEMPT_SILENT = (
+        413,
+        "info",
+        "An endpoint is silent for too long; whether another attempt starts beside it",
+    )
+    SILENCE_ENDED = (414, "info", "A silent endpoint goes on with its answer")
     PROMPT_QUEUED = (420, "debug", "A sidecar admitted a prompt")
     PROMPT_REFUSED = (421, "info", "A sidecar refused a prompt without running it")
     PROMPT_STARTED = (422, "info", "A prompt was sent to the engine")
--- /dev/null
+++ b/bilberryring/telemetry/request_endings.py
@@ -0,0 +1,110 @@
+"""How the requests in logs ended, and which of them were lost.
+
+The logs are those of gateways and entries.
+
+Each admitted request has one last record: `request_finished`, `request_failed` or
+`caller_left`. A request is lost if it has none, or if its caller, which did not leave,
+got a part of an answer or nothing.
+
+>>> lines = [
+...     '{"event": "attempt_started", "request": "a"}',
+...     '{"event": "request_finished", "request": "a", "delivered": "whole"}',
+...     '{"event": "attempt_started", "request": "b"}',
+...     '{"event": "request_failed", "request": "b", "delivered": "cut"}',
+... ]
+>>> endings = read_endings(lines)
+>>> endings.requests, endings.cut, endings.is_clean
+(2, ('b',), False)
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+from bilberryring.core import Delivery, RequestId
+from bilberryring.telemetry.events import LogEvent
+
+LAST_RECORDS = frozenset(
+    event.name.lower()
+    for event in (
+        LogEvent.REQUEST_FINISHED,
+        LogEvent.REQUEST_FAILED,
+        LogEvent.CALLER_LEFT,
+    )
+)
+CALLER_LEFT = LogEvent.CALLER_LEFT.name.lower()
+LINES_DROPPED = LogEvent.LOG_LINES_DROPPED.name.lower()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestEndings:
+    """How requests ended; `requests` is their number.
+
+    `unended` have no last record, `repeated` more than one. The callers of `cut` got a
+    part of an answer, those of `unanswered` nothing; those that left are not counted.
+    `dropped_lines` is the number of log lines that were dropped: with any, a request
+    without a last record may have ended.
+    """
+
+    requests: int
+    unended: tuple[RequestId, ...] = ()
+    repeated: tuple[RequestId, ...] = ()
+    cut: tuple[RequestId, ...] = ()
+    unanswered: tuple[RequestId, ...] = ()
+    dropped_lines: int = 0
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether each request ended once and no caller got a part or nothing."""
+        return not (self.unended or self.repeated or self.cut or self.unanswered)
+
+
+def read_endings(lines: Iterable[str]) -> RequestEndings:
+    """Return how the requests in the JSON lines of logs ended.
+
+    Text before the first brace of a line is ignored, and so are lines without JSON.
+    """
+    last_records: Counter[RequestId] = Counter()
+    requests: set[RequestId] = set()
+    cut, unanswered = [], []
+    dropped_lines = 0
+    for line in lines:
+        record = _decode(line)
+        event = record.get("event")
+        if event == LINES_DROPPED:
+            dropped_lines += int(record.get("lines", 0))
+        request = record.get("request")
+        if not request:
+            continue
+        requests.add(request)
+        if event not in LAST_RECORDS:
+            continue
+        last_records[request] += 1
+        if event == CALLER_LEFT:
+            continue
+        match record.get("delivered"):
+            case Delivery.CUT.value:
+                cut.append(request)
+            case Delivery.NOTHING.value:
+                unanswered.append(request)
+    return RequestEndings(
+        requests=len(requests),
+        unended=tuple(sorted(requests - last_records.keys())),
+        repeated=tuple(sorted(id for id, n in last_records.items() if n > 1)),
+        cut=tuple(cut),
+        unanswered=tuple(unanswered),
+        dropped_lines=dropped_lines,
+    )
+
+
+def _decode(line: str) -> dict:
+    start = line.find("{")
+    if start < 0:
+        return {}
+    try:
+        record = msgspec.json.decode(line[start:])
+    except msgspec.DecodeError:
+        return {}
+    return record if isinstance(record, dict) else {}
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -177,6 +177,7 @@
             "failure_domain": self.domain_of(endpoint),
             "operator_address": operator,
             "platform_url": f"http://{self._platform_address}",
+            "drain_seconds": self._plan.drain_seconds,
             "endpoint": endpoint,
             "link_address": self._sidecar_addresses[endpoint],
             "target_url": f"http://{self._relayed_target_address(endpoint)}",
@@ -198,6 +199,7 @@
             "operator_address": operator,
             "caller_address": caller,
             "platform_url": f"http://{self._platform_address}",
+            "drain_seconds": self._plan.drain_seconds,
         }
         self._start_daemon(name, "entry", settings)
 
@@ -222,6 +224,14 @@
         else:
             self.start_engine(name)
 
+    def use_target(self, endpoint: str, address: str) -> None:
+        """Restart the sidecar of an endpoint beside a server of the test."""
+        self._target_addresses[endpoint] = address
+        self._relayed_target_addresses.pop(endpoint, None)
+        self._processes[f"sidecar-{endpoint}"].kill()
+        self.start_sidecar(endpoint)
+        self.wait_ready()
+
     def domain_of(self, endpoint: str) -> str:
         """Return the failure domain of an endpoint."""
         return self._plan.domain_of(endpoint)
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -14,6 +14,7 @@
 import click
 
 from bilberryring.testing.processes import scratch_directory
+from bilberryring.testing.soak_checks import CHECKS
 
 ROOT = Path(__file__).parents[2]
 TEST_SECONDS = 300
@@ -110,10 +111,8 @@
     Mechanism(
         name="messages of other attempts are dropped",
         module="entry/prompt_request.py",
-        present="                    if message.attempt == channel.attempt:\n"
-        "                        return self._handle_finished(",
-        absent="                    if message.attempt:\n"
-        "                        return self._handle_finished(",
+        present="attempt = self._running.get(message.attempt)",
+        absent="attempt = next(iter(self._running.values()), None)",
         test="bilberryring/entry/tests/test_prompt_request.py"
         "::test_late_messages_of_an_abandoned_attempt_are_dropped",
     ),
@@ -145,9 +144,9 @@
         module="entry/caller_site.py",
         present="request.notifyFinish()"
         ".addErrback(lambda _: task.caller_disconnected())\n"
-        "        await self._run_prompt",
+        "        caller.ending.sink",
         absent="request.notifyFinish().addErrback(lambda _: None)\n"
-        "        await self._run_prompt",
+        "        caller.ending.sink",
         test=f"{SCENARIOS}/test_whole_answers.py::test_the_caller_goes_away",
     ),
     Mechanism(
@@ -255,8 +254,8 @@
     Mechanism(
         name="memory of a lead that is gone is not renewed",
         module="gateway/reservations.py",
-        present="        if not await self._manager.can_connect(self._lead):",
-        absent="        if not self._lead:",
+        present="        while not await self._manager.can_connect(self._lead):",
+        absent="        while not self._lead:",
         test="bilberryring/platform/tests/test_reservations.py"
         "::test_memory_for_a_lead_that_fell_silent_is_not_renewed_past_the_bound",
     ),
@@ -271,8 +270,8 @@
     Mechanism(
         name="bytes that complete no event are no progress",
         module="gateway/attempts.py",
-        present="        return has_data(complete_events)",
-        absent="        return True",
+        present="        is_progress = has_data(complete_events)",
+        absent="        is_progress = True",
         test="bilberryring/platform/tests/test_endless_answers.py"
         "::test_a_stream_that_sends_bytes_but_no_event_is_given_up",
     ),
@@ -310,12 +309,105 @@
     ),
     Mechanism(
         name="a body is refused while it comes",
-        module="gateway/caller_channel.py",
-        present="        if self.requests[-1].is_body_too_large:",
-        absent="        if False:",
+        module="http/caller_channel.py",
+        present="            return\n        if self.requests[-1].is_body_too_large:",
+        absent="            return\n        if False:",
         test="bilberryring/platform/tests/test_abusive_callers.py"
         "::test_a_request_without_end_gets_an_error_and_harms_no_other",
     ),
+    Mechanism(
+        name="a body has a time",
+        module="http/caller_channel.py",
+        present="self._set_timer(MAX_BODY_SECONDS, ErrorCode.BODY_TOO_SLOW)",
+        absent="self._set_timer(None)",
+        test="bilberryring/http/tests/test_caller_limits.py"
+        "::test_a_body_that_comes_too_slowly_is_refused_in_time",
+    ),
+    Mechanism(
+        name="the rest of a refused body is bounded",
+        module="http/caller_channel.py",
+        present="        self._lingered_bytes += len(data)\n",
+        absent="",
+        test="bilberryring/http/tests/test_caller_limits.py"
+        "::test_the_rest_of_a_refused_body_is_dropped_and_bounded",
+    ),
+    Mechanism(
+        name="the rest of a refused body is read",
+        module="http/caller_channel.py",
+        present="        if not self.linger_bytes:\n",
+        absent="        if True:\n",
+        test="bilberryring/http/tests/test_caller_limits.py"
+        "::test_the_rest_of_a_refused_body_is_dropped_and_bounded",
+    ),
+    Mechanism(
+        name="heads of endpoints are bounded",
+        module="gateway/endpoint_connection.py",
+        present="h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES",
+        absent="h11.CLIENT, max_incomplete_event_size=2**40",
+        test="bilberryring/gateway/tests/test_endpoint_connection.py"
+        "::test_a_head_or_a_line_has_a_bound",
+    ),
+    Mechanism(
+        name="no connection is reused whose end waits unread",
+        module="gateway/endpoint_connection.py",
+        present="return not poll.poll(0)",
+        absent="return True",
+        test="bilberryring/platform/tests/test_closed_idle_connections.py",
+    ),
+    Mechanism(
+        name="no connection is reused after a long body",
+        module="gateway/endpoint_connection.py",
+        present="self._has_long_body = len(body) > MAX_REUSE_BODY_BYTES",
+        absent="self._has_long_body = False",
+        test="bilberryring/platform/tests/test_bodies_read_late.py"
+        "::test_no_request_waits_behind_the_body_of_one_that_is_answered",
+    ),
+    Mechanism(
+        name="an abandoned response is read on for a while only",
+        module="gateway/endpoint_connection.py",
+        present="self._reactor.callLater(ABANDONED_SECONDS, self._end_abandoned)",
+        absent="pass",
+        test="bilberryring/platform/tests/test_hung_bookings.py",
+    ),
+    Mechanism(
+        name="a listener accepts until its socket is closed",
+        module="process/running.py",
+        present="self._reactor.callLater(0, _accept_waiting, listening_port)",
+        absent="pass",
+        test="bilberryring/process/tests/test_closing_listeners.py",
+    ),
+    Mechanism(
+        name="refused polls end no prompt that is written",
+        module="sidecar/prompt_runner.py",
+        present="is_writing = attempt.tokens_sent_at >= since",
+        absent="is_writing = False",
+        test="bilberryring/sidecar/tests/test_prompt_runner.py"
+        "::test_refused_polls_end_no_prompt_whose_tokens_arrive",
+    ),
+    Mechanism(
+        name="the listener closes before a stop ends",
+        module="gateway/daemon.py",
+        present='        await self._listeners.close("caller_address")\n',
+        absent="",
+        test="bilberryring/gateway/tests/test_drain.py"
+        "::test_a_gateway_accepts_connections_until_just_before_a_stop_ends",
+    ),
+    Mechanism(
+        name="each request to an engine has a connection of its own",
+        module="http/client.py",
+        present="persistent: bool = False",
+        absent="persistent: bool = True",
+        test="bilberryring/adapters/tests/test_repeated_answers.py"
+        "::test_a_second_copy_of_an_answer_is_no_answer_to_the_next_request",
+    ),
+    Mechanism(
+        name="a copy of a peer is bounded",
+        module="gateway/peers.py",
+        present="                max_frame_bytes=MAX_COPY_BYTES,\n",
+        absent="",
+        test="bilberryring/gateway/tests/test_copies_of_peers.py"
+        "::test_a_copy_that_is_too_large_ends_its_connection_at_once",
+    ),
     Mechanism(
         name="a suspect runs after the answers of all sidecars",
         module="quarantine/suspect_turns.py",
@@ -404,6 +496,30 @@
         test="bilberryring/platform/tests/test_restored_store.py"
         "::test_an_endpoint_that_is_not_back_in_time_gets_no_more_requests",
     ),
+    Mechanism(
+        name="entries and sidecars notice that the platform is in another era",
+        module="process/platform_watch.py",
+        present="        self._begin_era(answer.revision)\n",
+        absent="        self._revision = answer.revision\n",
+        test="bilberryring/process/tests/test_restored_platform.py"
+        "::test_a_set_is_read_whose_revision_was_given_out_before",
+    ),
+    Mechanism(
+        name="after a return peers of entries and sidecars come first",
+        module="process/platform_watch.py",
+        present="self._is_restored or self._sets.in_force is None",
+        absent="self._sets.in_force is None",
+        test="bilberryring/process/tests/test_restored_platform.py"
+        "::test_a_lost_set_that_a_peer_tells_of_goes_before_another_of_its_number",
+    ),
+    Mechanism(
+        name="a half-published set that was lost frees its number",
+        module="process/platform_watch.py",
+        present="self._keeper.drop_incomplete()",
+        absent="pass",
+        test="bilberryring/process/tests/test_restored_platform.py"
+        "::test_a_half_published_set_that_was_lost_does_not_hold_up_its_number",
+    ),
     Mechanism(
         name="what the store has lost goes with the copies",
         module="gateway/copy_codec.py",
@@ -548,6 +664,219 @@
         test="bilberryring/platform/tests/test_unidentified_answers.py"
         "::test_a_copy_with_the_same_id_is_not_believed_when_a_caller_uses_an_id_twice",
     ),
+    Mechanism(
+        name="a silent prompt goes on at an entry",
+        module="entry/prompt_request.py",
+        present="        decision = await self._start_successor()",
+        absent="        self._cancel_all()\n"
+        "        decision = await self._start_successor()",
+        test="bilberryring/entry/tests/test_prompt_request.py"
+        "::test_a_silent_attempt_goes_on_if_the_retry_budget_is_spent",
+    ),
+    Mechanism(
+        name="the first attempt that delivers ends the others",
+        module="entry/prompt_request.py",
+        present="        self._end_others(attempt)\n"
+        "        self._progress.may_have_run = True",
+        absent="        self._progress.may_have_run = True",
+        test="bilberryring/entry/tests/test_prompt_request.py"
+        "::test_a_silent_attempt_ends_once_another_has_delivered_something",
+    ),
+    Mechanism(
+        name="a silent engine loses no prompt",
+        module="sidecar/engine_watch.py",
+        present="self._broken_polls = 0 if is_silent else self._broken_polls + 1",
+        absent="self._broken_polls += 1",
+        test="bilberryring/sidecar/tests/test_prompt_runner.py"
+        "::test_an_engine_that_is_only_silent_loses_no_prompt",
+    ),
+    Mechanism(
+        name="an entry's own pause is no silence",
+        module="entry/sidecar_links.py",
+        present="self._last_check + LATE_CHECK_SECONDS)",
+        absent="self._reactor.seconds())",
+        test="bilberryring/entry/tests/test_sidecar_links.py"
+        "::test_a_pause_of_this_process_is_no_silence_of_a_sidecar",
+    ),
+    Mechanism(
+        name="a link to an old address stays open",
+        module="entry/sidecar_links.py",
+        present="            self._retire(link)\n",
+        absent="            link.stop()\n",
+        test="bilberryring/entry/tests/test_sidecar_links.py"
+        "::test_a_changed_address_does_not_end_the_attempts_at_the_old_one",
+    ),
+    Mechanism(
+        name="the outcome of a repeated call covers all attempts",
+        module="entry/service_request.py",
+        present="last_error = _after(last_error, error)",
+        absent="last_error = error",
+        test="bilberryring/entry/tests/test_service_request.py"
+        "::test_a_call_that_may_have_run_is_not_said_not_to_have_run",
+    ),
+    Mechanism(
+        name="entries bound callers' requests",
+        module="entry/daemon.py",
+        present="            limits=CALLER_LIMITS,\n",
+        absent="",
+        test="bilberryring/scenarios/tests/test_abusive_callers.py"
+        "::test_a_request_without_end_gets_an_error_and_harms_no_other",
+    ),
+    Mechanism(
+        name="a silent attempt goes on",
+        module="gateway/attempts.py",
+        present="if not is_silent or wakes_at == gives_up_at:",
+        absent="if True:",
+        test="bilberryring/platform/tests/test_silent_endpoints.py"
+        "::test_a_lookup_at_the_only_endpoint_is_answered_after_a_silence",
+    ),
+    Mechanism(
+        name="a deadline before a silence is no failure",
+        module="gateway/attempts.py",
+        present="if is_silent and not self._is_overdue(relay):",
+        absent="if False:",
+        test="bilberryring/gateway/tests/test_forwarding.py"
+        "::test_an_endpoint_that_was_never_silent_has_not_failed_at_a_short_deadline",
+    ),
+    Mechanism(
+        name="a stream returns to the endpoint that was replaced",
+        module="gateway/forwarding.py",
+        present="if attempt.number and context.stream is not None:",
+        absent="if False:",
+        test="bilberryring/gateway/tests/test_forwarding.py"
+        "::test_a_stream_goes_on_though_its_second_endpoint_breaks_after_an_event",
+    ),
+    Mechanism(
+        name="another attempt needs an endpoint that is not silent",
+        module="gateway/endpoint_choice.py",
+        present="if not usable and allows_avoided:",
+        absent="if not usable:",
+        test="bilberryring/gateway/tests/test_endpoint_choice.py"
+        "::test_endpoints_that_are_all_silent_get_requests_but_no_second_attempts",
+    ),
+    Mechanism(
+        name="an error of a second endpoint ends no answer",
+        module="gateway/attempts.py",
+        present="        if context.exchange.has_started:\n            return True\n",
+        absent="",
+        test="bilberryring/platform/tests/test_silent_endpoints.py"
+        "::test_an_endpoint_that_refuses_a_second_attempt_does_not_end_the_first",
+    ),
+    Mechanism(
+        name="a slow caller is no silent endpoint",
+        module="gateway/attempts.py",
+        present="since = max(since, relay.context.exchange.held_back_until)",
+        absent="pass",
+        test="bilberryring/platform/tests/test_silent_endpoints.py"
+        "::test_a_caller_that_reads_slowly_does_not_make_its_endpoint_silent",
+    ),
+    Mechanism(
+        name="an engine that prefills is not silent",
+        module="gateway/attempts.py",
+        present="if not attempt.is_silent:\n            silent_at = self",
+        absent="if False:\n            silent_at = self",
+        test="bilberryring/gateway/tests/test_forwarding.py"
+        "::test_no_second_attempt_starts_while_an_engine_prefills_a_long_prompt",
+    ),
+    Mechanism(
+        name="known work excuses half of the time at most",
+        module="routing/silence.py",
+        present="min(busy + margin, BUSY_SHARE * (deadline - since))",
+        absent="busy + margin",
+        test="bilberryring/gateway/tests/test_forwarding.py"
+        "::test_prompts_without_end_leave_half_of_the_time_for_a_second_attempt",
+    ),
+    Mechanism(
+        name="requests are answered at the end of a stop",
+        module="gateway/daemon.py",
+        present="        self._forwarder.end_all()\n",
+        absent="",
+        test="bilberryring/platform/tests/test_ends_of_stops.py"
+        "::test_a_stream_that_has_not_begun_at_the_end_of_a_stop_gets_an_error",
+    ),
+    Mechanism(
+        name="answers that are ready are read before a stop ends",
+        module="gateway/daemon.py",
+        present="await deferLater(self._reactor, DRAIN_CHECK_SECONDS)\n        if",
+        absent="if",
+        test="bilberryring/platform/tests/test_ends_of_stops.py"
+        "::test_an_answer_that_is_ready_at_the_end_of_a_stop_is_delivered",
+    ),
+    Mechanism(
+        name="a stop sends only what can end in it",
+        module="gateway/forwarding.py",
+        present="if not self._fits_stop(context, choice):\n            raise",
+        absent="if False:\n            raise",
+        test="bilberryring/platform/tests/test_late_requests.py"
+        "::test_a_prompt_in_a_stop_is_served_only_if_its_answer_is_predicted_to_end_in_it",
+    ),
+    Mechanism(
+        name="endpoints get no deadline after a stop",
+        module="gateway/forwarding.py",
+        present="        context.deadline = deadline\n",
+        absent="",
+        test="bilberryring/platform/tests/test_late_requests.py"
+        "::test_a_lookup_in_a_stop_has_a_deadline_before_its_end",
+    ),
+    Mechanism(
+        name="a stop waits for releases of memory",
+        module="gateway/daemon.py",
+        present="        await self._wait_for_releases(until=stop.exits_at)\n",
+        absent="",
+        test="bilberryring/platform/tests/test_reservations.py"
+        "::test_memory_is_released_before_the_process_exits_in_a_stop",
+    ),
+    Mechanism(
+        name="late streams are not sent on a prediction",
+        module="gateway/late_requests.py",
+        present="and now >= stop.relies_until",
+        absent="and False",
+        test="bilberryring/platform/tests/test_stops_under_load.py"
+        "::test_requests_that_run_for_as_long_or_longer_than_the_stop[grace6-4000-4.0]",
+    ),
+    Mechanism(
+        name="requests are answered at the end of an entry's drain",
+        module="entry/daemon.py",
+        present="                self._caller_site.end_all()\n",
+        absent="",
+        test="bilberryring/scenarios/tests/test_ends_of_drains.py"
+        "::test_a_stream_in_progress_when_an_entry_exits_ends_with_an_error",
+    ),
+    Mechanism(
+        name="a soak finds answers that end although endpoints only paused",
+        module="gateway/attempts.py",
+        present="if not is_silent or wakes_at == gives_up_at:",
+        absent="if True:",
+        test="bilberryring/testing/tests/test_soak.py"
+        "::test_a_short_soak_has_no_findings",
+    ),
+    Mechanism(
+        name="the first reader watches the store shortly",
+        module="platform/watch.py",
+        present="FIRST_WATCH_SECONDS = 1.0",
+        absent="FIRST_WATCH_SECONDS = 8.0",
+        test="bilberryring/platform/tests/test_lost_watch_fleets.py"
+        "::test_watches_that_began_in_a_silence[3]",
+    ),
+    Mechanism(
+        name="a gateway that becomes the first reader reads at once",
+        module="platform/watch.py",
+        present="            self._replace_if_first(call)\n",
+        absent="            pass\n",
+        test="bilberryring/platform/tests/test_lost_watch_fleets.py"
+        "::test_the_gateways_that_notice_first_end_during_the_silence[3]",
+    ),
+    *(
+        Mechanism(
+            name=f"soak check: {check}",
+            module="testing/soak_checks.py",
+            present=f'    "{check}": {function.__name__},',
+            absent=f'    "{check}": lambda history: (),',
+            test="bilberryring/testing/tests/test_soak_checks.py"
+            f"::test_a_violation_is_found_by_its_check_alone[{check}]",
+        )
+        for check, function in CHECKS.items()
+    ),
 )
 
 
--- a/bilberryring/testing/memory_endpoint.py
+++ b/bilberryring/testing/memory_endpoint.py
@@ -1,6 +1,10 @@
 """An HTTP endpoint in memory, whose answers end in every way."""
 
-from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.error import (
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -9,13 +13,20 @@
 
 
 class MemoryEndpoint:
-    """Answers the requests of its client on the first connection."""
+    """Answers the requests of its client on the connection that was opened last.
 
-    def __init__(self):
+    `options` are those of `HttpClient`.
+    """
+
+    def __init__(self, **options):
         self._reactor = MemoryReactorClock()
         self._protocol = None
         self._is_closed = False
-        self._client = HttpClient(reactor=self._reactor, base_url="http://127.0.0.1:9")
+        self._client = HttpClient(
+            reactor=self._reactor,
+            base_url="http://127.0.0.1:9",
+            **options,
+        )
 
     @property
     def client(self) -> HttpClient:
@@ -32,10 +43,16 @@
         """Whether the client has closed its connection."""
         return self._is_closed
 
+    @property
+    def connections(self) -> int:
+        """The number of connections that the client has tried to open."""
+        return len(self._reactor.tcpClients)
+
     def open(self) -> None:
         """Accept the connection that the client opens."""
         factory = self._reactor.tcpClients[-1][2]
         self._protocol = factory.buildProtocol(None)
+        self._is_closed = False
         transport = StringTransport()
         transport.abortConnection = transport.loseConnection = self._close
         self._protocol.makeConnection(transport)
@@ -46,6 +63,21 @@
             self._protocol.dataReceived(data)
         self._reactor.advance(0)
 
+    def refuse(self) -> None:
+        """Refuse the connection that the client opens."""
+        factory = self._reactor.tcpClients[-1][2]
+        factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+
+    def break_off(self, data: bytes, close: Close) -> None:
+        """Accept the connection, send a part of an answer and end the connection."""
+        self.open()
+        self.send(data)
+        self._end(close)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass on the client's clock."""
+        self._reactor.advance(seconds)
+
     def answer(self, body: bytes, *, framing: Framing, close: Close) -> None:
         """Send status 200 and the body, and end the answer.
 
@@ -53,11 +85,12 @@
         """
         self.open()
         self.send(_frame(body, framing, has_mark=close is Close.AT_END))
-        match close:
-            case Close.CLEAN:
-                self._protocol.connectionLost(Failure(ConnectionDone()))
-            case Close.RESET:
-                self._protocol.connectionLost(Failure(ConnectionLost()))
+        self._end(close)
+
+    def _end(self, close: Close) -> None:
+        if close is not Close.AT_END and not self._is_closed:
+            reason = ConnectionLost() if close is Close.RESET else ConnectionDone()
+            self._protocol.connectionLost(Failure(reason))
         self._reactor.advance(0)
 
     def _close(self) -> None:
