--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -11,7 +11,6 @@
 from io import StringIO
 
 from twisted.internet.error import TCPTimedOutError
-from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
 from bilberryring.core import Fingerprint
@@ -37,6 +36,7 @@
 from bilberryring.routing import PlacedRequest, WorkTracker
 from bilberryring.telemetry import EventLog
 from bilberryring.testing.prompt_load import FIGURES
+from bilberryring.testing.simulation_clock import SimulationClock
 
 DELAY_SECONDS = 0.005
 ARRIVAL_STEP_SECONDS = 0.01
@@ -91,7 +91,7 @@
 class _LinkTransport:
     """One end of a simulated TCP connection between two gateways."""
 
-    def __init__(self, *, clock: Clock):
+    def __init__(self, *, clock: SimulationClock):
         self._clock = clock
         self._is_open = True
         self.peer = None
@@ -105,8 +105,11 @@
     def loseConnection(self) -> None:
         self._is_open = False
 
-    def getHandle(self) -> None:
-        return None
+    def getHandle(self):
+        return self
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        pass
 
     def setTcpNoDelay(self, enabled: bool) -> None:
         pass
@@ -144,7 +147,7 @@
             return
         near, far = _LinkTransport(clock=clock), _LinkTransport(clock=clock)
         far.peer = factory.buildProtocol(None)
-        near.peer = CopyFactory(copies=target.copies).buildProtocol(None)
+        near.peer = CopyFactory(copies=target.copies, clock=clock).buildProtocol(None)
         near.peer.makeConnection(far)
         far.peer.makeConnection(near)
 
@@ -166,7 +169,7 @@
         self._prefixes = prefixes
         self._rules = rules
         self._on_start = on_start
-        self._clock = Clock()
+        self._clock = SimulationClock()
         self._random = random.Random(seed)
         self._loss = loss
         self._fleet = make_fleet(endpoints)
@@ -178,10 +181,15 @@
             self._clock.callLater(self._random.uniform(0.0, 0.3), self._start, host)
 
     @property
-    def clock(self) -> Clock:
+    def clock(self) -> SimulationClock:
         """The simulated clock."""
         return self._clock
 
+    @property
+    def fleet(self) -> FleetState:
+        """What is published, as all gateways know it."""
+        return self._fleet
+
     @property
     def gateways(self) -> tuple[SimulatedGateway, ...]:
         """All gateways that were started, by the order of their start."""
--- a/bilberryring/testing/plan.py
+++ b/bilberryring/testing/plan.py
@@ -31,7 +31,8 @@
 
     `prefill_rate` is in tokens a second. An engine is cold until it has completed
     `cold_completions` prompts, and crashes while cold when it holds more than
-    `cold_bears` prompts; `cold_allowance` is the limit that is published for it.
+    `cold_bears` prompts; `cold_allowance` is the limit that is published for it. The
+    drain of an entry or a sidecar may take `drain_seconds`.
     With `is_relayed`, all traffic to the sidecars and endpoints goes through a relay
     that can disturb it.
     """
@@ -51,6 +52,7 @@
     service_deadline_seconds: float = 5.0
     total_seconds: float = 60.0
     first_token_seconds: float = 20.0
+    drain_seconds: float = 300.0
     is_relayed: bool = False
 
     def domain_of(self, endpoint: str) -> str:
--- a/bilberryring/testing/platform_control.py
+++ b/bilberryring/testing/platform_control.py
@@ -60,6 +60,14 @@
             "revision"
         ]
 
+    def save(self) -> None:
+        """Make the copy to which `restore` returns."""
+        send_request("POST", self._address, "/control/save")
+
+    def restore(self) -> None:
+        """Return to the copy: later writes are lost, and their revisions used again."""
+        send_request("POST", self._address, "/control/restore")
+
     def counts(self) -> dict:
         """Return the platform's counts of read calls; see `CallCounts`."""
         return json.loads(send_request("GET", self._address, "/control/counts"))
--- a/bilberryring/testing/relay.py
+++ b/bilberryring/testing/relay.py
@@ -26,8 +26,9 @@
     """What happens to the connections and bytes of a route.
 
     `refuse` closes the listening port, so that the operating system refuses new
-    connections. `cut` aborts open and new connections. The other two buffer the
-    bytes of one direction.
+    connections. `cut` aborts open and new connections. The next two buffer the
+    bytes of one direction. `silence_open` drops all bytes of the
+    connections that are open now, which the next mode aborts; new ones work.
     """
 
     name: str
@@ -35,6 +36,7 @@
     hold_to_target: bool = False
     hold_to_caller: bool = False
     cut: bool = False
+    silence_open: bool = False
 
 
 class _RelayConnection(Protocol):
@@ -45,6 +47,7 @@
         self._is_caller_side = is_caller_side
         self._buffer: list[bytes] = []
         self._peer: _RelayConnection | None = None
+        self._is_silenced = False
 
     def pair_with(self, peer: "_RelayConnection") -> None:
         """Forward bytes to a peer from now on, and send it what is buffered."""
@@ -56,7 +59,18 @@
         if self._is_caller_side:
             self._route.connect_target(self)
 
+    @property
+    def is_silenced(self) -> bool:
+        """Whether the bytes that arrive are dropped."""
+        return self._is_silenced
+
+    def silence(self) -> None:
+        """Drop all bytes that arrive from now on."""
+        self._is_silenced = True
+
     def dataReceived(self, data: bytes) -> None:
+        if self._is_silenced:
+            return
         self._buffer.append(data)
         self.flush()
 
@@ -118,7 +132,10 @@
         elif not mode.refuse and self._listening_port is None:
             self._listen()
         for connection in tuple(self._connections):
-            if mode.cut and connection.transport is not None:
+            is_aborted = mode.cut or connection.is_silenced
+            if mode.silence_open:
+                connection.silence()
+            elif is_aborted and connection.transport is not None:
                 connection.transport.abortConnection()
             else:
                 connection.flush()
--- a/bilberryring/testing/restored_store.py
+++ b/bilberryring/testing/restored_store.py
@@ -1,4 +1,4 @@
-"""Many gateways that read a store which comes back from an older copy.
+"""Many gateways that read a store which loses answers or comes back from a copy.
 
 The gateways run what they read from the store and copy from each other; time and
 network are simulated.
@@ -13,6 +13,7 @@
 from bilberryring.platform.loss_rules import PlatformLossRules
 from bilberryring.platform.names import CONFIGURATION_KEY, ENDPOINT_PREFIX
 from bilberryring.platform.store import (
+    READ_TIMEOUT_SECONDS,
     HistoryLost,
     Listing,
     StoreError,
@@ -40,29 +41,43 @@
         self._gateway = gateway
 
     async def list(self, prefix: str) -> Listing:
-        await self._answer()
+        self._fleet.store_calls += 1
+        await self._answer(self._fleet.network.now + READ_TIMEOUT_SECONDS)
         store = self._fleet.store
         items = tuple(_to_item(item) for item in store.items(prefix))
         return Listing(items=items, revision=store.revision, era=store.era)
 
-    async def watch(self, prefix: str, *, after: int, era: int, wait: float) -> Listing:
+    async def watch(
+        self, prefix: str, *, after: int, era: int, wait: float, patience: float
+    ) -> Listing:
         store, clock = self._fleet.store, self._fleet.network.clock
+        self._fleet.store_calls += 1
         until = clock.seconds() + wait
+        await self._answer(until + patience)
         while True:
-            await self._answer()
+            self._check_up()
             changes = store.changes(prefix, after=after)
             if changes is None:
                 raise HistoryLost("status 410")
             if changes or clock.seconds() >= until:
                 break
             await deferLater(clock, WATCH_STEP_SECONDS)
+        await self._answer(until + patience)
         if store.era != era:
             raise StoreRestored("another era")
         items = tuple(_to_item(item) for item in changes)
         return Listing(items=items, revision=max(after, store.revision), era=era)
 
-    async def _answer(self) -> None:
-        await deferLater(self._fleet.network.clock, STORE_SECONDS)
+    async def _answer(self, until: float) -> None:
+        """Wait for an answer; one that the store loses is awaited until a time."""
+        fleet = self._fleet
+        await deferLater(fleet.network.clock, STORE_SECONDS)
+        if fleet.is_store_silent:
+            await deferLater(fleet.network.clock, max(0.0, until - fleet.network.now))
+            raise StoreError("store_unreachable: simulated, no answer")
+        self._check_up()
+
+    def _check_up(self) -> None:
         if self._fleet.is_store_down or self._gateway.is_down:
             raise StoreError("store_unreachable: simulated")
 
@@ -88,6 +103,8 @@
     def __init__(self, *, gateways: int, seed: int):
         self.store = OperatorStore()
         self.is_store_down = False
+        self.is_store_silent = False
+        self.store_calls = 0
         self._fleets: dict[str, FleetState] = {}
         self._translators: dict[str, Translator] = {}
         self.network = PeerNetwork(
@@ -100,6 +117,12 @@
             on_start=self._start,
         )
 
+    def fall_silent(self, seconds: float) -> None:
+        """Let the store lose all answers for some seconds from now."""
+        self.is_store_silent = True
+        self.network.advance(seconds)
+        self.is_store_silent = False
+
     def state(self, gateway: SimulatedGateway) -> FleetState:
         """Return what a gateway believes."""
         return self._fleets[gateway.host]
--- a/bilberryring/tool/main.py
+++ b/bilberryring/tool/main.py
@@ -2,6 +2,7 @@
 
 import sys
 from pathlib import Path
+from typing import TextIO
 
 import click
 
@@ -14,6 +15,7 @@
     build_set,
 )
 from bilberryring.process.explanations import Explanation
+from bilberryring.telemetry import RequestEndings, read_endings
 from bilberryring.tool.commands import render_into
 from bilberryring.tool.output import print_json, print_rows
 from bilberryring.tool.queries import (
@@ -190,6 +192,26 @@
     _print_explanation(explanation)
 
 
+@main.command()
+@click.argument("logs", nargs=-1, required=True, type=click.File("r"))
+@json_option
+def losses(logs: tuple[TextIO, ...], as_json: bool) -> None:
+    """Show the requests in LOGS that ended without a whole answer.
+
+    LOGS are those of gateways and entries.
+
+    The exit status is 1 if there are any: requests without a last record or with
+    several, and those whose callers stayed and got a part of an answer or nothing.
+    """
+    endings = read_endings(line for log in logs for line in log)
+    if as_json:
+        print_json(endings)
+    else:
+        _print_endings(endings)
+    if not endings.is_clean:
+        sys.exit(PROBLEMS_EXIT_CODE)
+
+
 def _read_rendered_or_exit(directory: Path):
     try:
         return read_rendered(directory)
@@ -292,7 +314,26 @@
     print_rows(header, rows)
 
 
+def _print_endings(endings: RequestEndings) -> None:
+    click.echo(f"{endings.requests} requests, {endings.dropped_lines} lines dropped")
+    groups = {
+        "no last record": endings.unended,
+        "several last records": endings.repeated,
+        "a part of an answer": endings.cut,
+        "no answer": endings.unanswered,
+    }
+    for description, requests in groups.items():
+        for request in requests:
+            click.echo(f"{description}: {request}")
+
+
 def _print_anomalies(report: StatusReport) -> None:
+    for item in report.processes:
+        if item.silent_attempts or item.reread_tokens:
+            click.echo(
+                f"silent attempts: {item.process} {item.silent_attempts}, "
+                f"prompt tokens read again {item.reread_tokens}"
+            )
     refused = {
         refused.digest: refused
         for item in report.processes
--- a/bilberryring/tool/tests/test_main.py
+++ b/bilberryring/tool/tests/test_main.py
@@ -72,3 +72,31 @@
     text = run("--help").output
     for word in ("check", "diff", "render", "status", "explain", "keys.txt"):
         assert word in text
+
+
+LOG = """\
+{"event": "attempt_started", "request": "a"}
+{"event": "request_finished", "request": "a", "delivered": "whole"}
+front-1 12.3 {"event": "attempt_started", "request": "b"}
+{"event": "caller_left", "request": "c", "delivered": "cut"}
+"""
+
+
+def test_losses_shows_a_request_without_a_last_record(run, tmp_path):
+    path = tmp_path / "gateway.log"
+    path.write_text(LOG, "utf-8")
+    shown = run("losses", path)
+    assert shown.exit_code == 1
+    assert shown.output.splitlines() == [
+        "3 requests, 0 lines dropped",
+        "no last record: b",
+    ]
+
+
+@pytest.mark.parametrize("delivered", ["cut", "nothing"])
+def test_losses_shows_a_request_that_was_not_answered_whole(run, tmp_path, delivered):
+    path = tmp_path / "gateway.log"
+    path.write_text(
+        f'{{"event": "request_failed", "request": "d", "delivered": "{delivered}"}}'
+    )
+    assert run("losses", path).exit_code == 1
--- a/bilberryring/wire/__init__.py
+++ b/bilberryring/wire/__init__.py
@@ -1,6 +1,7 @@
 """The Thrift protocol between bilberryring's own processes."""
 
 from bilberryring.wire.codec import (
+    MAX_STRING_BYTES,
     FrameError,
     decode_envelope,
     decode_message,
@@ -45,6 +46,7 @@
 from bilberryring.wire.link import LinkProtocol
 
 __all__ = [
+    "MAX_STRING_BYTES",
     "Beat",
     "CallService",
     "Cancel",
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -1615,6 +1615,7 @@
      - content_type
      - body
      - replayed
+     - content_encoding
 
     """
 
@@ -1624,15 +1625,17 @@
         'content_type',
         'body',
         'replayed',
+        'content_encoding',
     )
 
 
-    def __init__(self, attempt=None, status=None, content_type=None, body=None, replayed=None,):
+    def __init__(self, attempt=None, status=None, content_type=None, body=None, replayed=None, content_encoding=None,):
         self.attempt = attempt
         self.status = status
         self.content_type = content_type
         self.body = body
         self.replayed = replayed
+        self.content_encoding = content_encoding
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1668,6 +1671,11 @@
                     self.replayed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.content_encoding = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1698,6 +1706,10 @@
             oprot.writeFieldBegin('replayed', TType.BOOL, 5)
             oprot.writeBool(self.replayed)
             oprot.writeFieldEnd()
+        if self.content_encoding is not None:
+            oprot.writeFieldBegin('content_encoding', TType.STRING, 6)
+            oprot.writeString(self.content_encoding.encode('utf-8') if sys.version_info[0] == 2 else self.content_encoding)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4083,6 +4095,7 @@
     (3, TType.STRING, 'content_type', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'body', 'BINARY', None, ),  # 4
     (5, TType.BOOL, 'replayed', None, None, ),  # 5
+    (6, TType.STRING, 'content_encoding', 'UTF8', None, ),  # 6
 )
 all_structs.append(Held)
 Held.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -117,6 +117,8 @@
   3: string content_type,
   4: binary body,
   5: bool replayed,
+  // Absent if the body is not encoded; sidecars of earlier versions never send it.
+  6: optional string content_encoding,
 }
 
 struct Held {
