--- /dev/null
+++ b/bilberryring/testing/tests/test_soak_checks.py
@@ -0,0 +1,220 @@
+"""The checks of a soak, over records that are written by hand."""
+
+from dataclasses import replace
+
+import pytest
+
+from bilberryring.standins.gateway_site import API_KEY, PLAIN_SERVICE, CallerAnswer
+from bilberryring.testing.soak_answers import answer_body, answer_event
+from bilberryring.testing.soak_checks import CHECKS, run_checks
+from bilberryring.testing.soak_faults import SECOND_SERVICE, ChangeKind
+from bilberryring.testing.soak_records import (
+    CHARGE,
+    CHAT,
+    LOOKUP,
+    SECOND_KEY,
+    CallRecord,
+    FaultRecord,
+    LogRecord,
+    OutRecord,
+    PublishedRecord,
+    RunRecord,
+    SoakConfiguration,
+    SoakRecords,
+)
+
+STAMP = {"bilberryring-response-stamp": "s-1"}
+NOTHING = CallerAnswer(status=0, headers={}, body=b"", is_cut=True)
+FIRST = SoakConfiguration()
+SECOND = FIRST.changed(ChangeKind.MOVE_ROUTE)
+
+
+def success(body, **changes):
+    return CallerAnswer(status=200, headers=STAMP, body=body, **changes)
+
+
+def failure(status):
+    return CallerAnswer(status=status, headers={}, body=b"")
+
+
+def call(request="a", **changes):
+    record = CallRecord(
+        request=request,
+        path=LOOKUP,
+        key=API_KEY,
+        gateway=1,
+        incarnation=1,
+        deadline=4.0,
+        sent_at=100.0,
+        ended_at=100.5,
+        answer=success(answer_body(request)),
+    )
+    return replace(record, **changes)
+
+
+def run(request="a", **changes):
+    record = RunRecord(
+        request=request,
+        endpoint="orders-1",
+        instance="orders-1",
+        service=PLAIN_SERVICE,
+        domain="north",
+        at=100.1,
+        ended_at=100.4,
+    )
+    return replace(record, **changes)
+
+
+def publish(configuration, at):
+    return PublishedRecord(configuration=configuration, sent_at=at, acknowledged_at=at)
+
+
+def make_records(calls, runs, **changes):
+    published = [publish(FIRST, 0.0)]
+    return SoakRecords(
+        **{"calls": calls, "runs": runs, "published": published} | changes
+    )
+
+
+def make_fault(target, began_at=99.0, **changes):
+    fault = FaultRecord(
+        number=1, kind="x", targets=(target,), began_at=began_at, ended_at=began_at + 1
+    )
+    return replace(fault, **changes)
+
+
+def make_log(*names):
+    lines = ['{"event": "attempt_started", "request": "a"}']
+    lines += [f'{{"event": "{name}", "request": "a"}}' for name in names]
+    return LogRecord(gateway=1, incarnation=1, has_exited=True, lines=tuple(lines))
+
+
+def make_retries(count):
+    """Return records of requests of which each has reached two endpoints."""
+    names = [str(number) for number in range(count)]
+    return make_records(
+        [call(name) for name in names],
+        [run(name, at=at) for name in names for at in (100.1, 100.2)],
+    )
+
+
+CUT_STREAM = success(answer_event("a", 1), is_cut=True)
+VIOLATIONS = {
+    "own answer": make_records([call(answer=success(answer_body("b")))], [run()]),
+    "at most once": make_records([call(path=CHARGE)], [run(), run(at=100.2)]),
+    "not run": make_records([call(answer=failure(503))], [run()]),
+    "answered": make_records([call(answer=NOTHING)], [run()]),
+    "in time": make_records([call(ended_at=104.6)], [run()]),
+    "lost": make_records(
+        [call(path=CHAT, answer=CUT_STREAM)], [run(service="model", endpoint="model-1")]
+    ),
+    "no work to those out": make_records(
+        [call()],
+        [run()],
+        departures=[OutRecord(name="orders-1", acknowledged_at=98.0)],
+        faults=[make_fault("orders-1", 98.0, is_planned=True)],
+    ),
+    "configuration in force": make_records(
+        [call()], [run()], published=[publish(FIRST, 0.0), publish(SECOND, 97.9)]
+    ),
+    "configuration forward": make_records(
+        [call(), call("b", sent_at=100.6, ended_at=101.0)],
+        [run(service=SECOND_SERVICE), run("b", at=100.7)],
+        published=[publish(FIRST, 0.0), publish(SECOND, 99.0)],
+    ),
+    "retry budget": make_retries(7),
+    "last records": make_records([], [], logs=[make_log()]),
+    "processes stay": make_records([], [], own_ends=[(1, 100.0)]),
+}
+EXCUSED = {
+    "sound": make_records([call()], [run()]),
+    "left early": make_records([call(answer=CUT_STREAM, has_left=True)], [run()]),
+    "closed while idle": make_records([call(answer=NOTHING, ended_at=100.1)], []),
+    "gateway killed": make_records(
+        [call(answer=NOTHING)], [run()], faults=[make_fault("gateway-1")]
+    ),
+    "endpoint broke off": make_records(
+        [call(answer=failure(502))], [run(is_failed=True)]
+    ),
+    "stream that its endpoint broke off": make_records(
+        [call(path=CHAT, answer=NOTHING)], [run(is_failed=True, service="model")]
+    ),
+    "endpoint crashed": make_records(
+        [call(answer=failure(502))], [run()], faults=[make_fault("orders-1")]
+    ),
+    "at the time limit": make_records(
+        [call(answer=failure(504), ended_at=104.1)], [run(ended_at=104.2)]
+    ),
+    "at work late in a planned stop": make_records(
+        [call(answer=failure(502), ended_at=103.0)],
+        [run(ended_at=103.1)],
+        faults=[make_fault("gateway-1", 98.0, ended_at=104.0, is_planned=True)],
+    ),
+    "store disrupted": make_records(
+        [call()],
+        [run()],
+        published=[publish(FIRST, 0.0), publish(SECOND, 97.9)],
+        faults=[make_fault("store", 97.0)],
+    ),
+    "left while the store was disrupted": make_records(
+        [call()],
+        [run()],
+        departures=[OutRecord(name="orders-1", acknowledged_at=96.0)],
+        faults=[make_fault("store", 95.0)],
+    ),
+    "retries within the budget": make_retries(6),
+    "one last record": make_records([], [], logs=[make_log("request_finished")]),
+    "key not valid yet": make_records(
+        [call(key=SECOND_KEY, answer=failure(401))],
+        [],
+        published=[
+            publish(FIRST.changed(ChangeKind.KEY), 0.0),
+            publish(FIRST.changed(ChangeKind.KEY).changed(ChangeKind.KEY), 98.5),
+        ],
+    ),
+}
+
+
+@pytest.mark.parametrize("name", VIOLATIONS)
+def test_a_violation_is_found_by_its_check_alone(name):
+    assert {finding.check for finding in run_checks(VIOLATIONS[name])} == {name}
+
+
+def test_each_check_has_a_violation():
+    assert VIOLATIONS.keys() == CHECKS.keys()
+
+
+@pytest.mark.parametrize("name", EXCUSED)
+def test_what_the_rules_allow_is_no_finding(name):
+    assert run_checks(EXCUSED[name]) == []
+
+
+@pytest.mark.parametrize(
+    "target, began_at, is_planned",
+    [("gateway-1", 99.0, True), ("gateway-1", 95.0, False), ("orders-2", 99.0, False)],
+)
+def test_planned_work_and_faults_elsewhere_excuse_no_lost_answer(
+    target, began_at, is_planned
+):
+    fault = make_fault(target, began_at, is_planned=is_planned)
+    records = make_records([call(answer=failure(502))], [run()], faults=[fault])
+    assert [finding.check for finding in run_checks(records)] == ["lost"]
+
+
+def test_a_refusal_of_a_second_endpoint_excuses_no_lost_answer():
+    runs = [run(), run(endpoint="orders-2", at=100.2, has_run=False)]
+    records = make_records([call(answer=failure(502))], runs)
+    assert [finding.check for finding in run_checks(records)] == ["lost"]
+
+
+def test_a_lookup_is_answered_although_its_endpoint_broke_off():
+    records = make_records([call(answer=NOTHING)], [run(is_failed=True)])
+    assert [finding.check for finding in run_checks(records)] == ["answered"]
+
+
+def test_an_evacuated_domain_gets_no_work_until_it_is_taken_back():
+    out = OutRecord(name="north", acknowledged_at=95.0)
+    records = make_records([call()], [run()], evacuations=[out])
+    assert [f.check for f in run_checks(records)] == ["no work to those out"]
+    records.evacuations = [replace(out, ended_at=100.0)]
+    assert run_checks(records) == []
