Measurements of planned stops and of bursts of long prompts

bin/measure planned-stop counts what callers of a stopped gateway get, for each kind of request; burst counts the attempts given up as silent in a simulated burst, for fleets of 3 to 400 gateways, and the prompt tokens read again.

--- a/bilberryring/measure/main.py
+++ b/bilberryring/measure/main.py
@@ -5,11 +5,13 @@
 import click
 
 from bilberryring.measure import (
+    burst,
     capacity,
     endless_answers,
     failure_domain_table,
     gateway,
     head_of_line_table,
+    planned_stop,
     prediction,
     relay,
 )
@@ -47,6 +49,13 @@
     failure_domain_table.run_table(seed=seed)
 
 
+@main.command("burst")
+@click.option("--seed", default=1)
+def burst_command(seed: int) -> None:
+    """Silent attempts and prompt tokens read again in a burst without a fault."""
+    burst.run_table(seed=seed)
+
+
 @main.command("capacity")
 def capacity_command() -> None:
     """The slopes behind docs/CAPACITY.md."""
@@ -65,6 +74,12 @@
     gateway.run_table()
 
 
+@main.command("planned-stop")
+def planned_stop_command() -> None:
+    """What callers get while a gateway is stopped under load."""
+    planned_stop.run_table()
+
+
 @main.command("prediction")
 @click.argument(
     "logs", type=click.Path(exists=True, path_type=Path), nargs=-1, required=True
