A listener that closes drops handshakes first, so that none is reset

Cause: the kernel completes handshakes until the listening socket is closed, and resets what was not accepted. Between the last accept and the close there is always a moment.

Change: a socket filter drops SYN segments for 20 ms; connections that wait are accepted, then the socket is closed. The bound of 0.2 s on accepting falls away, as the queue cannot grow any more.

Ruled out: a backlog of 0 (one connection still waits). Not seen: an accepted connection that is closed with a request unread.

--- a/bilberryring/core/__init__.py
+++ b/bilberryring/core/__init__.py
@@ -27,6 +27,7 @@
 from bilberryring.core.tcp_options import (
     KEEPALIVE_SECONDS,
     TCP_USER_TIMEOUT_MS,
+    drop_handshakes,
     set_tcp_options,
 )
 
@@ -49,6 +50,7 @@
     "from_micros",
     "new_incarnation",
     "new_request_id",
+    "drop_handshakes",
     "set_tcp_options",
     "parse_number",
     "parse_whole_number",
--- a/bilberryring/core/tcp_options.py
+++ b/bilberryring/core/tcp_options.py
@@ -1,6 +1,8 @@
-"""Options of TCP connections between hosts that may vanish."""
+"""Options of TCP connections between hosts that may vanish, and of listeners."""
 
+import ctypes
 import socket
+import struct
 
 TCP_USER_TIMEOUT_MS = 5_000
 """Milliseconds after which a connection is closed whose data or keep-alive probes the
@@ -9,6 +11,21 @@
 KEEPALIVE_SECONDS = 1
 """Seconds without data before a keep-alive probe, and between two of them."""
 
+SO_ATTACH_FILTER = 26
+"""The socket option of Linux for a packet filter; `socket` does not name it."""
+_FLAGS_OFFSET = 13
+_SYN_FLAG = 0x02
+_DROP_SYN_SEGMENTS = (
+    # Load the byte of the flags.
+    (0x30, 0, 0, _FLAGS_OFFSET),
+    # Skip one instruction unless the flag is set.
+    (0x45, 0, 1, _SYN_FLAG),
+    # Return the number of bytes to keep: none, or all.
+    (0x06, 0, 0, 0),
+    (0x06, 0, 0, 0xFFFFFFFF),
+)
+"""Instructions of a classic BPF filter: code, jump if true, jump if false, operand."""
+
 
 def set_tcp_options(transport) -> None:
     """Disable Nagle's algorithm and end connections to hosts that are gone.
@@ -25,3 +42,17 @@
         (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
     ):
         raw.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def drop_handshakes(listener: socket.socket) -> None:
+    """Let no new connection begin on a listening socket; those that wait are kept.
+
+    A caller that connects is refused by its retransmission, a second later, if the
+    socket is closed by then. Without this the kernel completes connections until the
+    socket is closed, and resets those that were not accepted.
+    """
+    program = b"".join(struct.pack("=HBBI", *item) for item in _DROP_SYN_SEGMENTS)
+    instructions = ctypes.create_string_buffer(program, len(program))
+    address = ctypes.addressof(instructions)
+    descriptor = struct.pack("@HP", len(_DROP_SYN_SEGMENTS), address)
+    listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, descriptor)
--- a/bilberryring/gateway/tests/test_drain.py
+++ b/bilberryring/gateway/tests/test_drain.py
@@ -32,7 +32,8 @@
             port, self.seconds()
         )
         # No connection waits to be accepted.
-        listener.fileno = self._sockets[0].fileno
+        listener.socket = self._sockets[0]
+        listener.fileno = listener.socket.fileno
         return listener
 
     def listenUDP(self, port, protocol, interface="", maxPacketSize=8192):
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -10,7 +10,7 @@
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
-from bilberryring.core import ErrorCode, SettingsError
+from bilberryring.core import ErrorCode, SettingsError, drop_handshakes
 from bilberryring.http import MIN_IDLE_SECONDS, DrainableSite, make_site
 from bilberryring.process.settings import host_and_port
 from bilberryring.telemetry import EventLog, LogEvent
@@ -22,9 +22,9 @@
 """Connections that wait to be accepted. The handshake of one more is dropped, and its
 retransmission comes after a second, when callers have given up."""
 
-MAX_ACCEPT_SECONDS = 0.2
-"""Longest time in seconds for which a listener that is to be closed goes on accepting
-the connections that wait."""
+HANDSHAKE_SECONDS = 0.02
+"""Seconds for which a listener that takes no new connections stays open, so that those
+whose handshake is under way can be accepted; above a round trip of a region."""
 
 
 class Listeners:
@@ -69,18 +69,17 @@
     async def close(self, key: str) -> None:
         """Accept the connections that wait on an address, and none after them.
 
-        It returns once the socket is closed. The kernel accepts connections until then,
-        and until the process has exited if the reactor is stopped sooner. A key that is
-        not open is ignored.
+        It returns once the socket is closed. A key that is not open is ignored.
         """
-        deadline = self._reactor.seconds() + MAX_ACCEPT_SECONDS
-        while self.has_waiting(key) and self._reactor.seconds() < deadline:
-            await deferLater(self._reactor, 0)
-        listening_port = self._ports.pop(key, None)
-        if listening_port is not None:
-            # Reading stops at once, and the socket is closed in the next pass.
-            self._reactor.callLater(0, _accept_waiting, listening_port)
-            await maybeDeferred(listening_port.stopListening)
+        listening_port = self._ports.get(key)
+        if listening_port is None:
+            return
+        drop_handshakes(listening_port.socket)
+        await deferLater(self._reactor, HANDSHAKE_SECONDS)
+        del self._ports[key]
+        # Timers run before sockets are read, so that connections may still wait.
+        self._reactor.callLater(0, _accept_waiting, listening_port)
+        await maybeDeferred(listening_port.stopListening)
 
     async def close_http(self, key: str) -> None:
         """Serve what callers have begun to send, and close all their connections.
--- a/bilberryring/process/tests/test_closing_listeners.py
+++ b/bilberryring/process/tests/test_closing_listeners.py
@@ -3,57 +3,115 @@
 import subprocess
 import sys
 
+import pytest
+
 PROGRAM = """
 import socket
+import sys
+import threading
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import deferLater
+from twisted.internet.threads import deferToThread
 from bilberryring.process.running import Listeners
 from bilberryring.standins.gateway_site import free_ports
 
+CONNECT_SECONDS = 0.1
+
 class Answers(Protocol):
+    def connectionMade(self):
+        threading.Event().wait(factory.work_seconds)
+
     def dataReceived(self, data):
         self.transport.write(b"refused")
         self.transport.loseConnection()
 
+class Caller(threading.Thread):
+    def __init__(self):
+        super().__init__()
+        self.answer = None
+        self._is_connected = threading.Event()
+
+    def connect(self):
+        self.start()
+        self._is_connected.wait(CONNECT_SECONDS)
+
+    def run(self):
+        try:
+            raw = socket.create_connection(("127.0.0.1", port), timeout=5.0)
+        except OSError as error:
+            self.answer = f"not connected {error}"
+            return
+        try:
+            raw.sendall(b"request")
+            self._is_connected.set()
+            self.answer = raw.recv(100)
+        except OSError as error:
+            self.answer = error
+
 port = free_ports(1)[0]
-factory = Factory.forProtocol(Answers)
 listeners = Listeners(reactor=reactor)
+factory = Factory.forProtocol(Answers)
+factory.work_seconds = 0.0
 listeners.listen(f"127.0.0.1:{port}", factory, key="caller_address")
+listening_port = listeners._ports["caller_address"]
 callers = []
 
 def connect():
-    try:
-        caller = socket.create_connection(("127.0.0.1", port), timeout=1.0)
-        caller.sendall(b"request")
-        callers.append(caller)
-    except OSError as error:
-        print("not connected", error)
-
-async def run():
+    callers.append(Caller())
+    callers[-1].connect()
+
+async def close_before():
     await deferLater(reactor, 0.05)
     closing = Deferred.fromCoroutine(listeners.close("caller_address"))
-    # Work of the same pass of the reactor, during which a caller connects.
     connect()
     await closing
-    await deferLater(reactor, 0.2)
+
+async def close_after():
+    # One read of the reactor accepts as many connections as the one before.
+    connect()
+    await deferToThread(callers[0].join)
+    for _ in range(3):
+        connect()
+    factory.work_seconds = CONNECT_SECONDS
+    await listeners.close("caller_address")
+
+async def close_while():
+    close_socket = listening_port.connectionLost
+
+    def connect_and_close(reason):
+        connect()
+        close_socket(reason)
+
+    listening_port.connectionLost = connect_and_close
+    await listeners.close("caller_address")
+
+async def run(close):
+    await close()
     for caller in callers:
-        caller.settimeout(1.0)
-        try:
-            print(caller.recv(100))
-        except OSError as error:
-            print(error)
+        await deferToThread(caller.join)
+        print(caller.answer)
     reactor.stop()
 
-reactor.callWhenRunning(lambda: Deferred.fromCoroutine(run()))
+close = globals()[sys.argv[1]]
+reactor.callWhenRunning(lambda: Deferred.fromCoroutine(run(close)))
 reactor.run()
 """
 
 
-def test_a_caller_that_connects_in_the_pass_in_which_a_listener_closes_is_answered():
-    command = [sys.executable, "-c", PROGRAM]
+def answers_to_callers(close):
+    command = [sys.executable, "-c", PROGRAM, close]
     finished = subprocess.run(command, capture_output=True, text=True, timeout=20.0)
     assert finished.stderr == ""
-    answer = finished.stdout.strip()
+    return finished.stdout.splitlines()
+
+
+@pytest.mark.parametrize("close", ["close_before", "close_while"])
+def test_a_caller_that_connects_while_a_listener_closes_is_answered_or_refused(close):
+    (answer,) = answers_to_callers(close)
     assert answer == "b'refused'" or answer.startswith("not connected"), answer
+
+
+def test_callers_that_connected_before_a_listener_closes_are_answered():
+    assert answers_to_callers("close_after") == ["b'refused'"] * 4
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -369,6 +369,13 @@
         absent="pass",
         test="bilberryring/platform/tests/test_hung_bookings.py",
     ),
+    Mechanism(
+        name="a listener that closes takes no new connection",
+        module="process/running.py",
+        present="        drop_handshakes(listening_port.socket)\n",
+        absent="",
+        test="bilberryring/process/tests/test_closing_listeners.py",
+    ),
     Mechanism(
         name="a listener accepts until its socket is closed",
         module="process/running.py",
