Scenario tests share one small fleet

Six files had the same fixture of one entry, engine and service; it is in conftest.py now. No test changed.

--- a/bilberryring/scenarios/tests/conftest.py
+++ b/bilberryring/scenarios/tests/conftest.py
@@ -22,6 +22,19 @@
         fleet.stop()
 
 
+@pytest.fixture(scope="module")
+def small_fleet():
+    """A fleet of one entry, one engine and one service in one failure domain."""
+    plan = FleetPlan(
+        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
+    )
+    fleet = Fleet(plan=plan)
+    try:
+        yield fleet.start()
+    finally:
+        fleet.stop()
+
+
 @then(parsers.parse("no engine holds memory within {seconds:g} s"))
 def no_memory_held(fleet, seconds):
     """Ask the engines themselves, not the system's own ledger."""
--- a/bilberryring/scenarios/tests/test_abusive_callers.py
+++ b/bilberryring/scenarios/tests/test_abusive_callers.py
@@ -16,8 +16,7 @@
     read_all,
     send_all,
 )
-from bilberryring.testing.fleet import Fleet
-from bilberryring.testing.plan import MODEL, FleetPlan, workspace_key
+from bilberryring.testing.plan import MODEL, workspace_key
 
 TARGET = "/v1/completions"
 N_IDLE = 1_000
@@ -25,15 +24,8 @@
 
 
 @pytest.fixture(scope="module")
-def fleet():
-    plan = FleetPlan(
-        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
-    )
-    fleet = Fleet(plan=plan)
-    try:
-        yield fleet.start()
-    finally:
-        fleet.stop()
+def fleet(small_fleet):
+    return small_fleet
 
 
 @pytest.fixture
--- a/bilberryring/scenarios/tests/test_call_paths.py
+++ b/bilberryring/scenarios/tests/test_call_paths.py
@@ -6,22 +6,14 @@
 
 import pytest
 
-from bilberryring.testing.fleet import Fleet
-from bilberryring.testing.plan import SERVICE, FleetPlan, workspace_key
+from bilberryring.testing.plan import SERVICE, workspace_key
 
 CALLS_PATH = f"/v1/services/{SERVICE}/calls"
 
 
 @pytest.fixture(scope="module")
-def fleet():
-    plan = FleetPlan(
-        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
-    )
-    fleet = Fleet(plan=plan)
-    try:
-        yield fleet.start()
-    finally:
-        fleet.stop()
+def fleet(small_fleet):
+    return small_fleet
 
 
 def address(fleet):
--- a/bilberryring/scenarios/tests/test_hangups.py
+++ b/bilberryring/scenarios/tests/test_hangups.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from bilberryring.testing.fleet import Fleet
-from bilberryring.testing.plan import MODEL, SERVICE, FleetPlan
+from bilberryring.testing.plan import MODEL, SERVICE
 from bilberryring.testing.processes import ManagedProcess, pause
 
 EXIT_SECONDS = 15.0
@@ -20,22 +19,10 @@
 }
 
 
-@pytest.fixture(scope="module")
-def started_fleet():
-    plan = FleetPlan(
-        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
-    )
-    fleet = Fleet(plan=plan)
-    try:
-        yield fleet.start()
-    finally:
-        fleet.stop()
-
-
 @pytest.fixture(params=["entry", "sidecar of an engine", "sidecar of a service"])
-def name(request, started_fleet):
+def name(request, small_fleet):
     """A process that runs, and is started again after the test if it has exited."""
-    fleet = started_fleet
+    fleet = small_fleet
     names = {
         "entry": "entry-1",
         "sidecar of an engine": f"sidecar-{fleet.engines[0]}",
@@ -81,8 +68,8 @@
     ]
 
 
-def test_a_hangup_cuts_no_request_and_ends_no_process(started_fleet, name):
-    fleet = started_fleet
+def test_a_hangup_cuts_no_request_and_ends_no_process(small_fleet, name):
+    fleet = small_fleet
     with ThreadPoolExecutor(2 * N_CALLS) as pool:
         check_uncut(*send_around(fleet, pool, name, fleet.process(name).send_sighup))
     assert fleet.process(name).is_running
@@ -92,9 +79,9 @@
 @pytest.mark.parametrize("gap", GAPS_SECONDS)
 @pytest.mark.parametrize("order", ORDERS)
 def test_a_hangup_beside_the_signal_of_a_stop_cuts_no_request(
-    started_fleet, name, order, gap
+    small_fleet, name, order, gap
 ):
-    fleet = started_fleet
+    fleet = small_fleet
     process = fleet.process(name)
 
     def send_both():
--- a/bilberryring/scenarios/tests/test_last_records.py
+++ b/bilberryring/scenarios/tests/test_last_records.py
@@ -18,15 +18,8 @@
 
 
 @pytest.fixture(scope="module")
-def fleet():
-    plan = FleetPlan(
-        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
-    )
-    fleet = Fleet(plan=plan)
-    try:
-        yield fleet.start()
-    finally:
-        fleet.stop()
+def fleet(small_fleet):
+    return small_fleet
 
 
 @pytest.fixture
--- a/bilberryring/scenarios/tests/test_slow_frames.py
+++ b/bilberryring/scenarios/tests/test_slow_frames.py
@@ -9,8 +9,7 @@
 
 import pytest
 
-from bilberryring.testing.fleet import Fleet
-from bilberryring.testing.plan import SERVICE, FleetPlan
+from bilberryring.testing.plan import SERVICE
 from bilberryring.testing.processes import pause, wait_until
 from bilberryring.wire import MAX_STRING_BYTES, Hello, encode_message
 
@@ -26,15 +25,8 @@
 
 
 @pytest.fixture(scope="module")
-def fleet():
-    plan = FleetPlan(
-        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
-    )
-    fleet = Fleet(plan=plan)
-    try:
-        yield fleet.start()
-    finally:
-        fleet.stop()
+def fleet(small_fleet):
+    return small_fleet
 
 
 class SlowPeer:
--- a/bilberryring/scenarios/tests/test_stops_under_load.py
+++ b/bilberryring/scenarios/tests/test_stops_under_load.py
@@ -7,8 +7,8 @@
 import pytest
 
 from bilberryring.standins.stop_callers import parse_answers
-from bilberryring.testing.fleet import READY_TIMEOUT_SECONDS, Fleet
-from bilberryring.testing.plan import MODEL, FleetPlan, workspace_key
+from bilberryring.testing.fleet import READY_TIMEOUT_SECONDS
+from bilberryring.testing.plan import MODEL, workspace_key
 from bilberryring.testing.processes import pause, wait_until
 
 ENTRY = "entry-1"
@@ -21,29 +21,17 @@
 """Bytes of a request that are sent before the stop."""
 
 
-@pytest.fixture(scope="module")
-def started_fleet():
-    plan = FleetPlan(
-        domains=("valpo-a",), entry_domains=("valpo-a",), engines_per_domain=1
-    )
-    fleet = Fleet(plan=plan)
-    try:
-        yield fleet.start()
-    finally:
-        fleet.stop()
-
-
 @pytest.fixture
-def fleet(started_fleet):
-    if not started_fleet.process(ENTRY).is_running:
-        started_fleet.restart(ENTRY)
+def fleet(small_fleet):
+    if not small_fleet.process(ENTRY).is_running:
+        small_fleet.restart(ENTRY)
         wait_until(
-            lambda: started_fleet.is_ready(ENTRY),
+            lambda: small_fleet.is_ready(ENTRY),
             READY_TIMEOUT_SECONDS,
             "the entry to return",
         )
-    yield started_fleet
-    started_fleet.process(ENTRY).kill()
+    yield small_fleet
+    small_fleet.process(ENTRY).kill()
 
 
 def connect(fleet):
