An endpoint that returned elsewhere is kept when it is removed again

What callers saw: a call with a ticket got "the ticket's endpoint is not in the fleet", outcome unknown, for a ticket of an endpoint that had just been removed and whose sidecar was sound (by reading of the ticket's path; the link and its record were gone in the test).

Cause: an entry keeps an endpoint that is no longer in the set for 600 s. The end of that time was not forgotten when the endpoint came back at another address, so the next removal, once 600 s had passed since the first, closed the link at once.

Evidence: test_sidecar_links, an endpoint that is removed, returns at another address and is removed again: the record was gone before, the link is open and takes a ticket now.

Change: the end is forgotten whenever the endpoint is tracked again.

Ruled out: the same with an unchanged address (the end was forgotten there).

--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -309,6 +309,7 @@
                 channel.deliver(EndpointSilent())
 
     def _track_endpoint(self, name: str, endpoint: Endpoint) -> None:
+        self._untrack_at.pop(name, None)
         link = self._links.get(name)
         if link is not None and link.record.endpoint.sidecar != endpoint.sidecar:
             self._retire(link)
@@ -322,7 +323,6 @@
             self._links[name] = link
             link.connect()
             return
-        self._untrack_at.pop(name, None)
         link.record.replace_endpoint(endpoint)
 
     def _retire(self, link: SidecarLink) -> None:
--- a/bilberryring/entry/tests/test_sidecar_links.py
+++ b/bilberryring/entry/tests/test_sidecar_links.py
@@ -207,3 +207,16 @@
     assert not harness.delivered(EndpointSilent)
     harness.pass_time(REPORT_FRESH_SECONDS)
     assert harness.delivered(EndpointSilent)
+
+
+def test_an_endpoint_that_returned_elsewhere_is_kept_as_long_when_it_is_removed_again(
+    harness,
+):
+    harness.connect("10.0.0.1:9")
+    harness.links.track({})
+    link = harness.connect("10.0.0.2:9", incarnation="i2")
+    harness.reactor.advance(UNTRACK_DELAY_SECONDS + 1.0)
+    harness.links.track({})
+    assert harness.links.record("e") is not None and link.is_open
+    channel = harness.links.open_attempt("e", harness.mailbox, incarnation="i2")
+    assert channel.link is link
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -369,6 +369,13 @@
         absent="pass",
         test="bilberryring/platform/tests/test_hung_bookings.py",
     ),
+    Mechanism(
+        name="an endpoint that returns is untracked later only",
+        module="entry/sidecar_links.py",
+        present="        self._untrack_at.pop(name, None)\n",
+        absent="",
+        test="bilberryring/entry/tests/test_sidecar_links.py",
+    ),
     Mechanism(
         name="a listener that closes takes no new connection",
         module="process/running.py",
