A service with a weight of 0 is never drawn, also if it is the only one left

What callers saw: on a route whose other service a configuration had taken away, every request got a 500 with the outcome unknown, though none had been sent anywhere.

Cause: the services that are gone were left out of the draw, those with a weight of 0 were not. If only these remain, the sum of the weights is 0, and the draw raises.

The decoding refuses a route whose weights are all 0, not one whose services with a weight are missing.

Change: a service with a weight of 0 does not take part.

Ruled out: weights whose sum is infinite, and a route without any service (tests of before).

--- a/bilberryring/gateway/request_gate.py
+++ b/bilberryring/gateway/request_gate.py
@@ -94,7 +94,11 @@
     def _service(self, route: Route) -> Service:
         """Return one of the route's existing services, chosen at random by weight."""
         services = self._fleet.configuration.services
-        shares = [share for share in route.shares if share.service in services]
+        shares = [
+            share
+            for share in route.shares
+            if share.service in services and share.weight
+        ]
         if not shares:
             raise not_run(ErrorCode.NO_ENDPOINT, retry_after=1.0)
         chosen = random.choices(shares, weights=[share.weight for share in shares])
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -369,6 +369,13 @@
         absent="pass",
         test="bilberryring/platform/tests/test_hung_bookings.py",
     ),
+    Mechanism(
+        name="a service with a weight of 0 is not chosen",
+        module="gateway/request_gate.py",
+        present="            if share.service in services and share.weight\n",
+        absent="            if share.service in services\n",
+        test="bilberryring/platform/tests/test_services_taken_away.py",
+    ),
     Mechanism(
         name="an endpoint that returns is untracked later only",
         module="entry/sidecar_links.py",
