A call with a ticket is not said not to have run because its key has gone

What callers saw: a booking whose answer was lost, sent again with the same ticket after a configuration had taken its key or its service away, got "not_run" (401, 404), though the first copy may have run.

Cause: an entry that is draining or has no set says "unknown" for a call with a ticket. Its other refusals before the ledger is asked, for the key, the service and the size, did not.

Change: these three refusals use the same function, without a Retry-After as before.

Ruled out by reading: other words of "not run" about a ticket at an entry; a path that is unknown is no call.

--- a/bilberryring/entry/caller_site.py
+++ b/bilberryring/entry/caller_site.py
@@ -154,9 +154,9 @@
         key = header.removeprefix("Bearer ").strip()
         workspace = objects.workspace_of_key(key)
         if workspace is None:
-            raise _not_run_error(ErrorCode.KEY_UNKNOWN)
+            raise _no_ledger_error(request, ErrorCode.KEY_UNKNOWN, retry_after=None)
         if request.is_body_too_large:
-            raise _not_run_error(ErrorCode.BODY_TOO_LARGE)
+            raise _no_ledger_error(request, ErrorCode.BODY_TOO_LARGE, retry_after=None)
         return _Caller(ending=ending, objects=objects, workspace=workspace)
 
     def _report_failure(self, ending: RequestEnding, error: ServingError) -> None:
@@ -284,7 +284,7 @@
 
     async def _service(self, request: BoundedRequest, caller: _Caller) -> None:
         path = [_decode_text(part) for part in request.postpath]
-        service = self._find_service(caller, path[0] if path else "")
+        service = self._find_service(request, caller, path[0] if path else "")
         match path[1:]:
             case ["tickets"] if request.method == b"POST":
                 ticket = issue_ticket(
@@ -299,10 +299,12 @@
             case _:
                 raise _not_run_error(ErrorCode.PATH_UNKNOWN)
 
-    def _find_service(self, caller: _Caller, name: str) -> Service:
+    def _find_service(
+        self, request: BoundedRequest, caller: _Caller, name: str
+    ) -> Service:
         service = caller.objects.services.get(name)
         if service is None or name not in caller.workspace.services:
-            raise _not_run_error(ErrorCode.SERVICE_UNKNOWN)
+            raise _no_ledger_error(request, ErrorCode.SERVICE_UNKNOWN, retry_after=None)
         return service
 
     async def _call_service(
@@ -385,7 +387,12 @@
     )
 
 
-def _no_ledger_error(request: BoundedRequest, code: ErrorCode) -> ServingError:
+def _no_ledger_error(
+    request: BoundedRequest,
+    code: ErrorCode,
+    *,
+    retry_after: float | None = RETRY_AFTER_SECONDS,
+) -> ServingError:
     """Return the error of a request that is refused before its ledger is asked.
 
     Another copy of a call with the same ticket may have run. Only the ledger that
@@ -393,7 +400,7 @@
     """
     has_ticket = request.getHeader(IDEMPOTENCY_HEADER) is not None
     outcome = RunOutcome.UNKNOWN if has_ticket else RunOutcome.NOT_RUN
-    return ServingError(code=code, outcome=outcome, retry_after=RETRY_AFTER_SECONDS)
+    return ServingError(code=code, outcome=outcome, retry_after=retry_after)
 
 
 def _not_run_error(
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -369,6 +369,28 @@
         absent="pass",
         test="bilberryring/platform/tests/test_hung_bookings.py",
     ),
+    Mechanism(
+        name="a call with a ticket refused for its key has an unknown outcome",
+        module="entry/caller_site.py",
+        present="_no_ledger_error(request, ErrorCode.KEY_UNKNOWN, retry_after=None)",
+        absent="_not_run_error(ErrorCode.KEY_UNKNOWN)",
+        test="bilberryring/entry/tests/test_caller_site.py",
+    ),
+    Mechanism(
+        name="a call with a ticket refused for its service has an unknown outcome",
+        module="entry/caller_site.py",
+        present="_no_ledger_error("
+        "request, ErrorCode.SERVICE_UNKNOWN, retry_after=None)",
+        absent="_not_run_error(ErrorCode.SERVICE_UNKNOWN)",
+        test="bilberryring/entry/tests/test_caller_site.py",
+    ),
+    Mechanism(
+        name="a call with a ticket refused for its size has an unknown outcome",
+        module="entry/caller_site.py",
+        present="_no_ledger_error(request, ErrorCode.BODY_TOO_LARGE, retry_after=None)",
+        absent="_not_run_error(ErrorCode.BODY_TOO_LARGE)",
+        test="bilberryring/entry/tests/test_caller_site.py",
+    ),
     Mechanism(
         name="a service with a weight of 0 is not chosen",
         module="gateway/request_gate.py",
