A busy process answers who was there when its listener closed: a test

Cause: none found.

Evidence: test_closing_listeners[close_while_busy], the reactor is held for most of the 20 ms while one caller waits to be accepted and another connects: answered, and refused.

Change: the test alone.

--- a/bilberryring/process/tests/test_closing_listeners.py
+++ b/bilberryring/process/tests/test_closing_listeners.py
@@ -88,6 +88,12 @@
     listening_port.connectionLost = connect_and_close
     await listeners.close("caller_address")
 
+async def close_while_busy():
+    connect()
+    # The process does not run for most of the time in which handshakes are dropped.
+    reactor.callLater(0, connect)
+    await listeners.close("caller_address")
+
 async def close_without_filters():
     def refuse_filter(listener):
         raise OSError("no filters here")
@@ -127,6 +133,11 @@
     assert answers_to_callers("close_after") == ["b'refused'"] * 4
 
 
+def test_a_process_that_is_busy_while_its_listener_closes_answers_who_was_there():
+    first, second = answers_to_callers("close_while_busy")
+    assert first == "b'refused'" and second.startswith("not connected")
+
+
 def test_a_listener_closes_where_the_kernel_takes_no_filter():
     first, second = answers_to_callers("close_without_filters")
     assert first == "b'refused'" and second.startswith("not connected")
