Test sites and fleets hold their loopback networks while they run

With equal draws forced, both sites had 127.7.7 and both fleets 127.7.7.1. - `free_ports` closed the ports that it returned. A relay's route was then bound on 127.0.0.1, where each outgoing connection of the machine has a port from the same range: with such a connection on the drawn port, the bind fails and adding the route ends with status 500 (trial). - `free_ports` listened on all IP addresses meanwhile, so that in that moment a process of another run could not bind a port that it had drawn. - A port of the peers' range could be drawn for callers or readiness too. - Endpoints and the store had assigned ports on 127.0.0.1. One that is closed could be given to an endpoint of another test, while a gateway still called it.

Change: `LoopbackNetwork` binds and holds a claim on one address of a network, which the kernel gives to one process at a time and takes back when it exits. Ports are below those that the kernel assigns, and an address is returned once. Sites, fleets, endpoints, the store and the soak's routes use it; `free_ports`, `draw_network` and `AddressAllocator` are gone. Ports are bound and held where the process itself listens.

Not prevented: gateways that outlive a killed test process, while their network is drawn again (1 in 64,516 draws), and a listener of other software on all IP addresses and one of the fixed ports, with which a gateway exits and says so.

The checks of the tests that used `free_ports` are unchanged.

--- a/bilberryring/process/tests/test_closing_listeners.py
+++ b/bilberryring/process/tests/test_closing_listeners.py
@@ -15,8 +15,9 @@
 from twisted.internet.task import deferLater
 from twisted.internet.threads import deferToThread
 from bilberryring.process import running
+from bilberryring.process.settings import host_and_port
 from bilberryring.process.running import Listeners
-from bilberryring.standins.gateway_site import free_ports
+from bilberryring.standins.loopback import process_network
 
 CONNECT_SECONDS = 0.1
 
@@ -40,7 +41,7 @@
 
     def run(self):
         try:
-            raw = socket.create_connection(("127.0.0.1", port), timeout=5.0)
+            raw = socket.create_connection(host_and_port(address), timeout=5.0)
         except OSError as error:
             self.answer = f"not connected {error}"
             return
@@ -51,11 +52,11 @@
         except OSError as error:
             self.answer = error
 
-port = free_ports(1)[0]
+address = process_network().allocate()
 listeners = Listeners(reactor=reactor)
 factory = Factory.forProtocol(Answers)
 factory.work_seconds = 0.0
-listeners.listen(f"127.0.0.1:{port}", factory, key="caller_address")
+listeners.listen(address, factory, key="caller_address")
 listening_port = listeners._ports["caller_address"]
 callers = []
 
--- a/bilberryring/process/tests/test_listeners.py
+++ b/bilberryring/process/tests/test_listeners.py
@@ -13,13 +13,14 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import Factory
 from twisted.internet.task import deferLater
+from bilberryring.process.settings import host_and_port
 from bilberryring.process.running import Listeners, run_until_drained
-from bilberryring.standins.gateway_site import free_ports
+from bilberryring.standins.loopback import process_network
 from bilberryring.telemetry import EventLog
 
-port = free_ports(1)[0]
+address = process_network().allocate()
 listeners = Listeners(reactor=reactor)
-listeners.listen(f"127.0.0.1:{port}", Factory(), key="caller_address")
+listeners.listen(address, Factory(), key="caller_address")
 
 class Daemon:
     async def drain(self):
@@ -30,7 +31,7 @@
 log = EventLog(process="p", role="gateway", stream=StringIO())
 run_until_drained(reactor=reactor, daemon=Daemon(), log=log)
 with socket.socket() as caller:
-    print(caller.connect_ex(("127.0.0.1", port)))
+    print(caller.connect_ex(host_and_port(address)))
 """
 CONNECTED = "0"
 
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -1,20 +1,19 @@
 """Gateway processes with a simulated operators' store, for tests on loopback.
 
 Each gateway has its own loopback IP address, so that all can use the same port
-numbers, as gateways on separate VMs do.
+numbers, as gateways on separate VMs do, and each site has a network of its own.
 """
 
-import contextlib
 import http.client
 import json
 import os
-import random
 import shutil
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from bilberryring.standins.loopback import LoopbackNetwork
 from bilberryring.standins.scripted_endpoint import ScriptedEndpoint
 from bilberryring.testing.processes import (
     ManagedProcess,
@@ -25,6 +24,10 @@
 HOST_NAME = "site.example"
 API_KEY = "key-1"
 WORKSPACE = "bars"
+PEER_PORT = 20_010
+CALLER_PORT = 20_080
+READY_PORT = 20_081
+STORE_HOST_NUMBER = 199
 READY_TIMEOUT_SECONDS = 15.0
 ANSWER_TIMEOUT_SECONDS = 15.0
 LOG_END_LINES = 40
@@ -63,29 +66,6 @@
     is_cut: bool = False
 
 
-def free_ports(count: int) -> list[int]:
-    """Return different port numbers that are free on all local IP addresses.
-
-    All listeners stay open until the last number is drawn, because the kernel may
-    assign the port of a closed listener again.
-    """
-    with contextlib.ExitStack() as stack:
-        listeners = [
-            stack.enter_context(socket.create_server(("0.0.0.0", 0)))
-            for _ in range(count)
-        ]
-        return [listener.getsockname()[1] for listener in listeners]
-
-
-def draw_network() -> str:
-    """Return the first three numbers of loopback addresses that no other site has.
-
-    A free port can be taken by a site of another process before its gateway listens.
-    """
-    numbers = random.SystemRandom()
-    return f"127.{numbers.randrange(1, 255)}.{numbers.randrange(1, 255)}"
-
-
 def make_route(prefix: str, kind: str, service: str, **changes) -> dict:
     """Return a route in the form that operators publish.
 
@@ -157,8 +137,7 @@
         self._retry_slack = retry_slack
         self._retry_ratio = retry_ratio
         self._grace = grace
-        self._network = draw_network()
-        self._peer_port, self._caller_port, self._ready_port = free_ports(3)
+        self._network = LoopbackNetwork()
         self._processes: dict[str, ManagedProcess] = {}
         self._endpoints: list[ScriptedEndpoint] = []
         self._store_address = ""
@@ -177,11 +156,18 @@
         """Start the store, but no gateway, and return the site."""
         store = ManagedProcess(
             name="store",
-            arguments=["bilberryring.standins.main", "store"],
+            arguments=[
+                "bilberryring.standins.main",
+                "store",
+                "--host",
+                self._host(STORE_HOST_NUMBER),
+            ],
             directory=self._directory,
         )
         self._processes["store"] = store
-        self._store_address = f"127.0.0.1:{store.listening_port()}"
+        self._store_address = (
+            f"{self._host(STORE_HOST_NUMBER)}:{store.listening_port()}"
+        )
         return self
 
     def stop(self) -> None:
@@ -192,6 +178,7 @@
                 process.kill()
         for endpoint in self._endpoints:
             endpoint.close()
+        self._network.close()
         shutil.rmtree(self._directory, ignore_errors=True)
 
     def process(self, name: str) -> ManagedProcess:
@@ -211,11 +198,11 @@
         seeds = [f"{self._host(other + 1)}:1" for other in range(self._n_gateways)]
         text = (
             f'node = "{name}"\nip = "{host}"\nzone = "north"\nregion = "here"\n'
-            f"internal_ports = [{self._peer_port}, {self._peer_port + 9}]\n"
+            f"internal_ports = [{PEER_PORT}, {PEER_PORT + 9}]\n"
             f"seeds = {json.dumps(seeds)}\n"
             f'[zones]\nnorth = "here"\nsouth = "here"\n'
-            f'[listen]\nfront = "{host}:{self._caller_port}"\n'
-            f'ready = "{host}:{self._ready_port}"\n'
+            f'[listen]\nfront = "{host}:{CALLER_PORT}"\n'
+            f'ready = "{host}:{READY_PORT}"\n'
             f'[platform]\naddress = "{store_address or self._store_address}"\n'
             f"[bounds]\ngrace_s = {self._grace}\nretry_slack = {self._retry_slack}\n"
             f"budget_ratio = {self._retry_ratio}\n"
@@ -304,7 +291,7 @@
         """Return whether a gateway answers its readiness probe with status 200."""
         try:
             connection = http.client.HTTPConnection(
-                self._host(number), self._ready_port, timeout=1.0
+                self._host(number), READY_PORT, timeout=1.0
             )
             connection.request("GET", "/v1/ready")
             return connection.getresponse().status == 200
@@ -314,13 +301,13 @@
     def connect(self, number: int = 1) -> http.client.HTTPConnection:
         """Return an HTTP connection to the callers' port of a gateway."""
         return http.client.HTTPConnection(
-            self._host(number), self._caller_port, timeout=ANSWER_TIMEOUT_SECONDS
+            self._host(number), CALLER_PORT, timeout=ANSWER_TIMEOUT_SECONDS
         )
 
     def caller_socket(self, number: int = 1) -> socket.socket:
         """Return a connected socket to the callers' port of a gateway."""
         return socket.create_connection(
-            (self._host(number), self._caller_port), timeout=ANSWER_TIMEOUT_SECONDS
+            (self._host(number), CALLER_PORT), timeout=ANSWER_TIMEOUT_SECONDS
         )
 
     def call(
@@ -361,14 +348,14 @@
     def metrics(self, number: int = 1) -> str:
         """Return the text of a gateway's metrics page."""
         connection = http.client.HTTPConnection(
-            self._host(number), self._peer_port + 1, timeout=ANSWER_TIMEOUT_SECONDS
+            self._host(number), PEER_PORT + 1, timeout=ANSWER_TIMEOUT_SECONDS
         )
         connection.request("GET", "/metrics")
         return connection.getresponse().read().decode()
 
     def operator_address(self, number: int = 1) -> str:
         """Return the address on which a gateway serves operators."""
-        return f"{self._host(number)}:{self._peer_port + 1}"
+        return f"{self._host(number)}:{PEER_PORT + 1}"
 
     def log_events(self, number: int = 1, event: str | None = None) -> list[dict]:
         """Return the log lines of a gateway, or only those of one event."""
@@ -410,7 +397,7 @@
             raise RuntimeError(f"{name} exited: {process.log_text[-2000:]}")
 
     def _host(self, number: int) -> str:
-        return f"{self._network}.{number}"
+        return self._network.host(number)
 
     def _control(self, action: str, query: str, body: bytes) -> None:
         connection = http.client.HTTPConnection(
--- a/bilberryring/standins/scripted_endpoint.py
+++ b/bilberryring/standins/scripted_endpoint.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bilberryring.standins.loopback import process_network
+
 STAMP_HEADER = "Bilberryring-Response-Stamp: s-1"
 NOT_EXECUTED_HEADER = "Bilberryring-Not-Executed: 1"
 MAX_LINE_BYTES = 65_536
@@ -35,14 +37,14 @@
 
 
 class ScriptedEndpoint:
-    """Listens on a free port and runs the script on each request.
+    """Listens on an address of its own and runs the script on each request.
 
     Each connection is served by its own thread.
     """
 
-    def __init__(self, *, script: Script, host: str = "127.0.0.1"):
+    def __init__(self, *, script: Script):
         self._script = script
-        self._listener = socket.create_server((host, 0))
+        self._listener = process_network().listen()
         self._seen: list[ReceivedRequest] = []
         self._connections: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -12,11 +12,11 @@
     ObjectSet,
     render_set,
 )
+from bilberryring.standins.loopback import LoopbackNetwork
 from bilberryring.testing.caller import Caller
 from bilberryring.testing.plan import (
     ENGINE_PREFIX,
     SERVICE_PREFIX,
-    AddressAllocator,
     FleetPlan,
     build_objects,
     workspace_key,
@@ -40,7 +40,7 @@
     def __init__(self, *, plan: FleetPlan | None = None):
         self._plan = plan or FleetPlan()
         self._directory = scratch_directory()
-        self._address_allocator = AddressAllocator()
+        self._network = LoopbackNetwork()
         self._processes: dict[str, ManagedProcess] = {}
         self._target_addresses: dict[str, str] = {}
         self._sidecar_addresses: dict[str, str] = {}
@@ -116,6 +116,7 @@
             if process.is_running:
                 process.resume()
                 process.kill()
+        self._network.close()
         shutil.rmtree(self._directory, ignore_errors=True)
 
     def process(self, name: str) -> ManagedProcess:
@@ -132,7 +133,7 @@
             for index in range(self._plan.services_per_domain):
                 self.start_service(f"{SERVICE_PREFIX}{domain}-{index + 1}")
         for name in self._target_addresses:
-            self._sidecar_addresses[name] = self._address_allocator.allocate()
+            self._sidecar_addresses[name] = self._network.allocate()
             self._published_addresses[name] = self._sidecar_addresses[name]
             self._processes[name].listening_port()
         self._processes["platform"].listening_port()
@@ -169,9 +170,7 @@
     def start_sidecar(self, endpoint: str, *, name: str = "") -> str:
         """Start a sidecar for an endpoint and return the name of its process."""
         name = name or f"sidecar-{endpoint}"
-        operator = self._operator_addresses.setdefault(
-            name, self._address_allocator.allocate()
-        )
+        operator = self._operator_addresses.setdefault(name, self._network.allocate())
         settings = {
             "process": name,
             "failure_domain": self.domain_of(endpoint),
@@ -187,12 +186,8 @@
 
     def start_entry(self, name: str, domain: str) -> None:
         """Start or restart an entry in a failure domain."""
-        operator = self._operator_addresses.setdefault(
-            name, self._address_allocator.allocate()
-        )
-        caller = self._caller_addresses.setdefault(
-            name, self._address_allocator.allocate()
-        )
+        operator = self._operator_addresses.setdefault(name, self._network.allocate())
+        caller = self._caller_addresses.setdefault(name, self._network.allocate())
         settings = {
             "process": name,
             "failure_domain": domain,
@@ -303,7 +298,7 @@
 
         The address is published with the next set that `base_objects` gives.
         """
-        address = self._address_allocator.allocate()
+        address = self._network.allocate()
         self._sidecar_addresses[endpoint] = address
         self._published_addresses[endpoint] = address
         return address
@@ -411,7 +406,7 @@
         Entries then reach each sidecar, and each sidecar its endpoint, through the
         relay.
         """
-        self._relay_address = self._address_allocator.allocate()
+        self._relay_address = self._network.allocate()
         host, port = self._relay_address.rsplit(":", 1)
         arguments = ["bilberryring.testing.main", "--host", host, "--port", port]
         process = ManagedProcess(
@@ -428,7 +423,7 @@
             )
 
     def _add_route(self, name: str, target: str) -> str:
-        listen = self._address_allocator.allocate()
+        listen = self._network.allocate()
         body = json.dumps({"name": name, "listen": listen, "target": target})
         send_request("POST", self._relay_address, "/routes", body.encode())
         return listen
@@ -441,7 +436,7 @@
     def _start_stand_in(
         self, name: str, arguments: list[str], *, address: str | None = None
     ) -> str:
-        address = address or self._address_allocator.allocate()
+        address = address or self._network.allocate()
         host, port = address.rsplit(":", 1)
         process = ManagedProcess(
             name=name,
--- a/bilberryring/testing/plan.py
+++ b/bilberryring/testing/plan.py
@@ -1,7 +1,5 @@
-"""The plan of a small fleet: its size, its addresses and its published objects."""
+"""The plan of a small fleet: its size and its published objects."""
 
-import random
-import socket
 from dataclasses import dataclass
 
 from bilberryring.objects import (
@@ -65,32 +63,6 @@
     return KEY_TEMPLATE.format(workspace=workspace)
 
 
-class AddressAllocator:
-    """Allocates free addresses on a random loopback IP address.
-
-    The random IP address keeps fleets that run at the same time apart.
-    """
-
-    def __init__(self):
-        self._host = f"127.{random.randint(1, 254)}.{random.randint(0, 255)}.1"
-        self._allocated_ports: set[int] = set()
-
-    @property
-    def host(self) -> str:
-        """The IP address that all allocated addresses share."""
-        return self._host
-
-    def allocate(self) -> str:
-        """Return `host:port` with a free port that was not returned before."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind((self._host, 0))
-                port = probe.getsockname()[1]
-            if port not in self._allocated_ports:
-                self._allocated_ports.add(port)
-                return f"{self._host}:{port}"
-
-
 def build_objects(plan: FleetPlan, addresses: dict[str, str]) -> ObjectSet:
     """Return the objects of a plan.
 
--- a/bilberryring/testing/soak_fleet.py
+++ b/bilberryring/testing/soak_fleet.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from bilberryring.standins.gateway_site import GatewaySite, free_ports
+from bilberryring.standins.gateway_site import GatewaySite
+from bilberryring.standins.loopback import process_network
 from bilberryring.testing import soak_faults as faults
 from bilberryring.testing.platform_control import send_request
 from bilberryring.testing.relay import Route, RouteMode
@@ -48,7 +49,7 @@
 
     def add(self, name: str, target: str) -> str:
         """Add a route to a target and return the address that leads there."""
-        address = f"127.0.0.1:{free_ports(1)[0]}"
+        address = process_network().allocate()
         route = Route(name=name, listen=address, target=target)
         self._send("/routes", route)
         return address
--- a/bilberryring/testing/tests/test_relay.py
+++ b/bilberryring/testing/tests/test_relay.py
@@ -6,7 +6,8 @@
 import pytest
 
 from bilberryring.platform import names
-from bilberryring.standins.gateway_site import free_ports
+from bilberryring.process.settings import host_and_port
+from bilberryring.standins.loopback import process_network
 from bilberryring.standins.scripted_endpoint import ScriptedEndpoint, answer_all
 from bilberryring.testing.platform_control import send_request
 from bilberryring.testing.processes import ManagedProcess
@@ -40,17 +41,17 @@
 
 def test_open_connections_fall_silent_until_they_are_reset_and_new_ones_work(control):
     endpoint = ScriptedEndpoint(script=answer_all)
-    port = free_ports(1)[0]
-    listen = f"127.0.0.1:{port}"
+    listen = process_network().allocate()
+    relayed = host_and_port(listen)
     control("/routes", Route(name="r", listen=listen, target=endpoint.address))
     with (
-        socket.create_connection(("127.0.0.1", port)) as first,
-        socket.create_connection(("127.0.0.1", port)) as second,
+        socket.create_connection(relayed) as first,
+        socket.create_connection(relayed) as second,
     ):
         assert b"200 OK" in exchange(first)
         control("/modes", RouteMode(name="r", silence_open=True))
         assert exchange(first) == b""
-        with socket.create_connection(("127.0.0.1", port)) as third:
+        with socket.create_connection(relayed) as third:
             assert b"200 OK" in exchange(third)
             control("/modes", RouteMode(name="r"))
             assert b"200 OK" in exchange(third)
