Test of releases in a stop: each id has an answer, not one answer an id

What was seen: test_memory_is_released_before_the_process_exits_in_a_stop[True-0.2] failed in 1 of 4 runs beside 4 busy loops (load 17 to 24): 24 answered releases of 15 ids.

Cause: the test took the number of answers for the number of ids. The first orders of that prompt had no response in time, so the prompt was refused and sent again with new ids, and the old ids were released twice, as engines may execute an order late. The gateway's log has an answer for each of the 15 ids, so nothing was lost.

Change: the ids with an answer are compared with the ids released. That is stricter: two answers for one id no longer make up for one that has none. The number of answers is still checked in runs in which each order got a response.

--- a/bilberryring/platform/tests/test_reservations.py
+++ b/bilberryring/platform/tests/test_reservations.py
@@ -230,5 +230,12 @@
     caller.join()
     assert memory.ids("reserve")
     assert set(memory.ids("release")) == set(memory.ids("reserve"))
-    released = [o for o in site.log_events(1, "memory_ordered") if not o["tokens"]]
-    assert len(released) == len(set(memory.ids("release")))
+    answered = [
+        order["ticket"]
+        for order in site.log_events(1, "memory_ordered")
+        if not order["tokens"]
+    ]
+    assert set(answered) == set(memory.ids("release"))
+    # After an order without a response a release is sent several times.
+    if not site.log_events(1, "memory_order_failed"):
+        assert len(answered) == len(set(answered))
