A stop repeats and awaits releases of memory in the grace that is left

What engines saw: memory of a prompt was not released before a gateway that stops had exited, and stayed reserved until it expired (test_memory_is_released_before_the_process_ exits_in_a_stop at a machine load above 23).

Cause: (1) a release of a prompt that is cut by the end of a stop begins 0.1 s after that end and was awaited until 0.35 s before the kill: the logs of three failed tests show the exit 0.24 to 0.32 s after the cut, with a release open. (2) A release without a response is repeated after 2.5 s, which a stop did not await: the count of releases in progress covered only the first send, so the drain ended with time left.

Change: during a stop a release without a response is sent again after 0.1 s until an engine responds, at SIGTERM also one that waits for its repeat. The process awaits releases until 0.14 s before the kill (grace of 6 or 8 s) instead of 0.35 s, on moments of PlannedStop. The repeats end after the 3.5 s in which a reservation expires by itself. A stop with nothing to release ends as before (test_drain has a test of it, which passes on the code before).

Evidence: test_drain on a simulated clock, 4 of its 9 tests fail on the code before.

Ruled out: a timeout of orders (0.5 s is not reached in the window of (1)). Not done: ending prompts that hold memory earlier, as it cuts streams for memory that expires in 3.5 s.

--- a/bilberryring/admission/planned_stop.py
+++ b/bilberryring/admission/planned_stop.py
@@ -3,6 +3,8 @@
 >>> stop = PlannedStop(signalled_at=100.0, grace=8.0)
 >>> stop.refuses_at, round(stop.ends_at, 1), round(stop.exits_at, 1)
 (103.0, 107.3, 107.6)
+>>> round(stop.releases_until, 2)
+107.86
 """
 
 from dataclasses import dataclass
@@ -27,6 +29,9 @@
 awaited for a moment after its deadline."""
 FLUSH_SHARE = 0.5
 """Largest share of the margin for which callers may take to read the last answers."""
+RELEASE_SHARE = 0.8
+"""Largest share of the margin for which engines may take to answer releases of memory.
+The process needs the rest to exit."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,9 +68,17 @@
 
     @property
     def exits_at(self) -> float:
-        """When the process exits, whether callers have read their answers or not."""
+        """When the process exits, whether callers have read their answers or not.
+
+        It stays until `releases_until` if engines have not answered all releases.
+        """
         return self.ends_at + FLUSH_SHARE * self._end_margin
 
+    @property
+    def releases_until(self) -> float:
+        """Until when answers of engines to releases of memory are awaited."""
+        return self.ends_at + RELEASE_SHARE * self._end_margin
+
     @property
     def _end_margin(self) -> float:
         return min(MAX_END_MARGIN_SECONDS, MAX_END_MARGIN_SHARE * self.grace)
--- a/bilberryring/admission/tests/test_planned_stop.py
+++ b/bilberryring/admission/tests/test_planned_stop.py
@@ -19,6 +19,7 @@
         stop.listens_until,
         stop.ends_at,
         stop.exits_at,
+        stop.releases_until,
         stop.signalled_at + grace,
     ]
     assert moments == sorted(moments)
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -284,6 +284,7 @@
         )
         self._is_draining = True
         self._forwarder.drain(stop)
+        self._reservations.drain(until=stop.releases_until)
         await deferLater(self._reactor, stop.refuses_at - stop.signalled_at)
         self._forwarder.refuse_new()
         await self._wait_for_callers(until=stop.listens_until)
@@ -291,7 +292,7 @@
         await self._wait_for_callers(until=stop.ends_at)
         await self._answer_the_rest()
         await self._wait_for_callers(until=stop.exits_at)
-        await self._wait_for_releases(until=stop.exits_at)
+        await self._wait_for_releases(until=stop.releases_until)
         self._adapter.stop()
         self._peers.stop()
 
@@ -314,10 +315,11 @@
 
     async def _wait_for_releases(self, *, until: float) -> None:
         """Wait until engines have answered that memory is released."""
-        while (
-            self._reservations.releases_in_progress and self._reactor.seconds() < until
-        ):
-            await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
+        while self._reservations.releases_in_progress:
+            left = until - self._reactor.seconds()
+            if left <= 0:
+                return
+            await deferLater(self._reactor, min(DRAIN_CHECK_SECONDS, left))
 
     async def _answer_the_rest(self) -> None:
         if not self._forwarder.in_progress:
--- a/bilberryring/gateway/reservations.py
+++ b/bilberryring/gateway/reservations.py
@@ -6,7 +6,9 @@
 """
 
 import itertools
+import math
 import re
+from collections.abc import Awaitable, Callable
 from typing import Protocol as Interface
 
 from twisted.internet.defer import (
@@ -15,6 +17,7 @@
     FirstError,
     gatherResults,
 )
+from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.task import LoopingCall, deferLater
 
 from bilberryring.core import RequestId
@@ -40,7 +43,8 @@
 """Seconds between renewals. With the last one that old, a reservation outlives a pause
 of 2.2 s of an engine, and the timeout of the connection that was opened in it."""
 REFUSED_CHECK_SECONDS = 0.1
-"""Seconds after which a lead that refused a connection is checked again."""
+"""Seconds after which a lead that refused a connection is checked again, and after
+which an order that got no response is sent again."""
 ORDER_TIMEOUT_SECONDS = 0.5
 """Timeout in seconds, both for connecting to an engine and for its response."""
 REPEAT_DELAYS_SECONDS = (2.5, 5.0, 8.0, 12.5)
@@ -208,10 +212,15 @@
         self._owner_id = owner_id
         self._numbers = itertools.count()
         self._n_releasing = 0
+        self._repeats_until = -math.inf
+        self._repeats: set[IDelayedCall] = set()
 
     @property
     def releases_in_progress(self) -> int:
-        """The number of reservations whose first release is not answered yet."""
+        """The number of reservations that are being released for the first time.
+
+        During a stop, those whose release got no response are among them.
+        """
         return self._n_releasing
 
     @property
@@ -274,6 +283,15 @@
             self._release(endpoint, reservation_id, has_unanswered_order)
         )
 
+    def drain(self, *, until: float) -> None:
+        """Repeat releases that got no response at once, as the process exits `until`.
+
+        That holds for later ones, and for those that wait to be repeated now.
+        """
+        self._repeats_until = until
+        for repeat in tuple(self._repeats):
+            repeat.reset(0)
+
     async def _release(
         self,
         endpoint: AnnouncedEndpoint,
@@ -281,32 +299,60 @@
         has_unanswered_order: bool,
     ) -> None:
         order = MemoryOrder(endpoint=endpoint.id, reservation_id=reservation_id)
+        begun_at = self._reactor.seconds()
+        expires_at = (
+            math.inf if has_unanswered_order else begun_at + RESERVATION_SECONDS
+        )
         has_logged_fault = False
 
-        async def send() -> int | None:
+        async def send() -> bool:
             nonlocal has_logged_fault
             try:
-                return await self.send_order(endpoint, order)
+                return await self.send_order(endpoint, order) is not None
             except Exception as error:
                 if not has_logged_fault:
                     has_logged_fault = True
                     self.record_fault(error, ticket=reservation_id)
-                return None
+                return False
+
+        is_released = False
+        for delay in (0.0, *REPEAT_DELAYS_SECONDS):
+            if delay:
+                await self._wait_for_repeat(begun_at + delay, is_released=is_released)
+            if is_released:
+                await send()
+            else:
+                is_released = await self._release_now(send, expires_at=expires_at)
+            if is_released and not has_unanswered_order:
+                return
+
+    async def _release_now(
+        self, send: Callable[[], Awaitable[bool]], *, expires_at: float
+    ) -> bool:
+        """Send a release, during a stop until an engine responds; return if one does.
 
+        A reservation that has expired by itself is not worth the wait.
+        """
         self._n_releasing += 1
         try:
-            status = await send()
+            while not await send():
+                until = min(self._repeats_until, expires_at)
+                if self._reactor.seconds() + REFUSED_CHECK_SECONDS >= until:
+                    return False
+                await deferLater(self._reactor, REFUSED_CHECK_SECONDS)
+            return True
         finally:
             self._n_releasing -= 1
-        if status is not None and not has_unanswered_order:
-            return
-        elapsed = 0.0
-        for delay in REPEAT_DELAYS_SECONDS:
-            await deferLater(self._reactor, delay - elapsed)
-            elapsed = delay
-            status = await send()
-            if status is not None and not has_unanswered_order:
-                return
+
+    async def _wait_for_repeat(self, at: float, *, is_released: bool) -> None:
+        """Wait until `at`; a stop ends the wait if memory is not released yet."""
+        waiting: Deferred[None] = Deferred()
+        delay = max(0.0, at - self._reactor.seconds())
+        repeat = self._reactor.callLater(delay, waiting.callback, None)
+        if not is_released:
+            self._repeats.add(repeat)
+        await waiting
+        self._repeats.discard(repeat)
 
     def record_fault(self, error: Exception, **fields: object) -> None:
         """Log an unknown error of a task that nothing waits for."""
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -872,11 +872,43 @@
     Mechanism(
         name="a stop waits for releases of memory",
         module="gateway/daemon.py",
-        present="        await self._wait_for_releases(until=stop.exits_at)\n",
+        present="        await self._wait_for_releases(until=stop.releases_until)\n",
         absent="",
         test="bilberryring/platform/tests/test_reservations.py"
         "::test_memory_is_released_before_the_process_exits_in_a_stop",
     ),
+    Mechanism(
+        name="a stop uses the grace that is left for releases of memory",
+        module="gateway/daemon.py",
+        present="self._wait_for_releases(until=stop.releases_until)",
+        absent="self._wait_for_releases(until=stop.exits_at)",
+        test="bilberryring/gateway/tests/test_drain.py"
+        "::test_a_stop_waits_for_slow_answers_to_releases_that_began_at_its_end",
+    ),
+    Mechanism(
+        name="a stop repeats releases of memory at once",
+        module="gateway/reservations.py",
+        present="        self._repeats_until = until\n",
+        absent="",
+        test="bilberryring/gateway/tests/test_drain.py"
+        "::test_a_stop_repeats_releases_without_a_response_until_they_have_one",
+    ),
+    Mechanism(
+        name="a stop repeats releases of memory that wait for their repeat",
+        module="gateway/reservations.py",
+        present="            repeat.reset(0)\n",
+        absent="            pass\n",
+        test="bilberryring/gateway/tests/test_drain.py"
+        "::test_a_stop_repeats_releases_without_a_response_until_they_have_one",
+    ),
+    Mechanism(
+        name="a stop does not wait for memory that has expired",
+        module="gateway/reservations.py",
+        present="until = min(self._repeats_until, expires_at)",
+        absent="until = self._repeats_until",
+        test="bilberryring/gateway/tests/test_drain.py"
+        "::test_a_stop_does_not_wait_for_memory_that_has_expired_by_itself",
+    ),
     Mechanism(
         name="late streams are not sent on a prediction",
         module="gateway/late_requests.py",
