Orders of memory are awaited until another engine has answered its own

What callers saw: a prompt that needs the memory of several engines was refused (503, not run) within 1.5 s, though each engine was sound and answered orders after 0.6 to 2.2 s.

Cause: an order without an answer in 0.5 s was given up, and its attempt with it, before any other engine had taken the prompt. The next attempt had the same timeout and one engine fewer, until the prompt was predicted too late.

Change: the order stays open, its engine counts as silent and is avoided, and one attempt may order elsewhere beside it. The attempt that sends the request first ends those that have not sent it, so that a request that must not run twice is sent once; their memory is released. Orders end when the first token cannot be in time, with "not run". A refusal ends the wait for the other engines; an engine without a connection is given up if another attempt runs. A first send costs no retry, as before; a later one does.

A silence is reported from outside of the attempt's task: reported from within, its successor cancelled a running task, which does nothing (found by a test of this commit).

Open: two attempts whose engines stay silent keep a third from ordering; renewals and releases still have the timeout of 0.5 s.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from bilberryring.execution import AnswerEnd, Framing, Place, Proof, proof_of_end
-from bilberryring.fleet import MS_PER_SECOND, FleetState, RequestKind
+from bilberryring.fleet import MS_PER_SECOND, EndpointId, FleetState, RequestKind
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
@@ -19,7 +19,11 @@
     ResponseEnd,
     ResponseHead,
 )
-from bilberryring.gateway.repeat_rules import MIN_SEND_SECONDS, RetryPolicy
+from bilberryring.gateway.repeat_rules import (
+    MIN_SEND_SECONDS,
+    RetryPolicy,
+    min_seconds_left,
+)
 from bilberryring.gateway.request_context import (
     SERVER_ERROR,
     SUCCESS,
@@ -30,7 +34,12 @@
     RetryableFailure,
 )
 from bilberryring.gateway.request_log import RequestLog
-from bilberryring.gateway.reservations import MemoryReservation, ReservationManager
+from bilberryring.gateway.reservations import (
+    ORDER_TIMEOUT_SECONDS,
+    MemoryReservation,
+    OrderWait,
+    ReservationManager,
+)
 from bilberryring.gateway.running_attempts import RunningAttempts
 from bilberryring.gateway.statement_recorder import StatementRecorder
 from bilberryring.membership import EndpointHealth
@@ -132,13 +141,8 @@
         is_complete = False
         try:
             if choice.holders:
-                reservation = await self._reservations.reserve(
-                    context.request_id,
-                    choice.holders,
-                    choice.holder_tokens,
-                    lead=choice.endpoint,
-                )
-            response = await self._send(context, attempt, reservation)
+                reservation = await self._reserve(context, attempt, running)
+            response = await self._send(context, attempt, reservation, running)
             await self._relay(_Relay(context, attempt, running, response))
             is_complete = True
             self._health.record_success(attempt.endpoint)
@@ -188,11 +192,54 @@
         """
         return context.route.kind is not RequestKind.NON_IDEMPOTENT
 
+    async def _reserve(
+        self, context: RequestContext, attempt: Attempt, running: RunningAttempts
+    ) -> MemoryReservation:
+        """Reserve the memory that other engines hold for the prompt.
+
+        Orders are awaited for as long as the first token can be in time: an engine that
+        does not answer may be sound, and another attempt may run beside this one.
+        """
+        choice = attempt.choice
+        now = self._reactor.seconds()
+        useful_until = context.deadline - min_seconds_left(choice)
+        gives_up_at = min(
+            max(useful_until, now + ORDER_TIMEOUT_SECONDS),
+            context.deadline - MIN_SEND_SECONDS,
+        )
+
+        def report_silence(silent: frozenset[EndpointId]) -> None:
+            now = self._reactor.seconds()
+            for endpoint in silent:
+                self._health.record_silence(endpoint, now=now)
+            attempt.is_silent = True
+            # Not from within this task: its successor ends it when it sends, at once
+            # on an idle connection, and a task that runs cannot be cancelled.
+            self._reactor.callLater(0, running.report_silence, attempt)
+
+        reservation = await self._reservations.reserve(
+            context.request_id,
+            choice.holders,
+            choice.holder_tokens,
+            lead=choice.endpoint,
+            wait=OrderWait(
+                gives_up_at=gives_up_at,
+                on_silence=report_silence,
+                on_answer=self._health.end_silence,
+                has_another=lambda: len(running) > 1,
+            ),
+        )
+        if attempt.is_silent:
+            attempt.is_silent = False
+            self._log.silence_ended(context, attempt)
+        return reservation
+
     async def _send(
         self,
         context: RequestContext,
         attempt: Attempt,
         reservation: MemoryReservation | None,
+        running: RunningAttempts,
     ) -> EndpointResponse:
         choice = attempt.choice
         may_repeat = context.route.may_repeat
@@ -216,6 +263,7 @@
         if not self._retry_policy.try_spend(context):
             self._pool.release(connection)
             raise AttemptError(reason=FailureReason.NO_RETRY, was_sent=False)
+        running.end_unsent(attempt)
         send_metadata = AttemptMetadata(
             endpoint=choice.endpoint.id,
             seconds_left=seconds_left,
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -62,7 +62,10 @@
 )
 """Why an attempt can fail without a fault of the endpoint."""
 SUPERSEDED = "superseded"
-"""The reason of an attempt that ended because another one had answered."""
+"""The reason of an attempt that ended because another one had answered, or had sent the
+request first."""
+MAX_UNSENT_BESIDE = 1
+"""Number of attempts beside another one that may order memory at the same time."""
 CLOSE_REASONS = (FailureReason.CLOSED, FailureReason.END_UNKNOWN)
 """Why an attempt can fail when its endpoint crashes."""
 BEGIN_SECONDS = 1.0
@@ -295,7 +298,7 @@
         """
         if not running.are_all_silent:
             return
-        choice = self._choose_successor(context)
+        choice = self._choose_successor(context, running)
         decision = (
             choice if isinstance(choice, SilenceDecision) else SilenceDecision.SUCCESSOR
         )
@@ -305,8 +308,12 @@
         if isinstance(choice, Choice):
             self._start_at(context, running, choice)
 
-    def _choose_successor(self, context: RequestContext) -> Choice | SilenceDecision:
+    def _choose_successor(
+        self, context: RequestContext, running: RunningAttempts
+    ) -> Choice | SilenceDecision:
         """Return where a silent request goes as well."""
+        if running.n_unsent > MAX_UNSENT_BESIDE:
+            return SilenceDecision.NOT_ALLOWED
         if not self._retry_policy.allows_another(context):
             return SilenceDecision.NOT_ALLOWED
         if self._is_quarantined(context):
@@ -327,7 +334,7 @@
         """Record an attempt that ends because another one has answered."""
         if attempt.number and context.stream is not None:
             context.replaced_endpoint = attempt.endpoint
-        if not attempt.is_silent:
+        if not attempt.is_silent or not attempt.number:
             self._log.attempt_failed(context, attempt, SUPERSEDED)
             return
         self._log.attempt_failed(context, attempt, FailureReason.SILENT.value)
--- a/bilberryring/gateway/repeat_rules.py
+++ b/bilberryring/gateway/repeat_rules.py
@@ -184,6 +184,12 @@
         return window
 
 
+def min_seconds_left(choice: Choice) -> float:
+    """Return the time until the deadline that a choice needs to be in time."""
+    predicted = choice.predicted_ms / MS_PER_SECOND
+    return max(predicted / MAX_FIRST_TOKEN_FRACTION, MIN_SEND_SECONDS)
+
+
 def is_in_time(choice: Choice, seconds_left: float) -> bool:
     """Whether the first token is predicted to come well before the deadline."""
     predicted = choice.predicted_ms / MS_PER_SECOND
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -97,7 +97,7 @@
             request=context.request_id,
             endpoint=attempt.endpoint,
             attempt=attempt.number,
-            sent_ago=round(self._clock.seconds() - attempt.sent_at, 3),
+            sent_ago=self._sent_ago(attempt),
             writing_ms=self._writing_ms(attempt),
             left_ms=round((context.deadline - self._clock.seconds()) * 1_000),
             busy_ms=round(attempt.busy_seconds * 1_000),
@@ -111,7 +111,7 @@
             request=context.request_id,
             endpoint=attempt.endpoint,
             attempt=attempt.number,
-            sent_ago=round(self._clock.seconds() - attempt.sent_at, 3),
+            sent_ago=self._sent_ago(attempt),
         )
 
     def answer_skipped(
@@ -208,6 +208,12 @@
             delivered=delivery.value,
         )
 
+    def _sent_ago(self, attempt: Attempt) -> float | None:
+        """Return the seconds since the sending, if the attempt has sent the request."""
+        if not attempt.number:
+            return None
+        return round(self._clock.seconds() - attempt.sent_at, 3)
+
     def _writing_ms(self, attempt: Attempt) -> int | None:
         """Return for how long the endpoint had been writing its answer."""
         if attempt.answer_began_at is None:
--- a/bilberryring/gateway/reservations.py
+++ b/bilberryring/gateway/reservations.py
@@ -3,12 +3,16 @@
 A reservation expires after a short time unless it is renewed, so that the memory is
 freed if the gateway crashes. An engine may still execute an order after it has timed
 out. The memory is therefore released repeatedly for as long as that can happen.
+
+An engine that answers no order for a while may be sound. It is reported as silent, and
+its answer is awaited all the same.
 """
 
 import itertools
 import math
 import re
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Protocol as Interface
 
 from twisted.internet.defer import (
@@ -22,8 +26,12 @@
 
 from bilberryring.core import RequestId
 from bilberryring.execution import AnswerEnd, Place, Proof, proof_of_end
-from bilberryring.fleet import AnnouncedEndpoint
+from bilberryring.fleet import AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.connection_pool import ConnectionPool
+from bilberryring.gateway.endpoint_connection import (
+    EndpointConnection,
+    EndpointResponse,
+)
 from bilberryring.gateway.messages import (
     AttemptError,
     FailureReason,
@@ -46,7 +54,8 @@
 """Seconds after which a lead that refused a connection is checked again, and after
 which an order that got no response is sent again."""
 ORDER_TIMEOUT_SECONDS = 0.5
-"""Timeout in seconds, both for connecting to an engine and for its response."""
+"""Timeout in seconds, both for connecting to an engine and for its response. Orders for
+a new prompt are awaited for longer; their engine counts as silent from then on."""
 REPEAT_DELAYS_SECONDS = (2.5, 5.0, 8.0, 12.5)
 """Seconds after the first release at which memory is released again if an order got no
 response. Engines execute such an order up to twelve seconds later."""
@@ -57,6 +66,16 @@
 """Longest idle time in seconds after which a connection is reused for an order."""
 
 
+NextWait = Callable[[FailureReason | None], float | None]
+"""Returns for how many seconds an order is awaited, first with `None` and then with why
+it timed out. An order is given up if it returns `None`."""
+
+
+def _wait_once(reason: FailureReason | None) -> float | None:
+    """Give an order up at its first timeout."""
+    return ORDER_TIMEOUT_SECONDS if reason is None else None
+
+
 class OrderCodec(Interface):
     """Encodes memory orders for the platform."""
 
@@ -67,6 +86,21 @@
     ) -> ResponseMetadata: ...
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderWait:
+    """How long the orders for a new prompt are awaited, and who learns of silences.
+
+    `on_silence` is called with the engines that have not answered, at each
+    `ORDER_TIMEOUT_SECONDS`, and `on_answer` with each one that answers. The prompt may
+    do without an engine that accepts no connection if `has_another` returns true.
+    """
+
+    gives_up_at: float
+    on_silence: Callable[[frozenset[EndpointId]], None]
+    on_answer: Callable[[EndpointId], None]
+    has_another: Callable[[], bool]
+
+
 class MemoryReservation:
     """The memory reserved for one prompt; owned by the task of the prompt's request."""
 
@@ -77,9 +111,13 @@
         prompt: str,
         tokens: int,
         lead: AnnouncedEndpoint,
+        wait: OrderWait | None = None,
     ):
         self._manager = manager
         self._lead = lead
+        self._wait = wait
+        self._unanswered: set[EndpointId] = set()
+        self._is_refused = False
         self._reservation_ids: dict[AnnouncedEndpoint, str] = {}
         self._prompt = prompt
         self._tokens = tokens
@@ -111,6 +149,7 @@
             self._reservation_ids[endpoint] = self._manager.new_reservation_id(
                 self._prompt
             )
+        self._unanswered.update(endpoint.id for endpoint in endpoints)
         orders = [
             Deferred.fromCoroutine(self._reserve_on(endpoint)) for endpoint in endpoints
         ]
@@ -137,10 +176,36 @@
         self._reservation_ids = {}
 
     async def _reserve_on(self, endpoint: AnnouncedEndpoint) -> bool:
-        status = await self._send_order(endpoint)
-        return status is not None and status < 300
-
-    async def _send_order(self, endpoint: AnnouncedEndpoint) -> int | None:
+        status = await self._send_order(endpoint, next_wait=self._next_wait)
+        self._unanswered.discard(endpoint.id)
+        if status is not None and self._wait is not None:
+            self._wait.on_answer(endpoint.id)
+        is_reserved = status is not None and status < 300
+        self._is_refused = self._is_refused or not is_reserved
+        return is_reserved
+
+    def _next_wait(self, reason: FailureReason | None) -> float | None:
+        """Report the engines that have not answered; return for how long to go on.
+
+        All engines are needed: once one has refused, the others are not awaited.
+        """
+        wait = self._wait
+        if wait is None:
+            return _wait_once(reason)
+        seconds_left = wait.gives_up_at - self._manager.clock.seconds()
+        if reason is not None:
+            if self._is_refused or seconds_left <= 0.0:
+                return None
+            if reason is not FailureReason.SILENT and wait.has_another():
+                return None
+            wait.on_silence(frozenset(self._unanswered))
+        return max(0.0, min(seconds_left, ORDER_TIMEOUT_SECONDS))
+
+    async def _send_order(
+        self,
+        endpoint: AnnouncedEndpoint,
+        next_wait: NextWait = _wait_once,
+    ) -> int | None:
         order = MemoryOrder(
             endpoint=endpoint.id,
             reservation_id=self._reservation_ids[endpoint],
@@ -149,7 +214,9 @@
         )
         status = None
         try:
-            status = await self._manager.send_order(endpoint, order)
+            status = await self._manager.send_order(
+                endpoint, order, next_wait=next_wait
+            )
         finally:
             if status is None:
                 self._has_unanswered_order = True
@@ -248,14 +315,15 @@
         tokens: int,
         *,
         lead: AnnouncedEndpoint,
+        wait: OrderWait | None = None,
     ) -> MemoryReservation:
         """Reserve `tokens` of memory on each endpoint, or raise `AttemptError`.
 
         The reservations are renewed for as long as the engine `lead`, which uses the
-        memory, accepts connections.
+        memory, accepts connections. Without `wait` the orders have a timeout.
         """
         reservation = MemoryReservation(
-            manager=self, prompt=prompt, tokens=tokens, lead=lead
+            manager=self, prompt=prompt, tokens=tokens, lead=lead, wait=wait
         )
         try:
             await reservation.acquire(endpoints)
@@ -359,18 +427,17 @@
         self._log.write(LogEvent.INTERNAL_FAULT, detail=repr(error), **fields)
 
     async def send_order(
-        self, endpoint: AnnouncedEndpoint, order: MemoryOrder
+        self,
+        endpoint: AnnouncedEndpoint,
+        order: MemoryOrder,
+        *,
+        next_wait: NextWait = _wait_once,
     ) -> int | None:
         """Send an order; return the HTTP status, or `None` without a response."""
         status: int | None = None
         response = None
         try:
-            connection = await self._pool.acquire(
-                endpoint.address,
-                max_idle=MAX_IDLE_SECONDS,
-                timeout=ORDER_TIMEOUT_SECONDS,
-                request_id=None,
-            )
+            connection = await self._connect(endpoint, next_wait)
             target, headers, body = self._codec.encode_order(order)
             sent_at = self._reactor.seconds()
             response = connection.send(
@@ -380,7 +447,7 @@
                 body=body,
                 is_expected=lambda head: True,
             )
-            head = await self._read_answer(response)
+            head = await self._read_answer(response, next_wait)
             status = head.status
             self._statements.record_order_answer(
                 endpoint,
@@ -407,10 +474,44 @@
             )
         return status
 
-    async def _read_answer(self, response) -> ResponseHead:
+    async def _connect(
+        self,
+        endpoint: AnnouncedEndpoint,
+        next_wait: NextWait,
+    ) -> EndpointConnection:
+        timeout = next_wait(None)
+        while True:
+            try:
+                return await self._pool.acquire(
+                    endpoint.address,
+                    max_idle=MAX_IDLE_SECONDS,
+                    timeout=timeout,
+                    request_id=None,
+                )
+            except AttemptError as error:
+                if error.reason is not FailureReason.NOT_CONNECTED:
+                    raise
+                timeout = next_wait(error.reason)
+                if timeout is None:
+                    raise
+            await deferLater(self._reactor, REFUSED_CHECK_SECONDS)
+
+    async def _read_answer(
+        self, response: EndpointResponse, next_wait: NextWait
+    ) -> ResponseHead:
         head: ResponseHead | None = None
+        timeout = next_wait(None)
         while True:
-            match await response.receive(timeout=ORDER_TIMEOUT_SECONDS):
+            try:
+                received = await response.receive(timeout=timeout)
+            except AttemptError as error:
+                if error.reason is not FailureReason.SILENT:
+                    raise
+                timeout = next_wait(error.reason)
+                if timeout is None:
+                    raise
+                continue
+            match received:
                 case ResponseHead() as head:
                     pass
                 case ResponseEnd(framing=framing, close=close):
--- a/bilberryring/gateway/running_attempts.py
+++ b/bilberryring/gateway/running_attempts.py
@@ -72,6 +72,11 @@
         """Whether an attempt that still runs has sent the request."""
         return any(attempt.number for attempt in self._tasks)
 
+    @property
+    def n_unsent(self) -> int:
+        """The number of attempts that have not sent the request."""
+        return sum(not attempt.number for attempt in self._tasks)
+
     @property
     def are_all_silent(self) -> bool:
         """Whether no endpoint sends anything."""
@@ -117,6 +122,16 @@
                 self._cancel(other)
                 self._on_superseded(other)
 
+    def end_unsent(self, attempt: Attempt) -> None:
+        """End the other attempts that have not sent the request, as this one does now.
+
+        What they have reserved is released.
+        """
+        for other in tuple(self._tasks):
+            if other is not attempt and not other.number:
+                self._cancel(other)
+                self._on_superseded(other)
+
     def cancel(self) -> None:
         """End all attempts."""
         for attempt in tuple(self._tasks):
--- a/bilberryring/platform/tests/test_reservations.py
+++ b/bilberryring/platform/tests/test_reservations.py
@@ -33,7 +33,8 @@
 
     `status` is the status of the responses to reserve orders. With `repeats_answers`
     an order on a connection that had answers before is refused, and those answers are
-    written once more before the refusal. Orders are read after `order_seconds`.
+    written once more before the refusal. Orders are read after `order_seconds`,
+    and not before `silent_until`.
     """
 
     def __init__(self):
@@ -46,6 +47,7 @@
         self.is_silent = False
         self.repeats_answers = False
         self.order_seconds = 0.0
+        self.silent_until = 0.0
         self.answers_on = {}
         self.endpoints = {}
 
@@ -64,7 +66,7 @@
         connection.sendall(chunk(b""))
 
     def record_order(self, request, connection):
-        pause(self.order_seconds)
+        pause(max(self.order_seconds, self.silent_until - time.monotonic()))
         order = json.loads(request.body) | {"at": time.monotonic()}
         self.orders.append(order)
         if order["op"] == "reserve" and not self.responds_to_reserves:
@@ -239,3 +241,25 @@
     # After an order without a response a release is sent several times.
     if not site.log_events(1, "memory_order_failed"):
         assert len(answered) == len(set(answered))
+
+
+@pytest.mark.parametrize("happens", ["once", "at each order"])
+@pytest.mark.parametrize("order_seconds", [0.6, 1.6, 2.2])
+def test_a_prompt_whose_engines_all_answer_orders_late_is_served(
+    site, memory, order_seconds, happens
+):
+    routes = [make_route("/chat/", "streaming", MODEL_SERVICE, timeout_ms=9_000)]
+    site.publish(make_configuration(2, routes=routes))
+    pause(CONFIGURATION_SECONDS)
+    deadline_ms = "9000"
+    if happens == "once":
+        memory.silent_until = time.monotonic() + order_seconds
+        deadline_ms = "4000"
+    else:
+        memory.order_seconds = order_seconds
+    response = send_prompt(site, Bilberryring_Deadline_Ms=deadline_ms)
+    assert response.status == 200
+    assert response.body == event(1) + event(2)
+    assert len(memory.requests) == 1
+    reserved = set(memory.ids("reserve"))
+    wait_until(lambda: reserved <= set(memory.ids("release")), 9.0, "the release")
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -869,6 +869,62 @@
         test="bilberryring/platform/tests/test_late_requests.py"
         "::test_a_lookup_in_a_stop_has_a_deadline_before_its_end",
     ),
+    Mechanism(
+        name="an order of memory is awaited while its engine is silent",
+        module="gateway/reservations.py",
+        present="if self._is_refused or seconds_left <= 0.0:",
+        absent="if self._is_refused or seconds_left <= 999.0:",
+        test="bilberryring/gateway/tests/test_late_orders.py"
+        "::test_an_order_that_is_answered_late_serves_its_prompt",
+    ),
+    Mechanism(
+        name="a refused order ends the wait for the others",
+        module="gateway/reservations.py",
+        present="if self._is_refused or seconds_left <= 0.0:",
+        absent="if seconds_left <= 0.0:",
+        test="bilberryring/gateway/tests/test_late_orders.py"
+        "::test_a_refusal_of_one_engine_ends_the_wait_for_the_others",
+    ),
+    Mechanism(
+        name="an attempt that sends the request ends the orders of others",
+        module="gateway/attempts.py",
+        present="        running.end_unsent(attempt)\n",
+        absent="",
+        test="bilberryring/gateway/tests/test_late_orders.py"
+        "::test_the_engine_that_answers_first_is_used_and_the_other_memory_is_released",
+    ),
+    Mechanism(
+        name="one order of memory goes beside the first",
+        module="gateway/forwarding.py",
+        present="if running.n_unsent > MAX_UNSENT_BESIDE:",
+        absent="if running.n_unsent > MAX_UNSENT_BESIDE + 9:",
+        test="bilberryring/gateway/tests/test_late_orders.py"
+        "::test_one_order_goes_beside_the_first_to_other_engines",
+    ),
+    Mechanism(
+        name="a silent order is reported outside of its task",
+        module="gateway/attempts.py",
+        present="self._reactor.callLater(0, running.report_silence, attempt)",
+        absent="running.report_silence(attempt)",
+        test="bilberryring/gateway/tests/test_late_orders.py"
+        "::test_an_attempt_that_needs_no_memory_ends_the_order_of_the_first_as_it_is_sent",
+    ),
+    Mechanism(
+        name="an engine whose order waits is avoided",
+        module="gateway/attempts.py",
+        present="for endpoint in silent:",
+        absent="for endpoint in ():",
+        test="bilberryring/gateway/tests/test_late_orders.py"
+        "::test_an_engine_whose_order_waits_is_avoided_until_it_answers",
+    ),
+    Mechanism(
+        name="an engine without a connection is given up for another one",
+        module="gateway/reservations.py",
+        present="if reason is not FailureReason.SILENT and wait.has_another():",
+        absent="if reason is None:",
+        test="bilberryring/gateway/tests/test_late_orders.py"
+        "::test_engines_that_accept_no_connection_do_not_keep_a_prompt_from_the_others",
+    ),
     Mechanism(
         name="a stop waits for releases of memory",
         module="gateway/daemon.py",
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -9,9 +9,9 @@
 from io import StringIO
 from types import SimpleNamespace
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.error import ConnectionDone
-from twisted.internet.task import Clock
+from twisted.internet.task import Clock, deferLater
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
@@ -42,6 +42,7 @@
 from bilberryring.gateway.repeat_rules import RetryPolicy
 from bilberryring.gateway.request_context import RequestContext
 from bilberryring.gateway.request_log import RequestLog
+from bilberryring.gateway.reservations import ReservationManager
 from bilberryring.gateway.settings import GatewayBounds
 from bilberryring.membership import EndpointHealth
 from bilberryring.platform import names
@@ -50,6 +51,7 @@
 from bilberryring.telemetry import EventLog, Metrics
 
 REQUEST_ID = "r1"
+HOLDER_TOKENS = 1_000
 LAST_RECORDS = ("request_finished", "request_failed", "caller_left")
 
 
@@ -137,10 +139,67 @@
         return run.response
 
 
+class PlayedOrders:
+    """Connections on which memory is ordered; `waiting` are the orders to be answered.
+
+    With `answers` each order is answered at once. `sent` has the engine and the tokens
+    of each order, 0 for a release, and `held` the tokens that are kept.
+    """
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self.answers = False
+        self.sent = []
+        self.waiting = {}
+        self.held = {}
+        self.unreachable = set()
+
+    async def acquire(self, address, *, max_idle, timeout, request_id):
+        if address in self.unreachable:
+            await deferLater(self._clock, timeout)
+            raise AttemptError(reason=FailureReason.NOT_CONNECTED, was_sent=False)
+        await succeed(None)
+        return SimpleNamespace(send=lambda **order: self._send(address, order))
+
+    async def connection_failure(self, address):
+        return await succeed(None)
+
+    def _send(self, address, order):
+        body = json.loads(order["body"])
+        run = PlayedRun(endpoint=address, last_event_id="", clock=self._clock)
+        run.order = body["id"], body.get("tokens", 0)
+        self.sent.append((address, body.get("tokens", 0)))
+        if self.answers or body["op"] == "release":
+            self._answer(run, 200)
+        else:
+            self.waiting.setdefault(address, []).append(run)
+        return run.response
+
+    def answer(self, address, status=200):
+        """Answer the orders that wait at an engine and were not given up."""
+        for run in self.waiting.pop(address, ()):
+            if not run.was_aborted:
+                self._answer(run, status)
+
+    def _answer(self, run, status):
+        reservation_id, tokens = run.order
+        if tokens and status == 200:
+            self.held[reservation_id] = tokens
+        elif not tokens:
+            self.held.pop(reservation_id, None)
+        run.send_head(status, framing=Framing.LENGTH)
+        run.end()
+
+
 class PlayedChooser:
-    """Chooses the first endpoint that is not excluded and, if asked to, not avoided."""
+    """Chooses the first endpoint that is not excluded and, if asked to, not avoided.
 
-    def __init__(self, *, endpoints, health, tracker):
+    `holders` are the engines that hold memory for a prompt at an endpoint; if there are
+    any, no other endpoint is chosen.
+    """
+
+    def __init__(self, *, endpoints, health, tracker, holders):
+        self._holders = holders
         self._tracker = tracker
         self._endpoints = endpoints
         self._health = health
@@ -149,19 +208,34 @@
         allowed = [
             item
             for item in self._endpoints
-            if item.id not in excluded and (among is None or item.id in among)
+            if item.id not in excluded
+            and (among is None or item.id in among)
+            and (not self._holders or item.id in self._holders)
         ]
         usable = [
-            item for item in allowed if not self._health.is_avoided(item.id, now=now)
+            item
+            for item in allowed
+            if not any(
+                self._health.is_avoided(name, now=now)
+                for name in (item.id, *self._holders.get(item.id, ()))
+            )
         ]
         if not usable and allows_avoided:
             usable = allowed
         if not usable:
             return None
+        names_of_holders = self._holders.get(usable[0].id, ())
+        holders = tuple(item for item in self._endpoints if item.id in names_of_holders)
         return Choice(
             endpoint=usable[0],
-            helpers=(),
-            placed=PlacedRequest(lead=usable[0].id),
+            helpers=holders,
+            holders=holders,
+            placed=PlacedRequest(
+                lead=usable[0].id,
+                helpers=names_of_holders,
+                holders=names_of_holders,
+                holder_tokens=HOLDER_TOKENS if holders else 0,
+            ),
             predicted_ms=0.0,
         )
 
@@ -191,8 +265,13 @@
         timeout=6.0,
         shared_parts=(),
         engine=None,
+        holders=None,
+        unreachable_holders=(),
     ):
         self.clock = Clock()
+        self.orders = PlayedOrders(clock=self.clock)
+        self.orders.unreachable.update(unreachable_holders)
+        self._holders = holders or {}
         self.pool = PlayedPool(clock=self.clock)
         self.health = EndpointHealth()
         self.tracker = WorkTracker()
@@ -275,6 +354,7 @@
         statements = SimpleNamespace(
             wants_requests=may_use,
             record_answer=lambda *answer: None,
+            record_order_answer=lambda *answer, sent_at: None,
             log_refusal=lambda *refusal: None,
         )
         fleet = SimpleNamespace(
@@ -284,6 +364,7 @@
         chooser = PlayedChooser(
             health=self.health,
             tracker=self.tracker,
+            holders=self._holders,
             endpoints=[
                 AnnouncedEndpoint(
                     id=f"e{number}",
@@ -316,7 +397,14 @@
         attempts = AttemptRunner(
             fleet=fleet,
             tracker=self.tracker,
-            reservations=None,
+            reservations=ReservationManager(
+                reactor=self.clock,
+                pool=self.orders,
+                codec=HttpHeaderCodec(),
+                statements=statements,
+                log=EventLog(process="g", role="gateway", stream=self._output),
+                owner_id="o",
+            ),
             on_work_changed=lambda **urgency: None,
             **shared,
         )
