--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -821,6 +821,14 @@
         test="bilberryring/platform/tests/test_silent_endpoints.py"
         "::test_a_caller_that_reads_slowly_does_not_make_its_endpoint_silent",
     ),
+    Mechanism(
+        name="a prompt that waits for a slot of a full engine is not silent",
+        module="gateway/attempts.py",
+        present="            attempt.busy_seconds += attempt.slot_wait_seconds\n",
+        absent="",
+        test="bilberryring/gateway/tests/test_forwarding.py"
+        "::test_no_second_attempt_starts_for_a_prompt_that_waits_for_a_slot",
+    ),
     Mechanism(
         name="an engine that prefills is not silent",
         module="gateway/attempts.py",
