A scripted endpoint that is closed serves no connection any more

Seen: by reading, then with a trial. After `close()`, which says that it resets the open connections, a caller with a kept connection saw nothing for a second; its next request was read, counted in `requests`, and only then reset.

Cause, two of them: - The endpoint's thread waits in `recv` for the next request. Closing the descriptor in another thread does not end that wait, and the socket lives as long as it lasts. Whether a connection was reset depended on where its thread was. - A connection that the endpoint's thread had accepted, and not yet noted, was served after the close.

Change: `reset` ends the receiving side first, of which the peer learns nothing and which ends the wait. `close` waits for the accepting thread, and no request is counted or run after it.

Tests: an idle connection is reset without a further request; a connection whose acceptance is held back by 0.3 s is reset.

--- a/bilberryring/standins/scripted_endpoint.py
+++ b/bilberryring/standins/scripted_endpoint.py
@@ -47,7 +47,9 @@
         self._listener = process_network().listen()
         self._seen: list[ReceivedRequest] = []
         self._connections: list[socket.socket] = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._is_closed = False
+        self._acceptor = threading.Thread(target=self._accept, daemon=True)
+        self._acceptor.start()
 
     @property
     def address(self) -> str:
@@ -70,13 +72,18 @@
         self._script = script
 
     def stop_listening(self) -> None:
-        """Accept no new connections; the open ones stay open and silent."""
+        """Accept no new connections; the open ones stay open and silent.
+
+        A connection that is being accepted is in `connections` afterwards.
+        """
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
+        self._acceptor.join()
         self._listener.close()
 
     def close(self) -> None:
-        """Stop listening and reset the open connections."""
+        """Stop listening, reset the open connections and run no further request."""
+        self._is_closed = True
         self.stop_listening()
         for connection in self._connections:
             reset(connection)
@@ -96,6 +103,8 @@
         with contextlib.suppress(OSError):
             stream = connection.makefile("rb")
             while (request := _read_request(stream)) is not None:
+                if self._is_closed:
+                    return
                 self._seen.append(request)
                 self._script(request, connection)
 
@@ -149,10 +158,16 @@
 
 
 def reset(connection: socket.socket) -> None:
-    """Close a connection so that its peer gets a TCP reset."""
+    """Close a connection so that its peer gets a TCP reset.
+
+    A thread that waits for data of the connection would keep it open: the end of the
+    receiving side, of which the peer learns nothing, ends that wait.
+    """
     with contextlib.suppress(OSError):
         linger_zero = b"\x01\x00\x00\x00\x00\x00\x00\x00"
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_zero)
+        with contextlib.suppress(OSError):
+            connection.shutdown(socket.SHUT_RD)
         os.close(connection.detach())
 
 
--- /dev/null
+++ b/bilberryring/standins/tests/test_scripted_endpoint.py
@@ -0,0 +1,76 @@
+"""A scripted endpoint that is closed answers nothing and reads nothing any more."""
+
+import contextlib
+import socket
+import threading
+import time
+
+import pytest
+
+from bilberryring.platform import names
+from bilberryring.process.settings import host_and_port
+from bilberryring.standins.scripted_endpoint import ScriptedEndpoint, answer_all
+from bilberryring.testing.processes import pause
+
+REQUEST = b"GET / HTTP/1.1\r\n%s: a\r\nContent-Length: 1\r\n\r\nx" % names.REQUEST_ID
+WAIT_SECONDS = 5.0
+DELAY_SECONDS = 0.3
+
+
+@pytest.fixture
+def endpoint():
+    endpoint = ScriptedEndpoint(script=answer_all)
+    yield endpoint
+    endpoint.close()
+
+
+def connect(endpoint):
+    address = host_and_port(endpoint.address)
+    return socket.create_connection(address, timeout=WAIT_SECONDS)
+
+
+def test_an_idle_connection_is_reset_without_a_further_request(endpoint):
+    with connect(endpoint) as connection:
+        connection.sendall(REQUEST)
+        assert b"200 OK" in connection.recv(4096)
+        pause()
+        endpoint.close()
+        with pytest.raises(ConnectionResetError):
+            connection.recv(1)
+    assert len(endpoint.requests) == 1
+
+
+def delay_accept(endpoint, monkeypatch):
+    """Let the endpoint's thread fall behind after it has accepted a connection."""
+    accept = endpoint._listener.accept
+    passed = threading.Event()
+
+    class Listener:
+        def __getattr__(self, name):
+            return getattr(listener, name)
+
+        def accept(self):
+            accepted = accept()
+            passed.set()
+            time.sleep(DELAY_SECONDS)
+            return accepted
+
+    listener = endpoint._listener
+    monkeypatch.setattr(endpoint, "_listener", Listener())
+    return passed
+
+
+def test_a_connection_that_is_accepted_during_the_close_is_reset(endpoint, monkeypatch):
+    with connect(endpoint) as first:
+        first.sendall(REQUEST)
+        assert b"200 OK" in first.recv(4096)
+        # The thread waits in the accept of the listener itself until then.
+        passed = delay_accept(endpoint, monkeypatch)
+        with connect(endpoint), connect(endpoint) as late:
+            assert passed.wait(WAIT_SECONDS)
+            endpoint.close()
+            with contextlib.suppress(ConnectionError):
+                late.sendall(REQUEST)
+            with pytest.raises(ConnectionResetError):
+                late.recv(1)
+    assert len(endpoint.requests) == 1
