Tests of the store's return wait until a gateway has read a change

Seen: by reading, then by trial. Tests write to the store, sleep for 0.3 or 0.5 s, and then save or restore it, or assert what is in force. A gateway that has not read the write by then never gets it, and the test fails without a fault of the product.

Change: the tests wait for the gateway's log event of the change, at most 2.0 s, the bound that these tests have for a configuration. Sleeps in which something must not happen stay as long as they were, as do all assertions.

--- a/bilberryring/platform/tests/test_published_state.py
+++ b/bilberryring/platform/tests/test_published_state.py
@@ -192,13 +192,13 @@
     south = site.add_endpoint("b", answer_all, zone="south")
     site.start_gateway()
     site.put("op/evacuate/north", b"{}")
-    pause(0.5)
+    site.wait_for_domains_out("north")
     before = len(north.requests)
     assert [status_of(site) for _ in range(6)] == [200] * 6
     assert len(north.requests) == before
     assert len(south.requests) == 6
     site.remove("op/evacuate/north")
-    pause(0.5)
+    site.wait_for_domains_out()
     assert [status_of(site) for _ in range(6)] == [200] * 6
     assert len(north.requests) > before
 
@@ -208,7 +208,7 @@
     staying = site.add_endpoint("b", answer_all, zone="south")
     site.start_gateway()
     site.announce("a", draining.address, state="draining")
-    pause(0.5)
+    site.wait_for_standing("a", "leaving")
     assert [status_of(site) for _ in range(4)] == [200] * 4
     assert not draining.requests
     assert len(staying.requests) == 4
--- a/bilberryring/platform/tests/test_restored_store.py
+++ b/bilberryring/platform/tests/test_restored_store.py
@@ -124,6 +124,7 @@
     site.publish(without_key(5))
     site.put("op/evacuate/north", b"{}")
     wait_for_status(site, 401)
+    site.wait_for_domains_out("north")
     pause(0.5)
     restore(site)
     pause(0.7)
@@ -141,6 +142,7 @@
     south = site.add_endpoint("b", answer_all, zone="south")
     site.save_store()
     site.put("op/evacuate/north", b"{}")
+    site.wait_for_domains_out("north")
     write_something(site)
     pause(0.5)
     restore(site, is_late=is_late)
@@ -152,7 +154,7 @@
     site.put("op/evacuate/north", b"{}")
     pause(0.3)
     site.remove("op/evacuate/north")
-    pause(0.5)
+    site.wait_for_domains_out()
     assert {status_of(site) for _ in range(6)} == {200}
     assert north.requests
 
@@ -160,9 +162,10 @@
 def test_an_evacuation_that_was_taken_back_does_not_return(site, is_late):
     north = start(site)
     site.put("op/evacuate/north", b"{}")
-    pause(0.3)
+    site.wait_for_domains_out("north")
     site.save_store()
     site.remove("op/evacuate/north")
+    site.wait_for_domains_out()
     write_something(site)
     pause(0.5)
     restore(site, is_late=is_late)
@@ -177,6 +180,7 @@
     site.publish(make_configuration(2))
     endpoint = site.add_endpoint("a", answer_all)
     wait_until(site.is_ready, 5.0, "the gateway to be ready")
+    site.wait_for_standing("a", "ready")
     restore(site, is_late=is_late)
     for _ in range(9):
         assert status_of(site) == 200
@@ -192,6 +196,7 @@
     site.publish(make_configuration(2))
     site.add_endpoint("a", answer_all)
     wait_until(site.is_ready, 5.0, "the gateway to be ready")
+    site.wait_for_standing("a", "ready")
     restore(site, is_late=is_late)
     pause(RETURN_SECONDS + 2.5)
     assert status_of(site) == 503
@@ -202,8 +207,9 @@
     staying = site.add_endpoint("b", answer_all, zone="south")
     site.save_store()
     site.announce("a", gone.address, state="draining")
-    pause(0.3)
+    site.wait_for_standing("a", "leaving")
     site.remove("servers/a")
+    site.wait_for_standing("a", "gone", "lapsed")
     write_something(site)
     pause(0.5)
     restore(site, is_late=is_late)
@@ -219,6 +225,7 @@
     site.add_endpoint("b", answer_all, zone="south")
     site.save_store()
     site.announce("a", leaving.address, state="draining")
+    site.wait_for_standing("a", "leaving")
     write_something(site)
     pause(0.5)
     restore(site, is_late=is_late)
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -30,6 +30,8 @@
 STORE_HOST_NUMBER = 199
 READY_TIMEOUT_SECONDS = 15.0
 ANSWER_TIMEOUT_SECONDS = 15.0
+IN_FORCE_SECONDS = 2.0
+"""Seconds within which a gateway has read a change of the store."""
 LOG_END_LINES = 40
 """Lines of the log of each process that are shown when a test has failed."""
 MAX_DRAWS = 64
@@ -364,6 +366,30 @@
         lines = [json.loads(line) for line in complete.splitlines()]
         return [line for line in lines if event is None or line["event"] == event]
 
+    def wait_for_domains_out(self, *domains: str, number: int = 1) -> None:
+        """Wait until a gateway has read that these failure domains are out."""
+        wait_until(
+            lambda: (
+                (events := self.log_events(number, "domains_out"))
+                and events[-1]["domains"] == sorted(domains)
+            ),
+            IN_FORCE_SECONDS,
+            f"failure domains {domains} to be out",
+        )
+
+    def wait_for_standing(
+        self, endpoint: str, *standings: str, number: int = 1
+    ) -> None:
+        """Wait until a gateway has read that an endpoint has one of some standings."""
+        wait_until(
+            lambda: any(
+                event["endpoint"] == endpoint and event["standing"] in standings
+                for event in self.log_events(number, "endpoint_standing_changed")
+            ),
+            IN_FORCE_SECONDS,
+            f"{endpoint} to be {' or '.join(standings)}",
+        )
+
     def log_lines(self, number: int = 1) -> tuple[str, ...]:
         """Return the log of a gateway's last start as it is; the end may be torn."""
         path = self._directory / f"gateway-{number}.out"
