Long answers wait for each other: many endless bodies hold bounded memory

Callers saw, beside 12 slow endless bodies at once, a gateway whose peak of resident memory rose from 56.9 to 217.6 MB; its VM has about 230 MB.

Cause: an answer that is no stream is held until it is whole, up to 16 MiB (MAX_BODY_BYTES), and the number of those held had no bound.

Change: HeldAnswers counts the bytes of held answers. Above 8 MiB in all, the connections of long ones (over 128 KiB) are paused, but for the one that was long first, which ends or reaches its bound. A wait is no silence. The bound of a sound answer stays. A call whose wait lasts until its deadline gets 504, with an unknown outcome. No caller gets a part of an answer.

A typed error needs the body held until its end is known.

Ruled out: relaying from some size on, as a caller of an endless body would get a cut 200 in place of 502 outcome_unknown, which the tests demand.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -10,6 +10,7 @@
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.endpoint_connection import EndpointResponse, Event
 from bilberryring.gateway.event_stream import EventTooLargeError, has_data
+from bilberryring.gateway.held_answers import HeldAnswer, HeldAnswers
 from bilberryring.gateway.messages import (
     AttemptError,
     AttemptMetadata,
@@ -120,6 +121,7 @@
         self._statements = statements
         self._log = log
         self._on_work_changed = on_work_changed
+        self._held = HeldAnswers()
 
     async def run(
         self, context: RequestContext, attempt: Attempt, running: RunningAttempts
@@ -420,7 +422,8 @@
         if relay.context.attempt is relay.attempt:
             # Nothing is read while the caller reads slowly.
             since = max(since, relay.context.exchange.held_back_until)
-        return since
+        # Nor while an answer waits for other long ones.
+        return max(since, relay.response.paused_until)
 
     def _is_overdue(self, relay: "_Relay") -> bool:
         """Whether an endpoint has been silent for longer than its known work explains.
@@ -453,16 +456,24 @@
 
     async def _read_body(self, relay: "_Relay") -> ResponseBody:
         """Return the body, of at most `MAX_BODY_BYTES`, unless it is broken off."""
+        held = self._held.begin(relay.response)
         parts: list[bytes] = []
-        size = 0
+        try:
+            return await self._hold_body(relay, held, parts)
+        finally:
+            held.release()
+
+    async def _hold_body(
+        self, relay: "_Relay", held: HeldAnswer, parts: list[bytes]
+    ) -> ResponseBody:
         limit = self._first_response_limit(relay.context, relay.attempt.choice)
         while True:
             self._record_progress(relay, limit=limit)
             match await self._receive(relay):
                 case ResponseData(data):
                     parts.append(data)
-                    size += len(data)
-                    if size > MAX_BODY_BYTES:
+                    held.add(len(data))
+                    if held.n_bytes > MAX_BODY_BYTES:
                         relay.response.abort()
                         # The traceback of the error would keep them for a while.
                         parts.clear()
--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -77,12 +77,32 @@
         self._is_complete = False
         self._is_abandoned = False
         self._dropped_bytes = 0
+        self._is_paused = False
+        self._resumed_at = 0.0
 
     @property
     def transport(self):
         """The connection's transport, which can be paused and resumed."""
         return self._connection.transport
 
+    @property
+    def paused_until(self) -> float:
+        """The time until which `pause` last kept events back; now if it does."""
+        return self._reactor.seconds() if self._is_paused else self._resumed_at
+
+    def pause(self) -> None:
+        """Read no more from the connection until `resume`, nor see its end."""
+        if self._failure is None and not self._is_complete:
+            self._is_paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on if the connection is paused."""
+        if self._is_paused:
+            self._is_paused = False
+            self._resumed_at = self._reactor.seconds()
+            self.transport.resumeProducing()
+
     async def receive(self, *, timeout: float) -> Event:
         """Return the next event.
 
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -278,11 +278,27 @@
     Mechanism(
         name="answers without end are cut off",
         module="gateway/attempts.py",
-        present="                    if size > MAX_BODY_BYTES:",
-        absent="                    if size < 0:",
+        present="                    if held.n_bytes > MAX_BODY_BYTES:",
+        absent="                    if held.n_bytes < 0:",
         test="bilberryring/platform/tests/test_endless_answers.py"
         "::test_an_endless_answer_is_cut_off_and_the_call_retried",
     ),
+    Mechanism(
+        name="long answers wait for each other",
+        module="gateway/held_answers.py",
+        present="            answer.pause()",
+        absent="            pass",
+        test="bilberryring/gateway/tests/test_held_answers.py"
+        "::test_bodies_without_end_hold_a_bounded_number_of_bytes",
+    ),
+    Mechanism(
+        name="a wait for other long answers is no silence",
+        module="gateway/attempts.py",
+        present="        return max(since, relay.response.paused_until)",
+        absent="        return since",
+        test="bilberryring/gateway/tests/test_held_answers.py"
+        "::test_an_endpoint_that_waits_for_others_is_not_silent",
+    ),
     Mechanism(
         name="few heads are skipped before an answer",
         module="gateway/endpoint_connection.py",
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -300,15 +300,19 @@
         )
         self.forwarder = self._build(log, endpoints, retry_slack)
         self._site = CallerSite(reactor=self.clock, on_request=self.forwarder.accept)
-        self.transport = StringTransport()
-        self.channel = self._site.buildProtocol(None)
-        self.channel.makeConnection(self.transport)
-        self.send_request()
+        self.connect()
 
     @property
     def runs(self):
         return self.pool.runs
 
+    def connect(self):
+        """Send the request on a new connection, which `answer` reads from now on."""
+        self.transport = StringTransport()
+        self.channel = self._site.buildProtocol(None)
+        self.channel.makeConnection(self.transport)
+        self.send_request()
+
     def send_request(self):
         self.channel.dataReceived(
             b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
