Bytes of a body are dropped with its attempt, whatever ends it

Beside 12 slow endless bodies at once, again and again for 4 s, a gateway grew by 42.8 MB although at most 24 MiB and a little are held.

Cause: only the error at MAX_BODY_BYTES cleared the parts. The traceback of any other error, the deadline above all, kept them until it was collected.

Change: the parts are cleared in every case. At most the last block of an answer stays in the frame.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -461,6 +461,8 @@
         try:
             return await self._hold_body(relay, held, parts)
         finally:
+            # The traceback of an error would keep them for a while.
+            parts.clear()
             held.release()
 
     async def _hold_body(
@@ -475,8 +477,6 @@
                     held.add(len(data))
                     if held.n_bytes > MAX_BODY_BYTES:
                         relay.response.abort()
-                        # The traceback of the error would keep them for a while.
-                        parts.clear()
                         raise AttemptError(
                             reason=FailureReason.MALFORMED, was_sent=True
                         )
--- a/bilberryring/gateway/tests/test_held_answers.py
+++ b/bilberryring/gateway/tests/test_held_answers.py
@@ -1,5 +1,7 @@
 """How many bytes of answers are held at a time, and that sound ones are whole."""
 
+import gc
+
 import pytest
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
@@ -17,6 +19,19 @@
 """Bytes of a sound answer; those of all callers together are more than the bound."""
 
 
+class CountedBlock(bytes):
+    """A block that counts how many there are in memory."""
+
+    n_alive = 0
+
+    def __new__(cls):
+        cls.n_alive += 1
+        return super().__new__(cls, BLOCK)
+
+    def __del__(self):
+        CountedBlock.n_alive -= 1
+
+
 class Callers:
     """Callers whose endpoints send blocks, each while its connection is read."""
 
@@ -43,7 +58,7 @@
 
     def send_block(self, run):
         if self.can_send(run):
-            run.send(BLOCK)
+            run.send(CountedBlock())
             self.sent[run] += len(BLOCK)
             if self.sent[run] == self._n_bytes:
                 run.end()
@@ -158,3 +173,20 @@
     for _ in range(60):
         callers.site.clock.advance(0.05)
     assert callers.site.events("attempt_silent")
+
+
+def test_at_most_the_last_block_is_kept_after_a_deadline(make_callers):
+    """The traceback of the error has that one until it is collected."""
+    callers = make_callers()
+    gc.collect()
+    n_before = CountedBlock.n_alive
+    gc.disable()
+    try:
+        fill(callers)
+        assert CountedBlock.n_alive > n_before + 10 * CALLERS
+        for _ in range(70):
+            callers.site.clock.advance(0.1)
+        assert callers.statuses() == [504] * CALLERS
+        assert CountedBlock.n_alive <= n_before + CALLERS
+    finally:
+        gc.enable()
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -291,6 +291,14 @@
         test="bilberryring/gateway/tests/test_held_answers.py"
         "::test_bodies_without_end_hold_a_bounded_number_of_bytes",
     ),
+    Mechanism(
+        name="bytes of a body are dropped with its attempt",
+        module="gateway/attempts.py",
+        present="            parts.clear()",
+        absent="            pass",
+        test="bilberryring/gateway/tests/test_held_answers.py"
+        "::test_at_most_the_last_block_is_kept_after_a_deadline",
+    ),
     Mechanism(
         name="a wait for other long answers is no silence",
         module="gateway/attempts.py",
