Test of closing listeners waits until its callers have connected

A caller that has to be connected before the listener closes was given 0.1 s to start its thread and connect; on a busy machine it could come after, and be refused, as the test of that case does not allow. It is waited for now, 5 s at most; a caller whose handshake is dropped, for 0.1 s as before.

--- a/bilberryring/process/tests/test_closing_listeners.py
+++ b/bilberryring/process/tests/test_closing_listeners.py
@@ -21,7 +21,9 @@
 from bilberryring.standins.loopback import process_network
 from bilberryring.telemetry import EventLog
 
-CONNECT_SECONDS = 0.1
+CONNECT_SECONDS = 5.0
+DROPPED_SECONDS = 0.1
+WORK_SECONDS = 0.1
 
 class Answers(Protocol):
     def connectionMade(self):
@@ -35,21 +37,22 @@
     def __init__(self):
         super().__init__()
         self.answer = None
-        self._is_connected = threading.Event()
+        self._is_tried = threading.Event()
 
-    def connect(self):
+    def connect(self, seconds):
         self.start()
-        self._is_connected.wait(CONNECT_SECONDS)
+        self._is_tried.wait(seconds)
 
     def run(self):
         try:
             raw = socket.create_connection(host_and_port(address), timeout=5.0)
         except OSError as error:
             self.answer = f"not connected {error}"
+            self._is_tried.set()
             return
         try:
             raw.sendall(b"request")
-            self._is_connected.set()
+            self._is_tried.set()
             self.answer = raw.recv(100)
         except OSError as error:
             self.answer = error
@@ -64,14 +67,15 @@
 listening_port = listeners._ports["caller_address"]
 callers = []
 
-def connect():
+def connect(seconds=CONNECT_SECONDS):
+    '''Start a caller, and wait until it has sent its request or the time is over.'''
     callers.append(Caller())
-    callers[-1].connect()
+    callers[-1].connect(seconds)
 
 async def close_before():
     await deferLater(reactor, 0.05)
     closing = Deferred.fromCoroutine(listeners.close("caller_address"))
-    connect()
+    connect(DROPPED_SECONDS)
     await closing
 
 async def close_after():
@@ -80,14 +84,14 @@
     await deferToThread(callers[0].join)
     for _ in range(3):
         connect()
-    factory.work_seconds = CONNECT_SECONDS
+    factory.work_seconds = WORK_SECONDS
     await listeners.close("caller_address")
 
 async def close_while():
     close_socket = listening_port.connectionLost
 
     def connect_and_close(reason):
-        connect()
+        connect(DROPPED_SECONDS)
         close_socket(reason)
 
     listening_port.connectionLost = connect_and_close
@@ -96,7 +100,7 @@
 async def close_while_busy():
     connect()
     # The process does not run for most of the time in which handshakes are dropped.
-    reactor.callLater(0, connect)
+    reactor.callLater(0, connect, DROPPED_SECONDS)
     await listeners.close("caller_address")
 
 async def close_without_filters():
