Review, case 1: a gateway that no other hears keeps an old configuration

Cause: gateways that copy the published items from peers do not read the store themselves when the copies fail, as long as they hear the readers' reports.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,19 +1,31 @@
-"""Case 1: a rolling restart of the gateways forgets a request that crashes servers."""
+"""Case 1: a gateway that is heard by no other one keeps an old configuration."""
 
 import asyncio
-import itertools
+import copy
+import importlib
 import sys
 import time
 from pathlib import Path
 
 from review.kit.http_parts import Head
 from review.kit.server import Server
-from review.kit.site import HOST, KEY, STABILITY_SECONDS, TENANT, Site, run_case
-
-POISON = "/lohu930/poison"
-MAX_RETRIES = 3
+from review.kit.site import (
+    HOST,
+    KEY,
+    PROXIED_PORT,
+    STABILITY_SECONDS,
+    TENANT,
+    CannotRun,
+    Site,
+    run_case,
+)
+
+links = importlib.import_module("review.1.links")
+
+GATEWAYS = 8
+CUT_SECONDS = 5.5
+APPLY_SECONDS = 2.0
 DEADLINE_MS = 1500
-PAUSE_SECONDS = 1.0
 CONFIGURATION = {
     "version": 3,
     "routes": [
@@ -29,7 +41,10 @@
             "attempts": 2,
         }
     ],
-    "services": [{"name": "pedidos-app", "max_connections": 100}],
+    "services": [
+        {"name": "pedidos-app", "max_connections": 100},
+        {"name": "pedidos-new", "max_connections": 100},
+    ],
     "limits": {
         "max_header_bytes": 16384,
         "max_body_bytes": 4194304,
@@ -40,97 +55,101 @@
 }
 
 
-class CrashingServer(Server):
-    """Crashes each time that it begins to run POISON."""
+def later_configuration() -> dict:
+    """The route goes to another service."""
+    later = copy.deepcopy(CONFIGURATION)
+    later["version"] = 7
+    later["routes"][0]["service"] = "pedidos-new"
+    return later
+
 
-    def __init__(self, site: Site, host: str):
+class NotingServer(Server):
+    """Notes which requests it has run."""
+
+    def __init__(self, site: Site, host: str, service: str):
         super().__init__(site, host)
-        self.arrivals: list[tuple[float, str]] = []
+        self.service = service
+        self.ran: set[str] = set()
 
     async def answer(self, head: Head, writer) -> None:
-        if head.target != POISON:
-            await super().answer(head, writer)
-            return
-        request_id = head.headers["bilberryring-request-id"]
-        self.arrivals.append((time.monotonic(), request_id))
-        self.site.record(f"{self.id} begins to run {request_id} and crashes")
-        self.crash()
-
-
-async def usual_traffic(site: Site, counts: dict) -> None:
-    """Look-ups of other clients, a few a second at each gateway."""
-
-    async def one(gateway, number):
-        path = f"/lohu930/{number:x}"
-        _, answer = await site.call(gateway, "GET", path, deadline_ms=DEADLINE_MS)
-        counts[answer.status] = counts.get(answer.status, 0) + 1
-
-    tasks = set()
-    for number in itertools.count():
-        for gateway in site.gateways:
-            task = asyncio.create_task(one(gateway, number))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-        await asyncio.sleep(0.25)
+        self.ran.add(head.headers["bilberryring-request-id"])
+        await super().answer(head, writer)
 
 
-async def poison(site: Site, gateway) -> str:
-    """The request comes again at a gateway; the client makes one attempt."""
-    request_id, answer = await site.call(
-        gateway, "GET", POISON, deadline_ms=DEADLINE_MS
-    )
-    site.record(
-        f"{request_id} sent at front-{gateway.number}: "
-        f"{answer.status or 'no answer'} {answer.detail}"
-    )
-    return request_id
+def reads_the_store(gateway) -> bool:
+    duties = {
+        line["prefix"]: line["is_reading"]
+        for line in gateway.log_events("reader_duty_changed")
+    }
+    return duties.get("op/", False)
 
 
 async def case(site: Site, trouble: bool) -> bool:
     await site.start(CONFIGURATION)
-    servers = [CrashingServer(site, f"{site.net}.{30 + number}") for number in range(8)]
-    for server in servers:
+    old = [
+        NotingServer(site, f"{site.net}.{30 + number}", "pedidos-app")
+        for number in range(2)
+    ]
+    new = [
+        NotingServer(site, f"{site.net}.{40 + number}", "pedidos-new")
+        for number in range(2)
+    ]
+    for server in (*old, *new):
         await server.start()
     await site.start_gateways()
-    counts: dict[int, int] = {}
-    traffic = asyncio.create_task(usual_traffic(site, counts))
     await asyncio.sleep(STABILITY_SECONDS + 1)
 
-    def arrivals():
-        return sorted(arrival for server in servers for arrival in server.arrivals)
-
-    for gateway in itertools.cycle(site.gateways):
-        await poison(site, gateway)
-        if len(arrivals()) >= MAX_RETRIES:
-            break
-        await asyncio.sleep(PAUSE_SECONDS)
-    third = arrivals()[MAX_RETRIES - 1][0]
-    site.record("it has crashed the third server")
-    await asyncio.sleep(STABILITY_SECONDS + PAUSE_SECONDS)
-
-    in_touch: set[str] = set()
-    for gateway in site.gateways:
-        if trouble:
-            site.record(f"front-{gateway.number} is stopped and started again")
-            await gateway.stop()
-            gateway.start()
-            await gateway.wait_ready()
-        await asyncio.sleep(STABILITY_SECONDS + PAUSE_SECONDS)
-        for _ in range(2):
-            assert time.monotonic() > gateway.started_at + STABILITY_SECONDS
-            in_touch.add(await poison(site, gateway))
-            await asyncio.sleep(PAUSE_SECONDS)
-    traffic.cancel()
-    late = [item for item in arrivals() if item[0] > third + STABILITY_SECONDS]
-    retries = {request_id for _, request_id in late} & in_touch
-    site.record(f"answers to other requests, by status: {dict(sorted(counts.items()))}")
+    # The gateways in zone vina-b, and in valpo-a the one that the case is about.
+    followers = [item for item in site.gateways if not reads_the_store(item)]
+    if not followers:
+        raise CannotRun("each gateway reads the store")
+    gateway = followers[0]
+    others = [item for item in site.gateways if item is not gateway]
+    await gateway.stop()
+    proxy = links.OneWayLinks(gateway.ip, [item.ip for item in others])
+    await proxy.start()
+    gateway.write_settings(peer_port=PROXIED_PORT)
+    gateway.start()
+    await gateway.wait_ready()
+    await asyncio.sleep(STABILITY_SECONDS + 2)
+    reads = reads_the_store(gateway)
+    site.record(f"front-{gateway.number} is in touch; it reads the store: {reads}")
+
+    cut_at = time.monotonic()
+    if trouble:
+        proxy.is_cut = True
+        site.record(f"nothing passes from front-{gateway.number} to other gateways")
+    await asyncio.sleep(0.5)
+    site.store.put("op/config", later_configuration())
+    acknowledged_at = time.monotonic()
+    site.record("version 7 is acknowledged: the route leads to pedidos-new")
+    sent: dict[str, float] = {}
+    while time.monotonic() < cut_at + CUT_SECONDS:
+        for item in (gateway, others[0]):
+            sent_at = time.monotonic() - acknowledged_at
+            request_id, answer = await site.call(
+                item, "GET", "/lohu930/2f", deadline_ms=DEADLINE_MS
+            )
+            where = "no server"
+            if any(request_id in server.ran for server in old):
+                where = "pedidos-app"
+            elif any(request_id in server.ran for server in new):
+                where = "pedidos-new"
+            site.record(
+                f"{request_id} sent {sent_at:.2f} s after it at front-{item.number}: "
+                f"{answer.status}, run by {where}"
+            )
+            if where == "pedidos-app" and sent_at > APPLY_SECONDS:
+                sent[request_id] = sent_at
+        await asyncio.sleep(0.25)
+    proxy.close()
+    await asyncio.sleep(0.1)
     site.record(
-        f"{len(retries)} retries of the request, sent by machines in touch, reached "
-        f"servers later than {STABILITY_SECONDS:.0f} s after the third crash, with "
-        f"{len(late)} further crashes; {MAX_RETRIES} retries are allowed"
+        f"{len(sent)} requests that were sent later than {APPLY_SECONDS:.0f} s after "
+        "the acknowledgement were run by the old service"
     )
-    return len(retries) <= MAX_RETRIES
+    return not sent
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, 4, case))
+    sys.exit(run_case(Path(__file__).parent, GATEWAYS, case))
--- a/review/kit/site.py
+++ b/review/kit/site.py
@@ -23,7 +23,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 FRONT, READY, CONTROL, STORE_PORT = 8227, 8220, 8229, 8223
-PORTS = (FRONT, READY, CONTROL, 7340, 9464)
+PEER_PORT, PROXIED_PORT = 7340, 7341
+PORTS = (FRONT, READY, CONTROL, PEER_PORT, PROXIED_PORT, 9464)
 STABILITY_SECONDS = 3.0
 GRACE_SECONDS = 8.0
 HEARTBEAT_SECONDS = 1.2
@@ -34,9 +35,9 @@
 machine_class = "front"
 serves = ["front","control"]
 ip = "{ip}"
-zone = "valpo-a"
+zone = "{zone}"
 region = "cl-centro"
-internal_ports = [7340,7355]
+internal_ports = [{peer_port},7355]
 seeds = {seeds}
 bootstrap = true
 counts_as_loss = false
@@ -47,6 +48,7 @@
 "tenants","places","platform","spans"]
 [zones]
 valpo-a = "cl-centro"
+vina-b = "cl-centro"
 [listen]
 front = "{ip}:8227"
 ready = "{ip}:8220"
@@ -140,15 +142,30 @@
         self.started_at = 0.0
         self._path = site.folder / f"front-{number}.toml"
         self._log = site.folder / f"front-{number}.log"
-        seeds = [f"{site.net}.{other}:{CONTROL}" for other in site.numbers]
+        self._seeds = [f"{site.net}.{other}:{CONTROL}" for other in site.numbers]
+        self._store = f"{site.net}.20:{STORE_PORT}"
+        self.write_settings()
+
+    def write_settings(
+        self, *, zone: str = "valpo-a", peer_port: int = PEER_PORT
+    ) -> None:
+        """Write the settings file with which the process starts."""
         text = SETTINGS.format(
-            number=number,
+            number=self.number,
             ip=self.ip,
-            seeds=json.dumps(seeds[:3]),
-            store=f"{site.net}.20:{STORE_PORT}",
+            zone=zone,
+            peer_port=peer_port,
+            seeds=json.dumps(self._seeds[:3]),
+            store=self._store,
         )
         self._path.write_text(text, encoding="utf-8")
 
+    def log_events(self, event: str) -> list[dict]:
+        """Return the lines of one event of its log."""
+        lines = self._log.read_text("utf-8", "replace").splitlines()
+        found = [json.loads(line) for line in lines if f'"event":"{event}"' in line]
+        return found
+
     def start(self) -> None:
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text("utf-8"))
         role = deploy["roles"]["gateway"]
