Copies of published items between gateways are compressed

The peer's link of 20 Mbit/s also carries its callers' streams.

Cause: a copy of a configuration with 1,650 routes was sent as 441,041 bytes; 24 of them are 10.6 MB, 4.2 s of such a link.

Change: a query says that it takes compressed values; values of 1 KiB and more are then deflated, and kept so for the peers that ask at once. Compressed values are bounded together. A gateway of an earlier version gets what it can read. The two users of compression share one module; a set's part above its limit counts as malformed, as its digest told before.

--- a/bilberryring/core/__init__.py
+++ b/bilberryring/core/__init__.py
@@ -6,6 +6,7 @@
     to_micros,
     use_monotonic_time,
 )
+from bilberryring.core.compression import compress, decompress
 from bilberryring.core.delivery import Delivery
 from bilberryring.core.errors import (
     ErrorCode,
@@ -47,7 +48,9 @@
     "ServingError",
     "SettingsError",
     "TCP_USER_TIMEOUT_MS",
+    "compress",
     "decode_json",
+    "decompress",
     "from_micros",
     "new_incarnation",
     "new_request_id",
--- a/bilberryring/gateway/copy_codec.py
+++ b/bilberryring/gateway/copy_codec.py
@@ -3,7 +3,9 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import lru_cache
 
+from bilberryring.core import compress, decompress
 from bilberryring.fleet import (
     MS_PER_SECOND,
     LostWrite,
@@ -15,6 +17,13 @@
 from bilberryring.wire import CopyAnswer, CopyItem, CopyQuery, CopyRevision
 from bilberryring.wire import LostWrite as LostWriteMessage
 
+MIN_COMPRESSED_BYTES = 1_024
+"""Size in bytes of the smallest value that is compressed."""
+MAX_VALUES_BYTES = 16 * 1024 * 1024
+"""Most bytes that the compressed values of one copy may have together."""
+CACHED_VALUES = 4
+"""Values that are kept compressed: many peers copy the same configuration at once."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Copy:
@@ -60,7 +69,10 @@
 def make_query(prefix: str, position: ReplicaPosition) -> CopyQuery:
     """Return the request for what a peer has beyond a position."""
     return CopyQuery(
-        prefix=prefix, revision=position.latest.number, era=position.latest.era
+        prefix=prefix,
+        revision=position.latest.number,
+        era=position.latest.era,
+        takes_compressed=True,
     )
 
 
@@ -68,7 +80,10 @@
     """Return the changes since the query's revision, or all items.
 
     A gateway of an earlier version names no era, and gets the answer that it knows.
+    Large values are compressed for those that take that: the links of gateways are
+    narrow, and callers' answers share them.
     """
+    encode_item = _compress_item if query.takes_compressed else _encode_item
     is_same_era = query.era in (None, replica.era)
     changes = replica.changes_since(query.revision or 0) if is_same_era else None
     items = replica.items if changes is None else changes
@@ -76,7 +91,7 @@
     return CopyAnswer(
         prefix=query.prefix,
         revision=position.latest.number,
-        items=[_encode_item(item) for item in items],
+        items=[encode_item(item) for item in items],
         is_delta=changes is not None,
         era=replica.era,
         lost_era=position.latest_lost.era,
@@ -109,7 +124,13 @@
 
 def decode_items(answer: CopyAnswer) -> tuple[PublishedItem, ...]:
     """Return the items in an answer."""
-    return tuple(_decode_item(item) for item in answer.items or ())
+    items, bytes_left = [], MAX_VALUES_BYTES
+    for message in answer.items or ():
+        item = _decode_item(message, most=bytes_left)
+        if message.compressed_value is not None:
+            bytes_left -= len(item.value)
+        items.append(item)
+    return tuple(items)
 
 
 def decode_lost_writes(answer: CopyAnswer) -> tuple[LostWrite, ...]:
@@ -153,9 +174,31 @@
     return CopyItem(key=item.key, revision=item.revision, value=item.value)
 
 
-def _decode_item(item: CopyItem) -> PublishedItem:
+def _compress_item(item: PublishedItem) -> CopyItem:
+    if item.value is None or len(item.value) < MIN_COMPRESSED_BYTES:
+        return _encode_item(item)
+    return CopyItem(
+        key=item.key,
+        revision=item.revision,
+        compressed_value=_compress_value(item.value),
+    )
+
+
+@lru_cache(maxsize=CACHED_VALUES)
+def _compress_value(value: bytes) -> bytes:
+    return compress(value)
+
+
+def _decode_item(item: CopyItem, *, most: int = MAX_VALUES_BYTES) -> PublishedItem:
+    """Return an item, whose value has at most `most` bytes if it is compressed.
+
+    `ValueError` is raised otherwise, and if a field is missing or malformed.
+    """
+    value = item.value
+    if item.compressed_value is not None:
+        value = decompress(item.compressed_value, most=most)
     return PublishedItem(
-        key=_text(item.key), revision=_count(item.revision), value=item.value
+        key=_text(item.key), revision=_count(item.revision), value=value
     )
 
 
--- a/bilberryring/process/configuration.py
+++ b/bilberryring/process/configuration.py
@@ -7,7 +7,6 @@
 """
 
 import random
-import zlib
 from collections.abc import Callable
 
 from twisted.internet.task import deferLater
@@ -24,6 +23,7 @@
 from bilberryring.adapters import (
     PlatformReader,
 )
+from bilberryring.core import compress, decompress
 from bilberryring.objects import (
     MAX_PART_BYTES,
     ObjectSet,
@@ -151,9 +151,9 @@
             return
         manifest = b""
         if query.manifest:
-            manifest = zlib.compress(encode_manifest(in_force.manifest))
+            manifest = compress(encode_manifest(in_force.manifest))
         parts = {
-            digest: zlib.compress(in_force.parts[digest])
+            digest: compress(in_force.parts[digest])
             for digest in query.part_digests or ()
             if digest in in_force.parts
         }
@@ -233,10 +233,9 @@
 def _decompress(content: bytes) -> bytes:
     """Decompress at most `MAX_PART_BYTES` of a peer's data.
 
-    The result is empty when the data are malformed.
+    The result is empty when the data are malformed or larger.
     """
-    decompressor = zlib.decompressobj()
     try:
-        return decompressor.decompress(content, MAX_PART_BYTES)
-    except zlib.error:
+        return decompress(content, most=MAX_PART_BYTES)
+    except ValueError:
         return b""
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -3138,6 +3138,7 @@
      - key
      - revision
      - value
+     - compressed_value
 
     """
 
@@ -3145,13 +3146,15 @@
         'key',
         'revision',
         'value',
+        'compressed_value',
     )
 
 
-    def __init__(self, key=None, revision=None, value=None,):
+    def __init__(self, key=None, revision=None, value=None, compressed_value=None,):
         self.key = key
         self.revision = revision
         self.value = value
+        self.compressed_value = compressed_value
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3177,6 +3180,11 @@
                     self.value = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.compressed_value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3199,6 +3207,10 @@
             oprot.writeFieldBegin('value', TType.STRING, 3)
             oprot.writeBinary(self.value)
             oprot.writeFieldEnd()
+        if self.compressed_value is not None:
+            oprot.writeFieldBegin('compressed_value', TType.STRING, 4)
+            oprot.writeBinary(self.compressed_value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3359,6 +3371,7 @@
      - prefix
      - revision
      - era
+     - takes_compressed
 
     """
 
@@ -3366,13 +3379,15 @@
         'prefix',
         'revision',
         'era',
+        'takes_compressed',
     )
 
 
-    def __init__(self, prefix=None, revision=None, era=None,):
+    def __init__(self, prefix=None, revision=None, era=None, takes_compressed=None,):
         self.prefix = prefix
         self.revision = revision
         self.era = era
+        self.takes_compressed = takes_compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3398,6 +3413,11 @@
                     self.era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.takes_compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3420,6 +3440,10 @@
             oprot.writeFieldBegin('era', TType.I64, 3)
             oprot.writeI64(self.era)
             oprot.writeFieldEnd()
+        if self.takes_compressed is not None:
+            oprot.writeFieldBegin('takes_compressed', TType.BOOL, 4)
+            oprot.writeBool(self.takes_compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4202,6 +4226,7 @@
     (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
+    (4, TType.STRING, 'compressed_value', 'BINARY', None, ),  # 4
 )
 all_structs.append(LostWrite)
 LostWrite.thrift_spec = (
@@ -4219,6 +4244,7 @@
     (1, TType.STRING, 'prefix', 'UTF8', None, ),  # 1
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.I64, 'era', None, None, ),  # 3
+    (4, TType.BOOL, 'takes_compressed', None, None, ),  # 4
 )
 all_structs.append(CopyAnswer)
 CopyAnswer.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -213,7 +213,9 @@
 struct CopyItem {
   1: string key,
   2: i64 revision,
-  3: binary value,
+  3: optional binary value,
+  // The value in place of field 3, for a query that takes compressed values.
+  4: optional binary compressed_value,
 }
 
 struct LostWrite {
@@ -230,6 +232,8 @@
   1: string prefix,
   2: i64 revision,
   3: optional i64 era,
+  // Gateways of earlier versions take no compressed values.
+  4: optional bool takes_compressed,
 }
 
 struct CopyAnswer {
