A request that arrives before its idle connection is closed is read

Cause, shown in a site on a real reactor whose turns the test makes: an idle connection was looked at in the timers of one pass, closed by the reactor at the end of the next poll, and not read in between. What arrived meanwhile was reset by the kernel. The window lasts as long as the process is busy in that pass, as with a large configuration.

Change: just before it is closed, the socket is asked whether something waits to be read, and if not it is closed in the same step. The same at the stop of gateways and entries. What remains is the time on the way: a request that crosses the end itself.

The three places that asked a socket what waits share one function; the played caller's connection has a descriptor for it.

Ruled out by reading: a lower limit takes effect on a connection with its next answer.

--- a/bilberryring/core/__init__.py
+++ b/bilberryring/core/__init__.py
@@ -29,6 +29,7 @@
     KEEPALIVE_SECONDS,
     TCP_USER_TIMEOUT_MS,
     drop_handshakes,
+    has_unread,
     set_reset_on_close,
     set_tcp_options,
 )
@@ -52,6 +53,7 @@
     "decode_json",
     "decompress",
     "from_micros",
+    "has_unread",
     "new_incarnation",
     "new_request_id",
     "drop_handshakes",
--- a/bilberryring/core/tcp_options.py
+++ b/bilberryring/core/tcp_options.py
@@ -1,6 +1,7 @@
 """Options of TCP connections between hosts that may vanish, and of listeners."""
 
 import ctypes
+import select
 import socket
 import struct
 
@@ -55,6 +56,17 @@
     )
 
 
+def has_unread(descriptor) -> bool:
+    """Whether data, connections or an end wait to be read on a socket or transport.
+
+    Timers run before sockets are read, so that they may wait for as long as the process
+    was busy.
+    """
+    poll = select.poll()
+    poll.register(descriptor.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def drop_handshakes(listener: socket.socket) -> None:
     """Let no new connection begin on a listening socket; those that wait are kept.
 
--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -1,6 +1,5 @@
 """HTTP/1.1 connections to endpoints, each of which carries one request at a time."""
 
-import select
 from collections import deque
 from collections.abc import Callable
 
@@ -15,6 +14,7 @@
     RequestId,
     RunOutcome,
     ServingError,
+    has_unread,
     parse_whole_number,
     set_tcp_options,
 )
@@ -248,9 +248,7 @@
         if not self._is_open or self.idle_seconds() >= self._max_idle_seconds:
             return False
         # The end of the connection may have arrived and not been read yet.
-        poll = select.poll()
-        poll.register(self.transport.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not has_unread(self.transport)
 
     def connectionMade(self) -> None:
         self._is_open = True
--- a/bilberryring/gateway/tests/test_caller_site.py
+++ b/bilberryring/gateway/tests/test_caller_site.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from bilberryring.core import has_unread
 from bilberryring.fleet import CallerLimits
 from bilberryring.gateway.caller_site import CallerSite
 from bilberryring.http import MIN_IDLE_SECONDS, CallerChannel
@@ -129,6 +130,27 @@
     assert not any(exchange.is_closed for exchange in busy.exchanges)
 
 
+def is_closed(caller):
+    """Return whether the end of the connection has arrived at the caller."""
+    return has_unread(caller) and not caller.recv(1, socket.MSG_PEEK)
+
+
+@pytest.mark.parametrize("is_before_timers", [False, True])
+@pytest.mark.parametrize("n_turns", range(4))
+def test_no_request_that_arrives_before_its_idle_connection_ends_is_reset(
+    busy, n_turns, is_before_timers
+):
+    time.sleep(2 * IDLE_SECONDS)
+    busy.turn(n_turns)
+    if not is_before_timers:
+        busy.reactor.runUntilCurrent()
+    was_closed = is_closed(busy.caller)
+    if not was_closed:
+        busy.caller.sendall(HEAD + b"xy")
+    busy.turn(4)
+    assert len(busy.exchanges) == (not was_closed)
+
+
 def test_a_stop_closes_no_connection_on_which_a_request_waits_unread():
     busy = BusySite(idle_timeout=60.0)
     busy.caller.sendall(HEAD + b"xy")
--- a/bilberryring/http/caller_channel.py
+++ b/bilberryring/http/caller_channel.py
@@ -13,6 +13,7 @@
     ErrorCode,
     RunOutcome,
     ServingError,
+    has_unread,
     set_reset_on_close,
 )
 from bilberryring.http.answers import PROBLEM_TYPE, problem_from_error
@@ -20,6 +21,8 @@
 MAX_BODY_SECONDS = 60.0
 """Seconds within which a body must arrive, as long as callers are assumed to wait."""
 
+UNREAD_SECONDS = 0.05
+"""Seconds in which what has arrived on an idle connection is read."""
 MIN_IDLE_SECONDS = 0.5
 """Seconds without a request after which a connection is closed at a stop."""
 
@@ -102,9 +105,9 @@
         self.callLater(0, self._close_after_output, seconds)
 
     def _close_after_output(self, seconds: float) -> None:
-        is_idle = self.idle_seconds(now=self.factory.reactor.seconds()) >= seconds
-        if is_idle and not self._is_lost:
+        if self._is_unused(seconds):
             self.loseConnection()
+            self._finish_close()
 
     def timeoutConnection(self) -> None:
         self.callLater(0, self._handle_idle_timeout)
@@ -114,14 +117,33 @@
         if self._is_lost or self._handlingRequest or self._close_if_idle(limit):
             return
         # A request is being received, or a new configuration has a longer limit.
-        self.setTimeout(limit - self.idle_seconds(now=self.factory.reactor.seconds()))
+        left = limit - self.idle_seconds(now=self.factory.reactor.seconds())
+        self.setTimeout(max(left, UNREAD_SECONDS))
 
     def _close_if_idle(self, seconds: float) -> bool:
-        is_idle = self.idle_seconds(now=self.factory.reactor.seconds()) >= seconds
-        if is_idle and not self._is_lost:
+        is_unused = self._is_unused(seconds)
+        if is_unused:
             # Resets the connection if the caller does not read what was written.
             super().timeoutConnection()
-        return is_idle
+            self._finish_close()
+        return is_unused
+
+    def _is_unused(self, seconds: float) -> bool:
+        """Whether the connection is idle for `seconds` and nothing waits to be read."""
+        is_idle = self.idle_seconds(now=self.factory.reactor.seconds()) >= seconds
+        return is_idle and not self._is_lost and not has_unread(self.transport)
+
+    def _finish_close(self) -> None:
+        """Close the connection that is to be closed now, unless output is left.
+
+        The reactor would do so in its next pass without reading again, and the kernel
+        would reset a request that arrives until then.
+        """
+        if self._is_lost:
+            return
+        reason = self.transport.doWrite()
+        if reason is not None:
+            self.transport.connectionLost(Failure(reason))
 
     def connectionMade(self) -> None:
         self._idle_since = self.factory.reactor.seconds()
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -1,7 +1,6 @@
 """Binds the addresses of a process, handles signals and drains it."""
 
 import gc
-import select
 import signal
 
 from twisted.internet.defer import Deferred, maybeDeferred
@@ -10,7 +9,7 @@
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
-from bilberryring.core import ErrorCode, SettingsError, drop_handshakes
+from bilberryring.core import ErrorCode, SettingsError, drop_handshakes, has_unread
 from bilberryring.http import MIN_IDLE_SECONDS, DrainableSite, make_site
 from bilberryring.process.settings import host_and_port
 from bilberryring.telemetry import EventLog, LogEvent
@@ -65,7 +64,7 @@
         requests, while the process was busy.
         """
         listening_port = self._ports.get(key)
-        return listening_port is not None and _has_waiting(listening_port)
+        return listening_port is not None and has_unread(listening_port)
 
     async def close(self, key: str) -> None:
         """Accept the connections that wait on an address, and none after them.
@@ -108,16 +107,10 @@
         site.close_connections()
 
 
-def _has_waiting(listening_port) -> bool:
-    poll = select.poll()
-    poll.register(listening_port.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def _accept_waiting(listening_port) -> None:
     """Accept the connections that wait; one read accepts only some of them."""
     for _ in range(LISTEN_BACKLOG):
-        if not _has_waiting(listening_port):
+        if not has_unread(listening_port):
             return
         listening_port.doRead()
 
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -110,10 +110,18 @@
 
     protocol = None
     is_reset_on_close = False
+    _silent_socket, _other_end = socket.socketpair()
 
     def getHandle(self):
         return self
 
+    def fileno(self) -> int:
+        """Return a descriptor on which nothing waits to be read."""
+        return self._silent_socket.fileno()
+
+    def doWrite(self) -> None:
+        """Leave what is written to the test, and the close that may follow it."""
+
     def setsockopt(self, level: int, option: int, value: bytes) -> None:
         if option == socket.SO_LINGER:
             self.is_reset_on_close = bool(struct.unpack("ii", value)[0])
