Versions of a configuration that are read together are decoded once

Seen: a gateway that reads n versions of the configuration in one answer of the store, as after a storm, decodes and converts the last one n times in one step of its loop. No request is read or answered and no timer runs meanwhile. Callers give up a connection that is not read for 1 s. Cause: Replica.apply returned a key once for each of its writes; a watch of the store returns each event, and changes are collected for 0.1 s. Change: each changed key is returned once. Test: platform/tests/test_translation.py counts the decoded values; on the code without the fix it failed with 8 changes instead of 1. Ruled out: the copies from peers; they hold only the last write of each key.

--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -207,8 +207,8 @@
         return tuple(written + removed)
 
     def apply(self, items: Iterable[PublishedItem]) -> tuple[str, ...]:
-        """Apply changes in any order; return the keys that changed."""
-        changed = []
+        """Apply changes in any order; return the keys that changed, each once."""
+        changed: dict[str, None] = {}
         for item in items:
             self._revision = max(self._revision, item.revision)
             if item.revision <= self._known_revision(item.key):
@@ -217,7 +217,7 @@
             is_changed = self._store_item(item)
             self._lost.check(item.key, self._items.get(item.key))
             if is_changed or before != self.value(item.key):
-                changed.append(item.key)
+                changed[item.key] = None
         return tuple(changed)
 
     def replace(
--- a/bilberryring/platform/tests/test_translation.py
+++ b/bilberryring/platform/tests/test_translation.py
@@ -7,25 +7,59 @@
 from twisted.internet.task import Clock
 
 from bilberryring.fleet import FleetState, PublishedItem, Replica
+from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.platform import translation
+from bilberryring.platform.names import CONFIGURATION_KEY, OPERATOR_PREFIX
 from bilberryring.platform.tests.odd_entries import ENTRY
 from bilberryring.platform.translation import Translator
 from bilberryring.telemetry import EventLog
 
+N_VERSIONS = 8
 
-def test_a_key_that_cannot_be_applied_holds_up_no_other():
-    fleet, output, replica = FleetState(), StringIO(), Replica()
-
-    def fail(endpoint):
-        raise RuntimeError(f"no {endpoint.id}")
 
-    translator = Translator(
+def make_translator(fleet, output, on_endpoint_removed=None):
+    return Translator(
         reactor=Clock(),
         fleet=fleet,
         health=SimpleNamespace(is_recovering=lambda grace: False),
         log=EventLog(process="p", role="gateway", stream=output),
-        on_endpoint_removed=fail,
+        on_endpoint_removed=on_endpoint_removed,
     )
 
+
+def test_versions_that_are_read_together_are_decoded_once(monkeypatch):
+    decoded = []
+
+    def decode(content):
+        decoded.append(content)
+        return decode_configuration(content)
+
+    decode_configuration = translation.decode_configuration
+    monkeypatch.setattr(translation, "decode_configuration", decode)
+    fleet = FleetState()
+    copies = PublishedCopies(prefixes=(OPERATOR_PREFIX,), clock=Clock())
+    copies.add_listener(make_translator(fleet, StringIO()).update_fleet)
+    items = [
+        PublishedItem(
+            key=CONFIGURATION_KEY,
+            revision=version,
+            value=b'{"version": %d, "routes": [], "services": []}' % version,
+        )
+        for version in range(1, N_VERSIONS + 1)
+    ]
+    assert copies.apply(OPERATOR_PREFIX, items, era=0) == 1
+    assert fleet.configuration.version == N_VERSIONS
+    assert decoded == [items[-1].value]
+
+
+def test_a_key_that_cannot_be_applied_holds_up_no_other():
+    fleet, output, replica = FleetState(), StringIO(), Replica()
+
+    def fail(endpoint):
+        raise RuntimeError(f"no {endpoint.id}")
+
+    translator = make_translator(fleet, output, on_endpoint_removed=fail)
+
     def apply(revision, **values):
         items = [
             PublishedItem(key=f"servers/{name}", revision=revision, value=value)
