A request that is cancelled with its caller there is answered

Seen: nothing yet. By reading, any cancel of a request's task was recorded as `caller_left`, and the caller got neither an answer nor a refusal. Cause: `caller_left` did not check that the caller had closed its connection. Change: a cancel while the caller is there is an internal error like any other: the caller gets 500 `internal`, or a reset if the answer has begun, and the log has `internal_fault` and `request_failed`. Test: gateway/tests/test_forwarding.py, before the head, after it and after an event; on the code without the fix all three failed, with `caller_left` as the last record. Ruled out: no code of the gateway but the end of the caller's connection cancels the task.

--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -184,15 +184,25 @@
             else:
                 send_error(exchange, error, request_id=metadata.request_id)
             self._log.request_failed(metadata, context, error, exchange.delivery)
-        except CancelledError:
-            self._log.caller_left(metadata, context, exchange.delivery)
+        except CancelledError as error:
+            if exchange.has_caller_left:
+                self._log.caller_left(metadata, context, exchange.delivery)
+            else:
+                self._send_internal_error(exchange, metadata, context, error)
         except Exception as error:
-            internal_error = outcome_unknown(ErrorCode.INTERNAL)
-            send_error(exchange, internal_error, request_id=metadata.request_id)
-            self._log.write(LogEvent.INTERNAL_FAULT, metadata, detail=repr(error))
-            self._log.request_failed(
-                metadata, context, internal_error, exchange.delivery
-            )
+            self._send_internal_error(exchange, metadata, context, error)
+
+    def _send_internal_error(
+        self,
+        exchange: CallerExchange,
+        metadata: CallerMetadata,
+        context: RequestContext | None,
+        error: Exception,
+    ) -> None:
+        internal_error = outcome_unknown(ErrorCode.INTERNAL)
+        send_error(exchange, internal_error, request_id=metadata.request_id)
+        self._log.write(LogEvent.INTERNAL_FAULT, metadata, detail=repr(error))
+        self._log.request_failed(metadata, context, internal_error, exchange.delivery)
 
     async def _forward(self, context: RequestContext) -> None:
         """Make attempts until one succeeds or the request must not be retried."""
--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -78,6 +78,28 @@
     assert [line["event"] for line in site.events(*LAST_RECORDS)] == ["caller_left"]
 
 
+@pytest.mark.parametrize("n_events", [None, 0, 1])
+def test_a_request_that_is_cancelled_with_its_caller_there_is_not_left_unanswered(
+    n_events,
+):
+    site = PlayedSite(kind=RequestKind.STREAMING)
+    if n_events is not None:
+        site.runs[0].send_head()
+    if n_events:
+        site.runs[0].send(EVENT_1)
+    (task,) = site.forwarder._tasks
+    task.cancel()
+    (record,) = site.events(*LAST_RECORDS)
+    assert (record["event"], record["code"]) == ("request_failed", "internal")
+    assert len(site.events("internal_fault")) == 1
+    assert site.runs[0].was_aborted
+    if n_events:
+        assert site.transport.disconnecting
+        return
+    status, _, is_whole = site.answer()
+    assert (status, is_whole) == (500, True)
+
+
 def test_a_caller_that_leaves_while_a_second_connection_opens_gets_no_second_run():
     site = PlayedSite()
     site.pool.held.add("e1")
