Take signals from the first statements of a process to its last

SIGTERM in that time ended it by the signal in place of status 0, and a SIGHUP while the interpreter exited gave status -1 to a drain that was complete.

Cause: run_until_drained set the handlers after all imports and after the daemon had started; until then the default actions held. The interpreter restores the default action of every signal that has a handler before it frees its modules, so that they held again at the end.

Change: both programs install the handlers in their first statements and import everything else after it, so what they ran before is now in commands.py and platform/gateway_process.py. ProcessSignals keeps signals in their order until the process can act. A termination that came before the addresses are opened ends the start with status 0 (event 103, start_cancelled); one that comes during the start drains; hangups that wait read the settings once, after the start. Once the drain is over, and in any exit, the signals are ignored. Faulty settings keep status 2.

Ruled out: that signals during daemon.start() break it. They did so only by their default action; with handlers it ends undisturbed.

test_ends_of_processes.py runs a program of its own, which now installs the handlers as the programs do; its assertions are unchanged.

--- a/bilberryring/platform/process.py
+++ b/bilberryring/platform/process.py
@@ -1,50 +1,16 @@
-"""Runs the gateway as a process on the operators' platform."""
+"""The program that runs a gateway on the operators' platform."""
 
-import sys
+from bilberryring.process.early_signals import PROCESS_SIGNALS
 
-import click
-from twisted.internet import reactor
 
-from bilberryring.core import SettingsError, use_monotonic_time
-from bilberryring.gateway.daemon import GatewayDaemon
-from bilberryring.platform.adapter import (
-    HttpHeaderCodec,
-    PlatformAdapter,
-    load_settings,
-    settings_version,
-)
-from bilberryring.process.running import run_until_drained
-from bilberryring.telemetry import EventLog, standard_output
+def main() -> None:
+    """Take the signals of the process, and run the gateway."""
+    PROCESS_SIGNALS.install()
+    # These imports take most of the start, during which signals may come.
+    from bilberryring.platform.gateway_process import run_gateway
 
-SETTINGS_ERROR_STATUS = 2
-
-
-def run_gateway() -> None:
-    """Run one gateway until a signal stops it and its requests are drained.
-
-    Faulty settings end the process with the status `SETTINGS_ERROR_STATUS`.
-    """
-    use_monotonic_time(reactor)
-    try:
-        settings = load_settings()
-        output = standard_output(seconds=reactor.seconds)
-        log = EventLog(process=settings.process, role="gateway", stream=output)
-        daemon = GatewayDaemon(
-            reactor=reactor,
-            settings=settings,
-            log=log,
-            codec=HttpHeaderCodec(),
-            adapter_class=PlatformAdapter,
-            reload_settings=load_settings,
-            settings_version=settings_version,
-            output=output,
-        )
-        daemon.start()
-    except SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(SETTINGS_ERROR_STATUS)
-    run_until_drained(reactor=reactor, daemon=daemon, log=log)
+    run_gateway()
 
 
 if __name__ == "__main__":
-    run_gateway()
+    main()
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -12,6 +12,7 @@
 
 from bilberryring.core import ErrorCode, SettingsError, drop_handshakes
 from bilberryring.http import MIN_IDLE_SECONDS, DrainableSite, make_site
+from bilberryring.process.early_signals import PROCESS_SIGNALS, ProcessSignals
 from bilberryring.process.settings import host_and_port
 from bilberryring.telemetry import EventLog, LogEvent
 
@@ -122,49 +123,71 @@
         listening_port.doRead()
 
 
-def run_until_drained(*, reactor, daemon, log: EventLog) -> None:
-    """Run the daemon until a signal has drained it.
+def start_unless_terminated(
+    *, daemon, log: EventLog, signals: ProcessSignals = PROCESS_SIGNALS
+) -> bool:
+    """Start the daemon and return true, or false if a signal has ended it already.
 
-    A second interrupt from a terminal ends it at once; further terminations, which a
-    supervisor may repeat, change nothing. A hangup signal reloads the settings if the
-    daemon has a method for that, and changes nothing otherwise.
+    A signal that comes while the daemon starts waits for `run_until_drained`.
     """
-    signals: list[int] = []
+    if signals.has_termination:
+        log.write(LogEvent.START_CANCELLED)
+        return False
+    daemon.start()
+    return True
+
+
+def run_until_drained(
+    *, reactor, daemon, log: EventLog, signals: ProcessSignals = PROCESS_SIGNALS
+) -> None:
+    """Run the daemon until a signal has drained it.
 
-    def on_signal(number: int, _frame) -> None:
-        reactor.callFromThread(start_drain, number)
+    Signals that came before are acted on first. A second interrupt from a terminal ends
+    it at once; further terminations, which a supervisor may repeat, change nothing. A
+    hangup signal reloads the settings if the daemon has a method for that, and changes
+    nothing otherwise; several that wait reload them once.
+    """
+    terminations: list[signal.Signals] = []
+    is_stopped = False
 
-    def start_drain(number: int) -> None:
-        signals.append(number)
-        if signals.count(signal.SIGINT) > 1:
+    def act_on_signals() -> None:
+        taken = signals.take()
+        try:
+            if signal.SIGHUP in taken:
+                reload()
+        finally:
+            for number in taken:
+                if number != signal.SIGHUP:
+                    drain_or_stop(number)
+
+    def drain_or_stop(number: signal.Signals) -> None:
+        terminations.append(number)
+        if number == signal.SIGINT and terminations.count(number) == 2:
             log.write(LogEvent.DRAIN_CUT_SHORT)
-            reactor.stop()
-            return
-        if len(signals) > 1:
-            return
-        log.write(LogEvent.DRAIN_STARTED)
-        draining = Deferred.fromCoroutine(daemon.drain())
-        draining.addBoth(finish)
+            stop()
+        elif len(terminations) == 1:
+            log.write(LogEvent.DRAIN_STARTED)
+            draining = Deferred.fromCoroutine(daemon.drain())
+            draining.addBoth(finish)
 
     def finish(result) -> None:
         if isinstance(result, Failure):
             log.write(LogEvent.INTERNAL_FAULT, detail=repr(result.value))
         log.write(LogEvent.DRAIN_FINISHED)
-        if reactor.running:
+        stop()
+
+    def stop() -> None:
+        nonlocal is_stopped
+        if not is_stopped:
+            is_stopped = True
+            signals.ignore()
             reactor.stop()
 
     def ignore_hangup() -> None:
         log.write(LogEvent.SETTINGS_KEPT)
 
     reload = getattr(daemon, "reload", ignore_hangup)
-
-    def on_hangup(_number: int, _frame) -> None:
-        reactor.callFromThread(reload)
-
-    # Without a handler the signal would end the process at once.
-    signal.signal(signal.SIGHUP, on_hangup)
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
+    signals.set_listener(lambda: reactor.callFromThread(act_on_signals))
     reactor.run(installSignalHandlers=False)
     # The interpreter collects garbage once more when it exits; it skips what is frozen.
     gc.freeze()
--- a/bilberryring/process/tests/test_ends_of_processes.py
+++ b/bilberryring/process/tests/test_ends_of_processes.py
@@ -9,6 +9,8 @@
 import sys
 
 PROGRAM = """
+from bilberryring.process.early_signals import PROCESS_SIGNALS
+PROCESS_SIGNALS.install()
 import os, signal, time
 from io import StringIO
 from twisted.internet import reactor
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -23,6 +23,11 @@
     PROCESS_STARTED = (100, "info", "The process started to listen on its addresses")
     PROCESS_READY = (101, "info", "The process has a set in force and accepts requests")
     PROCESS_PAUSED = (102, "warning", "The process or its VM was paused for a while")
+    START_CANCELLED = (
+        103,
+        "info",
+        "A signal ended the process before it listened on its addresses",
+    )
     DRAIN_STARTED = (110, "info", "New work is refused; running work may finish")
     DRAIN_FINISHED = (111, "info", "No work is running any more; the process exits")
     DRAIN_CUT_SHORT = (112, "warning", "A second interrupt stopped the process at once")
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -19,6 +19,7 @@
 ROOT = Path(__file__).parents[2]
 TEST_SECONDS = 300
 SCENARIOS = "bilberryring/scenarios/tests"
+SIGNAL_MOMENTS = "bilberryring/process/tests/test_signals_at_any_moment.py"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -477,6 +478,35 @@
         absent="",
         test="bilberryring/entry/tests/test_sidecar_links.py",
     ),
+    Mechanism(
+        name="a gateway takes its signals before its slow imports",
+        module="platform/process.py",
+        present="    PROCESS_SIGNALS.install()\n",
+        absent="",
+        test=f"{SIGNAL_MOMENTS}::test_hangups_before_the_process_runs_are_acted_on_once",
+    ),
+    Mechanism(
+        name="an entry or a sidecar takes its signals before its slow imports",
+        module="daemon.py",
+        present="    PROCESS_SIGNALS.install()\n",
+        absent="",
+        test=f"{SIGNAL_MOMENTS}::test_hangups_before_the_process_runs_are_acted_on_once",
+    ),
+    Mechanism(
+        name="a signal that came early ends the start",
+        module="process/running.py",
+        present="    if signals.has_termination:\n",
+        absent="    if False:\n",
+        test=f"{SIGNAL_MOMENTS}"
+        "::test_a_termination_before_the_daemon_starts_opens_no_listener",
+    ),
+    Mechanism(
+        name="signals are ignored as the interpreter exits",
+        module="process/early_signals.py",
+        present="            signal.signal(number, signal.SIG_IGN)\n",
+        absent="            pass\n",
+        test=f"{SIGNAL_MOMENTS}::test_signals_during_the_exit_change_nothing",
+    ),
     Mechanism(
         name="a listener that closes takes no new connection",
         module="process/running.py",
