bin/measure start: processor time of a start, and time to ready

The rows are medians of 7 processes each, for the modules as the tree has them and for modules that were compiled before.

--- a/bilberryring/measure/main.py
+++ b/bilberryring/measure/main.py
@@ -14,6 +14,7 @@
     planned_stop,
     prediction,
     relay,
+    start,
 )
 from bilberryring.measure.head_of_line_table import FLEETS, LOADS
 
@@ -96,5 +97,11 @@
     relay.run_table()
 
 
+@main.command("start")
+def start_command() -> None:
+    """Processor time of a start, and the time until a gateway is ready."""
+    start.run_table()
+
+
 if __name__ == "__main__":
     main()
