No garbage is collected while a process imports its modules

Change: both programs import in `no_collection`, which also takes what was made out of later collections. The signals are taken before that.

The tests of process, measure and test_build pass (168 in 83 s).

--- a/bilberryring/daemon.py
+++ b/bilberryring/daemon.py
@@ -7,7 +7,10 @@
     """Take the signals of the process, and run the command of its arguments."""
     PROCESS_SIGNALS.install()
     # These imports take most of the start, during which signals may come.
-    from bilberryring.commands import run
+    from bilberryring.process.collection import no_collection
+
+    with no_collection():
+        from bilberryring.commands import run
 
     run()
 
--- a/bilberryring/platform/process.py
+++ b/bilberryring/platform/process.py
@@ -7,7 +7,10 @@
     """Take the signals of the process, and run the gateway."""
     PROCESS_SIGNALS.install()
     # These imports take most of the start, during which signals may come.
-    from bilberryring.platform.gateway_process import run_gateway
+    from bilberryring.process.collection import no_collection
+
+    with no_collection():
+        from bilberryring.platform.gateway_process import run_gateway
 
     run_gateway()
 
