A settings file that changes during its first read is read again

By reading, after the question where else a process believes that nothing happens before it is ready: a gateway took the modification time of its settings file after it had read it, in GatewayDaemon.__init__.

Change: the time is taken before the read, so that such a change counts as a later one. Without a change nothing is read twice.

The test gives the gateway a pipe for its first read and replaces it before it is closed.

--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -57,7 +57,12 @@
 
 
 class GatewayDaemon:
-    """Builds the components of a gateway and runs them until it is drained."""
+    """Builds the components of a gateway and runs them until it is drained.
+
+    `reload_settings` reads the settings again, and `settings_version` returns a number
+    that changes with them; `loaded_settings_version` is what it returned before
+    `settings` were read.
+    """
 
     def __init__(
         self,
@@ -69,6 +74,7 @@
         adapter_class,
         reload_settings=None,
         settings_version=None,
+        loaded_settings_version: int = 0,
         output: BoundedOutput | None = None,
     ):
         self._reactor = reactor
@@ -76,7 +82,7 @@
         self._log = log
         self._reload_settings = reload_settings
         self._settings_version = settings_version
-        self._loaded_settings_version = settings_version() if settings_version else 0
+        self._loaded_settings_version = loaded_settings_version
         self._output = output
         self._pauses = PauseDetector()
         self._fleet = FleetState()
--- a/bilberryring/platform/gateway_process.py
+++ b/bilberryring/platform/gateway_process.py
@@ -26,6 +26,8 @@
     """
     use_monotonic_time(reactor)
     try:
+        # A change during the read is taken for a later one, and is read again.
+        loaded_version = settings_version()
         settings = load_settings()
         output = standard_output(seconds=reactor.seconds)
         log = EventLog(process=settings.process, role="gateway", stream=output)
@@ -37,6 +39,7 @@
             adapter_class=PlatformAdapter,
             reload_settings=load_settings,
             settings_version=settings_version,
+            loaded_settings_version=loaded_version,
             output=output,
         )
         is_started = start_unless_terminated(daemon=daemon, log=log)
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -500,6 +500,13 @@
         test=f"{SIGNAL_MOMENTS}"
         "::test_a_termination_before_the_daemon_starts_opens_no_listener",
     ),
+    Mechanism(
+        name="a change during the first read of the settings is seen",
+        module="platform/gateway_process.py",
+        present="            loaded_settings_version=loaded_version,\n",
+        absent="            loaded_settings_version=settings_version(),\n",
+        test="bilberryring/platform/tests/test_early_changes.py",
+    ),
     Mechanism(
         name="signals are ignored as the interpreter exits",
         module="process/early_signals.py",
