A sidecar without a set reports that it starts, and is named in no ticket

Cause: a sidecar without a set reported `ready`. An entry took it for live, and `issue_ticket` named its incarnation. The call with that ticket can reach it before its set does. It has no ledger then, so its refusal cannot promise that no other copy of the call will run, and the caller is left not knowing.

With its set it reports `ready` at once. Its refusal stays `unknown`.

Shown on a paused clock: the new test plays a sidecar's messages into an entry's record. On the code before it fails, as the entry takes the sidecar without a set for one that takes new work; the same test shows the refusal no_set with unknown.

Ruled out by reading: a ticket of the incarnation before. It is sent to no other incarnation, and a ledger answers it with outcome_unknown, not no_set.

--- a/bilberryring/membership/evidence.py
+++ b/bilberryring/membership/evidence.py
@@ -26,8 +26,12 @@
 
 
 class SidecarState(Enum):
-    """The state that a sidecar reports for its endpoint."""
+    """The state that a sidecar reports for its endpoint.
 
+    `STARTING` is one that does not know its endpoint yet, as no set is in force.
+    """
+
+    STARTING = "starting"
     READY = "ready"
     COLD = "cold"
     LEAVING = "leaving"
@@ -93,7 +97,7 @@
             return Standing.COLD
         case SidecarState.LEAVING:
             return Standing.LEAVING
-        case SidecarState.OUT:
+        case SidecarState.OUT | SidecarState.STARTING:
             return Standing.OUT
 
 
--- a/bilberryring/sidecar/daemon.py
+++ b/bilberryring/sidecar/daemon.py
@@ -107,6 +107,8 @@
         """The state of the endpoint that the sidecar reports."""
         if self._is_draining or self._is_superseded:
             return SidecarState.LEAVING
+        if self._endpoint is None:
+            return SidecarState.STARTING
         if self._is_domain_out:
             return SidecarState.OUT
         if self._prompt_runner is not None and self._prompt_runner.watch.is_lost:
--- a/bilberryring/sidecar/tests/test_link_messages.py
+++ b/bilberryring/sidecar/tests/test_link_messages.py
@@ -9,6 +9,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from bilberryring.adapters import GenerationEnd
+from bilberryring.entry.endpoint_record import EndpointRecord
 from bilberryring.entry.tests.test_sidecar_links import FakeTransport
 from bilberryring.objects import ModelEndpoint, ObjectSet, ServiceEndpoint
 from bilberryring.process.settings import SidecarSettings
@@ -25,6 +26,7 @@
 from bilberryring.wire import (
     MAX_STRING_BYTES,
     CallService,
+    Heartbeat,
     Hello,
     PromptPart,
     Refused,
@@ -49,7 +51,7 @@
 class SidecarHarness:
     """A sidecar of the endpoint `e` and one entry's link to it."""
 
-    def __init__(self, objects: ObjectSet, *, says_hello: bool = True):
+    def __init__(self, objects: ObjectSet | None, *, says_hello: bool = True):
         self.reactor = MemoryReactorClock()
         self.log = io.StringIO()
         self.daemon = SidecarDaemon(
@@ -66,7 +68,8 @@
             log=EventLog(process="p", role="sidecar", stream=self.log),
         )
         self.daemon.start()
-        self.daemon._set_changed(objects)
+        if objects is not None:
+            self.daemon._set_changed(objects)
         factory = self.reactor.tcpServers[0][1]
         self.link = factory.buildProtocol(None)
         self.link.makeConnection(FakeTransport())
@@ -183,20 +186,7 @@
         harness.reactor.advance(DISPATCH_SECONDS)
     assert not harness.link.transport.disconnecting
     n_before = len(harness.reactor.tcpClients)
-    harness.tell(
-        CallService(
-            attempt=GOOD_ATTEMPT,
-            request="r",
-            workspace="w",
-            service_name="s",
-            ticket="",
-            method="GET",
-            path="x",
-            content_type="",
-            body=b"",
-            deadline=FAR_MICROS,
-        )
-    )
+    harness.tell(call_service())
     assert len(harness.reactor.tcpClients) == n_before + 1
 
 
@@ -230,6 +220,49 @@
     assert harness.n_faults() == 1
 
 
+def call_service(ticket: str = "") -> CallService:
+    return CallService(
+        attempt=GOOD_ATTEMPT,
+        request="r",
+        workspace="w",
+        service_name="s",
+        ticket=ticket,
+        method="POST" if ticket else "GET",
+        path="x",
+        content_type="",
+        body=b"",
+        deadline=FAR_MICROS,
+    )
+
+
+def test_a_sidecar_without_a_set_is_not_named_in_tickets_that_it_could_not_answer():
+    endpoint = ServiceEndpoint(
+        name="e", failure_domain="d", sidecar=ADDRESS, service="s", concurrency=64
+    )
+    harness = SidecarHarness(None)
+    record = EndpointRecord(endpoint=endpoint)
+
+    def takes_new_work():
+        for message in harness.take_answers():
+            match message:
+                case Hello():
+                    record.link_opened(message.incarnation)
+                case Heartbeat():
+                    record.apply_heartbeat(message, now=harness.reactor.seconds())
+        standing = record.standing(domain_out=False, now=harness.reactor.seconds())
+        return standing.takes_new_work
+
+    assert not takes_new_work()
+    ticket = f"bt1~e~{record.incarnation}~0~ff"
+    harness.tell(call_service(ticket))
+    assert harness.take_refusals() == [(GOOD_ATTEMPT, "no_set", "unknown")]
+    harness.daemon._set_changed(ObjectSet(service_endpoints={"e": endpoint}))
+    assert takes_new_work()
+    harness.tell(call_service(ticket))
+    assert harness.take_refusals() == []
+    assert len(harness.reactor.tcpClients) == 1
+
+
 def length_prefix(n_bytes: int) -> bytes:
     return n_bytes.to_bytes(4, "big")
 
