A test of releases in a stop goes by when the gateway drained and sent them

Seen: test_memory_is_released_before_the_process_exits_in_a_stop[False-0.0] failed in 1 of 12 runs at loads of 23 to 37: an engine had not recorded its release when the gateway exited, 0.48 s after its stream was cut.

Cause: the engines are threads of the test, and the test compared what they had read at the moment of the exit.

Change: the releases have to be read, though it may be after the exit, as they were sent before it. Each must be answered, or else the gateway must have waited, by its own log, until the time was too short for another one. The 6.0 s of the stop count from when the gateway has seen the signal.

The entry [True-0.2], a stop over 6.0 s, stays: it was not seen here.

--- a/bilberryring/platform/tests/test_reservations.py
+++ b/bilberryring/platform/tests/test_reservations.py
@@ -3,10 +3,15 @@
 import json
 import threading
 import time
+from datetime import datetime
 
 import pytest
 
-from bilberryring.gateway.reservations import RENEWAL_INTERVAL_SECONDS
+from bilberryring.admission import PlannedStop
+from bilberryring.gateway.reservations import (
+    REFUSED_CHECK_SECONDS,
+    RENEWAL_INTERVAL_SECONDS,
+)
 from bilberryring.standins.gateway_site import (
     MODEL_SERVICE,
     make_configuration,
@@ -211,6 +216,12 @@
     assert used <= memory.granted
 
 
+def logged_at(site, event):
+    """Return when a gateway logged an event, in seconds since the epoch."""
+    line = site.log_events(1, event)[0]
+    return datetime.fromisoformat(line["time"]).timestamp()
+
+
 @pytest.mark.parametrize("order_seconds", [0.0, 0.2])
 @pytest.mark.parametrize("is_over_before_the_end", [False, True])
 def test_memory_is_released_before_the_process_exits_in_a_stop(
@@ -228,16 +239,25 @@
     memory.order_seconds = order_seconds
     process = site.process("gateway-1")
     process.terminate()
-    assert process.wait(6.0) == 0
+    wait_until(lambda: site.log_events(1, "drain_started"), 6.0, "the drain")
+    drained_at = logged_at(site, "drain_started")
+    assert process.wait(drained_at + 6.0 - time.time()) == 0
     caller.join()
-    assert memory.ids("reserve")
-    assert set(memory.ids("release")) == set(memory.ids("reserve"))
+    reserved = set(memory.ids("reserve"))
+    assert reserved
+    # What was sent before the exit can be read after it, when this process is late.
+    wait_until(lambda: set(memory.ids("release")) == reserved, 2.0, "the releases")
     answered = [
         order["ticket"]
         for order in site.log_events(1, "memory_ordered")
         if not order["tokens"]
     ]
-    assert set(answered) == set(memory.ids("release"))
+    assert set(answered) <= reserved
+    if set(answered) != reserved:
+        # They are awaited until the time is too short for another release.
+        stop = PlannedStop(signalled_at=drained_at, grace=site.grace)
+        ended_at = logged_at(site, "drain_finished")
+        assert ended_at >= stop.releases_until - REFUSED_CHECK_SECONDS
     # After an order without a response a release is sent several times.
     if not site.log_events(1, "memory_order_failed"):
         assert len(answered) == len(set(answered))
