A test of stops in turn tells second attempts beside late endpoints apart

Cause: the endpoints are threads of the test.

Change: `TimedScript` records when an endpoint has sent something. A second run is allowed only for a request whose gateway logged a silence, if by the endpoint's own record it had sent nothing for more than 0.25 s, the aim of the route, and one for each such silence. A charge never runs twice.

--- a/bilberryring/platform/tests/test_planned_stops.py
+++ b/bilberryring/platform/tests/test_planned_stops.py
@@ -5,6 +5,7 @@
 import json
 import os
 import threading
+from collections import Counter
 
 import pytest
 
@@ -20,6 +21,7 @@
     request_headers,
 )
 from bilberryring.standins.scripted_endpoint import (
+    TimedScript,
     answer_all,
     chunk,
     event,
@@ -35,6 +37,8 @@
 N_WAITING = 40
 DEADLINE_MS = 4_000
 LONG_MS = 20_000
+LATE_SECONDS = 0.25
+"""Seconds without an answer above which an endpoint misses the aim of its route."""
 MAX_TRIES = 4
 """Times that a caller sends a request which is refused or not read."""
 
@@ -327,10 +331,15 @@
     three_gateways, is_reloaded
 ):
     site = three_gateways
-    endpoints = [site.add_endpoint(f"plain-{n}", answer_soon) for n in range(2)]
-    endpoints += [
-        site.add_endpoint(f"model-{n}", stream_soon, service=MODEL_SERVICE)
-        for n in range(2)
+    scripts = {f"plain-{n}": TimedScript(answer_soon) for n in range(2)}
+    scripts |= {f"model-{n}": TimedScript(stream_soon) for n in range(2)}
+    endpoints = [
+        site.add_endpoint(
+            name,
+            script,
+            service=PLAIN_SERVICE if name.startswith("plain") else MODEL_SERVICE,
+        )
+        for name, script in scripts.items()
     ]
     for number in (1, 2, 3):
         site.start_gateway(number)
@@ -343,7 +352,7 @@
     threads = [threading.Thread(target=item.run, args=(is_over,)) for item in callers]
     for thread in threads:
         thread.start()
-    endings = []
+    endings, silences = [], []
     for number in (1, 2, 3):
         pause(0.5)
         process = site.process(f"gateway-{number}")
@@ -354,14 +363,30 @@
             process.send_sighup()
         wait_for_exit(site, number)
         endings.append(read_endings(map(json.dumps, site.log_events(number))))
+        silences += site.log_events(number, "attempt_silent")
         site.start_gateway(number)
     is_over.set()
     for thread in threads:
         thread.join()
+    for number in (1, 2, 3):
+        silences += site.log_events(number, "attempt_silent")
     runs = [item.request_id for endpoint in endpoints for item in endpoint.requests]
+    charges = [
+        item.request_id
+        for endpoint in endpoints
+        for item in endpoint.requests
+        if item.target == "/charge/"
+    ]
+    late = [
+        line["request"]
+        for line in silences
+        if scripts[line["endpoint"]].silence_seconds(line) > LATE_SECONDS
+    ]
     assert min(caller.n_served for caller in callers) > 20
     for caller in callers:
         assert (caller.lost, caller.cut) == ([], [])
         assert not set(caller.refused + caller.unanswered) & set(runs)
-    assert len(runs) == len(set(runs))
+    assert len(charges) == len(set(charges))
+    # A second run is allowed beside an endpoint that was late, as on a busy machine.
+    assert not Counter(runs) - Counter(set(runs)) - Counter(late)
     assert all(ending.is_clean for ending in endings)
--- a/bilberryring/standins/scripted_endpoint.py
+++ b/bilberryring/standins/scripted_endpoint.py
@@ -8,8 +8,11 @@
 import os
 import socket
 import threading
+import time
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import datetime
 
 from bilberryring.standins.loopback import process_network
 
@@ -36,6 +39,38 @@
 Script = Callable[[ReceivedRequest, socket.socket], None]
 
 
+class TimedScript:
+    """A script that records when it has sent something.
+
+    Scripts run in the process of their test. On a busy machine that process may be
+    late, and then it is the endpoint that is silent, for as long as this one says.
+    """
+
+    def __init__(self, script: Script):
+        self._script = script
+        self._sent_at: defaultdict[str, list[float]] = defaultdict(list)
+
+    def __call__(self, request: ReceivedRequest, connection: socket.socket) -> None:
+        sent_at = self._sent_at[request.request_id]
+        self._script(request, _TimedConnection(connection, sent_at))
+
+    def silence_seconds(self, line: dict) -> float:
+        """Return for how long nothing was sent before an `attempt_silent` log line."""
+        at = datetime.fromisoformat(line["time"]).timestamp()
+        sent_ago = (at - sent_at for sent_at in self._sent_at[line["request"]])
+        return min((line["sent_ago"], *(ago for ago in sent_ago if ago >= 0.0)))
+
+
+class _TimedConnection:
+    def __init__(self, connection: socket.socket, sent_at: list[float]):
+        self._connection = connection
+        self._sent_at = sent_at
+
+    def sendall(self, data: bytes) -> None:
+        self._connection.sendall(data)
+        self._sent_at.append(time.time())
+
+
 class ScriptedEndpoint:
     """Listens on an address of its own and runs the script on each request.
 
