A test of endless comments lets its first endpoint go on when the second has begun

Cause: the first endpoint paused for 2.6 s, and the test announced the second one meanwhile. Shown with 2.6 s of sleep between the request and the announcement (scratch copy): it fails at `assert endless.sent`, 0 bytes, as the first endpoint has gone on before. With 2.4 s it passes.

Change: the first endpoint goes on 2.0 s after the second attempt has begun, about as long as the comments had before, and the route's timeout and the deadline are 14 s. All assertions are as they were.

--- a/bilberryring/platform/tests/test_second_attempts.py
+++ b/bilberryring/platform/tests/test_second_attempts.py
@@ -1,6 +1,7 @@
 """A second attempt beside a silent one: floods, hosts that do not answer, stops."""
 
 import contextlib
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -8,6 +9,8 @@
 from bilberryring.standins.endless_answers import MAX_SENT_BYTES, Endless
 from bilberryring.standins.gateway_site import (
     MODEL_SERVICE,
+    make_configuration,
+    make_route,
     request_headers,
 )
 from bilberryring.standins.scripted_endpoint import (
@@ -21,6 +24,8 @@
 from bilberryring.testing.processes import pause, wait_until
 
 WHOLE_STREAM = event(1) + event(2)
+LONG_SECONDS = 14
+"""Seconds within which what a test waits for happens on a busy machine, too."""
 COMMENTS = b": wait\n\n" * 4_096
 
 
@@ -38,16 +43,34 @@
 
 
 def test_endless_comments_of_a_second_endpoint_are_cut_off(site):
+    """The first endpoint goes on some time after the second has begun."""
+    has_begun = threading.Event()
+
+    def begin(request):
+        has_begun.set()
+        return stream_head(request.request_id)
+
     def script(request, connection):
-        pause_inside(request, connection, seconds=2.6)
+        connection.sendall(stream_head(request.request_id) + chunk(event(1)))
+        has_begun.wait(LONG_SECONDS)
+        pause(2.0)
+        connection.sendall(chunk(event(2)) + chunk(b""))
 
-    endless = Endless(lambda request: stream_head(request.request_id), chunk(COMMENTS))
+    route = make_route(
+        "/chat/", "streaming", MODEL_SERVICE, timeout_ms=1_000 * LONG_SECONDS
+    )
+    site.publish(make_configuration(2, routes=[route]))
+    endless = Endless(begin, chunk(COMMENTS))
     first = site.add_endpoint("a", script, service=MODEL_SERVICE)
     site.start_gateway()
     before = memory_bytes(site.process("gateway-1"))
     with ThreadPoolExecutor(1) as pool:
-        answer = pool.submit(site.call, "/chat/")
-        wait_until(lambda: first.requests, 2.0, "the request")
+        answer = pool.submit(
+            site.call,
+            "/chat/",
+            Bilberryring_Deadline_Ms=str(1_000 * LONG_SECONDS),
+        )
+        wait_until(lambda: first.requests, LONG_SECONDS, "the request")
         site.add_endpoint("b", endless, service=MODEL_SERVICE)
         answer = answer.result()
     assert answer.body == WHOLE_STREAM
