A soak of planned work alone

A fifth of the callers use a connection until it is closed, two fifths leave a stream after 2 s without an event, 1 in 50 requests has a body of 1 MB.

Two checks are new; both hold for these soaks alone. "planned work": a request that was read, by the ledgers of the endpoints or by the time since its last byte, ends with a whole answer or a refusal, except at its time limit, in the late part of a stop, or when an endpoint at work on it exits after its departure. "last record says otherwise": the last record of a request says what its caller got; `read_endings` returns the last records for this. The report counts requests on connections that were closed before they were read, and callers that left after a silence.

An endpoint's exit is recorded from its beginning, no longer from its end: a caller may see the close before the endpoint is gone. "answered" counts its 0.2 s from the last byte of a request, as the rule does: with 1 MB that is later than its begin, with the one byte of the other soaks it is the same moment. A write that fails on a closed connection is followed by a read of the answer.

--- a/bilberryring/testing/soak.py
+++ b/bilberryring/testing/soak.py
@@ -12,13 +12,15 @@
 
 import click
 
-from bilberryring.testing.soak_checks import Finding, run_checks
+from bilberryring.testing.soak_checks import Finding, SoakHistory, run_checks
 from bilberryring.testing.soak_faults import SoakFleet, draw_schedule
 from bilberryring.testing.soak_records import SoakRecords
 from bilberryring.testing.soak_run import Soak
-from bilberryring.testing.soak_seeds import KEPT_SEEDS
+from bilberryring.testing.soak_seeds import KEPT_SEEDS, PLANNED_SEEDS
 
 SECONDS_PER_MINUTE = 60.0
+MINUTES = 0.66
+PLANNED_MINUTES = 1.0
 
 
 def report_lines(records: SoakRecords, findings: list[Finding]) -> list[dict]:
@@ -30,12 +32,25 @@
         for call in records.calls
         if not call.has_left
     )
+    history = SoakHistory(records)
+    unread = Counter(
+        "on a kept connection" if call.is_kept else "on a new connection"
+        for call in records.calls
+        if not (call.answer.status or call.has_left or history.is_read(call))
+    )
+    given_up = Counter(
+        "in a stream" if call.answer.body else "with nothing"
+        for call in records.calls
+        if call.has_given_up
+    )
     return [
         {"faults": dict(sorted(faults.items()))},
         {
             "requests": dict(sorted(requests.items())),
             "runs": len(records.runs),
             "statuses": dict(sorted(statuses.items())),
+            "closed before read": dict(sorted(unread.items())),
+            "given up after a silence": dict(sorted(given_up.items())),
         },
         *({"finding": asdict(finding)} for finding in findings),
     ]
@@ -79,7 +94,15 @@
 
 @click.command()
 @click.option("--seed", default=None, type=int, help="The seed of the schedule.")
-@click.option("--minutes", default=0.66, help="The length of the schedule.")
+@click.option(
+    "--planned", "is_planned", is_flag=True, help="Draw planned work and silences only."
+)
+@click.option(
+    "--minutes",
+    default=None,
+    type=float,
+    help=f"The length of the schedule: {MINUTES}, or {PLANNED_MINUTES} with --planned.",
+)
 @click.option("--gateways", default=3, help="The number of gateways.")
 @click.option("--rate", default=60.0, help="Requests per second of all callers.")
 @click.option("--drop", "dropped", multiple=True, type=int, help="Omit this fault.")
@@ -94,7 +117,8 @@
 @click.option("--kept", "is_kept", is_flag=True, help="Run all kept seeds in turn.")
 def main(
     seed: int | None,
-    minutes: float,
+    is_planned: bool,
+    minutes: float | None,
     gateways: int,
     rate: float,
     dropped: tuple[int, ...],
@@ -107,23 +131,32 @@
 
     The exit status is 1 if a check has a finding. `--drop` may be repeated: it omits
     a fault of the printed schedule, to find the shortest one that still fails.
-    `--kept` runs the seeds that once had findings.
+    `--kept` runs the seeds that once had findings, each with its kind of schedule.
     """
-    seeds = (
-        list(KEPT_SEEDS) if is_kept else [int(time.time()) if seed is None else seed]
-    )
-    seconds = minutes * SECONDS_PER_MINUTE
+    seeds = [(int(time.time()) if seed is None else seed, is_planned)]
+    if is_kept:
+        seeds = [(kept, False) for kept in KEPT_SEEDS]
+        seeds += [(kept, True) for kept in PLANNED_SEEDS]
     fleet = SoakFleet(gateways=gateways)
     n_findings = 0
-    for number in seeds:
-        drawn = draw_schedule(seed=number, seconds=seconds, fleet=fleet)
+    for number, is_planned in seeds:
+        default_minutes = PLANNED_MINUTES if is_planned else MINUTES
+        seconds = (minutes or default_minutes) * SECONDS_PER_MINUTE
+        drawn = draw_schedule(
+            seed=number, seconds=seconds, fleet=fleet, is_planned=is_planned
+        )
         schedule = tuple(fault for fault in drawn if fault.number not in dropped)
         for fault in schedule:
             click.echo(f"{fault.number:4d} {fault.at:7.2f} s  {fault.fault}")
         if is_list_only:
             continue
         soak = Soak(
-            schedule=schedule, seconds=seconds, seed=number, fleet=fleet, rate=rate
+            schedule=schedule,
+            seconds=seconds,
+            seed=number,
+            fleet=fleet,
+            rate=rate,
+            is_planned=is_planned,
         )
         records = soak.run()
         n_findings += _report(number, records, soak.skipped, keep=keep, plot=plot)
--- a/bilberryring/testing/soak_callers.py
+++ b/bilberryring/testing/soak_callers.py
@@ -13,9 +13,15 @@
 import time
 from dataclasses import dataclass, field
 
-from bilberryring.standins.gateway_site import API_KEY, CallerAnswer, GatewaySite
+from bilberryring.standins.gateway_site import (
+    API_KEY,
+    CallerAnswer,
+    GatewaySite,
+    read_answer,
+    request_headers,
+)
 from bilberryring.testing.processes import pause
-from bilberryring.testing.soak_checks import NOT_RUN_STATUSES
+from bilberryring.testing.soak_checks import CALLER_SLACK_SECONDS, NOT_RUN_STATUSES
 from bilberryring.testing.soak_records import (
     AT_MOST_ONCE,
     CHARGE,
@@ -23,6 +29,7 @@
     FLAG,
     LOOKUP,
     SECOND_KEY,
+    STREAMS,
     TALE,
     CallRecord,
 )
@@ -38,9 +45,12 @@
 """Factors of the mean interval between the requests of one caller."""
 IDLE_SHARE = 0.8
 """Share of the limit for idle connections up to which callers use them again."""
-PATIENCE_SECONDS = 1.0
+EVENT_PATIENCE_SECONDS = 2.0
+"""Seconds without an event after which an impatient caller of a stream leaves."""
+LARGE_REQUEST_BYTES = 1_000_000
 CONNECT_SECONDS = 1.0
 FINAL_STATUSES = frozenset((400, 401, 404, 413, 431))
+NO_ANSWER = CallerAnswer(status=0, headers={}, body=b"", is_cut=True)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -54,6 +64,23 @@
     is_over: threading.Event = field(default_factory=threading.Event)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerHabits:
+    """Shares of the requests or callers with a habit.
+
+    Requests of the share `large` have a large body. Callers of the share `holding` use
+    a connection again until it is closed, those of `impatient` leave a stream after a
+    silence.
+    """
+
+    large: float = 0.0
+    holding: float = 0.0
+    impatient: float = 0.0
+
+
+PLANNED_HABITS = CallerHabits(large=0.02, holding=0.2, impatient=0.4)
+
+
 class SoakCaller(threading.Thread):
     """A caller that sends requests at random times; `interval` is the mean one."""
 
@@ -64,6 +91,7 @@
         calls: list[CallRecord],
         seed: str,
         interval: float,
+        habits: CallerHabits | None = None,
     ):
         super().__init__(daemon=True)
         self._shared = shared
@@ -73,6 +101,11 @@
         self._keeps = self._random.random() < KEPT_SHARE
         self._kept: tuple[http.client.HTTPConnection, int, int] | None = None
         self._used_at = 0.0
+        self._habits = habits or CallerHabits()
+        # Draws of their own leave the requests of a seed as they are without habits.
+        self._habit_random = random.Random(f"habits {seed}")
+        self._is_holding = self._habit_random.random() < self._habits.holding
+        self._is_impatient = self._habit_random.random() < self._habits.impatient
 
     def run(self) -> None:
         while not self._shared.is_over.is_set():
@@ -110,20 +143,30 @@
             if self._kept is None:
                 return None
         connection, gateway, incarnation = self._kept
-        seconds = LEAVING_SECONDS if is_leaving else deadline + PATIENCE_SECONDS
+        seconds = LEAVING_SECONDS if is_leaving else deadline + CALLER_SLACK_SECONDS
         connection.sock.settimeout(seconds)
         request = os.urandom(8).hex()
+        headers = {
+            "Bilberryring-Request-Id": request,
+            "Bilberryring-Deadline-Ms": str(int(deadline * 1_000.0)),
+            "Authorization": f"Bearer {key}",
+        }
+        is_large = self._habit_random.random() < self._habits.large
+        body = bytes(LARGE_REQUEST_BYTES) if is_large else b"x"
+        is_watching = self._is_impatient and path in STREAMS and not is_leaving
+        written_at, has_given_up = None, False
         sent_at = time.monotonic()
         try:
-            answer = self._shared.site.call(
-                path,
-                connection=connection,
-                Bilberryring_Request_Id=request,
-                Bilberryring_Deadline_Ms=str(int(deadline * 1_000.0)),
-                Authorization=f"Bearer {key}",
-            )
+            # A request that was refused early has an answer all the same.
+            with contextlib.suppress(ConnectionError):
+                connection.request("POST", path, body, request_headers() | headers)
+                written_at = time.monotonic()
+            if is_watching:
+                answer, has_given_up = _read_stream(connection)
+            else:
+                answer = read_answer(connection)
         except (OSError, http.client.HTTPException):
-            answer = CallerAnswer(status=0, headers={}, body=b"", is_cut=True)
+            answer = NO_ANSWER
         ended_at = time.monotonic()
         if answer.is_cut or not self._keeps:
             self._drop_kept()
@@ -139,7 +182,10 @@
             ended_at=ended_at,
             answer=answer,
             is_kept=is_kept,
-            has_left=is_leaving and answer.is_cut and ended_at - sent_at >= seconds,
+            has_left=has_given_up
+            or (is_leaving and answer.is_cut and ended_at - sent_at >= seconds),
+            has_given_up=has_given_up,
+            written_at=ended_at if written_at is None else written_at,
         )
 
     def _can_reuse(self) -> bool:
@@ -147,7 +193,7 @@
         if self._kept is None or self._kept[0].sock is None:
             return False
         idle = time.monotonic() - self._used_at
-        return idle < IDLE_SHARE * self._shared.idle_limit
+        return self._is_holding or idle < IDLE_SHARE * self._shared.idle_limit
 
     def _connect(self) -> tuple[http.client.HTTPConnection, int, int] | None:
         numbers = sorted(self._shared.in_rotation) or sorted(self._shared.incarnations)
@@ -178,6 +224,41 @@
     return is_failed and record.path not in AT_MOST_ONCE
 
 
+def _read_stream(
+    connection: http.client.HTTPConnection,
+) -> tuple[CallerAnswer, bool]:
+    """Return an answer and whether it was given up after a silence."""
+    socket_ = connection.sock
+    socket_.settimeout(EVENT_PATIENCE_SECONDS)
+    leaves_at = time.monotonic() + EVENT_PATIENCE_SECONDS
+    parts: list[bytes] = []
+    status, headers = 0, {}
+    has_given_up = is_cut = False
+    try:
+        response = connection.getresponse()
+        status = response.status
+        headers = {name.lower(): value for name, value in response.headers.items()}
+        if not response.chunked:
+            parts.append(response.read())
+        while not response.isclosed():
+            socket_.settimeout(max(0.001, leaves_at - time.monotonic()))
+            piece = response.read1()
+            if piece:
+                parts.append(piece)
+                leaves_at = time.monotonic() + EVENT_PATIENCE_SECONDS
+    except TimeoutError:
+        has_given_up = is_cut = True
+    except http.client.IncompleteRead as error:
+        parts.append(error.partial)
+        is_cut = True
+    except (OSError, http.client.HTTPException):
+        is_cut = True
+    answer = CallerAnswer(
+        status=status, headers=headers, body=b"".join(parts), is_cut=is_cut
+    )
+    return answer, has_given_up
+
+
 def _retry_after(answer: CallerAnswer, seconds_left: float) -> float:
     try:
         wanted = float(answer.headers.get("retry-after", "0.05"))
--- a/bilberryring/testing/soak_checks.py
+++ b/bilberryring/testing/soak_checks.py
@@ -4,15 +4,18 @@
 of requests, the gateways' logs. Bounds are in seconds.
 """
 
+import itertools
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import cached_property
 
+from bilberryring.core import Delivery
 from bilberryring.telemetry.request_endings import read_endings
 from bilberryring.testing.soak_answers import answer_body, whole_stream
 from bilberryring.testing.soak_records import (
     AT_MOST_ONCE,
+    EXIT,
     STREAMS,
     CallRecord,
     FaultRecord,
@@ -35,6 +38,10 @@
 APPLY_SECONDS = 2.0
 ROLLBACK_SLACK_SECONDS = 0.25
 BUDGET_WINDOW_SECONDS = 10.0
+CALLER_SLACK_SECONDS = 1.0
+"""Seconds after its deadline at which a caller leaves."""
+FAILED_STATUSES = frozenset((500, 502, 504))
+MS_PER_SECOND = 1_000.0
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 STAMP = "bilberryring-response-stamp"
 STORE = "store"
@@ -113,6 +120,25 @@
             for run in runs
         )
 
+    def is_read(self, call: CallRecord) -> bool:
+        """Whether a call was read, as far as endpoints and the call itself show."""
+        is_late = call.seconds_since_written > LOSS_SLACK_SECONDS
+        return call.request in self.runs or is_late
+
+    def has_endpoint_exited(self, call: CallRecord) -> bool:
+        """Whether an endpoint that left exited while it was at work on a call."""
+        return any(
+            fault.kind == EXIT
+            for run in self.runs.get(call.request, [])
+            for fault in self.faults(run.endpoint, run.at, call.ended_at)
+        )
+
+    @cached_property
+    def last_records(self) -> dict[str, str]:
+        """What the gateways' last records say that callers got."""
+        lines = itertools.chain.from_iterable(log.lines for log in self.records.logs)
+        return read_endings(lines).last_records
+
     def time_limit(self, call: CallRecord) -> float:
         """Return the seconds after which a call may end without its answer."""
         timeouts = [p.configuration.timeout_ms for p in self.records.published]
@@ -210,7 +236,7 @@
         has_arrived = call.request in history.runs
         is_broken = call.path in STREAMS and not history.are_endpoints_sound(call)
         is_excused = history.is_stopped_at_work(call) or (is_broken and has_arrived)
-        if (has_arrived or call.seconds > LOSS_SLACK_SECONDS) and not is_excused:
+        if history.is_read(call) and not is_excused:
             where = "after it reached an endpoint" if has_arrived else "unsent"
             yield (
                 call.request,
@@ -231,7 +257,7 @@
     """Nothing but a fault cuts an answer that a sound or silent endpoint gives."""
     for call in history.records.calls:
         status, is_cut = call.answer.status, call.answer.is_cut
-        is_failed = status in (500, 502, 504) and STAMP not in call.answer.headers
+        is_failed = status in FAILED_STATUSES and STAMP not in call.answer.headers
         if call.has_left or not status or not (is_cut or is_failed):
             continue
         if (
@@ -244,6 +270,59 @@
             yield call.request, call.ended_at, f"{what} after {call.seconds:.2f} s"
 
 
+def _check_planned_work(history: SoakHistory) -> _Findings:
+    """Beside planned work alone, each request that was read is answered or refused."""
+    if not history.records.is_planned:
+        return
+    for call in history.records.calls:
+        answer = call.answer
+        is_failed = answer.status in FAILED_STATUSES and STAMP not in answer.headers
+        is_ended = answer.status and not (answer.is_cut or is_failed)
+        if call.has_left or is_ended or not history.is_read(call):
+            continue
+        timeouts = (
+            p.configuration.timeout_ms / MS_PER_SECOND
+            for p in history.published_between(call)
+        )
+        time_limit = min((call.deadline, *timeouts)) - EDGE_SECONDS
+        is_timed_out = answer.status and call.seconds >= time_limit
+        is_excused = (
+            is_timed_out
+            or history.has_endpoint_exited(call)
+            or history.is_stopped_at_work(call)
+        )
+        if not is_excused:
+            what = f"status {answer.status}" if is_failed else saw(call).value
+            yield call.request, call.ended_at, f"{what} after {call.seconds:.2f} s"
+
+
+def _check_last_record_agrees(history: SoakHistory) -> _Findings:
+    """Beside planned work alone, last records say what the callers saw."""
+    if not history.records.is_planned:
+        return
+    logs = history.records.logs
+    whole_logs = {(log.gateway, log.incarnation) for log in logs if log.has_exited}
+    for call in history.records.calls:
+        if call.has_left or call.seconds >= call.deadline + CALLER_SLACK_SECONDS:
+            continue
+        delivery = saw(call)
+        told = history.last_records.get(call.request)
+        is_logged = (call.gateway, call.incarnation) in whole_logs
+        is_missing = told is None and 200 <= call.answer.status < 300 and is_logged
+        if told == Delivery.UNMARKED.value and delivery is Delivery.WHOLE:
+            continue
+        if is_missing or told not in (None, delivery.value):
+            detail = f"the caller saw {delivery.value}, its last record says {told}"
+            yield call.request, call.ended_at, detail
+
+
+def saw(call: CallRecord) -> Delivery:
+    """Return what a caller got of its answer."""
+    if not call.answer.status:
+        return Delivery.NOTHING
+    return Delivery.CUT if call.answer.is_cut else Delivery.WHOLE
+
+
 def _check_departures(history: SoakHistory) -> _Findings:
     """No work goes to endpoints that left, nor to domains that were taken out.
 
@@ -390,6 +469,8 @@
     "answered": _check_answered,
     "in time": _check_in_time,
     "lost": _check_lost,
+    "planned work": _check_planned_work,
+    "last record says otherwise": _check_last_record_agrees,
     "no work to those out": _check_departures,
     "configuration in force": _check_configuration,
     "configuration forward": _check_forward,
--- a/bilberryring/testing/soak_faults.py
+++ b/bilberryring/testing/soak_faults.py
@@ -18,6 +18,9 @@
 SERIES_SECONDS = 2.0
 MAX_SERIES_LENGTH = 5
 SILENCE_SECONDS = (0.8, 2.4)
+PLANNED_SILENCE_SECONDS = (0.9, 2.2)
+MAX_CHANGES = 8
+CHANGE_INTERVALS_SECONDS = (0.0, 0.0, 0.1, 0.4)
 FAULT_SECONDS = (0.5, 2.5)
 OUT_SECONDS = (6.5, 9.0)
 
@@ -78,6 +81,12 @@
     KEY = "key"
     ROUTE = "route"
     SERVICE = "service"
+    LEAST_IDLE_LIMIT = "least_idle_limit"
+    MANY_ROUTES = "many_routes"
+
+
+_MIXED_CHANGES = tuple(ChangeKind)[:6]
+"""The kinds that are drawn beside other faults; more would change the kept seeds."""
 
 
 class OddEntryKind(Enum):
@@ -186,9 +195,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigurationChange:
-    """Operators publish as many configurations in a row as there are `kinds`."""
+    """Operators publish as many configurations in a row as there are `kinds`.
+
+    `interval` is the seconds between two of them.
+    """
 
     kinds: tuple[ChangeKind, ...]
+    interval: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -265,13 +278,19 @@
 
 
 def draw_schedule(
-    *, seed: int, seconds: float, fleet: SoakFleet | None = None
+    *,
+    seed: int,
+    seconds: float,
+    fleet: SoakFleet | None = None,
+    is_planned: bool = False,
 ) -> tuple[ScheduledFault, ...]:
     """Return the faults of a soak in the order of their times.
 
-    The faults come in series, and those of a series overlap. A seed gives the same
-    schedule for the same fleet and length.
+    The faults come in series, and those of a series overlap. With `is_planned` all are
+    planned work or silences of sound endpoints. A seed gives the same schedule for the
+    same fleet and length.
     """
+    drawers = _PLANNED_DRAWERS if is_planned else _DRAWERS
     rng = random.Random(seed)
     fleet = fleet or SoakFleet()
     drawn: list[tuple[float, Fault]] = []
@@ -279,7 +298,7 @@
     while at < seconds:
         for _ in range(rng.randint(1, MAX_SERIES_LENGTH)):
             fault_at = at + rng.uniform(0.0, SERIES_SECONDS)
-            drawer = rng.choices(list(_DRAWERS), list(_DRAWERS.values()))[0]
+            drawer = rng.choices(list(drawers), list(drawers.values()))[0]
             drawn.append((round(fault_at, 2), drawer(rng, fleet)))
         at += rng.expovariate(1.0 / SERIES_INTERVAL_SECONDS)
     drawn.sort(key=lambda pair: pair[0])
@@ -309,13 +328,13 @@
     return tuple(sorted(rng.sample(names, count)))
 
 
-def _draw_silence(rng, fleet):
+def _draw_silence(rng, fleet, bounds=SILENCE_SECONDS):
     endpoints = _draw_endpoints(rng, fleet)
     part = Place.EVENTS if endpoints[0].startswith(MODEL_SERVICE) else Place.BODY
     return EndpointSilence(
         endpoints=endpoints,
         place=rng.choice((Place.ANYWHERE, Place.HEAD, part)),
-        seconds=_draw_seconds(rng, SILENCE_SECONDS),
+        seconds=_draw_seconds(rng, bounds),
     )
 
 
@@ -358,7 +377,23 @@
 
 def _draw_change(rng, fleet):
     count = rng.choice((1, 1, 1, 2, 6))
-    return ConfigurationChange(kinds=tuple(rng.choices(list(ChangeKind), k=count)))
+    return ConfigurationChange(kinds=tuple(rng.choices(_MIXED_CHANGES, k=count)))
+
+
+def _draw_planned_changes(rng, fleet):
+    count = rng.randint(1, MAX_CHANGES)
+    return ConfigurationChange(
+        kinds=tuple(rng.choices(list(ChangeKind), k=count)),
+        interval=rng.choice(CHANGE_INTERVALS_SECONDS),
+    )
+
+
+def _draw_termination(rng, fleet):
+    return GatewayTermination(gateway=_draw_gateway(rng, fleet))
+
+
+def _draw_reload(rng, fleet):
+    return GatewayReload(gateway=_draw_gateway(rng, fleet))
 
 
 def _draw_odd_entry(rng, fleet):
@@ -379,12 +414,12 @@
     _draw_departure: 7,
     _draw_crash: 4,
     _draw_link_fault: 9,
-    lambda rng, fleet: GatewayTermination(gateway=_draw_gateway(rng, fleet)): 7,
+    _draw_termination: 7,
     lambda rng, fleet: GatewayKill(gateway=_draw_gateway(rng, fleet)): 2,
     lambda rng, fleet: GatewayPause(
         gateway=_draw_gateway(rng, fleet), seconds=_draw_seconds(rng, FAULT_SECONDS)
     ): 3,
-    lambda rng, fleet: GatewayReload(gateway=_draw_gateway(rng, fleet)): 4,
+    _draw_reload: 4,
     _draw_store_fault: 6,
     lambda rng, fleet: StoreLinkFault(
         gateway=_draw_gateway(rng, fleet),
@@ -395,3 +430,12 @@
     _draw_odd_entry: 4,
     _draw_evacuation: 2,
 }
+
+_PLANNED_DRAWERS = {
+    _draw_planned_changes: 50,
+    lambda rng, fleet: _draw_silence(rng, fleet, PLANNED_SILENCE_SECONDS): 30,
+    _draw_reload: 10,
+    _draw_departure: 6,
+    _draw_termination: 5,
+    _draw_evacuation: 2,
+}
--- a/bilberryring/testing/soak_fleet.py
+++ b/bilberryring/testing/soak_fleet.py
@@ -15,7 +15,7 @@
 from bilberryring.testing.soak_endpoints import RunLedger, SoakEndpoint
 from bilberryring.testing.soak_faults import EndpointPlan, LinkFaultKind
 from bilberryring.testing.soak_queue import ActionQueue
-from bilberryring.testing.soak_records import OutRecord, SoakRecords
+from bilberryring.testing.soak_records import EXIT, OutRecord, SoakRecords
 
 HEARTBEAT_SECONDS = 1.0
 SILENT_LINK_SECONDS = 5.0
@@ -170,8 +170,9 @@
 
         def end() -> None:
             self._withdraw(running)
+            began_at = time.monotonic()
             self._end(running)
-            self._records.add_fault(number, "exit", fault.endpoint)
+            self._records.add_fault(number, EXIT, fault.endpoint, began_at=began_at)
             self.start(running.endpoint.plan, f"{fault.endpoint}-{number}")
             done()
 
--- a/bilberryring/testing/soak_records.py
+++ b/bilberryring/testing/soak_records.py
@@ -20,9 +20,13 @@
 SECOND_KEY = "key-2"
 LOOKUP, CHARGE, CHAT, TALE, FLAG = "/look/", "/charge/", "/chat/", "/tale/", "/flag/"
 STREAMS = frozenset((CHAT, TALE))
+EXIT = "exit"
+"""The kind of the fault that is recorded when an endpoint exits after it has left."""
 AT_MOST_ONCE = frozenset((CHARGE, TALE))
 TIMEOUTS_MS = (4_000, 3_500, 3_000)
 IDLE_LIMITS_MS = (5_000, 1_500, 600)
+LEAST_IDLE_LIMIT_MS = 1
+EXTRA_ROUTES = 600
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,6 +40,7 @@
     has_flag_route: bool = True
     has_second_key: bool = True
     has_second_service: bool = True
+    extra_routes: int = 0
 
     def service_of(self, path: str) -> str | None:
         """Return the service of a path's route, or `None` if it has no route."""
@@ -70,6 +75,12 @@
             case ChangeKind.IDLE_LIMIT:
                 limit = _next_of(IDLE_LIMITS_MS, self.idle_timeout_ms)
                 changes = {"idle_timeout_ms": limit}
+            case ChangeKind.LEAST_IDLE_LIMIT:
+                limits = (LEAST_IDLE_LIMIT_MS, IDLE_LIMITS_MS[0])
+                limit = _next_of(limits, self.idle_timeout_ms)
+                changes = {"idle_timeout_ms": limit}
+            case ChangeKind.MANY_ROUTES:
+                changes = {"extra_routes": EXTRA_ROUTES - self.extra_routes}
             case ChangeKind.KEY:
                 changes = {"has_second_key": not self.has_second_key}
             case ChangeKind.ROUTE:
@@ -92,6 +103,10 @@
         ]
         if self.has_flag_route:
             routes.append(make_route(FLAG, "idempotent", PLAIN_SERVICE, **limits))
+        routes += [
+            make_route(f"/extra-{number}/", "idempotent", PLAIN_SERVICE, **limits)
+            for number in range(self.extra_routes)
+        ]
         form = make_configuration(self.version)
         services = form["services"]
         if self.has_second_service:
@@ -104,7 +119,9 @@
 
 
 def _next_of(values: tuple[int, ...], value: int) -> int:
-    return values[(values.index(value) + 1) % len(values)]
+    """Return the value that follows, or the first one after a value of others."""
+    number = values.index(value) + 1 if value in values else 0
+    return values[number % len(values)]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -112,7 +129,9 @@
     """A request as its caller saw it.
 
     `deadline` is in seconds after `sent_at`. `incarnation` counts the starts of the
-    gateway. `has_left` is true when the caller closed the connection early.
+    gateway. `has_left` is true when the caller closed the connection early, and
+    `has_given_up` when it did so after a silence. `written_at` is the time at which
+    its last byte had been written.
     """
 
     request: str
@@ -126,12 +145,19 @@
     answer: CallerAnswer
     is_kept: bool = False
     has_left: bool = False
+    has_given_up: bool = False
+    written_at: float = 0.0
 
     @property
     def seconds(self) -> float:
         """The time from sending the request to the end of its answer."""
         return self.ended_at - self.sent_at
 
+    @property
+    def seconds_since_written(self) -> float:
+        """The time from the request's last byte to the end of its answer."""
+        return self.ended_at - max(self.sent_at, self.written_at)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RunRecord:
@@ -203,7 +229,7 @@
     """All that was recorded during a soak.
 
     `own_ends` are the gateways that ended although nothing had been done to them, with
-    the times.
+    the times. `is_planned` is true if no fault but planned work was injected.
     """
 
     retry_ratio: float = 0.05
@@ -216,6 +242,7 @@
     evacuations: list[OutRecord] = field(default_factory=list)
     logs: list[LogRecord] = field(default_factory=list)
     own_ends: list[tuple[int, float]] = field(default_factory=list)
+    is_planned: bool = False
 
     def add_fault(
         self,
--- a/bilberryring/testing/soak_run.py
+++ b/bilberryring/testing/soak_run.py
@@ -15,7 +15,13 @@
     wait_until,
 )
 from bilberryring.testing.relay import RouteMode
-from bilberryring.testing.soak_callers import N_CALLERS, SoakCaller, SoakSite
+from bilberryring.testing.soak_callers import (
+    N_CALLERS,
+    PLANNED_HABITS,
+    CallerHabits,
+    SoakCaller,
+    SoakSite,
+)
 from bilberryring.testing.soak_checks import (
     GRACE_SECONDS,
     STORE,
@@ -56,7 +62,8 @@
 class Soak:
     """A run of one schedule; `run` returns what was recorded.
 
-    `rate` is the number of requests per second that all callers send together.
+    `rate` is the number of requests per second that all callers send together, and
+    `is_planned` whether the schedule has planned work alone.
     """
 
     def __init__(
@@ -67,13 +74,14 @@
         seed: int,
         fleet: SoakFleet,
         rate: float,
+        is_planned: bool = False,
     ):
         self._schedule = schedule
         self._seconds = seconds
         self._seed = seed
         self._fleet = fleet
         self._rate = rate
-        self._records = SoakRecords()
+        self._records = SoakRecords(is_planned=is_planned)
         self._site = GatewaySite(
             gateways=fleet.gateways,
             retry_slack=self._records.retry_slack,
@@ -155,12 +163,14 @@
         self._site.start_gateway(number, is_awaited=False, store_address=address)
 
     def _start_callers(self) -> list[SoakCaller]:
+        habits = PLANNED_HABITS if self._records.is_planned else CallerHabits()
         callers = [
             SoakCaller(
                 shared=self._shared,
                 calls=self._records.calls,
                 seed=f"{self._seed} {number}",
                 interval=N_CALLERS / self._rate,
+                habits=habits,
             )
             for number in range(N_CALLERS)
         ]
@@ -238,8 +248,11 @@
                 self._reserve(number, fault, name, self._evacuate)
             case faults.ConfigurationChange():
                 records.add_fault(number, fault, is_planned=True)
-                for kind in fault.kinds:
-                    self._publish(self._configuration.changed(kind))
+                for place, kind in enumerate(fault.kinds):
+                    change = lambda k=kind: self._publish(
+                        self._configuration.changed(k)
+                    )
+                    self._queue.call_later(place * fault.interval, change)
             case faults.OddEntry():
                 records.add_fault(number, fault, seconds=fault.seconds)
                 key = f"servers/odd-{number}"
--- a/bilberryring/testing/soak_seeds.py
+++ b/bilberryring/testing/soak_seeds.py
@@ -8,3 +8,6 @@
     4316: "as 2, in the short form that the tests run",
     6004: "a stopped gateway accepted connections while it exited",
 }
+
+PLANNED_SEEDS: dict[int, str] = {}
+"""As `KEPT_SEEDS`, of schedules with planned work alone."""
--- a/bilberryring/testing/tests/test_soak_checks.py
+++ b/bilberryring/testing/tests/test_soak_checks.py
@@ -5,12 +5,14 @@
 import pytest
 
 from bilberryring.standins.gateway_site import API_KEY, PLAIN_SERVICE, CallerAnswer
+from bilberryring.testing.soak import report_lines
 from bilberryring.testing.soak_answers import answer_body, answer_event
 from bilberryring.testing.soak_checks import CHECKS, run_checks
 from bilberryring.testing.soak_faults import SECOND_SERVICE, ChangeKind
 from bilberryring.testing.soak_records import (
     CHARGE,
     CHAT,
+    EXIT,
     LOOKUP,
     SECOND_KEY,
     CallRecord,
@@ -89,6 +91,15 @@
     return LogRecord(gateway=1, incarnation=1, has_exited=True, lines=tuple(lines))
 
 
+def make_planned(calls, runs, last_record="", **changes):
+    """Return records of planned work; the gateway's last record is that of `a`."""
+    logs = []
+    if last_record:
+        line = f'{{"event": "{last_record}", "request": "a", "delivered": "whole"}}'
+        logs = [LogRecord(gateway=1, incarnation=1, has_exited=True, lines=(line,))]
+    return make_records(calls, runs, logs=logs, is_planned=True, **changes)
+
+
 def make_retries(count):
     """Return records of requests of which each has reached two endpoints."""
     names = [str(number) for number in range(count)]
@@ -108,6 +119,12 @@
     "lost": make_records(
         [call(path=CHAT, answer=CUT_STREAM)], [run(service="model", endpoint="model-1")]
     ),
+    "planned work": make_planned(
+        [call(answer=failure(502))],
+        [run()],
+        faults=[make_fault("orders-1", 98.0)],
+    ),
+    "last record says otherwise": make_planned([call()], [run()], "caller_left"),
     "no work to those out": make_records(
         [call()],
         [run()],
@@ -164,6 +181,25 @@
     ),
     "retries within the budget": make_retries(6),
     "one last record": make_records([], [], logs=[make_log("request_finished")]),
+    "its endpoint exited after it had left": make_planned(
+        [call(path=CHAT, answer=CUT_STREAM)],
+        [run(service="model")],
+        faults=[make_fault("orders-1", 100.4, kind=EXIT)],
+    ),
+    "kept connection closed before the request": make_planned(
+        [call(answer=NOTHING, ended_at=100.1, is_kept=True)], []
+    ),
+    "closed while a large request was sent": make_planned(
+        [call(answer=NOTHING, ended_at=100.9, written_at=100.9)], []
+    ),
+    "given up after a silence": make_planned(
+        [call(path=CHAT, answer=CUT_STREAM, has_left=True, has_given_up=True)],
+        [run(service="model")],
+    ),
+    "at the timeout beside planned work": make_planned(
+        [call(answer=failure(504), ended_at=104.0)], [run(ended_at=104.2)]
+    ),
+    "the last record agrees": make_planned([call()], [run()], "request_finished"),
     "key not valid yet": make_records(
         [call(key=SECOND_KEY, answer=failure(401))],
         [],
@@ -212,6 +248,44 @@
     assert [finding.check for finding in run_checks(records)] == ["answered"]
 
 
+@pytest.mark.parametrize("exited_at", [99.0, 100.6])
+def test_an_exit_at_another_time_excuses_nothing_beside_planned_work(exited_at):
+    fault = make_fault("orders-1", exited_at, kind=EXIT, ended_at=exited_at)
+    answer = failure(502)
+    records = make_planned([call(answer=answer)], [run()], faults=[fault])
+    assert "planned work" in {finding.check for finding in run_checks(records)}
+
+
+@pytest.mark.parametrize("answer", [CUT_STREAM, NOTHING])
+def test_a_last_record_that_tells_more_than_the_caller_saw_is_found(answer):
+    calls = [call(path=CHAT, answer=answer)]
+    records = make_planned(calls, [run(service="model")], "request_finished")
+    checks = {finding.check for finding in run_checks(records)}
+    assert checks >= {"planned work", "last record says otherwise"}
+
+
+def test_a_success_without_a_last_record_is_found():
+    records = make_planned([call("b"), call()], [run()], "request_finished")
+    [finding] = run_checks(records)
+    assert (finding.check, finding.request) == ("last record says otherwise", "b")
+
+
+def test_the_report_tells_closed_connections_from_requests_that_were_read():
+    calls = [
+        call("a", answer=NOTHING, ended_at=100.1, is_kept=True),
+        call("b", answer=NOTHING, ended_at=100.1),
+        call("c", answer=NOTHING, is_kept=True),
+        call("d", answer=CUT_STREAM, has_left=True, has_given_up=True),
+        call("e", answer=NOTHING, has_left=True, has_given_up=True),
+    ]
+    [_, line] = report_lines(make_planned(calls, []), [])
+    assert line["closed before read"] == {
+        "on a kept connection": 1,
+        "on a new connection": 1,
+    }
+    assert line["given up after a silence"] == {"in a stream": 1, "with nothing": 1}
+
+
 def test_an_evacuated_domain_gets_no_work_until_it_is_taken_back():
     out = OutRecord(name="north", acknowledged_at=95.0)
     records = make_records([call()], [run()], evacuations=[out])
