The report of a soak tells which callers left beside a silence

Callers that leave a stream after 2 s without an event are counted by whether the endpoint that had their request was silent then, and records have the length of each body, to tell closes in the middle of a large one.

--- a/bilberryring/testing/soak.py
+++ b/bilberryring/testing/soak.py
@@ -39,7 +39,8 @@
         if not (call.answer.status or call.has_left or history.is_read(call))
     )
     given_up = Counter(
-        "in a stream" if call.answer.body else "with nothing"
+        ("in a stream" if call.answer.body else "with nothing")
+        + (", beside a silence" if history.is_beside_silence(call) else "")
         for call in records.calls
         if call.has_given_up
     )
--- a/bilberryring/testing/soak_callers.py
+++ b/bilberryring/testing/soak_callers.py
@@ -185,6 +185,7 @@
             has_left=has_given_up
             or (is_leaving and answer.is_cut and ended_at - sent_at >= seconds),
             has_given_up=has_given_up,
+            body_bytes=len(body),
             written_at=ended_at if written_at is None else written_at,
         )
 
--- a/bilberryring/testing/soak_checks.py
+++ b/bilberryring/testing/soak_checks.py
@@ -13,6 +13,7 @@
 from bilberryring.core import Delivery
 from bilberryring.telemetry.request_endings import read_endings
 from bilberryring.testing.soak_answers import answer_body, whole_stream
+from bilberryring.testing.soak_faults import EndpointSilence
 from bilberryring.testing.soak_records import (
     AT_MOST_ONCE,
     EXIT,
@@ -133,6 +134,14 @@
             for fault in self.faults(run.endpoint, run.at, call.ended_at)
         )
 
+    def is_beside_silence(self, call: CallRecord) -> bool:
+        """Whether an endpoint that had a call was silent during it."""
+        return any(
+            fault.kind == EndpointSilence.__name__
+            for run in self.runs.get(call.request, [])
+            for fault in self.faults(run.endpoint, run.at, call.ended_at)
+        )
+
     @cached_property
     def last_records(self) -> dict[str, str]:
         """What the gateways' last records say that callers got."""
--- a/bilberryring/testing/soak_records.py
+++ b/bilberryring/testing/soak_records.py
@@ -147,6 +147,7 @@
     has_left: bool = False
     has_given_up: bool = False
     written_at: float = 0.0
+    body_bytes: int = 1
 
     @property
     def seconds(self) -> float:
--- a/bilberryring/testing/tests/test_soak_checks.py
+++ b/bilberryring/testing/tests/test_soak_checks.py
@@ -278,12 +278,17 @@
         call("d", answer=CUT_STREAM, has_left=True, has_given_up=True),
         call("e", answer=NOTHING, has_left=True, has_given_up=True),
     ]
-    [_, line] = report_lines(make_planned(calls, []), [])
+    runs = [run("e", service="model", endpoint="model-1")]
+    silence = make_fault("model-1", 100.0, kind="EndpointSilence", is_planned=True)
+    [_, line] = report_lines(make_planned(calls, runs, faults=[silence]), [])
     assert line["closed before read"] == {
         "on a kept connection": 1,
         "on a new connection": 1,
     }
-    assert line["given up after a silence"] == {"in a stream": 1, "with nothing": 1}
+    assert line["given up after a silence"] == {
+        "in a stream": 1,
+        "with nothing, beside a silence": 1,
+    }
 
 
 def test_an_evacuated_domain_gets_no_work_until_it_is_taken_back():
