A soak of planned work hangs gateways up at any moment, and sees failed stops

Reloads reach gateways that are being stopped or have just been started: they were skipped during a stop, which takes 3.2 s here. A gateway whose stop ends with another status than 0 is a finding of "processes stay"; it was restarted unseen before, in the mixed soak too.

The soak now sets a handler of its own if it finds SIGHUP ignored, and its children start with the default (SigIgn of a child under nohup: 1 before, 0 after).

--- a/bilberryring/testing/soak.py
+++ b/bilberryring/testing/soak.py
@@ -3,6 +3,7 @@
 import itertools
 import json
 import shutil
+import signal
 import sys
 import time
 from collections import Counter
@@ -134,6 +135,9 @@
     a fault of the printed schedule, to find the shortest one that still fails.
     `--kept` runs the seeds that once had findings, each with its kind of schedule.
     """
+    # Children would inherit that a hangup is ignored, as under nohup.
+    if signal.getsignal(signal.SIGHUP) is signal.SIG_IGN:
+        signal.signal(signal.SIGHUP, lambda *_: None)
     seeds = [(int(time.time()) if seed is None else seed, is_planned)]
     if is_kept:
         seeds = [(kept, False) for kept in KEPT_SEEDS]
--- a/bilberryring/testing/soak_checks.py
+++ b/bilberryring/testing/soak_checks.py
@@ -466,7 +466,7 @@
 
 
 def _check_processes(history: SoakHistory) -> _Findings:
-    """No gateway ends by itself."""
+    """No gateway ends by itself, nor a stop with another status than 0."""
     for gateway, at in history.records.own_ends:
         yield "", at, f"{gateway_name(gateway)} ended by itself"
 
--- a/bilberryring/testing/soak_records.py
+++ b/bilberryring/testing/soak_records.py
@@ -229,8 +229,9 @@
 class SoakRecords:
     """All that was recorded during a soak.
 
-    `own_ends` are the gateways that ended although nothing had been done to them, with
-    the times. `is_planned` is true if no fault but planned work was injected.
+    `own_ends` are the gateways that ended although nothing had been done to them, or
+    by a stop with another status than 0, with the times. `is_planned` is true if no
+    fault but planned work was injected.
     """
 
     retry_ratio: float = 0.05
--- a/bilberryring/testing/soak_run.py
+++ b/bilberryring/testing/soak_run.py
@@ -235,6 +235,8 @@
             case faults.GatewayPause():
                 name = gateway_name(fault.gateway)
                 self._reserve(number, fault, name, self._suspend)
+            case faults.GatewayReload() if records.is_planned:
+                self._reload_at_any_time(number, fault)
             case faults.GatewayReload():
                 name = gateway_name(fault.gateway)
                 self._reserve(number, fault, name, self._reload)
@@ -279,6 +281,7 @@
             if process.is_running and time.monotonic() < began_at + GRACE_SECONDS:
                 self._queue.call_later(POLL_SECONDS, look)
                 return
+            self._record_failed_stop(fault.gateway)
             self._records.add_fault(
                 number, fault, name, began_at=began_at, is_planned=True
             )
@@ -344,6 +347,13 @@
         self._site.process(gateway_name(fault.gateway)).send_sighup()
         done()
 
+    def _reload_at_any_time(self, number: int, fault: faults.GatewayReload) -> None:
+        """Reload a gateway, also one that is being stopped."""
+        if not self._site.process(gateway_name(fault.gateway)).is_running:
+            self._skipped.append(number)
+            return
+        self._reload(number, fault, lambda: None)
+
     def _stop_gateways(self) -> None:
         """Stop all gateways as planned and keep their logs."""
         numbers = tuple(self._shared.incarnations)
@@ -354,8 +364,15 @@
         while time.monotonic() < end_at and any(p.is_running for p in processes):
             pause(POLL_SECONDS)
         for number in numbers:
+            self._record_failed_stop(number)
             self._keep_log(number)
 
+    def _record_failed_stop(self, gateway: int) -> None:
+        """Record it if a gateway that was stopped has ended with an error."""
+        process = self._site.process(gateway_name(gateway))
+        if not process.is_running and process.exit_status != 0:
+            self._records.own_ends.append((gateway, time.monotonic()))
+
     def _publish(self, configuration: SoakConfiguration) -> None:
         sent_at = time.monotonic()
         self._configuration = configuration
