Known red: a hangup just after its start ends a gateway

Seed 9124 of the soak of planned work: gateway 3 was started again at 49.15 s, got a SIGHUP at 49.37 s and had ended at 49.42 s, its log empty. No request was lost in that. The same seed had none under nohup, where gateways ignore SIGHUP.

--- a/bilberryring/testing/soak_seeds.py
+++ b/bilberryring/testing/soak_seeds.py
@@ -9,5 +9,7 @@
     6004: "a stopped gateway accepted connections while it exited",
 }
 
-PLANNED_SEEDS: dict[int, str] = {}
+PLANNED_SEEDS = {
+    9124: "a hangup 0.2 s after its start ended a gateway",
+}
 """As `KEPT_SEEDS`, of schedules with planned work alone."""
