--- a/bilberryring/testing/soak_callers.py
+++ b/bilberryring/testing/soak_callers.py
@@ -46,7 +46,10 @@
 IDLE_SHARE = 0.8
 """Share of the limit for idle connections up to which callers use them again."""
 EVENT_PATIENCE_SECONDS = 2.0
-"""Seconds without an event after which an impatient caller of a stream leaves."""
+"""Seconds without an event after which an impatient caller of a stream leaves.
+
+The longest of 2 s, four times the first objective and eight times the pause objective.
+"""
 LARGE_REQUEST_BYTES = 1_000_000
 CONNECT_SECONDS = 1.0
 FINAL_STATUSES = frozenset((400, 401, 404, 413, 431))
@@ -162,7 +165,7 @@
                 connection.request("POST", path, body, request_headers() | headers)
                 written_at = time.monotonic()
             if is_watching:
-                answer, has_given_up = _read_stream(connection)
+                answer, has_given_up = read_stream(connection)
             else:
                 answer = read_answer(connection)
         except (OSError, http.client.HTTPException):
@@ -225,13 +228,18 @@
     return is_failed and record.path not in AT_MOST_ONCE
 
 
-def _read_stream(
+def read_stream(
     connection: http.client.HTTPConnection,
+    *,
+    patience: float = EVENT_PATIENCE_SECONDS,
 ) -> tuple[CallerAnswer, bool]:
-    """Return an answer and whether it was given up after a silence."""
-    socket_ = connection.sock
-    socket_.settimeout(EVENT_PATIENCE_SECONDS)
-    leaves_at = time.monotonic() + EVENT_PATIENCE_SECONDS
+    """Return an answer, and whether its caller left after a silence.
+
+    `patience` is the seconds without an event after which it leaves.
+    """
+    caller_socket = connection.sock
+    caller_socket.settimeout(patience)
+    leaves_at = time.monotonic() + patience
     parts: list[bytes] = []
     status, headers = 0, {}
     has_given_up = is_cut = False
@@ -242,11 +250,11 @@
         if not response.chunked:
             parts.append(response.read())
         while not response.isclosed():
-            socket_.settimeout(max(0.001, leaves_at - time.monotonic()))
+            caller_socket.settimeout(max(0.001, leaves_at - time.monotonic()))
             piece = response.read1()
             if piece:
                 parts.append(piece)
-                leaves_at = time.monotonic() + EVENT_PATIENCE_SECONDS
+                leaves_at = time.monotonic() + patience
     except TimeoutError:
         has_given_up = is_cut = True
     except http.client.IncompleteRead as error:
