--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -1086,6 +1086,14 @@
         test="bilberryring/testing/tests/test_soak.py"
         "::test_a_short_soak_has_no_findings",
     ),
+    Mechanism(
+        name="a soak of planned work finds answers that end although endpoints paused",
+        module="gateway/attempts.py",
+        present="if not is_silent or wakes_at == gives_up_at:",
+        absent="if True:",
+        test="bilberryring/testing/tests/test_soak.py"
+        "::test_a_short_soak_of_planned_work_has_no_findings",
+    ),
     Mechanism(
         name="the first reader watches the store shortly",
         module="platform/watch.py",
