--- a/bilberryring/testing/soak_seeds.py
+++ b/bilberryring/testing/soak_seeds.py
@@ -8,3 +8,8 @@
     4316: "as 2, in the short form that the tests run",
     6004: "a stopped gateway accepted connections while it exited",
 }
+
+PLANNED_SEEDS = {
+    9124: "a hangup 0.2 s after its start ended a gateway",
+}
+"""As `KEPT_SEEDS`, of schedules with planned work alone."""
