--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -755,6 +755,30 @@
         test="bilberryring/admission/tests/test_endpoint_statements.py"
         "::test_a_fleet_returns_to_an_endpoint_with_few_requests_and_then_with_more",
     ),
+    Mechanism(
+        name="a request that is cancelled with its caller there is answered",
+        module="gateway/forwarding.py",
+        present="            if exchange.has_caller_left:\n",
+        absent="            if True:\n",
+        test="bilberryring/gateway/tests/test_forwarding.py"
+        "::test_a_request_that_is_cancelled_with_its_caller_there_is_not_left_unanswered",
+    ),
+    Mechanism(
+        name="versions that are read together are decoded once",
+        module="fleet/replica.py",
+        present="        return tuple(changed)\n\n    def replace(",
+        absent="        return tuple(item.key for item in items)\n\n    def replace(",
+        test="bilberryring/platform/tests/test_translation.py"
+        "::test_versions_that_are_read_together_are_decoded_once",
+    ),
+    Mechanism(
+        name="unchanged routes are not converted again",
+        module="platform/configuration.py",
+        present="    is_short = len(content) <= MAX_KNOWN_ROUTE_BYTES\n",
+        absent="    is_short = False\n",
+        test="bilberryring/platform/tests/test_translation.py"
+        "::test_a_version_with_one_other_route_converts_only_that_one",
+    ),
     Mechanism(
         name="a rest is no failure of health",
         module="gateway/forwarding.py",
