Know for how long the callers of a route wait

Callers abandon a stream after a gap of two seconds, four times the objective or eight times the pause (PROTOCOL.md, Requests). Route.patience_seconds and routing.patience_ms are the one copy of the rule.

--- a/bilberryring/fleet/configuration.py
+++ b/bilberryring/fleet/configuration.py
@@ -1,10 +1,12 @@
 """The configuration published by operators: routes, services, workspaces, limits."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NewType
 
 from bilberryring.routing.engine_figures import EngineFigures
+from bilberryring.routing.patience import patience_ms
 
 ServiceName = NewType("ServiceName", str)
 """The name of a pool of endpoints that serve the same requests."""
@@ -60,6 +62,18 @@
     priority: int
     regions: tuple[str, ...] = ()
 
+    @property
+    def patience_seconds(self) -> float:
+        """Seconds without an event after which a caller leaves; infinite if none do."""
+        if self.kind is not RequestKind.STREAMING:
+            return math.inf
+        gap = self.gap_objective
+        patience = patience_ms(
+            first_ms=self.first_answer_objective * MS_PER_SECOND,
+            gap_ms=None if gap is None else gap * MS_PER_SECOND,
+        )
+        return patience / MS_PER_SECOND
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request of the route may run more than once."""
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -15,6 +15,7 @@
     WorkTracker,
 )
 from bilberryring.routing.engine_figures import EngineFigures
+from bilberryring.routing.patience import patience_ms
 from bilberryring.routing.placement import (
     LONGER_PROMPT_PENALTY_SECONDS,
     SAMPLED_ENDPOINTS,
@@ -53,6 +54,7 @@
     "silent_from",
     "slot_wait_seconds",
     "needs_span",
+    "patience_ms",
     "plan_span",
     "Candidate",
     "EndpointWork",
