Say why a stream was silent, and for how long its caller had waited

The cause is the longest known work on the engine if it explains half of the silence, as known at its end: work of peers that began and ended within it is not seen.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -41,6 +41,7 @@
     NotRun,
     RequestContext,
     RetryableFailure,
+    Silence,
 )
 from bilberryring.gateway.request_log import RequestLog
 from bilberryring.gateway.reservations import (
@@ -55,6 +56,7 @@
 from bilberryring.routing import (
     WorkTracker,
     busy_seconds,
+    cause_of_silence,
     silent_from,
     slot_wait_seconds,
 )
@@ -179,6 +181,8 @@
             is_complete = True
             raise
         finally:
+            if context.attempt is None or context.attempt is attempt:
+                context.last_silence = self._silence(context, attempt)
             self._tracker.remove(choice.placed, now=self._reactor.seconds())
             self._on_work_changed()
             if response is not None:
@@ -620,7 +624,7 @@
             return False
         self._claim(relay, head)
         context.may_be_complete = False
-        self._record_gap(context)
+        self._record_gap(context, attempt)
         if attempt.answer_began_at is None and is_progress:
             attempt.answer_began_at = self._reactor.seconds()
         if attempt.choice.placed.is_in_prefill:
@@ -644,12 +648,31 @@
                 context.metadata.shared_parts, began_at=attempt.answer_began_at
             )
 
-    def _record_gap(self, context: RequestContext) -> None:
+    def _record_gap(self, context: RequestContext, attempt: Attempt) -> None:
         now = self._reactor.seconds()
+        if now - context.silent_since > context.longest_silence.seconds:
+            context.longest_silence = self._silence(context, attempt)
         if context.last_data_at is not None:
             context.longest_gap = max(context.longest_gap, now - context.last_data_at)
         context.last_data_at = now
 
+    def _silence(self, context: RequestContext, attempt: Attempt) -> Silence:
+        """Return the present silence of an attempt with what is known of its cause."""
+        now = self._reactor.seconds()
+        placed = attempt.choice.placed
+        work = self._chooser.work(attempt.endpoint, now=now)
+        seconds = now - context.silent_since
+        return Silence(
+            seconds=seconds,
+            cause=cause_of_silence(
+                work,
+                silent_seconds=seconds,
+                own_prefill_ms=placed.part_ms if placed.is_in_prefill else 0.0,
+                slot_wait=attempt.slot_wait_seconds if placed.is_in_prefill else 0.0,
+            ),
+            busy_seconds=work.prefill_ms / MS_PER_SECOND,
+        )
+
     def _silent_from(
         self,
         context: RequestContext,
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -20,6 +20,7 @@
     ResponseHead,
     ResponseMetadata,
 )
+from bilberryring.routing import SilenceCause
 
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
@@ -43,6 +44,21 @@
     def encode_order(self, order: MemoryOrder) -> tuple[bytes, HeaderPairs, bytes]: ...
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Silence:
+    """For how many seconds a caller got no event, and what is known of the cause.
+
+    `busy_seconds` is for how long the engine was known to prefill at the end of it.
+    """
+
+    seconds: float = 0.0
+    cause: SilenceCause = SilenceCause.UNKNOWN
+    busy_seconds: float = 0.0
+
+
+NO_SILENCE = Silence()
+
+
 @dataclass(slots=True, kw_only=True)
 class RequestContext:
     """The state of one request in progress; times are those of the reactor's clock.
@@ -56,6 +72,8 @@
     `attempt` is the one whose answer the caller gets. `may_be_complete` is true if the
     caller has a stream that may be complete. `replaced_endpoint` had the request
     when another one answered; a stream that breaks may return to it once.
+    `longest_gap` is between two events, `longest_silence` also before the first one;
+    `last_silence` is the one in which the last attempt ended.
     """
 
     exchange: CallerExchange
@@ -78,6 +96,8 @@
     may_be_complete: bool = False
     replaced_endpoint: EndpointId | None = None
     longest_gap: float = 0.0
+    longest_silence: Silence = NO_SILENCE
+    last_silence: Silence = NO_SILENCE
     status: int = 0
     failure_response: "RetryableFailure | None" = None
 
@@ -86,6 +106,13 @@
         """The id that the caller assigned."""
         return self.metadata.request_id
 
+    @property
+    def silent_since(self) -> float:
+        """When the caller got its last event, or sent the request."""
+        if self.last_data_at is None:
+            return self.request.received_at
+        return self.last_data_at
+
     @property
     def may_have_run(self) -> bool:
         """Whether an endpoint may have started to process the request."""
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -1,11 +1,19 @@
 """Log events and metrics of requests."""
 
+import math
+from dataclasses import replace
+
 from bilberryring.core import Delivery, ServingError
 from bilberryring.execution import AnswerEnd, SilenceDecision, proof_of_end
 from bilberryring.fleet import AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.counters import CALLER_LEFT, GatewayCounters
 from bilberryring.gateway.messages import CallerMetadata, ResponseMetadata
-from bilberryring.gateway.request_context import Attempt, RequestContext
+from bilberryring.gateway.request_context import (
+    NO_SILENCE,
+    Attempt,
+    RequestContext,
+    Silence,
+)
 from bilberryring.quarantine import PartAction, PartDecision
 from bilberryring.telemetry import EventLog, LogEvent
 
@@ -168,6 +176,8 @@
             first_ms=round(first_seconds * 1_000),
             gap_ms=round(context.longest_gap * 1_000),
             total_ms=round((now - context.request.received_at) * 1_000),
+            silence_ms=round(context.longest_silence.seconds * 1_000),
+            silence_cause=_describe_cause(context, context.longest_silence),
             attempt=attempt.number if attempt else None,
             stated_limit=attempt.stated_limit if attempt else None,
             answer_end=_describe_end(attempt.answer_end if attempt else None),
@@ -205,8 +215,21 @@
         context: RequestContext | None,
         delivery: Delivery,
     ) -> None:
-        """Log and count a request whose caller closed its connection."""
+        """Log and count a request whose caller closed its connection.
+
+        `silent_ms` is for how long it had got no event, and `silence_cause` is that of
+        the longest time without one.
+        """
         route = context.route.name if context else ""
+        silent_ms = patience_ms = None
+        last, longest = NO_SILENCE, NO_SILENCE
+        if context is not None:
+            silent_seconds = self._clock.seconds() - context.silent_since
+            silent_ms = round(silent_seconds * 1_000)
+            if math.isfinite(context.route.patience_seconds):
+                patience_ms = round(context.route.patience_seconds * 1_000)
+            last = replace(context.last_silence, seconds=silent_seconds)
+            longest = max(last, context.longest_silence, key=lambda item: item.seconds)
         self._counters.count_request(route, CALLER_LEFT, delivery)
         self._log.write(
             LogEvent.CALLER_LEFT,
@@ -214,6 +237,12 @@
             route=route,
             sends=context.sends if context else 0,
             configuration=context.configuration if context else None,
+            has_event=context is not None and context.last_data_at is not None,
+            silent_ms=silent_ms,
+            patience_ms=patience_ms,
+            busy_ms=round(last.busy_seconds * 1_000),
+            silence_ms=round(longest.seconds * 1_000),
+            silence_cause=_describe_cause(context, longest),
             delivered=delivery.value,
         )
 
@@ -230,6 +259,16 @@
         return round((self._clock.seconds() - attempt.answer_began_at) * 1_000)
 
 
+def _describe_cause(context: RequestContext | None, silence: Silence) -> str | None:
+    """Return the cause of a silence that made a stream late."""
+    if context is None or context.stream is None:
+        return None
+    route = context.route
+    if silence.seconds <= (route.gap_objective or route.first_answer_objective):
+        return None
+    return silence.cause.value
+
+
 def _describe_end(end: AnswerEnd | None) -> dict[str, object] | None:
     """Return the fields that say how an answer ended and what that proves."""
     if end is None:
--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -580,3 +580,43 @@
     assert site.answer() == (200, EVENT_1 + EVENT_2, True)
     gc.collect()
     assert "Unhandled" not in capfd.readouterr().err
+
+
+def test_a_caller_that_leaves_beside_a_part_of_a_prompt_is_recorded_with_the_cause():
+    site = start_stream_beside_a_long_prompt()
+    advance(site, 2.0)
+    site.leave()
+    (left,) = site.events("caller_left")
+    assert left["has_event"]
+    assert left["silent_ms"] == left["silence_ms"] == pytest.approx(2_000, abs=60)
+    assert left["patience_ms"] == 2_000
+    assert left["busy_ms"] == LONG_PART_MS
+    assert left["silence_cause"] == "helper_part"
+
+
+def test_a_caller_that_leaves_a_full_engine_is_recorded_as_waiting_for_a_slot():
+    site, _ = start_behind_streams(endpoints=1)
+    advance(site, 2.0)
+    site.leave()
+    (left,) = site.events("caller_left")
+    assert not left["has_event"]
+    assert left["silence_cause"] == "slot_wait"
+
+
+def test_the_longest_silence_of_a_finished_stream_is_recorded_with_its_cause():
+    site = start_stream_beside_a_long_prompt()
+    advance(site, 1.5)
+    site.runs[0].send(EVENT_2)
+    site.runs[0].end()
+    (finished,) = site.events("request_finished")
+    assert finished["silence_ms"] == pytest.approx(1_500, abs=60)
+    assert finished["silence_cause"] == "helper_part"
+
+
+def test_a_stream_in_time_is_recorded_without_a_cause():
+    site = PlayedSite(engine=FIGURES)
+    site.runs[0].send_head()
+    site.runs[0].send(EVENT_1)
+    site.runs[0].end()
+    (finished,) = site.events("request_finished")
+    assert finished["silence_cause"] is None
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -39,7 +39,13 @@
     neighbours,
     slice_size,
 )
-from bilberryring.routing.silence import busy_seconds, silent_from, slot_wait_seconds
+from bilberryring.routing.silence import (
+    SilenceCause,
+    busy_seconds,
+    cause_of_silence,
+    silent_from,
+    slot_wait_seconds,
+)
 from bilberryring.routing.span_plan import needs_span, plan_span
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
@@ -50,7 +56,9 @@
     "hash_order",
     "neighbours",
     "slice_size",
+    "SilenceCause",
     "busy_seconds",
+    "cause_of_silence",
     "silent_from",
     "slot_wait_seconds",
     "needs_span",
--- a/bilberryring/routing/silence.py
+++ b/bilberryring/routing/silence.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from enum import Enum
 
 from bilberryring.routing.endpoint_work import EndpointWork
 from bilberryring.routing.engine_figures import EngineFigures
@@ -14,9 +15,56 @@
 BUSY_SHARE = 0.5
 """Largest share of the time left to the caller for which known work excuses a silence.
 The rest is for another endpoint."""
+EXPLAINED_SHARE = 0.5
+"""Smallest share of a silence that a known work must last to count as its cause."""
 MILLISECONDS_PER_SECOND = 1_000.0
 
 
+class SilenceCause(Enum):
+    """Why an engine sent a stream nothing, as far as a gateway knows."""
+
+    OWN_PROMPT = "own_prompt"
+    OTHER_PROMPT = "other_prompt"
+    HELPER_PART = "helper_part"
+    SLOT_WAIT = "slot_wait"
+    UNKNOWN = "unknown"
+
+
+def cause_of_silence(
+    work: EndpointWork,
+    *,
+    silent_seconds: float,
+    own_prefill_ms: float = 0.0,
+    slot_wait: float = 0.0,
+) -> SilenceCause:
+    """Return the longest work that explains a silence, by what is known at its end.
+
+    `own_prefill_ms` is the part of `work` that the stream's own prompt takes, 0 if it
+    is prefilled, and `slot_wait` the time in seconds for which the prompt waits for a
+    slot. If the engine leads no other prompt, what it prefills is for other engines.
+
+    >>> work = EndpointWork(requests=1, prefill_ms=2_000.0)
+    >>> cause_of_silence(work, silent_seconds=2.1)
+    <SilenceCause.HELPER_PART: 'helper_part'>
+    >>> cause_of_silence(work, silent_seconds=2.1, own_prefill_ms=1_900.0)
+    <SilenceCause.OWN_PROMPT: 'own_prompt'>
+    >>> cause_of_silence(work, silent_seconds=9.0)
+    <SilenceCause.UNKNOWN: 'unknown'>
+    """
+    others = len(work.prefill_streams) - (own_prefill_ms > 0.0)
+    of_others = SilenceCause.OTHER_PROMPT if others > 0 else SilenceCause.HELPER_PART
+    known = {
+        SilenceCause.OWN_PROMPT: own_prefill_ms,
+        of_others: work.prefill_ms - own_prefill_ms,
+        SilenceCause.SLOT_WAIT: slot_wait * MILLISECONDS_PER_SECOND,
+    }
+    cause = max(known, key=known.get)
+    explained = known[cause] / MILLISECONDS_PER_SECOND
+    if explained < EXPLAINED_SHARE * silent_seconds:
+        return SilenceCause.UNKNOWN
+    return cause
+
+
 def busy_seconds(
     work: EndpointWork, figures: EngineFigures, *, is_in_prefill: bool
 ) -> float:
--- a/bilberryring/telemetry/request_endings.py
+++ b/bilberryring/telemetry/request_endings.py
@@ -4,7 +4,8 @@
 
 Each admitted request has one last record: `request_finished`, `request_failed` or
 `caller_left`. A request is lost if it has none, or if its caller, which did not leave,
-got a part of an answer or nothing.
+got a part of an answer or nothing. Callers leave a stream after a silence; these are
+counted by the cause that the log names.
 
 >>> lines = [
 ...     '{"event": "attempt_started", "request": "a"}',
@@ -19,7 +20,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -35,6 +36,9 @@
     )
 )
 CALLER_LEFT = LogEvent.CALLER_LEFT.name.lower()
+SILENT_SHARE = 0.95
+"""Share of a caller's patience from which a silence counts as why it left. Callers
+measure it from the sending, up to some milliseconds before the gateway does."""
 LINES_DROPPED = LogEvent.LOG_LINES_DROPPED.name.lower()
 
 
@@ -45,7 +49,8 @@
     `unended` have no last record, `repeated` more than one. The callers of `cut` got a
     part of an answer, those of `unanswered` nothing; those that left are not counted.
     `dropped_lines` is the number of log lines that were dropped: with any, a request
-    without a last record may have ended.
+    without a last record may have ended. `left_silent` counts the callers that left
+    after a silence by its cause.
     """
 
     requests: int
@@ -54,6 +59,7 @@
     cut: tuple[RequestId, ...] = ()
     unanswered: tuple[RequestId, ...] = ()
     dropped_lines: int = 0
+    left_silent: dict[str, int] = field(default_factory=dict)
 
     @property
     def is_clean(self) -> bool:
@@ -69,6 +75,7 @@
     last_records: Counter[RequestId] = Counter()
     requests: set[RequestId] = set()
     cut, unanswered = [], []
+    left_silent: Counter[str] = Counter()
     dropped_lines = 0
     for line in lines:
         record = _decode(line)
@@ -83,6 +90,8 @@
             continue
         last_records[request] += 1
         if event == CALLER_LEFT:
+            if _is_after_silence(record):
+                left_silent[record.get("silence_cause") or "unknown"] += 1
             continue
         match record.get("delivered"):
             case Delivery.CUT.value:
@@ -96,9 +105,17 @@
         cut=tuple(cut),
         unanswered=tuple(unanswered),
         dropped_lines=dropped_lines,
+        left_silent=dict(sorted(left_silent.items())),
     )
 
 
+def _is_after_silence(record: dict) -> bool:
+    silent, patience = record.get("silent_ms"), record.get("patience_ms")
+    if silent is None or patience is None:
+        return False
+    return silent >= SILENT_SHARE * patience
+
+
 def _decode(line: str) -> dict:
     start = line.find("{")
     if start < 0:
--- a/bilberryring/tool/main.py
+++ b/bilberryring/tool/main.py
@@ -325,6 +325,8 @@
     for description, requests in groups.items():
         for request in requests:
             click.echo(f"{description}: {request}")
+    for cause, count in endings.left_silent.items():
+        click.echo(f"callers that left after a silence: {count}, cause {cause}")
 
 
 def _print_anomalies(report: StatusReport) -> None:
--- a/bilberryring/tool/tests/test_main.py
+++ b/bilberryring/tool/tests/test_main.py
@@ -100,3 +100,23 @@
         f'{{"event": "request_failed", "request": "d", "delivered": "{delivered}"}}'
     )
     assert run("losses", path).exit_code == 1
+
+
+def test_losses_counts_the_callers_that_left_after_a_silence_by_cause(run, tmp_path):
+    path = tmp_path / "gateway.log"
+    path.write_text(
+        '{"event": "caller_left", "request": "a", "delivered": "cut",'
+        ' "silent_ms": 2001, "patience_ms": 2000, "silence_cause": "helper_part"}\n'
+        '{"event": "caller_left", "request": "b", "delivered": "cut",'
+        ' "silent_ms": 400, "patience_ms": 2000, "silence_cause": null}\n'
+        '{"event": "caller_left", "request": "c", "delivered": "nothing",'
+        ' "silent_ms": 1990, "patience_ms": 2000, "silence_cause": null}\n',
+        "utf-8",
+    )
+    shown = run("losses", path)
+    assert shown.exit_code == 0
+    assert shown.output.splitlines() == [
+        "3 requests, 0 lines dropped",
+        "callers that left after a silence: 1, cause helper_part",
+        "callers that left after a silence: 1, cause unknown",
+    ]
