Plan parts of long prompts so that no caller leaves because of them

Cause: a part cost the streams that it made late 0.75 of their value, whatever its length, and nothing for those that were late already.

A part now also costs 8 times the value of each stream whose caller leaves in the pass, by the least patience that the objective for gaps allows, with what is known to be in prefill there. Streams before their first token count from the time that they have left. A plan that still lets callers leave logs streams_stopped. Entries plan by routing.placement and call neither plan_prompt nor plan_span, so gateways alone change.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -313,6 +313,8 @@
         if context.service.engine is not None:
             self._update_slot_wait(context, attempt)
             attempt.silent_at = min(attempt.silent_at, now + LATE_REPORTS_SECONDS)
+        if choice.stopped:
+            self._log.streams_stopped(context, choice)
         self._chooser.record_start(choice.endpoint.id, now=now)
         self._health.record_start(choice.endpoint.id, now=now)
         self._log.attempt_started(
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -51,7 +51,8 @@
     `predicted_ms` is the predicted time to the first token, in which `backlog_ms` is
     the wait for other prompts; both are 0 without a prompt. `helpers` are the other
     engines that prefill parts of the prompt. Of these, `holders` keep their part of the
-    KV cache until the request ends.
+    KV cache until the request ends. On the engines `stopped` the prefill lets
+    `leaving_callers` callers wait until they leave.
     """
 
     endpoint: AnnouncedEndpoint
@@ -60,6 +61,8 @@
     predicted_ms: float
     backlog_ms: float = 0.0
     holders: tuple[AnnouncedEndpoint, ...] = ()
+    stopped: tuple[EndpointId, ...] = ()
+    leaving_callers: int = 0
 
     @property
     def holder_tokens(self) -> int:
@@ -283,6 +286,8 @@
             placed=placed,
             predicted_ms=plan.predicted_ms,
             backlog_ms=plan.backlog_ms,
+            stopped=tuple(by_id[name].id for name in plan.stopped),
+            leaving_callers=plan.leaving_callers,
         )
 
     def _candidate(self, endpoint: AnnouncedEndpoint, now: float) -> Candidate:
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -7,6 +7,7 @@
 from bilberryring.execution import AnswerEnd, SilenceDecision, proof_of_end
 from bilberryring.fleet import AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.counters import CALLER_LEFT, GatewayCounters
+from bilberryring.gateway.endpoint_choice import Choice
 from bilberryring.gateway.messages import CallerMetadata, ResponseMetadata
 from bilberryring.gateway.request_context import (
     NO_SILENCE,
@@ -71,6 +72,19 @@
             configuration=version,
         )
 
+    def streams_stopped(self, context: RequestContext, choice: Choice) -> None:
+        """Log that a prompt is read although callers of other streams leave by it."""
+        self._log.write(
+            LogEvent.STREAMS_STOPPED,
+            request=context.request_id,
+            endpoints=list(choice.stopped),
+            leaving_callers=choice.leaving_callers,
+            part_ms=round(choice.placed.part_ms),
+            parts=1 + len(choice.helpers),
+            prompt_tokens=context.metadata.prompt_tokens,
+            predicted_ms=round(choice.predicted_ms),
+        )
+
     def attempt_failed(
         self, context: RequestContext, attempt: Attempt, reason: str, culprit: str = ""
     ) -> None:
--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -620,3 +620,10 @@
     site.runs[0].end()
     (finished,) = site.events("request_finished")
     assert finished["silence_cause"] is None
+
+
+def test_a_prompt_that_lets_callers_leave_is_a_logged_decision():
+    site = PlayedSite(engine=FIGURES, stopped=("e0",), leaving_callers=2)
+    (stopped,) = site.events("streams_stopped")
+    assert stopped["endpoints"] == ["e0"]
+    assert stopped["leaving_callers"] == 2
--- a/bilberryring/routing/endpoint_work.py
+++ b/bilberryring/routing/endpoint_work.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from bilberryring.routing.patience import FIRST_OBJECTIVE_FACTOR, patience_ms
+
 MILLISECONDS_PER_SECOND = 1_000.0
 MIN_REMAINING_SHARE = 0.1
 """Share of the predicted prefill time that still counts as remaining when the
@@ -26,6 +28,11 @@
     count: int
     value: float
 
+    @property
+    def patience_ms(self) -> float:
+        """The least time without an event after which the callers leave."""
+        return patience_ms(gap_ms=self.gap_ms)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PrefillStream:
@@ -38,6 +45,27 @@
     value: float
     due_ms: float
 
+    @property
+    def patience_ms(self) -> float:
+        """The least time without an event after which the caller leaves."""
+        return patience_ms(gap_ms=self.gap_ms)
+
+    @property
+    def leaves_ms(self) -> float:
+        """The least time until the caller leaves without a first token."""
+        return self.due_ms + self.patience_ms * (1.0 - 1.0 / FIRST_OBJECTIVE_FACTOR)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeavingCallers:
+    """Callers that leave their streams; `value` is that of their answers."""
+
+    count: int = 0
+    value: float = 0.0
+
+
+NO_CALLERS = LeavingCallers()
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointWork:
@@ -130,6 +158,28 @@
         """Return the value of the streams in prefill that a pass would make late."""
         return sum(item.value for item in self.prefill_streams if item.gap_ms < pass_ms)
 
+    def leaving(self, *, bare_pass_ms: float, part_ms: float) -> LeavingCallers:
+        """Return the callers that leave because of one more part of a prompt.
+
+        A pass without prefill takes `bare_pass_ms`. Present prompts are prefilled in
+        the same pass as the part; streams that they stop for as long go on between the
+        passes if they are not, and are stopped again by a part that is long by itself.
+        """
+        present_ms = bare_pass_ms + self.remaining_ms
+        count, value = 0, 0.0
+        for group in self.decode_groups:
+            limit = group.patience_ms
+            if limit > present_ms + part_ms:
+                continue
+            if limit > present_ms or limit <= bare_pass_ms + part_ms:
+                count += group.count
+                value += group.value
+        for stream in self.prefill_streams:
+            if present_ms < stream.leaves_ms <= present_ms + part_ms:
+                count += 1
+                value += stream.value
+        return LeavingCallers(count=count, value=value)
+
     def overdue_prefill_value(self, *, first_token_ms: float) -> float:
         """Return the value of the streams due before a first token at that time."""
         return sum(
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -56,7 +56,8 @@
     The lead and each helper prefill a part, which takes `part_ms`. `predicted_ms` is
     the time to the first token and `backlog_ms` the part of it spent waiting for
     other prompts. `holders` are the helpers that keep `holder_tokens` of KV memory
-    each. `cost` is in short requests.
+    each. `cost` is in short requests. `stopped` are the engines on which a part lets
+    callers wait until they leave, and `leaving_callers` is the number of these.
     """
 
     lead: str
@@ -67,6 +68,8 @@
     backlog_ms: float = 0.0
     holders: tuple[str, ...] = ()
     holder_tokens: int = 0
+    stopped: tuple[str, ...] = ()
+    leaving_callers: int = 0
 
 
 def plan_prompt(
@@ -139,9 +142,19 @@
         predicted_ms=predicted,
         cost=cost,
         backlog_ms=backlog,
+        **stopped_streams((lead, *helpers)),
     )
 
 
+def stopped_streams(engines: Sequence[ScoredCandidate]) -> dict:
+    """Return the fields of a plan that say which callers leave because of it."""
+    stopping = [item for item in engines if item.leaving.count]
+    return {
+        "stopped": tuple(item.candidate.endpoint for item in stopping),
+        "leaving_callers": sum(item.leaving.count for item in stopping),
+    }
+
+
 def backlog_ms(lead: ScoredCandidate, helpers: Sequence[ScoredCandidate]) -> float:
     """Return the time until the last of the engines begins with its part."""
     return max(item.wait_ms for item in (lead, *helpers))
--- a/bilberryring/routing/read_cost.py
+++ b/bilberryring/routing/read_cost.py
@@ -7,8 +7,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bilberryring.routing.endpoint_work import EndpointWork
+from bilberryring.routing.endpoint_work import (
+    NO_CALLERS,
+    EndpointWork,
+    LeavingCallers,
+)
 from bilberryring.routing.engine_figures import EngineFigures
+from bilberryring.routing.patience import MIN_PATIENCE_MS
 
 TOKENS_PER_VALUE_UNIT = 10_000
 """Prompt tokens that raise the value of an on-time answer by one short request."""
@@ -22,6 +27,9 @@
 """Share of the objective from which a predicted first token counts as late."""
 LATE_COST = 0.75
 """Share of an answer's value that is lost when it is late."""
+LEAVING_COST = 8.0
+"""Cost of a stream whose caller leaves, as a multiple of the answer's value, besides
+that of a late one: the work is lost, and the caller comes again with its prompt."""
 DEADLINE_SHARE = 0.7
 """Share of the deadline from which a predicted first token costs the whole value,
 since the rest of the answer may miss the deadline."""
@@ -133,7 +141,8 @@
     the streams that the part makes late, plus the engine's share of failures.
     `helper_stream_cost` comes on top when the engine is a helper: it prefills a part
     for another engine before its own prompts, so their first tokens can be late.
-    `wait_ms` is the time until the engine has prefilled its present prompts.
+    `wait_ms` is the time until the engine has prefilled its present prompts, and
+    `leaving` are the callers that the part lets wait until they leave.
     """
 
     candidate: Candidate
@@ -141,6 +150,7 @@
     stream_cost: float
     wait_ms: float
     helper_stream_cost: float = 0.0
+    leaving: LeavingCallers = NO_CALLERS
 
     @property
     def helper_cost(self) -> float:
@@ -155,15 +165,19 @@
 def score_candidate(prepared: PreparedCandidate, part_ms: float) -> ScoredCandidate:
     """Return the candidate with the costs of a part that takes `part_ms` to prefill.
 
-    Only streams that would be on time without the part count. A stream in decode is
-    interrupted by all prefill on its engine; a stream whose own prompt is in prefill
-    is interrupted only by the prompts that come after it.
+    Only streams that would be on time without the part count as late. Streams that are
+    late already still count if their callers leave because of the part. A stream in
+    decode is interrupted by all prefill on its engine; a stream whose own prompt is in
+    prefill is interrupted only by the prompts that come after it.
     """
     candidate = prepared.candidate
     work = candidate.work
     bare_pass = prepared.pass_ms + GAP_MARGIN_MS
     present_pass = bare_pass + prepared.remaining_ms
     late = overdue = 0.0
+    leaving = NO_CALLERS
+    if work.prefill_streams or present_pass + part_ms >= MIN_PATIENCE_MS:
+        leaving = work.leaving(bare_pass_ms=bare_pass, part_ms=part_ms)
     if work.decode_groups:
         late += work.late_decode_value(pass_ms=present_pass + part_ms)
         late -= work.late_decode_value(pass_ms=present_pass)
@@ -175,9 +189,12 @@
     return ScoredCandidate(
         candidate=candidate,
         pass_ms=prepared.pass_ms,
-        stream_cost=LATE_COST * late + candidate.failure_share,
+        stream_cost=(
+            LATE_COST * late + LEAVING_COST * leaving.value + candidate.failure_share
+        ),
         helper_stream_cost=LATE_COST * overdue,
         wait_ms=prepared.remaining_ms,
+        leaving=leaving,
     )
 
 
--- a/bilberryring/routing/span_plan.py
+++ b/bilberryring/routing/span_plan.py
@@ -16,6 +16,7 @@
     backlog_ms,
     first_pass_ms,
     part_counts,
+    stopped_streams,
 )
 from bilberryring.routing.read_cost import (
     Candidate,
@@ -85,6 +86,7 @@
         backlog_ms=backlog,
         holders=tuple(item.candidate.endpoint for item in holders),
         holder_tokens=tokens,
+        **stopped_streams(readers),
     )
 
 
--- a/bilberryring/routing/tests/test_read_cost.py
+++ b/bilberryring/routing/tests/test_read_cost.py
@@ -1,5 +1,7 @@
 """Tests of what a part of a prompt costs the streams on its engine."""
 
+import pytest
+
 from bilberryring.routing import (
     NO_WORK,
     Candidate,
@@ -8,8 +10,10 @@
     PrefillStream,
     PromptDemand,
     plan_prompt,
+    plan_span,
 )
 from bilberryring.routing.read_cost import (
+    GAP_MARGIN_MS,
     lateness_cost,
     prepare_candidates,
     score_candidate,
@@ -112,3 +116,51 @@
     demand = a_digest(deadline_ms=15_000.0)
     assert lateness_cost(demand, 5_000.0) < lateness_cost(demand, 8_000.0)
     assert lateness_cost(demand, 11_000.0) < lateness_cost(demand, 14_000.0)
+
+
+def engines_with_chats(count, *, chats=2, **work):
+    group = DecodeGroup(gap_ms=250, count=chats, value=1.5 * chats)
+    busy = EndpointWork(requests=chats, decode_groups=(group,), **work)
+    return [Candidate(endpoint=f"e{n}", work=busy) for n in range(count)]
+
+
+@pytest.mark.parametrize("tokens", [180_000, 233_189, 266_509])
+def test_no_part_stops_chats_for_as_long_as_their_callers_wait(tokens):
+    plan = plan_prompt(a_digest(tokens), FIGURES, engines_with_chats(21))
+    assert plan.part_ms + GAP_MARGIN_MS < 2_000.0
+    assert plan.leaving_callers == 0
+    assert plan.predicted_ms < 3_000.0
+
+
+def test_a_second_part_is_not_put_behind_one_that_stops_the_same_chats():
+    """A part was prefilled for 1.9 s of its 2.1 s when another gateway planned."""
+    waiting = engines_with_chats(4, prefill_ms=2_107.0, prefill_elapsed_ms=1_900.0)
+    plan = plan_prompt(a_digest(180_800), FIGURES, waiting)
+    assert plan.leaving_callers == 0
+    assert 2_107.0 - 1_900.0 + plan.part_ms + GAP_MARGIN_MS < 2_000.0
+
+
+def test_callers_of_streams_that_are_late_already_still_leave():
+    late = EndpointWork(requests=2, prefill_ms=1_300.0, decode_groups=(CHATS,))
+    scored = score(late)
+    assert scored.leaving.count == CHATS.count
+    assert scored.stream_cost > 0.0
+
+
+def test_a_prompt_before_its_first_token_is_not_delayed_until_its_caller_leaves():
+    waiting = PrefillStream(gap_ms=250, value=1.5, due_ms=-1_000.0)
+    work = EndpointWork(requests=1, prefill_ms=30.0, prefill_streams=(waiting,))
+    assert score(work).leaving.count == 1
+
+
+def test_a_plan_that_cannot_spare_the_streams_names_them():
+    plan = plan_prompt(a_digest(180_000), FIGURES, engines_with_chats(1))
+    assert plan.stopped == ("e0",)
+    assert plan.leaving_callers == 2
+
+
+def test_a_span_stops_no_chats_for_as_long_as_their_callers_wait():
+    idle = [Candidate(endpoint=f"idle{n}", work=NO_WORK) for n in range(17)]
+    plan = plan_span(a_digest(600_000), FIGURES, engines_with_chats(21) + idle)
+    assert plan.leaving_callers == 0
+    assert all(name.startswith("idle") for name in (plan.lead, *plan.helpers))
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -170,6 +170,11 @@
         "warning",
         "Attempts were ended, as their endpoint has started again since",
     )
+    STREAMS_STOPPED = (
+        416,
+        "warning",
+        "A part of a prompt lets callers wait on its engines until they leave",
+    )
     PROMPT_QUEUED = (420, "debug", "A sidecar admitted a prompt")
     PROMPT_REFUSED = (421, "info", "A sidecar refused a prompt without running it")
     PROMPT_STARTED = (422, "info", "A prompt was sent to the engine")
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -214,10 +214,11 @@
     """Chooses the first endpoint that is not excluded and, if asked to, not avoided.
 
     `holders` are the engines that hold memory for a prompt at an endpoint; if there are
-    any, no other endpoint is chosen.
+    any, no other endpoint is chosen. `plan` has further fields of each choice.
     """
 
-    def __init__(self, *, endpoints, health, tracker, holders):
+    def __init__(self, *, endpoints, health, tracker, holders, plan):
+        self._plan = plan
         self._holders = holders
         self._tracker = tracker
         self._endpoints = endpoints
@@ -255,7 +256,7 @@
                 holders=names_of_holders,
                 holder_tokens=HOLDER_TOKENS if holders else 0,
             ),
-            predicted_ms=0.0,
+            **self._plan,
         )
 
     def work(self, endpoint, *, now):
@@ -286,7 +287,15 @@
         engine=None,
         holders=None,
         unreachable_holders=(),
+        predicted_ms=0.0,
+        stopped=(),
+        leaving_callers=0,
     ):
+        self._plan = {
+            "predicted_ms": predicted_ms,
+            "stopped": stopped,
+            "leaving_callers": leaving_callers,
+        }
         self.clock = Clock()
         self.orders = PlayedOrders(clock=self.clock)
         self.orders.unreachable.update(unreachable_holders)
@@ -392,6 +401,7 @@
             health=self.health,
             tracker=self.tracker,
             holders=self._holders,
+            plan=self._plan,
             endpoints=[
                 AnnouncedEndpoint(
                     id=f"e{number}",
--- a/bilberryring/testing/prompt_load.py
+++ b/bilberryring/testing/prompt_load.py
@@ -13,7 +13,6 @@
 from twisted.internet.task import Clock
 
 from bilberryring.routing import (
-    NO_WORK,
     Candidate,
     EndpointWork,
     EngineFigures,
@@ -22,11 +21,14 @@
     PromptPlan,
     PromptPlanner,
     WorkTracker,
+    patience_ms,
 )
 from bilberryring.standins.pass_engine import PassEngine, ReadPart, SimulatedStream
 
 MILLISECONDS = 1_000.0
 STEP_SECONDS = 0.001
+URGENT_PREFILL_MS = 100.0
+"""Prefill time of a part from which a gateway reports it at once."""
 FIGURES = EngineFigures(
     slots=8,
     kv_tokens=315_000,
@@ -65,10 +67,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class ClassResult:
-    """The number of prompts of one kind that were sent, and answered on time."""
+    """The number of prompts of one kind that were sent, and answered on time.
+
+    `stopped` counts those that got no event for longer than their callers wait.
+    """
 
     sent: int = 0
     on_time: int = 0
+    stopped: int = 0
 
     @property
     def share(self) -> float:
@@ -87,6 +93,16 @@
     parts_left: int
     last_event_at: float | None = None
     is_late: bool = False
+    is_stopped: bool = False
+    stream: SimulatedStream | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _ReportedWork:
+    """What a gateway reported of its work on an engine at the time `at`."""
+
+    work: EndpointWork
+    at: float
 
 
 @dataclass(slots=True, kw_only=True)
@@ -96,7 +112,10 @@
     A policy returns the plan for a prompt, or `None` to refuse it; without a policy,
     each gateway plans with a `PromptPlanner`. Each prompt arrives at one of `gateways`,
     drawn at random, which knows of the prompts of the others what they last reported,
-    every `report_seconds`. An engine runs `figures.slots` prompts at once; others wait.
+    every `report_seconds`, and of parts of `URGENT_PREFILL_MS` or more what was placed
+    `urgent_seconds` ago, if that is set. An engine runs `figures.slots` prompts at
+    once; others wait. With `callers_leave` a stream that got no event for longer than
+    its caller waits ends with the next one.
     An instance is used for one run.
     """
 
@@ -106,11 +125,13 @@
     seed: int
     gateways: int = 1
     report_seconds: float = 0.2
+    urgent_seconds: float | None = None
+    callers_leave: bool = False
     figures: EngineFigures = FIGURES
     _clock: Clock = field(default_factory=Clock)
     _trackers: list[WorkTracker] = field(default_factory=list)
     _planners: list[PromptPlanner] = field(default_factory=list)
-    _reported: list[dict[str, EndpointWork]] = field(default_factory=list)
+    _reported: dict[str, dict[int, _ReportedWork]] = field(default_factory=dict)
     _reported_at: float = 0.0
     _running: Counter[str] = field(default_factory=Counter)
     _waiting: dict[str, deque[Callable[[], None]]] = field(default_factory=dict)
@@ -125,7 +146,6 @@
         rng = random.Random(self.seed)
         self._trackers = [WorkTracker() for _ in range(self.gateways)]
         self._planners = [PromptPlanner() for _ in range(self.gateways)]
-        self._reported = [{} for _ in range(self.gateways)]
         self._engines_by_name = {
             f"e{number}": PassEngine(clock=self._clock, figures=self.figures)
             for number in range(self.engines)
@@ -166,28 +186,42 @@
             plan = self.policy(demand, self.figures, candidates)
         if plan is not None:
             self._place(prompt, demand, plan, self._trackers[gateway])
+            if self.urgent_seconds is not None and plan.part_ms >= URGENT_PREFILL_MS:
+                names = (plan.lead, *plan.helpers)
+                self._clock.callLater(
+                    self.urgent_seconds, self._report_urgently, gateway, names
+                )
 
     def _candidates(self, rng: random.Random, gateway: int) -> list[Candidate]:
         now = self._clock.seconds()
         if now - self._reported_at >= self.report_seconds:
             self._report(now)
-        age_ms = (now - self._reported_at) * MILLISECONDS
         candidates = []
         for name in self._engines_by_name:
             work = self._trackers[gateway].work(name, now=now)
-            for other, reported in enumerate(self._reported):
+            for other, reported in self._reported.get(name, {}).items():
                 if other != gateway:
-                    work = work + reported.get(name, NO_WORK).advanced_by(age_ms)
+                    age_ms = (now - reported.at) * MILLISECONDS
+                    work = work + reported.work.advanced_by(age_ms)
             candidates.append(Candidate(endpoint=name, work=work))
         rng.shuffle(candidates)
         return candidates
 
     def _report(self, now: float) -> None:
         self._reported_at = now
-        self._reported = [
-            {name: tracker.work(name, now=now) for name in tracker.endpoints}
-            for tracker in self._trackers
-        ]
+        self._reported = {}
+        for gateway, tracker in enumerate(self._trackers):
+            for name in tracker.endpoints:
+                self._report_engine(gateway, name, now)
+
+    def _report_engine(self, gateway: int, name: str, now: float) -> None:
+        work = self._trackers[gateway].work(name, now=now)
+        reported = _ReportedWork(work=work, at=now)
+        self._reported.setdefault(name, {})[gateway] = reported
+
+    def _report_urgently(self, gateway: int, names: tuple[str, ...]) -> None:
+        for name in names:
+            self._report_engine(gateway, name, self._clock.seconds())
 
     def _place(
         self,
@@ -240,18 +274,23 @@
         run.parts_left -= 1
         if run.parts_left:
             return
-        self._engines_by_name[run.placed.lead].write(
-            SimulatedStream(
-                context_tokens=demand.prompt_tokens,
-                events_left=run.prompt.events,
-                on_event=lambda: self._record_event(run),
-                on_end=lambda: self._finish_prompt(run),
-            )
+        run.stream = SimulatedStream(
+            context_tokens=demand.prompt_tokens,
+            events_left=run.prompt.events,
+            on_event=lambda: self._record_event(run),
+            on_end=lambda: self._finish_prompt(run),
         )
+        self._engines_by_name[run.placed.lead].write(run.stream)
 
     def _record_event(self, run: _RunningPrompt) -> None:
         now = self._clock.seconds()
         run.tracker.mark_prefilled(run.placed, now=now)
+        silent_since = run.sent_at if run.last_event_at is None else run.last_event_at
+        patience = patience_ms(first_ms=run.prompt.first_ms, gap_ms=run.prompt.gap_ms)
+        if (now - silent_since) * MILLISECONDS > patience:
+            run.is_stopped = True
+            if self.callers_leave:
+                run.stream.events_left = 0
         if run.last_event_at is None:
             run.is_late = (now - run.sent_at) * MILLISECONDS > run.prompt.first_ms
         elif (now - run.last_event_at) * MILLISECONDS > run.prompt.gap_ms:
@@ -264,7 +303,8 @@
         self._running[lead] -= 1
         if self._waiting.get(lead):
             self._waiting[lead].popleft()()
-        self._results[run.prompt.name].on_time += not run.is_late
+        self._results[run.prompt.name].on_time += not (run.is_late or run.is_stopped)
+        self._results[run.prompt.name].stopped += run.is_stopped
 
 
 def _sample_arrivals(
