--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -181,7 +181,7 @@
             is_complete = True
             raise
         finally:
-            if context.attempt is None or context.attempt is attempt:
+            if attempt.number and context.attempt in (None, attempt):
                 context.last_silence = self._silence(context, attempt)
             self._tracker.remove(choice.placed, now=self._reactor.seconds())
             self._on_work_changed()
