Decide on a second attempt before the caller leaves

Known work now excuses no silence beyond the time at which another endpoint, with the prediction of this one and 0.15 s, can answer before the caller leaves. This holds before the first event and between two. The endpoint is not avoided for it and counts as sound. Another one is asked only if it is predicted to answer in time and less than half of its slots are known to be in use; otherwise nothing is logged or sent. Budget, attempts and the other rules are as before.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -80,6 +80,9 @@
 which its endpoint counts as silent."""
 GAP_MARGIN_SECONDS = 0.25
 """Seconds added to that limit."""
+REPLACEMENT_MARGIN_SECONDS = 0.15
+"""Seconds that another endpoint may take longer than predicted for its first event, if
+the caller is to have it before it leaves."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429})
 """Statuses that tell the caller that its request has not run; a server error apart."""
 MAX_UNSENT_BYTES = 64 * 1024
@@ -433,23 +436,37 @@
         now = self._reactor.seconds()
         since = self._silent_since(relay)
         silent_at = since + attempt.silence_limit
-        if not attempt.is_silent:
-            silent_at = self._silent_from(
+        was_excused = attempt.is_excused or not attempt.is_silent
+        if was_excused:
+            explained_until = self._silent_from(
                 relay.context,
                 attempt,
                 since,
                 limit=attempt.silence_limit,
                 deadline=relay.context.deadline,
             )
+            silent_at = min(
+                explained_until,
+                max(silent_at, self._replaceable_until(relay.context, attempt)),
+            )
         if now < silent_at:
             attempt.silent_at = silent_at
             return
         attempt.silent_at = now + SILENCE_REPORT_SECONDS
-        if not attempt.is_silent:
-            attempt.is_silent = True
+        attempt.is_excused = was_excused and now < explained_until
+        if was_excused and not attempt.is_excused:
             self._health.record_silence(attempt.endpoint, now=now)
+        attempt.is_silent = True
         relay.running.report_silence(attempt)
 
+    def _replaceable_until(self, context: RequestContext, attempt: Attempt) -> float:
+        """Return until when another endpoint can answer before the caller leaves.
+
+        It is assumed to take as long as was predicted for this one.
+        """
+        predicted = attempt.choice.predicted_ms / MS_PER_SECOND
+        return context.leaves_at - predicted - REPLACEMENT_MARGIN_SECONDS
+
     def _silent_since(self, relay: "_Relay") -> float:
         since = relay.attempt.progress_at
         if relay.context.attempt is relay.attempt:
@@ -484,8 +501,11 @@
         attempt.silent_at = attempt.progress_at + limit
         if attempt.is_silent:
             attempt.is_silent = False
-            self._health.end_silence(attempt.endpoint)
-            self._log.silence_ended(relay.context, attempt)
+            if not attempt.is_excused:
+                self._health.end_silence(attempt.endpoint)
+            if attempt.silence_decision is not None:
+                self._log.silence_ended(relay.context, attempt)
+        attempt.is_excused = False
 
     async def _read_body(self, relay: "_Relay") -> ResponseBody:
         """Return the body, of at most `MAX_BODY_BYTES`, unless it is broken off."""
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -6,7 +6,7 @@
 from bilberryring.admission import PlannedStop
 from bilberryring.core import ErrorCode, RequestId, ServingError
 from bilberryring.execution import SilenceDecision
-from bilberryring.fleet import AnnouncedEndpoint, EndpointId
+from bilberryring.fleet import MS_PER_SECOND, AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.caller_site import CallerExchange
 from bilberryring.gateway.connection_pool import ConnectionPool
@@ -66,6 +66,9 @@
 request first."""
 MAX_UNSENT_BESIDE = 1
 """Number of attempts beside another one that may order memory at the same time."""
+REPLACEMENT_SLOT_SHARE = 0.5
+"""Share of an engine's slots in use from which it gets no request whose endpoint is
+only busy. In a burst all engines are, and a repeat would make others wait."""
 CLOSE_REASONS = (FailureReason.CLOSED, FailureReason.END_UNKNOWN)
 """Why an attempt can fail when its endpoint crashes."""
 BEGIN_SECONDS = 1.0
@@ -302,20 +305,31 @@
         """
         if not running.are_all_silent:
             return
-        choice = self._choose_successor(context, running)
+        choice = self._choose_successor(
+            context, running, must_be_in_time=attempt.is_excused
+        )
         decision = (
             choice if isinstance(choice, SilenceDecision) else SilenceDecision.SUCCESSOR
         )
-        if attempt.silence_decision is not decision:
+        is_logged = isinstance(choice, Choice) or not attempt.is_excused
+        if is_logged and attempt.silence_decision is not decision:
             self._log.attempt_silent(context, attempt, decision)
             attempt.silence_decision = decision
         if isinstance(choice, Choice):
             self._start_at(context, running, choice)
 
     def _choose_successor(
-        self, context: RequestContext, running: RunningAttempts
+        self,
+        context: RequestContext,
+        running: RunningAttempts,
+        *,
+        must_be_in_time: bool,
     ) -> Choice | SilenceDecision:
-        """Return where a silent request goes as well."""
+        """Return where a silent request goes as well.
+
+        If the silent endpoint is only busy, another one must be predicted to answer
+        before the caller leaves: in a burst all are busy, and repeats help nobody.
+        """
         if running.n_unsent > MAX_UNSENT_BESIDE:
             return SilenceDecision.NOT_ALLOWED
         if not self._retry_policy.allows_another(context):
@@ -328,17 +342,33 @@
         )
         if choice is None or not is_in_time(choice, context.deadline - now):
             return SilenceDecision.NO_ENDPOINT
+        if must_be_in_time and not self._answers_before_leaving(context, choice, now):
+            return SilenceDecision.NO_ENDPOINT
         if not self._retry_policy.may_retry(context):
             return SilenceDecision.NO_BUDGET
         if not self._fits_stop(context, choice):
             return SilenceDecision.NOT_ALLOWED
         return choice
 
+    def _answers_before_leaving(
+        self, context: RequestContext, choice: Choice, now: float
+    ) -> bool:
+        """Whether a choice is predicted to answer before the caller leaves.
+
+        Its engine needs free slots: others may place prompts there too.
+        """
+        engine = context.service.engine
+        if engine is not None:
+            work = self._chooser.work(choice.endpoint.id, now=now)
+            if work.requests >= REPLACEMENT_SLOT_SHARE * engine.slots:
+                return False
+        return now + choice.predicted_ms / MS_PER_SECOND <= context.leaves_at
+
     def _record_superseded(self, context: RequestContext, attempt: Attempt) -> None:
         """Record an attempt that ends because another one has answered."""
         if attempt.number and context.stream is not None:
             context.replaced_endpoint = attempt.endpoint
-        if not attempt.is_silent or not attempt.number:
+        if not attempt.is_silent or attempt.is_excused or not attempt.number:
             self._log.attempt_failed(context, attempt, SUPERSEDED)
             return
         self._log.attempt_failed(context, attempt, FailureReason.SILENT.value)
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -113,6 +113,11 @@
             return self.request.received_at
         return self.last_data_at
 
+    @property
+    def leaves_at(self) -> float:
+        """When the caller leaves if it gets no event; infinite if it does not."""
+        return self.silent_since + self.route.patience_seconds
+
     @property
     def may_have_run(self) -> bool:
         """Whether an endpoint may have started to process the request."""
@@ -130,7 +135,8 @@
     An endpoint that sends nothing for `silence_limit` seconds after `progress_at`,
     until `silent_at`, counts as silent unless its known work takes longer: for
     `busy_seconds` it may send no event, of which it may not begin the prompt for
-    `slot_wait_seconds`. `is_silent` is true while it counts as silent;
+    `slot_wait_seconds`. `is_silent` is true while it counts as silent, and `is_excused`
+    if it does only because its caller leaves before its known work can be done;
     `silence_decision` is what last followed from it.
     """
 
@@ -147,6 +153,7 @@
     slot_wait_seconds: float = 0.0
     silent_at: float = math.inf
     is_silent: bool = False
+    is_excused: bool = False
     silence_decision: SilenceDecision | None = None
 
     @property
--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -627,3 +627,103 @@
     (stopped,) = site.events("streams_stopped")
     assert stopped["endpoints"] == ["e0"]
     assert stopped["leaving_callers"] == 2
+
+
+STOPPING_PART_MS = 2_600.0
+"""The prefill of a part for which a stream stops for longer than its caller waits."""
+PATIENCE_SECONDS = 2.0
+
+
+def start_behind_a_part(**options):
+    """Return a site whose prompt waits for a part that its caller does not outlast."""
+    site = PlayedSite(engine=FIGURES, **options)
+    place_part(site, "e0")
+    return site
+
+
+def place_part(site, endpoint):
+    part = PlacedRequest(lead="e9", helpers=(endpoint,), part_ms=STOPPING_PART_MS)
+    site.tracker.place(part, now=site.clock.seconds())
+
+
+def fill(site, endpoint):
+    for _ in range(FIGURES.slots):
+        stream = PlacedRequest(lead=endpoint)
+        site.tracker.place(stream, now=site.clock.seconds())
+        site.tracker.mark_prefilled(stream, now=site.clock.seconds())
+
+
+def test_a_prompt_behind_a_part_is_answered_elsewhere_before_its_caller_leaves():
+    site = start_behind_a_part()
+    advance(site, 1.5)
+    assert len(site.runs) == 1
+    advance(site, 0.4)
+    assert [run.endpoint for run in site.runs] == ["e0", "e1"]
+    site.runs[1].send_head()
+    site.runs[1].send(EVENT_1)
+    site.runs[1].end()
+    assert site.answer() == (200, EVENT_1, True)
+    assert site.clock.seconds() < PATIENCE_SECONDS
+
+
+def test_an_engine_that_is_only_busy_is_not_avoided_for_an_impatient_caller():
+    site = start_behind_a_part()
+    advance(site, 1.9)
+    site.runs[1].send_head()
+    site.runs[1].send(EVENT_1)
+    site.runs[1].end()
+    assert not site.health.is_avoided("e0", now=site.clock.seconds())
+    (failed,) = site.events("attempt_failed")
+    assert failed["reason"] == "superseded"
+
+
+def test_a_stream_beside_a_part_goes_on_elsewhere_before_its_caller_leaves():
+    site = PlayedSite(engine=FIGURES)
+    site.runs[0].send_head()
+    site.runs[0].send(EVENT_1)
+    place_part(site, "e0")
+    advance(site, 1.9)
+    assert [run.endpoint for run in site.runs] == ["e0", "e1"]
+    site.runs[1].send_head()
+    site.runs[1].send(EVENT_2)
+    site.runs[1].end()
+    assert site.answer() == (200, EVENT_1 + EVENT_2, True)
+
+
+def test_a_prompt_that_waits_for_a_slot_goes_elsewhere_before_its_caller_leaves():
+    site, _ = start_behind_streams()
+    fill(site, "e0")
+    advance(site, 1.9)
+    assert [run.endpoint for run in site.runs] == ["e0", "e1"]
+
+
+def test_no_second_attempt_starts_where_the_caller_would_leave_as_well():
+    site = start_behind_a_part()
+    site.predict(600.0)
+    advance(site, 1.9)
+    assert len(site.runs) == 1
+    assert not site.events("attempt_silent")
+
+
+def test_no_second_attempt_starts_in_a_burst_in_which_all_engines_are_full():
+    site, _ = start_behind_streams()
+    for endpoint in ("e0", "e1", "e2", "e3"):
+        fill(site, endpoint)
+    advance(site, 2.5)
+    assert len(site.runs) == 1
+    assert not site.events("attempt_silent")
+
+
+def test_no_second_attempt_of_an_impatient_caller_is_beyond_the_retry_budget():
+    site = start_behind_a_part(retry_slack=0.0)
+    advance(site, 1.9)
+    assert len(site.runs) == 1
+
+
+def test_a_busy_engine_counts_as_silent_when_its_known_work_should_be_done():
+    site = start_behind_a_part(endpoints=1)
+    advance(site, 3.0)
+    assert not site.events("attempt_silent")
+    advance(site, 0.5)
+    assert site.health.is_avoided("e0", now=site.clock.seconds())
+    assert len(site.events("attempt_silent")) == 1
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -352,6 +352,10 @@
         """Return how many retries the budget of the service has paid for."""
         return len(self.retry_policy._windows["s"]._retries)
 
+    def predict(self, milliseconds):
+        """Let choices from now on be predicted to take this long."""
+        self._plan["predicted_ms"] = milliseconds
+
     def leave(self):
         self.channel.connectionLost(Failure(ConnectionDone()))
 
