Let gateways take different engines of close cost

Cause: while there are long prompts streams are kept together, so that one engine is the cheapest for all gateways until the reports of 0.2 s tell of the others. A gateway that has peers now takes the better one of two leads that cost at most 0.1 more than the cheapest, in random order of candidates; one that is alone takes the cheapest.

test_many_gateways_do_not_place_chats_on_the_same_engine_at_the_same_moment fails without the change (81 of 681 chats stopped for longer than their callers wait, 332 in time) and passes with it (none).

--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -264,7 +264,13 @@
         candidates = [self._candidate(endpoint, now) for endpoint in usable]
         by_id = {endpoint.id: endpoint for endpoint in usable}
         planner = self._planners.setdefault(service.name, PromptPlanner())
-        plan = planner.plan(demand, service.engine, candidates, now=now)
+        plan = planner.plan(
+            demand,
+            service.engine,
+            candidates,
+            now=now,
+            gateways=self._peers.entry_count(now=now),
+        )
         if plan is None:
             return None
         held_tokens = plan.holder_tokens * len(plan.holders)
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -35,6 +35,8 @@
 """Numbers of parts that are compared, besides the largest possible one."""
 MAX_UNSPLIT_MS = 60.0
 """Prefill time in milliseconds up to which a prompt is never split."""
+COMPARED_LEADS = 2
+"""Number of leads of close cost of which the better one is taken."""
 OVERLOAD_PENALTY = 4.0
 """Cost, in short requests, of a request beyond the engine's slots or memory, which
 has to wait for them."""
@@ -78,11 +80,13 @@
     candidates: Sequence[Candidate],
     *,
     packed_share: float = MAX_PACKED_SHARE,
+    close_cost: float = 0.0,
 ) -> PromptPlan | None:
     """Return the cheapest plan, or `None` when no engine has the memory to lead.
 
     Streams of one objective are kept together on an engine up to `packed_share` of its
-    slots.
+    slots. Of the leads that cost at most `close_cost` more than the cheapest one, the
+    better one of the first two candidates is taken, whose order should be random.
     """
     prefill_ms = figures.prefill_ms(prompt.prompt_tokens)
     prepared = prepare_candidates(candidates, figures)
@@ -91,7 +95,13 @@
         for parts in part_counts(prefill_ms, len(candidates))
         if (
             plan := _plan_parts(
-                prompt, figures, prepared, prefill_ms / parts, parts, packed_share
+                prompt,
+                figures,
+                prepared,
+                prefill_ms / parts,
+                parts,
+                packed_share,
+                close_cost,
             )
         )
     ]
@@ -116,6 +126,7 @@
     part_ms: float,
     parts: int,
     packed_share: float,
+    close_cost: float,
 ) -> PromptPlan | None:
     scored = [score_candidate(item, part_ms) for item in candidates.items]
     leads = [
@@ -123,7 +134,10 @@
     ] or [item for item in scored if prompt.kv_tokens <= figures.kv_tokens]
     if not leads:
         return None
-    lead = min(leads, key=lambda item: _lead_cost(prompt, figures, item, packed_share))
+    costs = [_lead_cost(prompt, figures, item, packed_share) for item in leads]
+    limit = min(costs) + close_cost
+    close = [index for index, cost in enumerate(costs) if cost <= limit]
+    lead = leads[min(close[:COMPARED_LEADS], key=costs.__getitem__)]
     rest = sorted(
         (item for item in scored if item is not lead),
         key=lambda item: item.helper_cost,
--- a/bilberryring/routing/prompt_planner.py
+++ b/bilberryring/routing/prompt_planner.py
@@ -19,6 +19,9 @@
 MAX_BACKLOG_MS = 400.0
 """Prefill time of one engine that counts at most, so that one engine does not set the
 mean of all."""
+CLOSE_COST = 0.1
+"""Difference in cost, in short requests, up to which two leads count as equally good
+while other gateways plan too."""
 FALL_SECONDS = 1.0
 """Time constant with which the level falls after long prompts. It rises faster, with
 `RISE_SECONDS`, since an engine with streams cannot be freed."""
@@ -61,13 +64,24 @@
         candidates: Sequence[Candidate],
         *,
         now: float,
+        gateways: int = 1,
     ) -> PromptPlan | None:
-        """Return the cheapest plan, or `None` when the engines lack the memory."""
+        """Return the cheapest plan, or `None` when the engines lack the memory.
+
+        If `gateways` are several, leads of close cost are taken alternately: others
+        that plan at the same moment see the same cheapest one.
+        """
         if candidates:
             self.observe(_mean_backlog_ms(candidates), now=now)
         if needs_span(prompt, figures):
             return plan_span(prompt, figures, candidates)
-        return plan_prompt(prompt, figures, candidates, packed_share=self.packed_share)
+        return plan_prompt(
+            prompt,
+            figures,
+            candidates,
+            packed_share=self.packed_share,
+            close_cost=CLOSE_COST if gateways > 1 else 0.0,
+        )
 
 
 def _mean_backlog_ms(candidates: Sequence[Candidate]) -> float:
--- a/bilberryring/routing/tests/test_prompt_load.py
+++ b/bilberryring/routing/tests/test_prompt_load.py
@@ -228,3 +228,34 @@
         chat = load.run(8.0)["chat"]
         asked, on_time = asked + chat.sent, on_time + chat.on_time
     assert on_time / asked >= CHATS_ON_TIME
+
+
+def test_many_gateways_do_not_place_chats_on_the_same_engine_at_the_same_moment():
+    """Chats beside long prompts are kept together, on the engine that all prefer."""
+    classes = (chats(85.0), manifests(1.7), digests(1.0))
+    load = PromptLoad(
+        policy=None,
+        classes=classes,
+        engines=69,
+        seed=1,
+        gateways=25,
+        figures=replace(FIGURES, slots=12),
+        urgent_seconds=0.01,
+        callers_leave=True,
+    )
+    chat = load.run(8.0)["chat"]
+    assert chat.stopped == 0
+    assert chat.on_time / chat.sent >= CHATS_ON_TIME
+
+
+def test_a_gateway_alone_takes_the_cheapest_lead():
+    group = DecodeGroup(gap_ms=250, count=1, value=1.5)
+    packed = EndpointWork(requests=1, decode_groups=(group,))
+    candidates = [
+        *engines(2),
+        Candidate(endpoint="packed", work=packed),
+    ]
+    demand = a_prompt(4_000, first_ms=300.0, gap_ms=250.0)
+    assert plan_prompt(demand, FIGURES, candidates).lead == "packed"
+    plan = plan_prompt(demand, FIGURES, candidates, close_cost=0.1)
+    assert plan.lead == "e0"
--- a/bilberryring/testing/prompt_load.py
+++ b/bilberryring/testing/prompt_load.py
@@ -181,7 +181,9 @@
         if self.policy is None:
             now = self._clock.seconds()
             planner = self._planners[gateway]
-            plan = planner.plan(demand, self.figures, candidates, now=now)
+            plan = planner.plan(
+                demand, self.figures, candidates, now=now, gateways=self.gateways
+            )
         else:
             plan = self.policy(demand, self.figures, candidates)
         if plan is not None:
