--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -41,6 +41,7 @@
     NotRun,
     RequestContext,
     RetryableFailure,
+    Silence,
 )
 from bilberryring.gateway.request_log import RequestLog
 from bilberryring.gateway.reservations import (
@@ -55,6 +56,7 @@
 from bilberryring.routing import (
     WorkTracker,
     busy_seconds,
+    cause_of_silence,
     silent_from,
     slot_wait_seconds,
 )
@@ -78,6 +80,9 @@
 which its endpoint counts as silent."""
 GAP_MARGIN_SECONDS = 0.25
 """Seconds added to that limit."""
+REPLACEMENT_MARGIN_SECONDS = 0.15
+"""Seconds that another endpoint may take longer than predicted for its first event, if
+the caller is to have it before it leaves."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429})
 """Statuses that tell the caller that its request has not run; a server error apart."""
 MAX_UNSENT_BYTES = 64 * 1024
@@ -179,6 +184,8 @@
             is_complete = True
             raise
         finally:
+            if attempt.number and context.attempt in (None, attempt):
+                context.last_silence = self._silence(context, attempt)
             self._tracker.remove(choice.placed, now=self._reactor.seconds())
             self._on_work_changed()
             if response is not None:
@@ -309,6 +316,8 @@
         if context.service.engine is not None:
             self._update_slot_wait(context, attempt)
             attempt.silent_at = min(attempt.silent_at, now + LATE_REPORTS_SECONDS)
+        if choice.stopped:
+            self._log.streams_stopped(context, choice)
         self._chooser.record_start(choice.endpoint.id, now=now)
         self._health.record_start(choice.endpoint.id, now=now)
         self._log.attempt_started(
@@ -427,23 +436,37 @@
         now = self._reactor.seconds()
         since = self._silent_since(relay)
         silent_at = since + attempt.silence_limit
-        if not attempt.is_silent:
-            silent_at = self._silent_from(
+        was_excused = attempt.is_excused or not attempt.is_silent
+        if was_excused:
+            explained_until = self._silent_from(
                 relay.context,
                 attempt,
                 since,
                 limit=attempt.silence_limit,
                 deadline=relay.context.deadline,
             )
+            silent_at = min(
+                explained_until,
+                max(silent_at, self._replaceable_until(relay.context, attempt)),
+            )
         if now < silent_at:
             attempt.silent_at = silent_at
             return
         attempt.silent_at = now + SILENCE_REPORT_SECONDS
-        if not attempt.is_silent:
-            attempt.is_silent = True
+        attempt.is_excused = was_excused and now < explained_until
+        if was_excused and not attempt.is_excused:
             self._health.record_silence(attempt.endpoint, now=now)
+        attempt.is_silent = True
         relay.running.report_silence(attempt)
 
+    def _replaceable_until(self, context: RequestContext, attempt: Attempt) -> float:
+        """Return until when another endpoint can answer before the caller leaves.
+
+        It is assumed to take as long as was predicted for this one.
+        """
+        predicted = attempt.choice.predicted_ms / MS_PER_SECOND
+        return context.leaves_at - predicted - REPLACEMENT_MARGIN_SECONDS
+
     def _silent_since(self, relay: "_Relay") -> float:
         since = relay.attempt.progress_at
         if relay.context.attempt is relay.attempt:
@@ -478,8 +501,11 @@
         attempt.silent_at = attempt.progress_at + limit
         if attempt.is_silent:
             attempt.is_silent = False
-            self._health.end_silence(attempt.endpoint)
-            self._log.silence_ended(relay.context, attempt)
+            if not attempt.is_excused:
+                self._health.end_silence(attempt.endpoint)
+            if attempt.silence_decision is not None:
+                self._log.silence_ended(relay.context, attempt)
+        attempt.is_excused = False
 
     async def _read_body(self, relay: "_Relay") -> ResponseBody:
         """Return the body, of at most `MAX_BODY_BYTES`, unless it is broken off."""
@@ -620,7 +646,7 @@
             return False
         self._claim(relay, head)
         context.may_be_complete = False
-        self._record_gap(context)
+        self._record_gap(context, attempt)
         if attempt.answer_began_at is None and is_progress:
             attempt.answer_began_at = self._reactor.seconds()
         if attempt.choice.placed.is_in_prefill:
@@ -644,12 +670,31 @@
                 context.metadata.shared_parts, began_at=attempt.answer_began_at
             )
 
-    def _record_gap(self, context: RequestContext) -> None:
+    def _record_gap(self, context: RequestContext, attempt: Attempt) -> None:
         now = self._reactor.seconds()
+        if now - context.silent_since > context.longest_silence.seconds:
+            context.longest_silence = self._silence(context, attempt)
         if context.last_data_at is not None:
             context.longest_gap = max(context.longest_gap, now - context.last_data_at)
         context.last_data_at = now
 
+    def _silence(self, context: RequestContext, attempt: Attempt) -> Silence:
+        """Return the present silence of an attempt with what is known of its cause."""
+        now = self._reactor.seconds()
+        placed = attempt.choice.placed
+        work = self._chooser.work(attempt.endpoint, now=now)
+        seconds = now - context.silent_since
+        return Silence(
+            seconds=seconds,
+            cause=cause_of_silence(
+                work,
+                silent_seconds=seconds,
+                own_prefill_ms=placed.part_ms if placed.is_in_prefill else 0.0,
+                slot_wait=attempt.slot_wait_seconds if placed.is_in_prefill else 0.0,
+            ),
+            busy_seconds=work.prefill_ms / MS_PER_SECOND,
+        )
+
     def _silent_from(
         self,
         context: RequestContext,
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -20,6 +20,7 @@
     ResponseHead,
     ResponseMetadata,
 )
+from bilberryring.routing import SilenceCause
 
 SERVER_ERROR = 500
 SUCCESS = range(200, 300)
@@ -43,6 +44,21 @@
     def encode_order(self, order: MemoryOrder) -> tuple[bytes, HeaderPairs, bytes]: ...
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Silence:
+    """For how many seconds a caller got no event, and what is known of the cause.
+
+    `busy_seconds` is for how long the engine was known to prefill at the end of it.
+    """
+
+    seconds: float = 0.0
+    cause: SilenceCause = SilenceCause.UNKNOWN
+    busy_seconds: float = 0.0
+
+
+NO_SILENCE = Silence()
+
+
 @dataclass(slots=True, kw_only=True)
 class RequestContext:
     """The state of one request in progress; times are those of the reactor's clock.
@@ -56,6 +72,8 @@
     `attempt` is the one whose answer the caller gets. `may_be_complete` is true if the
     caller has a stream that may be complete. `replaced_endpoint` had the request
     when another one answered; a stream that breaks may return to it once.
+    `longest_gap` is between two events, `longest_silence` also before the first one;
+    `last_silence` is the one in which the last attempt ended.
     """
 
     exchange: CallerExchange
@@ -78,6 +96,8 @@
     may_be_complete: bool = False
     replaced_endpoint: EndpointId | None = None
     longest_gap: float = 0.0
+    longest_silence: Silence = NO_SILENCE
+    last_silence: Silence = NO_SILENCE
     status: int = 0
     failure_response: "RetryableFailure | None" = None
 
@@ -86,6 +106,18 @@
         """The id that the caller assigned."""
         return self.metadata.request_id
 
+    @property
+    def silent_since(self) -> float:
+        """When the caller got its last event, or sent the request."""
+        if self.last_data_at is None:
+            return self.request.received_at
+        return self.last_data_at
+
+    @property
+    def leaves_at(self) -> float:
+        """When the caller leaves if it gets no event; infinite if it does not."""
+        return self.silent_since + self.route.patience_seconds
+
     @property
     def may_have_run(self) -> bool:
         """Whether an endpoint may have started to process the request."""
@@ -103,7 +135,8 @@
     An endpoint that sends nothing for `silence_limit` seconds after `progress_at`,
     until `silent_at`, counts as silent unless its known work takes longer: for
     `busy_seconds` it may send no event, of which it may not begin the prompt for
-    `slot_wait_seconds`. `is_silent` is true while it counts as silent;
+    `slot_wait_seconds`. `is_silent` is true while it counts as silent, and `is_excused`
+    if it does only because its caller leaves before its known work can be done;
     `silence_decision` is what last followed from it.
     """
 
@@ -120,6 +153,7 @@
     slot_wait_seconds: float = 0.0
     silent_at: float = math.inf
     is_silent: bool = False
+    is_excused: bool = False
     silence_decision: SilenceDecision | None = None
 
     @property
--- a/bilberryring/routing/__init__.py
+++ b/bilberryring/routing/__init__.py
@@ -15,6 +15,7 @@
     WorkTracker,
 )
 from bilberryring.routing.engine_figures import EngineFigures
+from bilberryring.routing.patience import patience_ms
 from bilberryring.routing.placement import (
     LONGER_PROMPT_PENALTY_SECONDS,
     SAMPLED_ENDPOINTS,
@@ -38,7 +39,13 @@
     neighbours,
     slice_size,
 )
-from bilberryring.routing.silence import busy_seconds, silent_from, slot_wait_seconds
+from bilberryring.routing.silence import (
+    SilenceCause,
+    busy_seconds,
+    cause_of_silence,
+    silent_from,
+    slot_wait_seconds,
+)
 from bilberryring.routing.span_plan import needs_span, plan_span
 from bilberryring.routing.subset import MIN_PER_DOMAIN, Endpoint, tracked_endpoints
 
@@ -49,10 +56,13 @@
     "hash_order",
     "neighbours",
     "slice_size",
+    "SilenceCause",
     "busy_seconds",
+    "cause_of_silence",
     "silent_from",
     "slot_wait_seconds",
     "needs_span",
+    "patience_ms",
     "plan_span",
     "Candidate",
     "EndpointWork",
--- a/bilberryring/telemetry/request_endings.py
+++ b/bilberryring/telemetry/request_endings.py
@@ -4,7 +4,8 @@
 
 Each admitted request has one last record: `request_finished`, `request_failed` or
 `caller_left`. A request is lost if it has none, or if its caller, which did not leave,
-got a part of an answer or nothing.
+got a part of an answer or nothing. Callers leave a stream after a silence; these are
+counted by the cause that the log names.
 
 >>> lines = [
 ...     '{"event": "attempt_started", "request": "a"}',
@@ -35,6 +36,9 @@
     )
 )
 CALLER_LEFT = LogEvent.CALLER_LEFT.name.lower()
+SILENT_SHARE = 0.95
+"""Share of a caller's patience from which a silence counts as why it left. Callers
+measure it from the sending, up to some milliseconds before the gateway does."""
 LINES_DROPPED = LogEvent.LOG_LINES_DROPPED.name.lower()
 
 
@@ -45,8 +49,9 @@
     `unended` have no last record, `repeated` more than one. The callers of `cut` got a
     part of an answer, those of `unanswered` nothing; those that left are not counted.
     `last_records` has by request what its last record says was delivered, or
-    `caller_left`. `dropped_lines` is the number of log lines that were dropped: with
-    any, a request without a last record may have ended.
+    `caller_left`. `left_silent` counts the callers that left after a silence by its
+    cause. `dropped_lines` is the number of log lines that were dropped: with any, a
+    request without a last record may have ended.
     """
 
     requests: int
@@ -56,6 +61,7 @@
     unanswered: tuple[RequestId, ...] = ()
     dropped_lines: int = 0
     last_records: Mapping[RequestId, str] = field(default_factory=dict)
+    left_silent: dict[str, int] = field(default_factory=dict)
 
     @property
     def is_clean(self) -> bool:
@@ -72,6 +78,7 @@
     last_records: dict[RequestId, str] = {}
     requests: set[RequestId] = set()
     cut, unanswered = [], []
+    left_silent: Counter[str] = Counter()
     dropped_lines = 0
     for line in lines:
         record = _decode(line)
@@ -88,6 +95,8 @@
         last_records[request] = record.get("delivered")
         if event == CALLER_LEFT:
             last_records[request] = CALLER_LEFT
+            if _is_after_silence(record):
+                left_silent[record.get("silence_cause") or "unknown"] += 1
             continue
         match record.get("delivered"):
             case Delivery.CUT.value:
@@ -102,9 +111,17 @@
         unanswered=tuple(unanswered),
         dropped_lines=dropped_lines,
         last_records=last_records,
+        left_silent=dict(sorted(left_silent.items())),
     )
 
 
+def _is_after_silence(record: dict) -> bool:
+    silent, patience = record.get("silent_ms"), record.get("patience_ms")
+    if silent is None or patience is None:
+        return False
+    return silent >= SILENT_SHARE * patience
+
+
 def _decode(line: str) -> dict:
     start = line.find("{")
     if start < 0:
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -222,10 +222,11 @@
     """Chooses the first endpoint that is not excluded and, if asked to, not avoided.
 
     `holders` are the engines that hold memory for a prompt at an endpoint; if there are
-    any, no other endpoint is chosen.
+    any, no other endpoint is chosen. `plan` has further fields of each choice.
     """
 
-    def __init__(self, *, endpoints, health, tracker, holders):
+    def __init__(self, *, endpoints, health, tracker, holders, plan):
+        self._plan = plan
         self._holders = holders
         self._tracker = tracker
         self._endpoints = endpoints
@@ -263,7 +264,7 @@
                 holders=names_of_holders,
                 holder_tokens=HOLDER_TOKENS if holders else 0,
             ),
-            predicted_ms=0.0,
+            **self._plan,
         )
 
     def work(self, endpoint, *, now):
@@ -294,7 +295,15 @@
         engine=None,
         holders=None,
         unreachable_holders=(),
+        predicted_ms=0.0,
+        stopped=(),
+        leaving_callers=0,
     ):
+        self._plan = {
+            "predicted_ms": predicted_ms,
+            "stopped": stopped,
+            "leaving_callers": leaving_callers,
+        }
         self.clock = Clock()
         self.orders = PlayedOrders(clock=self.clock)
         self.orders.unreachable.update(unreachable_holders)
@@ -351,6 +360,10 @@
         """Return how many retries the budget of the service has paid for."""
         return len(self.retry_policy._windows["s"]._retries)
 
+    def predict(self, milliseconds):
+        """Let choices from now on be predicted to take this long."""
+        self._plan["predicted_ms"] = milliseconds
+
     def leave(self):
         self.channel.connectionLost(Failure(ConnectionDone()))
 
@@ -400,6 +413,7 @@
             health=self.health,
             tracker=self.tracker,
             holders=self._holders,
+            plan=self._plan,
             endpoints=[
                 AnnouncedEndpoint(
                     id=f"e{number}",
