--- a/bilberryring/telemetry/request_endings.py
+++ b/bilberryring/telemetry/request_endings.py
@@ -18,8 +18,8 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 import msgspec
 
@@ -44,9 +44,8 @@
 
     `unended` have no last record, `repeated` more than one. The callers of `cut` got a
     part of an answer, those of `unanswered` nothing; those that left are not counted.
-    `last_records` has by request what its last record says was delivered, or
-    `caller_left`. `dropped_lines` is the number of log lines that were dropped: with
-    any, a request without a last record may have ended.
+    `dropped_lines` is the number of log lines that were dropped: with any, a request
+    without a last record may have ended.
     """
 
     requests: int
@@ -55,7 +54,6 @@
     cut: tuple[RequestId, ...] = ()
     unanswered: tuple[RequestId, ...] = ()
     dropped_lines: int = 0
-    last_records: Mapping[RequestId, str] = field(default_factory=dict)
 
     @property
     def is_clean(self) -> bool:
@@ -68,8 +66,7 @@
 
     Text before the first brace of a line is ignored, and so are lines without JSON.
     """
-    n_last_records: Counter[RequestId] = Counter()
-    last_records: dict[RequestId, str] = {}
+    last_records: Counter[RequestId] = Counter()
     requests: set[RequestId] = set()
     cut, unanswered = [], []
     dropped_lines = 0
@@ -84,10 +81,8 @@
         requests.add(request)
         if event not in LAST_RECORDS:
             continue
-        n_last_records[request] += 1
-        last_records[request] = record.get("delivered")
+        last_records[request] += 1
         if event == CALLER_LEFT:
-            last_records[request] = CALLER_LEFT
             continue
         match record.get("delivered"):
             case Delivery.CUT.value:
@@ -96,15 +91,28 @@
                 unanswered.append(request)
     return RequestEndings(
         requests=len(requests),
-        unended=tuple(sorted(requests - n_last_records.keys())),
-        repeated=tuple(sorted(id for id, n in n_last_records.items() if n > 1)),
+        unended=tuple(sorted(requests - last_records.keys())),
+        repeated=tuple(sorted(id for id, n in last_records.items() if n > 1)),
         cut=tuple(cut),
         unanswered=tuple(unanswered),
         dropped_lines=dropped_lines,
-        last_records=last_records,
     )
 
 
+def read_last_records(lines: Iterable[str]) -> dict[RequestId, str]:
+    """Return what the last record of each request says was delivered.
+
+    For a caller that left it is `caller_left`.
+    """
+    last_records: dict[RequestId, str] = {}
+    for record in map(_decode, lines):
+        event, request = record.get("event"), record.get("request")
+        if request and event in LAST_RECORDS:
+            has_left = event == CALLER_LEFT
+            last_records[request] = CALLER_LEFT if has_left else record["delivered"]
+    return last_records
+
+
 def _decode(line: str) -> dict:
     start = line.find("{")
     if start < 0:
--- a/bilberryring/testing/soak_checks.py
+++ b/bilberryring/testing/soak_checks.py
@@ -11,7 +11,7 @@
 from functools import cached_property
 
 from bilberryring.core import Delivery
-from bilberryring.telemetry.request_endings import read_endings
+from bilberryring.telemetry.request_endings import read_endings, read_last_records
 from bilberryring.testing.soak_answers import answer_body, whole_stream
 from bilberryring.testing.soak_faults import EndpointSilence
 from bilberryring.testing.soak_records import (
@@ -146,7 +146,7 @@
     def last_records(self) -> dict[str, str]:
         """What the gateways' last records say that callers got."""
         lines = itertools.chain.from_iterable(log.lines for log in self.records.logs)
-        return read_endings(lines).last_records
+        return read_last_records(lines)
 
     def time_limit(self, call: CallRecord) -> float:
         """Return the seconds after which a call may end without its answer."""
