--- a/bilberryring/testing/played_gateway.py
+++ b/bilberryring/testing/played_gateway.py
@@ -90,6 +90,13 @@
     def loseWriteConnection(self) -> None:
         self._clock.callLater(0, self.protocol.writeConnectionLost)
 
+    def doWrite(self) -> Exception | None:
+        """Return why the connection closes, as all output has been written."""
+        return ConnectionDone() if self.disconnecting else None
+
+    def connectionLost(self, reason: Failure) -> None:
+        self._lose(reason.value, self._resets_on_close)
+
     def pauseProducing(self) -> None:
         self.producerState = "paused"
 
@@ -126,8 +133,9 @@
         self._clock.callLater(0, self._lose, reason, is_reset)
 
     def _lose(self, reason: Exception, is_reset: bool) -> None:
-        self.is_lost, self.is_reset = True, is_reset
-        self.protocol.connectionLost(Failure(reason))
+        if not self.is_lost:
+            self.is_lost, self.is_reset = True, is_reset
+            self.protocol.connectionLost(Failure(reason))
 
 
 @functools.cache
