Close idle connections of callers that do not read their answers

Callers see nothing; a caller that pipelines more than 16 KiB, reads no answer and sends more keeps its connection for ever, and it is polled each 50 ms. Since an idle connection with unread data is not closed, and this one is paused, so that its data stay unread; closed it. The idle limit now closes it when data stay unread for a second look: a pass of the reactor lies between both, which reads what is not paused.

--- a/bilberryring/gateway/tests/test_caller_site.py
+++ b/bilberryring/gateway/tests/test_caller_site.py
@@ -15,6 +15,7 @@
 
 IDLE_SECONDS = 0.2
 UNREAD_BYTES = 32 * 1024 * 1024
+MAX_EAGER_BYTES = 16 * 1024
 HEAD = b"POST /look/ HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
 
 
@@ -184,3 +185,23 @@
     time.sleep(2 * IDLE_SECONDS)
     busy.turn(4)
     assert len(busy.exchanges) == 1
+
+
+def test_an_idle_caller_that_reads_no_answer_and_sends_more_is_reset(busy, monkeypatch):
+    monkeypatch.setattr(CallerChannel, "abortTimeout", IDLE_SECONDS)
+    request = HEAD + b"xy"
+    busy.caller.sendall(request)
+    busy.turn(2)
+    busy.caller.sendall(request * (MAX_EAGER_BYTES // len(request) + 1))
+    busy.turn(4)
+    n_bytes = UNREAD_BYTES
+    for exchange in busy.exchanges:
+        exchange.start(200, b"", ((b"Content-Length", b"%d" % n_bytes),))
+        exchange.write(bytes(n_bytes))
+        exchange.end()
+        n_bytes = 0
+    busy.caller.sendall(request)
+    for _ in range(40):
+        time.sleep(IDLE_SECONDS / 4)
+        busy.turn(4)
+    assert busy.site.open_connections == 0
--- a/bilberryring/http/caller_channel.py
+++ b/bilberryring/http/caller_channel.py
@@ -51,6 +51,7 @@
     _lingered_bytes = 0
     _is_refused = False
     _is_lost = False
+    _is_left_unread = False
     _is_response_complete = False
     _idle_since = 0.0
 
@@ -118,6 +119,12 @@
             return
         # A request is being received, or a new configuration has a longer limit.
         left = limit - self.idle_seconds(now=self.factory.reactor.seconds())
+        if left <= 0.0:
+            if self._is_left_unread:
+                # Nothing is read while the caller does not read its answers.
+                super().timeoutConnection()
+                return
+            self._is_left_unread = True
         self.setTimeout(max(left, UNREAD_SECONDS))
 
     def _close_if_idle(self, seconds: float) -> bool:
@@ -173,6 +180,7 @@
             self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
+        self._is_left_unread = False
         if self._is_refused:
             self._drop(data)
             return
