Count a caller's time without an event from its last event, not from comments

A caller leaves after two seconds without an event (PROTOCOL.md). Comments of a busy endpoint put off leaves_at, so that no second attempt began before the caller left, and made silent_ms of caller_left too small. Only data that carry an event count now.

Whether the operators' callers count comments is not said; if they do, a second attempt begins earlier than it must.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -646,7 +646,8 @@
             return False
         self._claim(relay, head)
         context.may_be_complete = False
-        self._record_gap(context, attempt)
+        if is_progress:
+            self._record_gap(context, attempt)
         if attempt.answer_began_at is None and is_progress:
             attempt.answer_began_at = self._reactor.seconds()
         if attempt.choice.placed.is_in_prefill:
--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -749,3 +749,15 @@
     advance(site, 0.5)
     assert site.health.is_avoided("e0", now=site.clock.seconds())
     assert len(site.events("attempt_silent")) == 1
+
+
+def test_comments_do_not_put_off_a_second_attempt_for_an_impatient_caller():
+    site = PlayedSite(engine=FIGURES)
+    site.runs[0].send_head()
+    site.runs[0].send(EVENT_1)
+    place_part(site, "e0")
+    for _ in range(3):
+        advance(site, 0.5)
+        site.runs[0].send(b": wait\n\n")
+    advance(site, 0.4)
+    assert [run.endpoint for run in site.runs] == ["e0", "e1"]
