A crash of an engine that was only busy tells of its prompt

A prompt that crashes engines whose hosts then answer no connection is not suspected if the engine was busy beforehand, and goes on to further engines (BUDGET). Since an attempt counts as silent also if its silence is explained, and _check_death takes each silence before a break for a host that is cut off.

--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -566,7 +566,7 @@
         not been writing the answer for a while. An endpoint that does not respond at
         all may be cut off; if it was silent before, nothing tells of a crash.
         """
-        was_silent = attempt.is_silent
+        was_silent = attempt.is_silent and not attempt.is_excused
         endpoint = attempt.choice.endpoint
         had_begun = self._had_begun(attempt)
         failure = await self._pool.connection_failure(endpoint.address)
--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -761,3 +761,11 @@
         site.runs[0].send(b": wait\n\n")
     advance(site, 0.4)
     assert [run.endpoint for run in site.runs] == ["e0", "e1"]
+
+
+def test_a_crash_of_an_engine_that_was_only_busy_tells_of_its_prompt():
+    site = start_behind_a_part()
+    advance(site, 1.9)
+    site.pool.death_check = succeed(FailureReason.NOT_CONNECTED)
+    site.runs[0].fail(FailureReason.CLOSED)
+    assert len(site.events("prompt_suspected")) == 1
