The log says which limit for idle connections a configuration has

A try that ended without any answer, and without a record at its gateway, may be a request that crossed the close of an idle connection. Whether a limit had just changed could not be told from the log: set_in_force has the limit now, in seconds.

--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -129,6 +129,7 @@
                 version=configuration.version,
                 routes=len(configuration.routes),
                 keys=len(configuration.workspaces_by_key),
+                idle_seconds=configuration.limits.idle_timeout,
             )
 
     def _apply_announcement(self, key: str, value: bytes | None) -> None:
