A test of unhandled errors first collects what earlier tests have left

Seen once in five runs of the file, with a plugin that records errors of ended attempts: the test collects garbage and wants no 'Unhandled error' on standard error, and got one of an earlier test's site, whose request was in progress when the site was dropped (its log is closed by then).

--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -585,6 +585,9 @@
 def test_an_unknown_error_of_a_check_for_a_crash_is_logged_and_ends_nothing(
     shared_parts, capfd
 ):
+    # What earlier tests have left may write errors when it is collected.
+    gc.collect()
+    capfd.readouterr()
     site = PlayedSite(shared_parts=shared_parts)
     site.pool.death_check = Deferred()
     site.runs[0].send_head()
