--- a/bilberryring/testing/played_gateway.py
+++ b/bilberryring/testing/played_gateway.py
@@ -30,6 +30,8 @@
     EVACUATION_PREFIX,
     OPERATOR_PREFIX,
     ORDER_PATH,
+    REQUEST_ID,
+    TOKEN_USAGE,
 )
 from bilberryring.standins.gateway_site import (
     API_KEY,
@@ -313,8 +315,8 @@
         headers = [
             ("Host", HOST_NAME),
             ("Authorization", f"Bearer {API_KEY}"),
-            ("Bilberryring-Request-Id", request_id),
-            ("Bilberryring-Token-Usage", tokens),
+            (REQUEST_ID, request_id),
+            (TOKEN_USAGE, tokens),
             ("Content-Length", str(len(body))),
         ]
         request = h11.Request(method="POST", target=path, headers=headers)
--- a/bilberryring/testing/soak_callers.py
+++ b/bilberryring/testing/soak_callers.py
@@ -13,6 +13,7 @@
 import time
 from dataclasses import dataclass, field
 
+from bilberryring.platform import names
 from bilberryring.standins.gateway_site import (
     API_KEY,
     CallerAnswer,
@@ -150,8 +151,8 @@
         connection.sock.settimeout(seconds)
         request = os.urandom(8).hex()
         headers = {
-            "Bilberryring-Request-Id": request,
-            "Bilberryring-Deadline-Ms": str(int(deadline * 1_000.0)),
+            names.REQUEST_ID.decode(): request,
+            names.DEADLINE_MS.decode(): str(int(deadline * 1_000.0)),
             "Authorization": f"Bearer {key}",
         }
         is_large = self._habit_random.random() < self._habits.large
