Played transports have a descriptor that the channel may ask

The three played transports share one silent descriptor now. The test's checks are unchanged; its file and the users of the other two transports: 195 passed.

--- a/bilberryring/platform/tests/test_bytes_from_outside.py
+++ b/bilberryring/platform/tests/test_bytes_from_outside.py
@@ -47,6 +47,7 @@
 )
 from bilberryring.standins.gateway_site import ENGINE, make_configuration
 from bilberryring.standins.scripted_endpoint import chunk, event, stream_head
+from bilberryring.testing.silent_descriptor import silent_descriptor
 
 EXAMPLES = int(os.environ.get("BILBERRYRING_EXAMPLES", "200"))
 FUZZED = settings(max_examples=EXAMPLES, deadline=None, derandomize=True)
@@ -164,6 +165,9 @@
     def loseWriteConnection(self) -> None:
         self.is_write_closed = True
 
+    def fileno(self) -> int:
+        return silent_descriptor()
+
 
 def pieces_of(pieces):
     return st.lists(
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -51,6 +51,7 @@
 from bilberryring.platform.adapter import HttpHeaderCodec
 from bilberryring.routing import PlacedRequest, WorkTracker
 from bilberryring.telemetry import EventLog, Metrics
+from bilberryring.testing.silent_descriptor import silent_descriptor
 
 REQUEST_ID = "r1"
 HOLDER_TOKENS = 1_000
@@ -110,14 +111,12 @@
 
     protocol = None
     is_reset_on_close = False
-    _silent_socket, _other_end = socket.socketpair()
 
     def getHandle(self):
         return self
 
     def fileno(self) -> int:
-        """Return a descriptor on which nothing waits to be read."""
-        return self._silent_socket.fileno()
+        return silent_descriptor()
 
     def doWrite(self) -> None:
         """Leave what is written to the test, and the close that may follow it."""
--- a/bilberryring/testing/played_gateway.py
+++ b/bilberryring/testing/played_gateway.py
@@ -6,7 +6,6 @@
 
 import functools
 import json
-import os
 import random
 import socket
 import struct
@@ -46,6 +45,7 @@
     whole_answer,
 )
 from bilberryring.telemetry import EventLog
+from bilberryring.testing.silent_descriptor import silent_descriptor
 
 CALLER_PORT = 80
 N_EVENTS = 3
@@ -120,7 +120,7 @@
         pass
 
     def fileno(self) -> int:
-        return _silent_file()
+        return silent_descriptor()
 
     def _flush(self) -> None:
         while self._undelivered and self.producerState == "producing":
@@ -140,12 +140,6 @@
             self.protocol.connectionLost(Failure(reason))
 
 
-@functools.cache
-def _silent_file() -> int:
-    """Return a file from which nothing can be read and whose other side is open."""
-    return os.pipe()[0]
-
-
 class PlayedRun:
     """A request or a memory order at an endpoint; `send_next` answers it in parts."""
 
