Mark the end of every HTTP/1.1 answer by a length or a last chunk

Cause: such answers were sent without a frame, and the gateway relied on a TCP reset (SO_LINGER of 0 s) to show that one broke off. A reset ends one connection only. A hop that ends connections itself passes it on as an ordinary close.

Change: a stream to HTTP/1.1 has chunks, and its last chunk follows the check that the endpoint still runs as the announced run. A body that has arrived whole is sent with its length after the same check. HTTP/1.0 keeps the reset. The relay of the tests passes a close on with backpressure.

Why it works: only a gateway that lives and has seen the end of the answer sends the last chunk or the last byte; no hop can add them.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from bilberryring.execution import AnswerEnd, Framing, Place, Proof, proof_of_end
+from bilberryring.execution import AnswerEnd, Place, Proof, proof_of_end
 from bilberryring.fleet import (
     MS_PER_SECOND,
     AnnouncedEndpoint,
@@ -22,7 +22,6 @@
     AttemptError,
     AttemptMetadata,
     FailureReason,
-    ResponseBody,
     ResponseData,
     ResponseEnd,
     ResponseHead,
@@ -199,9 +198,9 @@
                 reservation.release()
 
     def send_to_caller(
-        self, context: RequestContext, head: ResponseHead, body: ResponseBody
+        self, context: RequestContext, head: ResponseHead, body: bytes
     ) -> None:
-        """Send a response to the caller, framed as complete only if it is known to be.
+        """Send a response whose body has arrived whole to the caller.
 
         If part of another response has been sent already, the connection is aborted.
         """
@@ -212,12 +211,9 @@
             exchange.abort()
             return
         headers = self._codec.encode_response_headers(head.headers)
-        if body.has_end_mark:
-            headers = (*headers, (b"Content-Length", b"%d" % len(body.data)))
-        else:
-            exchange.omit_end_mark()
+        headers = (*headers, (b"Content-Length", b"%d" % len(body)))
         exchange.start(head.status, head.reason, headers)
-        exchange.write(body.data)
+        exchange.write(body)
         exchange.end()
 
     def _may_abort(self, context: RequestContext) -> bool:
@@ -507,8 +503,12 @@
                 self._log.silence_ended(relay.context, attempt)
         attempt.is_excused = False
 
-    async def _read_body(self, relay: "_Relay") -> ResponseBody:
-        """Return the body, of at most `MAX_BODY_BYTES`, unless it is broken off."""
+    async def _read_body(self, relay: "_Relay") -> bytes:
+        """Return the body, of at most `MAX_BODY_BYTES`, unless it is broken off.
+
+        A body without a length or chunks is whole when its connection has ended in
+        order and its endpoint still runs.
+        """
         held = self._held.begin(relay.response)
         parts: list[bytes] = []
         try:
@@ -520,7 +520,7 @@
 
     async def _hold_body(
         self, relay: "_Relay", held: HeldAnswer, parts: list[bytes]
-    ) -> ResponseBody:
+    ) -> bytes:
         limit = self._first_response_limit(relay.context, relay.attempt.choice)
         while True:
             self._record_progress(relay, limit=limit)
@@ -539,9 +539,7 @@
                         raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     if proof is Proof.UNKNOWN:
                         await self._check_crash(relay.attempt)
-                    return ResponseBody(
-                        data=b"".join(parts), has_end_mark=proof is Proof.COMPLETE
-                    )
+                    return b"".join(parts)
 
     async def _relay_stream(self, relay: "_Relay", head: ResponseHead) -> None:
         context, attempt = relay.context, relay.attempt
@@ -580,8 +578,6 @@
         exchange = context.exchange
         if not exchange.has_started:
             headers = self._codec.encode_response_headers(head.headers)
-            if head.framing is Framing.CONNECTION and not context.route.may_repeat:
-                exchange.omit_end_mark()
             exchange.start(head.status, head.reason, headers)
         exchange.apply_backpressure(relay.response.transport)
 
@@ -590,14 +586,14 @@
     ) -> Proof:
         """Raise `AttemptError` unless the stream is or may be complete.
 
-        A stream of unknown end that cannot be resumed has no end mark for the caller
-        either.
+        A stream of unknown end that cannot be resumed is complete if its endpoint still
+        runs, which is checked next.
         """
         proof = self._proof_of(attempt, ended, attempt.stream.place)
         match proof:
             case Proof.BROKEN_OFF:
                 raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-            case Proof.UNKNOWN if context.exchange.has_end_mark:
+            case Proof.UNKNOWN if context.route.may_repeat:
                 context.may_be_complete = True
                 raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
         return proof
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -81,7 +81,6 @@
         self._reactor = reactor
         self._backpressure: _BackpressureProducer | None = None
         self._is_disconnected = False
-        self._has_end_mark = True
         self._is_left_incomplete = False
         self._closes_after_response = False
 
@@ -90,11 +89,6 @@
         """The size of the largest body that the operators allow."""
         return self.channel.factory.limits.max_body_bytes
 
-    @property
-    def has_end_mark(self) -> bool:
-        """Whether a length or a last chunk is to mark the end of the response."""
-        return self._has_end_mark
-
     @property
     def is_closed(self) -> bool:
         """Whether the caller has disconnected or the response is complete."""
@@ -117,7 +111,7 @@
             return Delivery.NOTHING
         if not self.finished:
             return Delivery.UNMARKED if self._is_left_incomplete else Delivery.CUT
-        return Delivery.WHOLE if self._has_end_mark else Delivery.UNMARKED
+        return Delivery.WHOLE
 
     def read_request(self) -> CallerRequest:
         """Return the request with its complete body."""
@@ -147,21 +141,6 @@
         if not self.channel.persistent:
             self.responseHeaders.setRawHeaders(b"Connection", [b"close"])
 
-    def omit_end_mark(self) -> None:
-        """Let only the end of the connection mark the end of the response.
-
-        Called before the response starts, if its end may be unknown.
-        """
-        self._has_end_mark = False
-        self.channel.persistent = False
-
-    def write(self, data: bytes) -> None:
-        """Send body bytes; the first ones follow the status line and headers."""
-        if not self._has_end_mark and not self.has_started:
-            # Twisted sends chunks to callers that speak HTTP/1.1 unless told otherwise.
-            self.clientproto = b"HTTP/1.0"
-        super().write(data)
-
     def close_after_response(self) -> None:
         """Close the connection after this response, and send `Connection: close`.
 
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -124,14 +124,6 @@
     close: Close
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ResponseBody:
-    """A body as it arrived; without an end mark it may be a part of the whole."""
-
-    data: bytes
-    has_end_mark: bool
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MemoryOrder:
     """An order to an engine to reserve memory, or to release a reservation.
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -16,7 +16,6 @@
     CallerRequest,
     HeaderPairs,
     MemoryOrder,
-    ResponseBody,
     ResponseHead,
     ResponseMetadata,
 )
@@ -175,7 +174,7 @@
 class RetryableFailure(Exception):
     """The endpoint returned an error, and the request may be retried at another one."""
 
-    def __init__(self, *, head: ResponseHead, body: ResponseBody):
+    def __init__(self, *, head: ResponseHead, body: bytes):
         self.head = head
         self.body = body
         super().__init__(
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -643,7 +643,7 @@
     Mechanism(
         name="a stream of which only the connection tells the end is resumed",
         module="gateway/attempts.py",
-        present="case Proof.UNKNOWN if context.exchange.has_end_mark:",
+        present="case Proof.UNKNOWN if context.route.may_repeat:",
         absent="case None:",
         test="bilberryring/platform/tests/test_answer_ends.py"
         "::test_a_stream_that_is_not_known_to_be_complete_is_resumed_or_cut",
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -138,6 +138,7 @@
         self.opening = {}
         self.held = set()
         self.unreachable = set()
+        self.crashed = set()
         self.death_check = None
         self.released = []
 
@@ -152,6 +153,8 @@
         )
 
     async def connection_failure(self, address):
+        if address in self.crashed:
+            return FailureReason.NOT_CONNECTED
         return await self.death_check if self.death_check is not None else None
 
     def release(self, connection):
@@ -179,6 +182,7 @@
         self.waiting = {}
         self.held = {}
         self.unreachable = set()
+        self.crashed = set()
 
     async def acquire(self, address, *, max_idle, timeout, request_id):
         if address in self.unreachable:
@@ -402,9 +406,21 @@
             record_order_answer=lambda *answer, sent_at: None,
             log_refusal=lambda *refusal: None,
         )
+        announced = [
+            AnnouncedEndpoint(
+                id=f"e{number}",
+                service="s",
+                address=f"e{number}",
+                failure_domain="north",
+                slots=8,
+                state=EndpointState.READY,
+            )
+            for number in range(endpoints)
+        ]
         fleet = SimpleNamespace(
             endpoints=SimpleNamespace(
-                is_usable=lambda endpoint: True, get=lambda endpoint: None
+                is_usable=lambda endpoint: True,
+                get={endpoint.id: endpoint for endpoint in announced}.get,
             ),
             configuration=SimpleNamespace(version=1),
         )
@@ -413,17 +429,7 @@
             tracker=self.tracker,
             holders=self._holders,
             plan=self._plan,
-            endpoints=[
-                AnnouncedEndpoint(
-                    id=f"e{number}",
-                    service="s",
-                    address=f"e{number}",
-                    failure_domain="north",
-                    slots=8,
-                    state=EndpointState.READY,
-                )
-                for number in range(endpoints)
-            ],
+            endpoints=announced,
         )
         self.crashes = CrashRecord(clock=self.clock)
         self.retry_policy = RetryPolicy(
--- a/bilberryring/testing/relay.py
+++ b/bilberryring/testing/relay.py
@@ -1,7 +1,8 @@
 """A TCP relay between processes that can refuse, cut or hold back traffic.
 
-Routes are created and changed over HTTP: `POST /routes` with a `Route`, and
-`POST /modes` with a `RouteMode`. Bytes that are held back are sent in order once
+The end of a connection, also a reset, is passed on as an ordinary close, as some load
+balancers do. Routes are created and changed over HTTP: `POST /routes` with a `Route`,
+and `POST /modes` with a `RouteMode`. Bytes that are held back are sent in order once
 the route is no longer held.
 """
 
@@ -52,6 +53,7 @@
     def pair_with(self, peer: "_RelayConnection") -> None:
         """Forward bytes to a peer from now on, and send it what is buffered."""
         self._peer = peer
+        peer.transport.registerProducer(self.transport, True)
         self.flush()
 
     def connectionMade(self) -> None:
@@ -85,6 +87,7 @@
     def connectionLost(self, reason=connectionDone) -> None:
         self._route.remove(self)
         if self._peer is not None and self._peer.transport is not None:
+            self._peer.transport.unregisterProducer()
             self._peer.transport.loseConnection()
 
 
--- a/bilberryring/testing/silent_fleet.py
+++ b/bilberryring/testing/silent_fleet.py
@@ -179,7 +179,6 @@
     """A caller's request for a stream, and what it got of it."""
 
     held_back_until = 0.0
-    has_end_mark = True
 
     def __init__(self, *, fleet: "SilentFleet", request_id: str, shape: StreamShape):
         self._fleet = fleet
