Open the listener for callers before the imports of a start

Cause: when all gateways start at once, as after a loss of power, the kernel refuses connections for the 0.2 to 2 s of their imports, and the one retry of a caller meets another gateway that starts.

Change: a gateway listens for callers with its first statements, unless a gateway among its seeds serves (a connection to its ready address, 30 ms). It accepts them when the published state has been read, after 0.5 s at the latest.

Ruled out: admission and shares of callers as the cause; no gateway runs in these seconds.

Tests: the new ones fail without the change (the request finds no connection, or is refused).

--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -34,6 +34,7 @@
 from bilberryring.gateway.statement_recorder import StatementRecorder
 from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.early_listener import EarlyListener
 from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.loops import start_loop
 from bilberryring.process.operator_site import ProcessStatus, operator_resource
@@ -51,6 +52,10 @@
 HOUSEKEEPING_SECONDS = 0.25
 """Seconds between two runs of the periodic housekeeping."""
 DRAIN_CHECK_SECONDS = 0.05
+MAX_HOLD_SECONDS = 0.5
+"""Longest time in seconds for which callers wait to be accepted at a start. Callers
+assume that a request which is not read within a second is lost."""
+HOLD_CHECK_SECONDS = 0.01
 MAX_SERIES = 256
 """Maximum number of series of one histogram; further ones share a series."""
 ACCEPT_BACKLOG = 512
@@ -76,6 +81,7 @@
         settings_version=None,
         loaded_settings_version: int = 0,
         output: BoundedOutput | None = None,
+        early_listener: EarlyListener | None = None,
     ):
         self._reactor = reactor
         self._settings = settings
@@ -84,6 +90,7 @@
         self._settings_version = settings_version
         self._loaded_settings_version = loaded_settings_version
         self._output = output
+        self._early_listener = early_listener
         self._pauses = PauseDetector()
         self._fleet = FleetState()
         self._tracker = WorkTracker()
@@ -249,9 +256,7 @@
         """
         settings = self._settings
         try:
-            self._listeners.listen(
-                settings.caller_address, self._site, key="caller_address"
-            )
+            self._listen_for_callers()
             self._listeners.listen(
                 settings.ready_address, self._ready_site, key="ready_address"
             )
@@ -279,6 +284,35 @@
             failure_domain=settings.failure_domain,
         )
 
+    def _listen_for_callers(self) -> None:
+        """Listen for callers, and accept them when the gateway is ready.
+
+        A caller that is refused only because the published state is not read yet would
+        spend a retry on it. It is read within a few round trips of the store.
+        """
+        early = self._early_listener
+        self._listeners.listen(
+            self._settings.caller_address,
+            self._site,
+            key="caller_address",
+            opened=None if early is None else early.socket,
+        )
+        if early is not None:
+            self._log.write(
+                LogEvent.LISTENER_OPENED,
+                is_early=early.socket is not None,
+                decision=early.decision.value,
+                detail=early.detail,
+            )
+        self._listeners.hold("caller_address")
+        self._accept_when_ready(self._reactor.seconds() + MAX_HOLD_SECONDS)
+
+    def _accept_when_ready(self, until: float) -> None:
+        if self.is_ready or self._is_draining or self._reactor.seconds() >= until:
+            self._listeners.resume("caller_address")
+            return
+        self._reactor.callLater(HOLD_CHECK_SECONDS, self._accept_when_ready, until)
+
     async def drain(self) -> None:
         """Stop serving without losing requests.
 
--- a/bilberryring/gateway/tests/test_drain.py
+++ b/bilberryring/gateway/tests/test_drain.py
@@ -46,6 +46,7 @@
         listener.stopListening = lambda: self.stopped_at.setdefault(
             port, self.seconds()
         )
+        listener.stopReading = listener.startReading = lambda: None
         # No connection waits to be accepted.
         listener.socket = self._sockets[0]
         listener.fileno = listener.socket.fileno
--- a/bilberryring/platform/gateway_process.py
+++ b/bilberryring/platform/gateway_process.py
@@ -13,16 +13,18 @@
     load_settings,
     settings_version,
 )
+from bilberryring.process.early_listener import EarlyListener
 from bilberryring.process.running import run_until_drained, start_unless_terminated
 from bilberryring.telemetry import EventLog, standard_output
 
 SETTINGS_ERROR_STATUS = 2
 
 
-def run_gateway() -> None:
+def run_gateway(early_listener: EarlyListener | None = None) -> None:
     """Run one gateway until a signal stops it and its requests are drained.
 
-    Faulty settings end the process with the status `SETTINGS_ERROR_STATUS`.
+    `early_listener` is its listener for callers if one was opened already. Faulty
+    settings end the process with the status `SETTINGS_ERROR_STATUS`.
     """
     use_monotonic_time(reactor)
     try:
@@ -41,6 +43,7 @@
             settings_version=settings_version,
             loaded_settings_version=loaded_version,
             output=output,
+            early_listener=early_listener,
         )
         is_started = start_unless_terminated(daemon=daemon, log=log)
     except SettingsError as error:
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -2,6 +2,7 @@
 
 import gc
 import signal
+import socket
 
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.error import CannotListenError
@@ -11,6 +12,7 @@
 
 from bilberryring.core import ErrorCode, SettingsError, drop_handshakes, has_unread
 from bilberryring.http import MIN_IDLE_SECONDS, DrainableSite, make_site
+from bilberryring.process.early_listener import LISTEN_BACKLOG
 from bilberryring.process.early_signals import PROCESS_SIGNALS, ProcessSignals
 from bilberryring.process.settings import host_and_port
 from bilberryring.telemetry import EventLog, LogEvent
@@ -18,10 +20,6 @@
 FLUSH_SECONDS = 30.0
 """Seconds that a drained process waits at most for callers to read their responses."""
 FLUSH_CHECK_SECONDS = 0.05
-LISTEN_BACKLOG = 512
-"""Connections that wait to be accepted. The handshake of one more is dropped, and its
-retransmission comes after a second, when callers have given up."""
-
 HANDSHAKE_SECONDS = 0.02
 """Seconds for which a listener that takes no new connections stays open, so that those
 whose handshake is under way can be accepted; above a round trip of a region."""
@@ -36,9 +34,28 @@
         self._ports: dict[str, object] = {}
         self._sites: dict[str, DrainableSite] = {}
 
-    def listen(self, address: str, factory: Factory, *, key: str) -> None:
-        """Listen on an address; `SettingsError` names the key if it is in use."""
+    def listen(
+        self,
+        address: str,
+        factory: Factory,
+        *,
+        key: str,
+        opened: socket.socket | None = None,
+    ) -> None:
+        """Listen on an address; `SettingsError` names the key if it is in use.
+
+        `opened` is a socket that listens there already and is used instead of a new
+        one, if its address is still the wanted one.
+        """
         host, port = host_and_port(address)
+        if opened is not None and opened.getsockname() == (host, port):
+            self._ports[key] = self._reactor.adoptStreamPort(
+                opened.fileno(), socket.AF_INET, factory
+            )
+            opened.close()
+            return
+        if opened is not None:
+            opened.close()
         try:
             listening_port = self._reactor.listenTCP(
                 port, factory, backlog=LISTEN_BACKLOG, interface=host
@@ -58,6 +75,16 @@
         self.listen(address, site, key=key)
         self._sites[key] = site
 
+    def hold(self, key: str) -> None:
+        """Accept no connection on an address until `resume`; the kernel keeps them."""
+        self._ports[key].stopReading()
+
+    def resume(self, key: str) -> None:
+        """Accept connections again. A key that is not open is ignored."""
+        listening_port = self._ports.get(key)
+        if listening_port is not None:
+            listening_port.startReading()
+
     def has_waiting(self, key: str) -> bool:
         """Whether connections wait to be accepted on an address.
 
--- a/bilberryring/process/tests/test_signals_at_any_moment.py
+++ b/bilberryring/process/tests/test_signals_at_any_moment.py
@@ -56,10 +56,11 @@
     "as the settings are read": "open {settings}",
 }
 START_MOMENTS = {
-    "as the daemon starts": "bind 1",
-    "once the daemon listens on one address": "bind 2",
+    "as the daemon starts": "bind {first}",
+    "once the daemon listens on one address": "bind {second}",
 }
-BOTH_START_MOMENTS = "bind 1,2"
+BOTH_START_MOMENTS = "bind {first},{second}"
+"""Places among the calls of `bind`; a gateway binds an address before its imports."""
 LATE_MOMENTS = {
     "at the exit of the interpreter": "atexit",
     "as the interpreter frees its modules": "teardown",
@@ -114,7 +115,10 @@
         if self._role == "gateway":
             self._site = self._site or GatewaySite(grace=GRACE_SECONDS).start()
         settings = "gateway-1.toml" if self._role == "gateway" else "daemon.json5"
-        moment = moment.format(role=self._role, settings=settings)
+        first = 2 if self._role == "gateway" else 1
+        moment = moment.format(
+            role=self._role, settings=settings, first=first, second=first + 1
+        )
         self._monkeypatch.setenv("SUSPENDED_AT", moment)
         self._monkeypatch.setenv("PYTHONPATH", os.pathsep.join(self._folders))
         try:
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -42,6 +42,11 @@
         "The kernel refused the filter with which a listener closes; a caller that "
         "connects at that moment may be reset",
     )
+    LISTENER_OPENED = (
+        115,
+        "info",
+        "The listener for callers is open, since before the imports if no peer served",
+    )
     SETTINGS_RELOADED = (120, "info", "The settings file was read again")
     SETTINGS_REFUSED = (121, "error", "A changed settings file was refused")
     SETTINGS_KEPT = (
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -632,6 +632,22 @@
         test="bilberryring/gateway/tests/test_crashing_parts.py"
         "::test_news_of_crashes_reach_all_gateways_within_half_a_second",
     ),
+    Mechanism(
+        name="callers connect to a gateway while it imports its modules",
+        module="platform/process.py",
+        present="early_listener = open_caller_listener()",
+        absent="early_listener = None",
+        test="bilberryring/platform/tests/test_early_start.py"
+        "::test_a_request_that_is_sent_during_a_start_is_answered",
+    ),
+    Mechanism(
+        name="callers are accepted when the published state has been read",
+        module="gateway/daemon.py",
+        present='        self._listeners.hold("caller_address")\n',
+        absent="",
+        test="bilberryring/platform/tests/test_early_start.py"
+        "::test_a_request_that_is_sent_during_a_start_is_answered",
+    ),
     Mechanism(
         name="a stream that ends inside an event is broken off",
         module="execution/answer_end.py",
--- a/bilberryring/testing/played_gateway.py
+++ b/bilberryring/testing/played_gateway.py
@@ -11,6 +11,7 @@
 import struct
 from collections.abc import Callable
 from io import StringIO
+from types import SimpleNamespace
 from unittest import mock
 
 import h11
@@ -235,6 +236,7 @@
 
     def listenTCP(self, port, factory, backlog=50, interface=""):
         self.factories[port] = factory
+        return SimpleNamespace(stopReading=lambda: None, startReading=lambda: None)
 
     def listenUDP(self, port, protocol, interface="", maxPacketSize=8192):
         protocol.transport = self
