Import no TLS, OpenSSL hashes or HTML pages into a gateway

Cause: twisted and asyncio import ssl, hashlib loads OpenSSL, and twisted.web.server imports the templates, none of which a gateway uses. Change: the gateway's imports leave out ssl and _hashlib, as in an interpreter that is built without them, and defer three modules until an attribute of them is read.

--- a/bilberryring/measure/start.py
+++ b/bilberryring/measure/start.py
@@ -13,17 +13,17 @@
 from bilberryring.standins.scripted_endpoint import answer_all
 
 RUNS = 7
-IMPORT = """
-from bilberryring.process.collection import no_collection
-with no_collection():
-    import {module}
-"""
 STATEMENTS = {
     "signals are taken": "import bilberryring.process.early_signals",
-    "gateway is imported": IMPORT.format(
-        module="bilberryring.platform.gateway_process"
-    ),
-    "entry and sidecar are imported": IMPORT.format(module="bilberryring.commands"),
+    "gateway is imported": """
+from bilberryring.platform.process import import_gateway
+import_gateway()
+""",
+    "entry and sidecar are imported": """
+from bilberryring.process.collection import no_collection
+with no_collection():
+    import bilberryring.commands
+""",
 }
 PROGRAM = """
 import time
--- a/bilberryring/platform/process.py
+++ b/bilberryring/platform/process.py
@@ -1,18 +1,29 @@
 """The program that runs a gateway on the operators' platform."""
 
+from collections.abc import Callable
+
 from bilberryring.process.early_signals import PROCESS_SIGNALS
 
 
 def main() -> None:
     """Take the signals of the process, and run the gateway."""
     PROCESS_SIGNALS.install()
-    # These imports take most of the start, during which signals may come.
+    run_gateway = import_gateway()
+    run_gateway()
+
+
+def import_gateway() -> Callable[[], None]:
+    """Import the gateway with as little memory as possible; return its function.
+
+    These imports take most of the start, during which signals may come.
+    """
     from bilberryring.process.collection import no_collection
+    from bilberryring.process.library_imports import needed_modules_only
 
-    with no_collection():
+    with no_collection(), needed_modules_only():
         from bilberryring.platform.gateway_process import run_gateway
 
-    run_gateway()
+    return run_gateway
 
 
 if __name__ == "__main__":
