Measure where the memory of an idle gateway goes

Adds bin/measure idle-memory and the table of docs/design/idle-memory.md. twisted.internet.process is imported as before: its deferral pays 0.26 MB only.

--- a/bilberryring/measure/main.py
+++ b/bilberryring/measure/main.py
@@ -12,6 +12,7 @@
     failure_domain_table,
     gateway,
     head_of_line_table,
+    idle_memory,
     planned_stop,
     prediction,
     relay,
@@ -104,6 +105,12 @@
     relay.run_table()
 
 
+@main.command("idle-memory")
+def idle_memory_command() -> None:
+    """Memory of an idle gateway, by moment and by imported package."""
+    idle_memory.run_table()
+
+
 @main.command("start")
 def start_command() -> None:
     """Processor time of a start, and the time until a gateway is ready."""
--- a/bilberryring/process/library_imports.py
+++ b/bilberryring/process/library_imports.py
@@ -1,7 +1,7 @@
 """Keeps modules out of memory that libraries import and the process never uses.
 
 The libraries import them for functions that no process of this system calls: TLS, the
-OpenSSL versions of hash functions, cookies, child processes and HTML pages.
+OpenSSL versions of hash functions, cookies and HTML pages.
 """
 
 import importlib.util
@@ -23,11 +23,7 @@
     "_blake2",
     *(("_sha2",) if sys.version_info >= (3, 12) else ("_sha256", "_sha512")),
 )
-DEFERRED_MODULES = (
-    "twisted.internet.process",
-    "twisted.web.util",
-    "urllib.request",
-)
+DEFERRED_MODULES = ("twisted.web.util", "urllib.request")
 """Modules of which no attribute is read while the libraries are imported, nor while
 requests are served. They are loaded when the first attribute is read."""
 
