Check and compare a configuration before it is published

Cause: a configuration for the operators' platform went out unchecked. Gateways refuse one that is malformed, but take one whose entries never match, whose limits contradict each other, or whose version is too low to have an effect.

Change: the package bilberryring/validation takes typed configurations and returns findings (code, severity, location, message, remedy) and differences. It is pure. bilberryring/platform/listing.py decodes the operators' JSON entry by entry, with the entries that gateways merge or refuse, and reads the version in force and the number of endpoints with the existing store client; it alone has the platform's names. A workspace without keys and a service without endpoints are warnings about a set of objects. The exit status of `check` is 0, 1 with errors, and 3 with warnings only.

Found by hypothesis while it was written: the comparison of versions raised for a route that is unreadable.

--- a/bilberryring/objects/source.py
+++ b/bilberryring/objects/source.py
@@ -16,6 +16,9 @@
 from bilberryring.objects.object_set import ObjectSet, build_set
 
 FILE_SUFFIXES = (".json", ".json5", ".jsonc")
+MAX_DIRECTORY_BYTES = 32 * 1024 * 1024
+"""Bytes of all files of a directory that are read. A set of 4,400 endpoints has less
+than 2 MB."""
 _KINDS = {kind.value: kind for kind in Kind}
 
 
@@ -35,9 +38,29 @@
 
 
 def read_directory(directory: Path) -> SourceResult:
-    """Read and check all object files in a directory, sorted by file name."""
+    """Read and check all object files in a directory, sorted by file name.
+
+    A file that cannot be read, or with which the files have too many bytes, is a
+    finding.
+    """
     paths = sorted(path for path in directory.iterdir() if path.suffix in FILE_SUFFIXES)
-    return read_texts({path.name: path.read_text("utf-8") for path in paths})
+    texts: dict[str, str] = {}
+    unread: list[Finding] = []
+    n_left = MAX_DIRECTORY_BYTES
+    for path in paths:
+        try:
+            with path.open("rb") as file:
+                content = file.read(n_left + 1)
+            if len(content) > n_left:
+                raise ValueError(f"all files have over {MAX_DIRECTORY_BYTES} bytes")
+            texts[path.name] = content.decode("utf-8")
+            n_left -= len(content)
+        except (OSError, ValueError) as error:
+            unread.append(
+                _finding_in_file(FindingCode.FILE_UNREADABLE, path.name, "", str(error))
+            )
+    result = read_texts(texts)
+    return replace(result, findings=(*unread, *result.findings))
 
 
 def read_texts(texts: dict[str, str]) -> SourceResult:
--- a/bilberryring/platform/configuration.py
+++ b/bilberryring/platform/configuration.py
@@ -63,7 +63,8 @@
     """A published value cannot be decoded; the remedy is to publish it again."""
 
     def __init__(self, code: str, detail: str, *, remedy: str):
-        super().__init__(f"{code}: {detail[:MAX_DETAIL_CHARS]}. Remedy: {remedy}")
+        self.detail = detail[:MAX_DETAIL_CHARS]
+        super().__init__(f"{code}: {self.detail}. Remedy: {remedy}")
 
 
 _ENDPOINT_ID = re.compile(rf"[!-~]{{1,{MAX_NAME_CHARS}}}")
@@ -141,7 +142,9 @@
     allowed_regions: tuple[str, ...] = ()
 
 
-class _Configuration(msgspec.Struct, kw_only=True):
+class ConfigurationDocument(msgspec.Struct, kw_only=True):
+    """The document that operators publish; its routes are decoded one by one."""
+
     version: Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
     routes: tuple[msgspec.Raw, ...]
     services: tuple[_Service, ...]
@@ -174,12 +177,32 @@
     `ContentError` is raised when the content is malformed.
     """
     try:
-        decoded = decode_json(content, _Configuration)
-        return _convert_configuration(decoded)
+        return _convert_configuration(decode_document(content))
     except ValueError as error:
-        raise ContentError(
-            "configuration_unreadable", str(error), remedy="publish again"
-        )
+        raise _configuration_error(error)
+
+
+def decode_document(content: bytes) -> ConfigurationDocument:
+    """Return the document, whose routes are not decoded yet.
+
+    `ContentError` is raised when the rest of it is malformed.
+    """
+    try:
+        return decode_json(content, ConfigurationDocument)
+    except ValueError as error:
+        raise _configuration_error(error)
+
+
+def decode_listed_route(content: bytes) -> Route:
+    """Return a route as it is written, also one that leads to no service.
+
+    `ValueError` is raised when the content is malformed.
+    """
+    return _convert_route(decode_json(content, _Route))
+
+
+def _configuration_error(error: ValueError) -> ContentError:
+    return ContentError("configuration_unreadable", str(error), remedy="publish again")
 
 
 def decode_endpoint(key: str, content: bytes, *, now: float) -> AnnouncedEndpoint:
@@ -216,7 +239,7 @@
     return ContentError("endpoint_unreadable", detail, remedy="announce again")
 
 
-def _convert_configuration(decoded: _Configuration) -> FleetConfiguration:
+def _convert_configuration(decoded: ConfigurationDocument) -> FleetConfiguration:
     workspaces = decoded.tenants or ()
     return FleetConfiguration(
         version=decoded.version,
@@ -225,16 +248,16 @@
             for number, route in enumerate(decoded.routes)
         ),
         services={
-            ServiceName(service.name): _convert_service(service)
+            ServiceName(service.name): convert_service(service)
             for service in decoded.services
         },
         workspaces_by_key={
-            key: _convert_workspace(workspace)
+            key: convert_workspace(workspace)
             for workspace in workspaces
             for key in workspace.api_keys
         },
         has_workspaces=decoded.tenants is not None,
-        limits=_convert_limits(decoded.limits),
+        limits=convert_limits(decoded.limits),
     )
 
 
@@ -247,7 +270,10 @@
 
 
 def _decode_route(content: bytes) -> Route:
-    return _convert_route(decode_json(content, _Route))
+    route = decode_listed_route(content)
+    if not any(share.weight for share in route.shares):
+        raise ValueError("a route whose weights are all 0 leads to no service")
+    return route
 
 
 _known_route = lru_cache(maxsize=MAX_KNOWN_ROUTES)(_decode_route)
@@ -255,8 +281,6 @@
 
 def _convert_route(route: _Route) -> Route:
     shares = route.backends or (_Share(service=route.service),)
-    if not any(share.weight for share in shares):
-        raise ValueError("a route whose weights are all 0 leads to no service")
     gap_ms = route.gap_aim_ms
     objective_ms = max(MIN_OBJECTIVE_MS, route.target_latency_ms)
     return Route(
@@ -279,7 +303,8 @@
     )
 
 
-def _convert_service(service: _Service) -> Service:
+def convert_service(service: _Service) -> Service:
+    """Return the service of an entry."""
     return Service(
         name=ServiceName(service.name),
         max_connections=service.max_connections,
@@ -303,7 +328,8 @@
     )
 
 
-def _convert_workspace(workspace: _Workspace) -> Workspace:
+def convert_workspace(workspace: _Workspace) -> Workspace:
+    """Return the workspace of an entry, without its keys."""
     return Workspace(
         name=WorkspaceName(workspace.name),
         priority=workspace.priority,
@@ -311,7 +337,8 @@
     )
 
 
-def _convert_limits(limits: _Limits) -> CallerLimits:
+def convert_limits(limits: _Limits) -> CallerLimits:
+    """Return the limits on callers' requests."""
     return CallerLimits(
         max_header_bytes=limits.max_header_bytes,
         max_body_bytes=limits.max_body_bytes,
--- /dev/null
+++ b/bilberryring/platform/tests/test_listing.py
@@ -0,0 +1,430 @@
+"""The check of a configuration of the platform: its names, its decoding, the tool."""
+
+import dataclasses
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
+
+import bilberryring.tool
+import bilberryring.validation
+from bilberryring.fleet import CallerLimits, Route, Service
+from bilberryring.platform.configuration import (
+    ConfigurationDocument,
+    ContentError,
+    decode_configuration,
+)
+from bilberryring.platform.listing import FIELD_NAMES, decode_listing
+from bilberryring.platform.tests.test_odd_configurations import ODD_CONFIGURATIONS
+from bilberryring.standins.gateway_site import (
+    API_KEY,
+    GatewaySite,
+    make_configuration,
+    make_route,
+)
+from bilberryring.tool.files import MAX_FILE_BYTES
+from bilberryring.tool.main import main
+from bilberryring.validation import (
+    ListedWorkspace,
+    Severity,
+    check_configuration,
+    compare_configurations,
+)
+
+SECRET = "secret-key-of-cafes"
+OTHER_SECRET = "another-secret"
+
+
+@pytest.fixture
+def run():
+    return lambda *arguments: CliRunner().invoke(main, [str(a) for a in arguments])
+
+
+@pytest.fixture
+def write(tmp_path):
+    """Return a function that writes a configuration, or other text, to a file."""
+
+    def write_file(content, name="new.json"):
+        path = tmp_path / name
+        text = content if isinstance(content, str) else json.dumps(content)
+        path.write_text(text, "utf-8")
+        return path
+
+    return write_file
+
+
+@pytest.fixture(scope="module")
+def store_site():
+    """A store without gateways."""
+    site = GatewaySite().start()
+    yield site
+    site.stop()
+
+
+def publish_in_force(site):
+    site.set_store_mode()
+    site.publish(make_configuration(5))
+    for name in ("a", "b"):
+        site.announce(name, "127.0.0.1:9000")
+        site.announce(f"model-{name}", "127.0.0.1:9000", service="model")
+
+
+def test_each_field_is_printed_with_a_name_of_the_platform():
+    """Guards against a location that does not exist in the operators' file."""
+    sample = {
+        **make_route("/a/", "streaming", "s", backends=[], allowed_regions=[]),
+        **make_configuration(),
+        **make_configuration()["services"][1],
+        **make_configuration()["tenants"][0],
+        **dict.fromkeys(("max_header_bytes", "max_body_bytes", "header_timeout_ms"), 1),
+        "idle_timeout_ms": 1,
+    }
+    for struct in (Route, Service, ListedWorkspace, CallerLimits):
+        for field in dataclasses.fields(struct):
+            assert FIELD_NAMES.get(field.name, field.name) in sample, field.name
+    for section in ("version", "routes", "services", "workspaces", "limits"):
+        name = FIELD_NAMES.get(section, section)
+        assert name in ConfigurationDocument.__struct_fields__
+
+
+@pytest.mark.parametrize("package", [bilberryring.tool, bilberryring.validation])
+def test_the_names_of_the_platform_stay_in_its_adapter(package):
+    """Guards against names of the platform in code that must not know them."""
+    names = {*FIELD_NAMES.values(), "op/config"} - {"attempts", "backends"}
+    for path in Path(package.__file__).parent.rglob("*.py"):
+        text = path.read_text("utf-8")
+        assert [name for name in names if name in text] == [], path
+
+
+def test_what_gateways_accept_is_listed_the_same():
+    """Guards against a check of other values than gateways use."""
+    content = json.dumps(make_configuration()).encode()
+    listing, used = decode_listing(content), decode_configuration(content)
+    assert listing.routes == used.routes
+    assert {service.name: service for service in listing.services} == used.services
+    assert (listing.version, listing.limits) == (used.version, used.limits)
+    assert check_configuration(listing) == ()
+
+
+@pytest.mark.parametrize("case", ODD_CONFIGURATIONS)
+def test_what_gateways_refuse_is_an_error_of_the_check(run, tmp_path, case):
+    """Guards against a configuration that is sound here and refused by gateways."""
+    path = tmp_path / "odd.json"
+    path.write_bytes(ODD_CONFIGURATIONS[case])
+    checked = run("check", path)
+    assert (checked.exit_code, checked.exception.__class__) == (1, SystemExit)
+    assert ". Remedy: " in checked.output
+    assert all(len(line) < 900 for line in checked.output.splitlines())
+
+
+values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-5, 2**64)
+    | st.floats()
+    | st.text(max_size=5)
+    | st.sampled_from(["idempotent", "streaming", "/a/", "a"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@st.composite
+def changed_documents(draw):
+    """A sound configuration with up to three values replaced or removed."""
+    document = json.loads(json.dumps(make_configuration()))
+    for _ in range(draw(st.integers(0, 3))):
+        inner = document
+        while True:
+            is_list = isinstance(inner, list)
+            keys = list(range(len(inner))) if is_list else sorted(inner)
+            if not keys:
+                break
+            key = draw(st.sampled_from(keys))
+            if isinstance(inner[key], list | dict) and draw(st.booleans()):
+                inner = inner[key]
+                continue
+            if draw(st.booleans()):
+                inner[key] = draw(values)
+            else:
+                del inner[key]
+            break
+    return document
+
+
+@given(changed_documents())
+def test_no_document_makes_decoding_and_check_raise(document):
+    """Guards against a traceback in place of an error with a remedy."""
+    content = json.dumps(document).encode()
+    try:
+        listing = decode_listing(content)
+    except ContentError:
+        with pytest.raises(ContentError):
+            decode_configuration(content)
+        return
+    findings = check_configuration(listing, in_force=listing, endpoint_counts={})
+    for finding in findings:
+        assert finding.text(names=FIELD_NAMES).isprintable()
+    assert compare_configurations(listing, listing) == ()
+    try:
+        decode_configuration(content)
+    except ContentError:
+        assert any(f.severity is Severity.ERROR for f in findings)
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_make_decoding_raise_another_error(content):
+    """Guards against a traceback for a file that is no configuration."""
+    try:
+        decode_listing(content)
+    except ContentError as error:
+        assert "Remedy" in str(error)
+
+
+def test_exit_statuses_tell_errors_from_warnings(run, write):
+    """Guards against a script that takes warnings for errors, or for nothing."""
+    sound = make_configuration()
+    spare = [*sound["services"], {"name": "spare"}]
+    assert run("check", write(sound)).exit_code == 0
+    warned = run("check", write(sound | {"services": spare}))
+    assert warned.exit_code == 3
+    assert "warning: service_unused: services[2]:spare: " in warned.output
+    assert "7 entries, 1 findings (1 warnings)" in warned.output
+    wrong = run("check", write(sound | {"services": spare[1:]}))
+    assert wrong.exit_code == 1
+    assert "\nservice_unknown: routes[1]:r-charge:backends: " in wrong.output
+
+
+def test_json_has_code_severity_location_and_remedy(run, write):
+    """Guards against findings that a program cannot read."""
+    document = make_configuration(tenants=[{"name": "bars"}])
+    shown = json.loads(run("check", write(document), "--json").output)
+    (detail,) = shown["details"]
+    assert detail["code"] == "workspace_without_keys"
+    assert detail["severity"] == "warning"
+    assert detail["location"] == "tenants[0]:bars:api_keys"
+    assert detail["message"] and detail["remedy"]
+
+
+def test_all_malformed_routes_are_shown_in_one_run(run, write):
+    """Guards against one run for each fault, as the decoder stops at the first."""
+    document = make_configuration()
+    del document["routes"][0]["host"]
+    document["routes"][2]["timeout_ms"] = "soon"
+    output = run("check", write(document)).output
+    assert "route_unreadable: routes[0]: " in output
+    assert "route_unreadable: routes[2]: " in output
+
+
+@pytest.mark.parametrize(
+    ("content", "code"),
+    [
+        ("{", "configuration_unreadable"),
+        ("[" * 100_000, "configuration_unreadable"),
+        (" " * (MAX_FILE_BYTES + 1), "input_unreadable"),
+    ],
+    ids=["cut", "deep", "long"],
+)
+def test_an_unreadable_file_is_an_error_with_a_remedy(run, write, content, code):
+    """Guards against a traceback, and against a file that fills the memory."""
+    path = write(content)
+    for command in ("check", "diff"):
+        shown = run(command, path, "--onto", write(make_configuration(), "old.json"))
+        assert shown.exit_code == 1
+        assert f"{code}: " in shown.output and ". Remedy: " in shown.output
+        assert len(shown.output) < 1_500
+    assert "difference unknown" in shown.output
+
+
+def test_diff_names_each_change_with_the_platform_s_names(run, write):
+    """Guards against a change that is not named, or under a name nobody published."""
+    old = make_configuration(5)
+    new = make_configuration(
+        6,
+        routes=[
+            make_route("/look/", "idempotent", "orders", timeout_ms=5_000),
+            *old["routes"][1:],
+        ],
+        services=[{"name": "orders", "max_connections": 7}, old["services"][1]],
+        limits={"idle_timeout_ms": 6_000, "max_body_bytes": 1_000_000},
+        tenants=[
+            {"name": "bars", "api_keys": [API_KEY, SECRET], "priority": 1},
+            {"name": "cafes", "api_keys": [OTHER_SECRET]},
+        ],
+    )
+    arguments = (write(new), "--onto", write(old, "old.json"))
+    shown = run("diff", *arguments)
+    assert (shown.exit_code, shown.output.splitlines()) == (
+        0,
+        [
+            "changed version (5 to 6)",
+            "changed routes/r-look (timeout_ms)",
+            "changed services/orders (max_connections)",
+            "changed tenants/bars (api_keys, 1 keys added, 0 removed)",
+            "added tenants/cafes",
+            "changed limits (max_body_bytes, 4194304 to 1000000 bytes)",
+            "changed limits (idle_timeout_ms, 5 to 6 s)",
+            "7 entries differ",
+        ],
+    )
+    kinds = {
+        item["kind"] for item in json.loads(run("diff", *arguments, "--json").output)
+    }
+    assert kinds == {"version", "routes", "services", "tenants", "limits"}
+
+
+def test_api_keys_are_never_printed(run, write):
+    """Guards against keys in terminals and logs of a build."""
+    tenants = [
+        {"name": "bars", "api_keys": [SECRET, OTHER_SECRET]},
+        {"name": "cafes", "api_keys": [SECRET]},
+    ]
+    path = write(make_configuration(2, tenants=tenants))
+    malformed = write(
+        make_configuration(2, tenants=[{"name": "a", "api_keys": SECRET}]), "bad.json"
+    )
+    old = write(make_configuration(), "old.json")
+    outputs = [
+        run(command, new, *more, *form).output
+        for command in ("check", "diff")
+        for new in (path, malformed)
+        for more in ((), ("--onto", old), ("--onto", malformed))
+        for form in ((), ("--json",))
+    ]
+    assert "key_of_two_workspaces: tenants[1]:cafes:api_keys: " in outputs[0]
+    for output in outputs:
+        assert output
+        for key in (SECRET, OTHER_SECRET, API_KEY):
+            assert key not in output
+    listing = decode_listing(path.read_bytes())
+    assert SECRET not in repr(listing)
+
+
+def test_the_version_in_force_is_read_from_the_store(run, write, store_site):
+    """Guards against a version that gateways would not take, and too many attempts."""
+    publish_in_force(store_site)
+    path = write(make_configuration(5, limits={}))
+    checked = run("check", path, "--store", store_site.store_address)
+    assert checked.exit_code == 1
+    assert "version_not_higher: version: 5 is not above 5" in checked.output
+    path = write(make_configuration(6, limits={}))
+    checked = run("check", path, "--store", store_site.store_address)
+    assert (checked.exit_code, checked.output) == (0, "6 entries, 0 findings\n")
+    shown = run("diff", path, "--store", store_site.store_address)
+    assert shown.exit_code == 0
+    assert shown.output.splitlines() == [
+        "changed version (5 to 6)",
+        "changed limits (idle_timeout_ms, 5 to 15 s)",
+        "2 entries differ",
+    ]
+
+
+def test_the_endpoints_in_the_store_are_compared_with_attempts(run, write, store_site):
+    """Guards against leaving and unreadable endpoints that count as usable."""
+    publish_in_force(store_site)
+    store_site.announce("b", "127.0.0.1:9000", state="draining")
+    store_site.put("servers/odd", b"{")
+    path = write(make_configuration(6))
+    checked = run("check", path, "--store", store_site.store_address)
+    assert checked.exit_code == 3
+    assert checked.output.splitlines()[0].startswith(
+        "warning: attempts_above_endpoints: routes[0]:r-look:attempts: "
+        "2 attempts, but 1 endpoints of 'orders'"
+    )
+
+
+def test_a_store_without_a_configuration_has_none_in_force(run, write, store_site):
+    """Guards against a first publication that counts as unknown."""
+    publish_in_force(store_site)
+    store_site.remove("op/config")
+    store_site.put("op/config/else", b"{")
+    path = write(make_configuration(1))
+    address = store_site.store_address
+    assert run("check", path, "--store", address).exit_code == 0
+    assert "added version (1)" in run("diff", path, "--store", address).output
+    store_site.remove("op/config/else")
+
+
+def break_nothing(site):
+    return "127.0.0.1:1"
+
+
+def refuse(site):
+    site.set_store_mode(refusing=True)
+    return site.store_address
+
+
+def keep_silent(site):
+    site.set_store_mode(silent=True)
+    return site.store_address
+
+
+def publish_odd(site):
+    site.put("op/config", b'{"version": "x"}')
+    return site.store_address
+
+
+def publish_odd_route(site):
+    site.publish(make_configuration(5, routes=[{}]))
+    return site.store_address
+
+
+def name_no_address(site):
+    return "no address"
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        break_nothing,
+        refuse,
+        keep_silent,
+        publish_odd,
+        publish_odd_route,
+        name_no_address,
+    ],
+)
+def test_without_the_version_in_force_the_findings_are_shown(
+    run, write, store_site, fault
+):
+    """Guards against an outage of the store that hides the findings for the file."""
+    publish_in_force(store_site)
+    address = fault(store_site)
+    services = [*make_configuration()["services"], {"name": "spare"}]
+    path = write(make_configuration(6, services=services))
+    checked = run("check", path, "--store", address)
+    assert checked.exit_code == 3
+    shown = run("diff", path, "--store", address)
+    assert shown.exit_code == 2
+    for output in (checked.output, shown.output):
+        assert "warning: service_unused: services[2]:spare" in output
+        assert "warning: in_force_unknown: version: " in output
+    assert shown.output.splitlines()[-1].startswith("difference unknown: ")
+    assert ". Remedy: " in shown.output.splitlines()[-1]
+    as_json = json.loads(run("diff", path, "--store", address, "--json").output)
+    assert as_json["difference"] == "unknown" and as_json["remedy"]
+    assert len(as_json["findings"]) == 2
+
+
+def test_an_unreadable_file_in_force_leaves_the_difference_unknown(run, write):
+    """Guards against a difference from nothing when the old file is broken."""
+    path, old = write(make_configuration(6)), write("{", "old.json")
+    assert run("check", path, "--onto", old).exit_code == 3
+    assert run("diff", path, "--onto", old).exit_code == 2
+    assert run("diff", path, "--onto", path.parent).exit_code == 2
+
+
+def test_options_that_contradict_each_other_are_a_usage_error(run, write, tmp_path):
+    """Guards against an option that has silently no effect."""
+    path = write(make_configuration())
+    both = ("--onto", path, "--store", "127.0.0.1:1")
+    assert run("check", path, *both).exit_code == 2
+    assert run("diff", path, *both).exit_code == 2
+    assert run("check", tmp_path, "--onto", path).exit_code == 2
+    assert run("diff", tmp_path, "--store", "127.0.0.1:1").exit_code == 2
--- a/bilberryring/tool/main.py
+++ b/bilberryring/tool/main.py
@@ -7,38 +7,38 @@
 import click
 
 from bilberryring.core import MalformedJsonError
-from bilberryring.objects import (
-    Change,
-    SetError,
-    SetNumber,
-    SourceResult,
-    build_set,
-)
+from bilberryring.objects import SetNumber
 from bilberryring.process.explanations import Explanation
 from bilberryring.telemetry import RequestEndings, read_endings
 from bilberryring.tool.commands import render_into
-from bilberryring.tool.output import print_json, print_rows
+from bilberryring.tool.output import (
+    ERROR_EXIT_CODE,
+    PROBLEMS_EXIT_CODE,
+    json_option,
+    print_json,
+    print_rows,
+)
 from bilberryring.tool.queries import (
     StatusReport,
-    changes_between,
     check_directory,
     collect_status,
     explain_prompt,
-    format_findings,
-    read_rendered,
 )
+from bilberryring.tool.validation import (
+    check,
+    count_objects,
+    diff,
+    print_findings,
+    read_rendered_or_exit,
+)
+from bilberryring.validation import check_objects
 
-PROBLEMS_EXIT_CODE = 1
-"""Exit status when a check or a status query found problems."""
-ERROR_EXIT_CODE = 2
-"""Exit status when a rendered set cannot be read or a process does not answer."""
 DIGEST_PREFIX_LENGTH = 12
 """Number of hexadecimal digits that are printed of a digest."""
 
 directory_argument = click.argument(
     "directory", type=click.Path(exists=True, file_okay=False, path_type=Path)
 )
-json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 
 
 @click.group()
@@ -55,46 +55,14 @@
       6. bilberryring status --at ...  until no process is behind
 
     SET is the directory that an earlier render wrote for the set in force.
-    """
-
-
-@main.command()
-@directory_argument
-@json_option
-def check(directory: Path, as_json: bool) -> None:
-    """Check the object files in DIRECTORY and show all problems.
 
-    The exit status is 0 if there are none and 1 otherwise.
+    On the operators' platform, `check FILE --store HOST:PORT` and `diff FILE --store
+    HOST:PORT` precede the publication of a configuration.
     """
-    result = check_directory(directory)
-    if as_json:
-        print_json({"findings": format_findings(result.findings)})
-    else:
-        _print_findings(result)
-    if result.findings:
-        sys.exit(PROBLEMS_EXIT_CODE)
 
 
-@main.command()
-@directory_argument
-@click.option(
-    "--onto",
-    type=click.Path(exists=True, file_okay=False, path_type=Path),
-    help="Directory of the set in force. Without it, all objects count as added.",
-)
-@json_option
-def diff(directory: Path, onto: Path | None, as_json: bool) -> None:
-    """Show what the object files in DIRECTORY would change."""
-    result = check_directory(directory)
-    old = _read_rendered_or_exit(onto)[1] if onto else build_set(iter(()))
-    changes = changes_between(old, result.objects)
-    if as_json:
-        print_json([_change_to_dict(change) for change in changes])
-        return
-    for change in changes:
-        fields = f" ({', '.join(change.fields)})" if change.fields else ""
-        click.echo(f"{change.change.value} {change.kind.value}/{change.name}{fields}")
-    click.echo(f"{len(changes)} objects differ")
+main.add_command(check)
+main.add_command(diff)
 
 
 @main.command()
@@ -117,9 +85,12 @@
     """
     result = check_directory(directory)
     if result.findings:
-        _print_findings(result)
+        print_findings(
+            check_objects(result.objects, findings=result.findings),
+            count=count_objects(result.objects),
+        )
         sys.exit(PROBLEMS_EXIT_CODE)
-    predecessor = _read_rendered_or_exit(onto)[0] if onto else None
+    predecessor = read_rendered_or_exit(onto)[0] if onto else None
     set_number = SetNumber(number) if number is not None else None
     canonical = render_into(
         out, result.objects, predecessor=predecessor, number=set_number
@@ -212,30 +183,6 @@
         sys.exit(PROBLEMS_EXIT_CODE)
 
 
-def _read_rendered_or_exit(directory: Path):
-    try:
-        return read_rendered(directory)
-    except SetError as error:
-        click.echo(str(error), err=True)
-        sys.exit(ERROR_EXIT_CODE)
-
-
-def _print_findings(result: SourceResult) -> None:
-    for line in format_findings(result.findings):
-        click.echo(line)
-    count = sum(1 for _ in result.objects.all_objects())
-    click.echo(f"{count} objects, {len(result.findings)} findings")
-
-
-def _change_to_dict(change: Change) -> dict:
-    return {
-        "change": change.change.value,
-        "kind": change.kind.value,
-        "name": change.name,
-        "fields": change.fields,
-    }
-
-
 def _print_status(report: StatusReport) -> None:
     rows = [
         (
--- a/bilberryring/tool/output.py
+++ b/bilberryring/tool/output.py
@@ -3,6 +3,15 @@
 import click
 import msgspec
 
+PROBLEMS_EXIT_CODE = 1
+"""Exit status when a check or a status query found problems."""
+ERROR_EXIT_CODE = 2
+"""Exit status when what is needed cannot be read or a process does not answer."""
+WARNINGS_EXIT_CODE = 3
+"""Exit status when a check found warnings, but no errors."""
+
+json_option = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+
 
 def print_json(value: object) -> None:
     """Print a value as one indented JSON document."""
--- a/bilberryring/tool/queries.py
+++ b/bilberryring/tool/queries.py
@@ -8,8 +8,8 @@
 
 from bilberryring.core import MalformedJsonError, decode_json
 from bilberryring.objects import (
+    MAX_PART_BYTES,
     Change,
-    Finding,
     Manifest,
     ObjectSet,
     SetError,
@@ -23,6 +23,7 @@
 from bilberryring.process.explanations import Explanation
 from bilberryring.process.operator_site import ProcessStatus
 from bilberryring.tool.fetching import FetchFailure, FetchResult, fetch_all
+from bilberryring.tool.files import read_bounded
 
 QUERY_TIMEOUT_SECONDS = 0.7
 MAX_PARALLEL_QUERIES = 500
@@ -86,9 +87,9 @@
     `SetError` is raised if a file is missing or malformed.
     """
     try:
-        manifest = decode_manifest((directory / MANIFEST_FILE).read_bytes())
+        manifest = decode_manifest(read_bounded(directory / MANIFEST_FILE))
         contents = [
-            (directory / PARTS_DIRECTORY / part.digest).read_bytes()
+            read_bounded(directory / PARTS_DIRECTORY / part.digest, MAX_PART_BYTES)
             for part in manifest.parts
         ]
     except OSError as error:
@@ -197,8 +198,3 @@
             raise OSError(detail)
         case body:
             return decode_json(body, Explanation)
-
-
-def format_findings(findings: Iterable[Finding]) -> list[str]:
-    """Return each finding as one line of text."""
-    return [finding.text for finding in findings]
