Document and bound the check of a configuration

Cause: the codes and exit statuses were in no page, an object file that is no UTF-8 or a directory with the name of one ended `check` with a traceback, and nothing bounded the files. A file of 8 MB with 4,000,000 routes that are the number 0 gave as many findings.

The missing services of a route are one finding. The code service_unknown became service_missing, since service_unknown is an error of callers.

--- a/bilberryring/platform/listing.py
+++ b/bilberryring/platform/listing.py
@@ -30,6 +30,11 @@
     UnreadableRoute,
 )
 
+MAX_ENTRIES = 100_000
+"""Routes, services, workspaces and keys that are checked, together.
+
+A file of 8 MB with 4,000,000 routes that are the number 0 needed 1.4 GB and 42 s
+without this bound. The largest deployment has some thousands."""
 FIELD_NAMES: Mapping[str, str] = MappingProxyType(
     {
         "workspaces": "tenants",
@@ -61,9 +66,18 @@
 def decode_listing(content: bytes) -> ConfigurationListing:
     """Return all entries of a configuration, with the routes that are malformed.
 
-    `ContentError` is raised when something other than a route is malformed.
+    `ContentError` is raised when something other than a route is malformed, or when
+    there are too many entries.
     """
     document = decode_document(content)
+    n_entries = len(document.routes) + len(document.services)
+    n_entries += sum(1 + len(tenant.api_keys) for tenant in document.tenants or ())
+    if n_entries > MAX_ENTRIES:
+        raise ContentError(
+            "configuration_too_large",
+            f"{n_entries} entries and keys, of which at most {MAX_ENTRIES} are checked",
+            remedy="remove entries",
+        )
     return ConfigurationListing(
         version=document.version,
         routes=tuple(_list_route(bytes(route)) for route in document.routes),
--- a/bilberryring/telemetry/tests/test_catalogue.py
+++ b/bilberryring/telemetry/tests/test_catalogue.py
@@ -4,8 +4,10 @@
 from pathlib import Path
 
 from bilberryring.core import ErrorCode
+from bilberryring.objects import FindingCode as ObjectFindingCode
 from bilberryring.objects import Kind
 from bilberryring.telemetry import LogEvent, Metrics
+from bilberryring.validation import FindingCode
 
 DOCS = Path(__file__).parents[3] / "docs"
 
@@ -25,6 +27,17 @@
         assert row in text
 
 
+def test_errors_page_lists_every_finding_of_a_check():
+    """Guards against a code that an operator cannot look up."""
+    text = (DOCS / "ERRORS.md").read_text("utf-8")
+    for code in FindingCode:
+        assert f"| {code.value} | {code.severity.value} | {code.remedy} |" in text
+    for code in ObjectFindingCode:
+        assert f"| {code.value} | error | {code.remedy} |" in text
+    rows = re.findall(r"^\| \w+ \| (?:error|warning) \|", text, re.M)
+    assert len(rows) == len(FindingCode) + len(ObjectFindingCode)
+
+
 def test_objects_page_lists_every_field():
     text = (DOCS / "OBJECTS.md").read_text("utf-8")
     for kind in Kind:
--- a/bilberryring/tool/tests/test_main.py
+++ b/bilberryring/tool/tests/test_main.py
@@ -1,11 +1,13 @@
 """Tests of the command-line tool through its commands."""
 
 import json
+import re
 from pathlib import Path
 
 import pytest
 from click.testing import CliRunner
 
+from bilberryring.objects import MAX_PART_BYTES, source
 from bilberryring.tool.main import main
 
 EXAMPLE = Path(__file__).parents[3] / "examples" / "luminarie"
@@ -120,3 +122,61 @@
         "callers that left after a silence: 1, cause helper_part",
         "callers that left after a silence: 1, cause unknown",
     ]
+
+
+def test_objects_with_warnings_only_exit_with_status_3_and_can_be_rendered(
+    run, edited_directory, tmp_path
+):
+    """Guards against warnings that a script takes for errors, or does not notice."""
+    path = edited_directory / "workspaces.json5"
+    keys = re.compile(r"key_digests: \[[^]]*\]")
+    path.write_text(keys.sub("key_digests: []", path.read_text("utf-8"), count=1))
+    checked = run("check", edited_directory)
+    assert checked.exit_code == 3
+    assert checked.output.startswith("warning: workspace_without_keys: workspaces/")
+    assert "1 findings (1 warnings)" in checked.output
+    (detail,) = json.loads(run("check", edited_directory, "--json").output)["details"]
+    assert (detail["code"], detail["severity"]) == ("workspace_without_keys", "warning")
+    assert run("render", edited_directory, "--out", tmp_path / "out").exit_code == 0
+
+
+@pytest.mark.parametrize(
+    "content",
+    [b"\xff\xfe", b"{\x00", b"[" * 100_000, b"{'\\ud800': []}", None],
+    ids=["no UTF-8", "NUL", "deep", "surrogate", "directory"],
+)
+def test_an_object_file_that_cannot_be_read_is_a_finding(
+    run, edited_directory, content
+):
+    """Guards against a traceback in place of an error with a remedy."""
+    path = edited_directory / "odd.json5"
+    if content is None:
+        path.mkdir()
+    else:
+        path.write_bytes(content)
+    checked = run("check", edited_directory)
+    assert (checked.exit_code, type(checked.exception)) == (1, SystemExit)
+    assert "odd.json5" in checked.output and ". Remedy: " in checked.output
+
+
+def test_object_files_are_read_up_to_a_limit(run, edited_directory, monkeypatch):
+    """Guards against files that fill the memory; later files are read if they fit."""
+    size = sum(path.stat().st_size for path in edited_directory.iterdir())
+    monkeypatch.setattr(source, "MAX_DIRECTORY_BYTES", size)
+    assert run("check", edited_directory).exit_code == 0
+    (edited_directory / "added.json5").write_text(" " * (size + 1))
+    checked = run("check", edited_directory)
+    assert checked.exit_code == 1
+    assert checked.output.startswith("file_unreadable: added.json5: all files have")
+    assert "1 findings" in checked.output
+
+
+def test_a_rendered_part_that_is_too_long_is_an_error(run, edited_directory, tmp_path):
+    """Guards against a set in force that fills the memory, and against a traceback."""
+    directory = tmp_path / "one"
+    assert run("render", EXAMPLE, "--out", directory).exit_code == 0
+    part = next((directory / "part").iterdir())
+    part.write_bytes(b" " * (MAX_PART_BYTES + 1))
+    shown = run("diff", edited_directory, "--onto", directory)
+    assert shown.exit_code == 2
+    assert "set_unreadable: " in shown.output and "Remedy: " in shown.output
--- a/bilberryring/validation/check.py
+++ b/bilberryring/validation/check.py
@@ -153,14 +153,16 @@
     known = {service.name for service in listing.services}
     used = set()
     for index, route in _readable(listing):
-        for name in dict.fromkeys(share.service for share in route.shares):
-            used.add(name)
-            if name not in known:
-                yield make_finding(
-                    FindingCode.SERVICE_UNKNOWN,
-                    _of_route(index, route, "shares"),
-                    f"there is no service {name!r}",
-                )
+        names = dict.fromkeys(share.service for share in route.shares)
+        used.update(names)
+        missing = [name for name in names if name not in known]
+        if missing:
+            more = f" (and {len(missing) - 1} others)" if missing[1:] else ""
+            yield make_finding(
+                FindingCode.SERVICE_MISSING,
+                _of_route(index, route, "shares"),
+                f"there is no service {missing[0]!r}{more}",
+            )
     seen: set[ServiceName] = set()
     for index, service in enumerate(listing.services):
         location = Location(
--- a/bilberryring/validation/findings.py
+++ b/bilberryring/validation/findings.py
@@ -74,8 +74,8 @@
         Severity.ERROR,
         "give at least one service of the route a weight above 0",
     )
-    SERVICE_UNKNOWN = (
-        "service_unknown",
+    SERVICE_MISSING = (
+        "service_missing",
         Severity.ERROR,
         "add the service, or name an existing one",
     )
