End an interrupted read of the store without a traceback

Cause: after SIGINT the read failed while the reactor stopped already, and the second stop printed a traceback.

Change: the second stop is ignored, and an empty address is one that cannot be reached. A hypothesis test covers object files with any values.

--- a/bilberryring/platform/tests/test_listing.py
+++ b/bilberryring/platform/tests/test_listing.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 import json
+import signal
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -400,6 +404,11 @@
     return "no address"
 
 
+def name_nothing(site):
+    # As a shell passes a variable that is not set.
+    return ""
+
+
 @pytest.mark.parametrize(
     "fault",
     [
@@ -409,6 +418,7 @@
         publish_odd,
         publish_odd_route,
         name_no_address,
+        name_nothing,
     ],
 )
 def test_without_the_version_in_force_the_findings_are_shown(
@@ -433,6 +443,28 @@
     assert len(as_json["findings"]) == 2
 
 
+def test_an_interrupted_read_of_the_store_ends_without_a_traceback(write):
+    """Guards against a stop of the reactor that stops already."""
+    path = write(make_configuration(6))
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        process = subprocess.Popen(
+            [sys.executable, "-m", "bilberryring.tool.main"]
+            + ["diff", str(path), "--store", address],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        listener.settimeout(30.0)
+        connection, _ = listener.accept()
+        with connection:
+            connection.recv(1)
+            process.send_signal(signal.SIGINT)
+            output, errors = process.communicate(timeout=30.0)
+    assert (process.returncode, errors) == (2, "")
+    assert "difference unknown: " in output
+
+
 def test_an_unreadable_file_in_force_leaves_the_difference_unknown(run, write):
     """Guards against a difference from nothing when the old file is broken."""
     path, old = write(make_configuration(6)), write("{", "old.json")
--- a/bilberryring/tool/in_force.py
+++ b/bilberryring/tool/in_force.py
@@ -1,10 +1,12 @@
 """The configuration in force, as a file or the platform's store has it."""
 
+import contextlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ReactorNotRunning
 from twisted.internet.selectreactor import SelectReactor
 from twisted.python.failure import Failure
 
@@ -85,8 +87,13 @@
     def start() -> None:
         reading = Deferred.fromCoroutine(read_published(reactor, address))
         reading.addTimeout(STORE_SECONDS, reactor)
-        reading.addBoth(results.append)
-        reading.addBoth(lambda _: reactor.stop())
+        reading.addBoth(finish)
+
+    def finish(result: PublishedState | Failure) -> None:
+        results.append(result)
+        # After a signal the read fails while the reactor stops already.
+        with contextlib.suppress(ReactorNotRunning):
+            reactor.stop()
 
     reactor.callWhenRunning(start)
     reactor.run()
--- a/bilberryring/tool/tests/test_main.py
+++ b/bilberryring/tool/tests/test_main.py
@@ -6,9 +6,12 @@
 
 import pytest
 from click.testing import CliRunner
+from hypothesis import given
+from hypothesis import strategies as st
 
-from bilberryring.objects import MAX_PART_BYTES, source
+from bilberryring.objects import MAX_PART_BYTES, Kind, difference, source
 from bilberryring.tool.main import main
+from bilberryring.validation import check_objects
 
 EXAMPLE = Path(__file__).parents[3] / "examples" / "luminarie"
 
@@ -180,3 +183,36 @@
     shown = run("diff", edited_directory, "--onto", directory)
     assert shown.exit_code == 2
     assert "set_unreadable: " in shown.output and "Remedy: " in shown.output
+
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**70), 2**70)
+    | st.floats()
+    | st.sampled_from(["a", "", "in", "127.0.0.1:9000", "0" * 64, "\ud800", "\x1b"])
+    | st.text(max_size=3),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=3,
+)
+
+
+@st.composite
+def object_files(draw):
+    """Draw lists of objects of any kind whose fields have any values."""
+    content = {}
+    for kind in draw(st.lists(st.sampled_from(Kind), max_size=4)):
+        fields = st.sampled_from([*kind.struct.__struct_fields__, "other"])
+        objects = st.dictionaries(fields, json_values, max_size=6)
+        content[kind.value] = draw(st.lists(objects, max_size=3) | json_values)
+    return json.dumps(content)
+
+
+@given(object_files())
+def test_no_object_file_makes_a_check_raise(text):
+    """Guards against a traceback in place of findings."""
+    result = source.read_texts({"a.json5": text})
+    for finding in check_objects(result.objects, findings=result.findings):
+        assert finding.text().isprintable()
+        assert finding.remedy
+    assert difference(result.objects, result.objects) == ()
--- a/bilberryring/tool/validation.py
+++ b/bilberryring/tool/validation.py
@@ -75,7 +75,7 @@
     The exit status is 0 without findings, 1 with errors and 3 with warnings only.
     """
     if path.is_dir():
-        if onto or store:
+        if onto or store is not None:
             raise click.UsageError("--onto and --store need a file for the platform")
         result = check_directory(path)
         findings = check_objects(result.objects, findings=result.findings)
@@ -104,7 +104,7 @@
     it is 1 if the file itself is unreadable. API keys are counted, not shown.
     """
     if path.is_dir():
-        if store:
+        if store is not None:
             raise click.UsageError("--store needs a file for the platform")
         _print_object_changes(path, onto, as_json)
     else:
@@ -160,9 +160,9 @@
 
 
 def _read_in_force(onto: Path | None, store: str | None) -> InForce:
-    if onto and store:
+    if onto and store is not None:
         raise click.UsageError("give --onto or --store, not both")
-    if store:
+    if store is not None:
         return in_force_of_store(store)
     return in_force_of_file(onto) if onto else InForce()
 
