Fix the seeds of the hypothesis tests of the check

Cause: they ran with the default deadline of 200 ms for each example, which a busy machine can exceed, and with other seeds in each run.

Change: 200 examples, derandomized and without a deadline, as in the other tests.

--- a/bilberryring/platform/tests/test_listing.py
+++ b/bilberryring/platform/tests/test_listing.py
@@ -10,7 +10,7 @@
 
 import pytest
 from click.testing import CliRunner
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 import bilberryring.tool
@@ -166,6 +166,7 @@
     return document
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(changed_documents())
 def test_no_document_makes_decoding_and_check_raise(document):
     """Guards against a traceback in place of an error with a remedy."""
@@ -186,6 +187,7 @@
         assert any(f.severity is Severity.ERROR for f in findings)
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(st.binary(max_size=200))
 def test_no_bytes_make_decoding_raise_another_error(content):
     """Guards against a traceback for a file that is no configuration."""
--- a/bilberryring/tool/tests/test_main.py
+++ b/bilberryring/tool/tests/test_main.py
@@ -6,7 +6,7 @@
 
 import pytest
 from click.testing import CliRunner
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from bilberryring.objects import MAX_PART_BYTES, Kind, difference, source
@@ -208,6 +208,7 @@
     return json.dumps(content)
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(object_files())
 def test_no_object_file_makes_a_check_raise(text):
     """Guards against a traceback in place of findings."""
--- a/bilberryring/validation/tests/test_check.py
+++ b/bilberryring/validation/tests/test_check.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 
 from bilberryring.fleet import CallerLimits, RequestKind, ServiceShare
 from bilberryring.objects import FindingCode as ObjectFindingCode
@@ -323,6 +323,7 @@
     assert time.process_time() - started_at < 30.0
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(valid_listings())
 def test_a_valid_configuration_has_no_errors(listing):
     """Guards against errors that would keep a sound configuration from being sent."""
@@ -330,6 +331,7 @@
     assert [f for f in findings if f.severity is Severity.ERROR] == []
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(any_listing, any_listing)
 def test_no_configuration_makes_a_check_raise(listing, in_force):
     """Guards against a traceback in place of findings, and against odd characters."""
--- a/bilberryring/validation/tests/test_difference.py
+++ b/bilberryring/validation/tests/test_difference.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 
 from bilberryring.fleet import CallerLimits, Route
 from bilberryring.objects import ChangeKind
@@ -106,12 +106,14 @@
     ]
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(any_listing)
 def test_a_configuration_does_not_differ_from_itself(listing):
     """Guards against differences that are not there."""
     assert compare_configurations(listing, listing) == ()
 
 
+@settings(max_examples=200, deadline=None, derandomize=True)
 @given(any_listing, any_listing)
 def test_different_configurations_differ(old, new):
     """Guards against a change that is not shown, whichever entries there are."""
