--- /dev/null
+++ b/bilberryring/capacity/endpoint_speeds.py
@@ -0,0 +1,383 @@
+"""What this gateway and its neighbours have learned of the speed of endpoints.
+
+The estimates of an endpoint's speed are combined and compared with those of the other
+endpoints of its service. Only the relation counts: if all are slow, as in an overload
+of the whole service, no endpoint is preferred to another one.
+"""
+
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from bilberryring.capacity.concurrency import ConcurrencyLimit
+from bilberryring.capacity.speed import (
+    FRESH_SECONDS,
+    NOISY_FALL,
+    NOISY_RISE,
+    Interval,
+    SpeedEstimate,
+    clamped_log,
+    freshness,
+)
+from bilberryring.capacity.usual_times import UsualTimes
+
+NOTABLE_LOG = math.log(1.35)
+"""Distance from the other endpoints up to which one counts as equal to them. The errors
+of predictions differ by endpoint for a while, and choices shall not follow them."""
+OWN_WEIGHT = 2.0
+"""Weight of a gateway's own samples beside those of one neighbour."""
+MAX_PEER_LOG = math.log(8.0)
+"""Largest distance that a neighbour's estimate counts."""
+PEER_EXPIRY_SECONDS = 2.5
+"""Seconds after which a neighbour's estimate is dropped. It reports all that it still
+takes samples of every two seconds."""
+MAX_PEERS = 32
+"""Neighbours whose estimates of one endpoint are kept; gateways have no more."""
+PROBE_SECONDS = 1.0
+"""Seconds without a sample after which a slow endpoint gets one request like the others,
+so that its recovery is noticed. It varies by half of it, so that gateways take turns."""
+TABLE_SECONDS = 0.1
+"""Seconds for which the relations of one service's endpoints are kept."""
+MAX_REPORTED = 32
+"""Most estimates of one report, the slowest first; each takes about 20 bytes."""
+RUN_TAGS = 1 << 14
+"""Number of tags that tell runs of an endpoint apart in reports, in two bytes."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Speed:
+    """How much slower an endpoint is than the others of its service.
+
+    `step` is for token steps and whole responses, `prefill` for prompts; both are 1 for
+    an endpoint that is like the others. `limit` is the number of requests in progress
+    up to which it keeps its speed, infinite if no limit is known.
+    """
+
+    step: float = 1.0
+    prefill: float = 1.0
+    limit: float = math.inf
+
+
+USUAL_SPEED = Speed()
+SpeedTable = dict[str, Speed]
+NO_SPEEDS: SpeedTable = {}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReportedSpeed:
+    """One gateway's own estimate of an endpoint's run, as it is reported to others."""
+
+    endpoint: str
+    run_tag: int
+    slowdown: float
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class _Record:
+    """What is known of one run of an endpoint."""
+
+    run: str
+    step: SpeedEstimate = field(default_factory=SpeedEstimate)
+    prefill: SpeedEstimate = field(default_factory=SpeedEstimate)
+    limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
+    peers: dict[str, tuple[float, float]] = field(default_factory=dict)
+    probe_at: float = 0.0
+    reported: float = 0.0
+
+    def log(self, now: float) -> float:
+        """Return the logarithm of the slowdown by all gateways' samples.
+
+        The weight of each gateway's estimate falls with its age, and all estimates
+        together return to 0 when the latest one is old.
+        """
+        if not self.peers:
+            return self.step.log(now=now)
+        age = now - self.step.sampled_at
+        latest = freshness(age)
+        weights = OWN_WEIGHT * latest
+        total = self.step.log(now=now) * OWN_WEIGHT
+        for log, at in self.peers.values():
+            if now - at <= PEER_EXPIRY_SECONDS:
+                weight = freshness(now - at)
+                latest = max(latest, weight)
+                weights += weight
+                total += weight * log
+        return total / weights * latest if weights else 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Table:
+    speeds: SpeedTable
+    valid_until: float
+
+
+class EndpointSpeeds:
+    """The learned speeds by endpoint; times are in seconds.
+
+    `run` identifies a run of an endpoint: with a new one its estimate begins anew.
+
+    >>> speeds = EndpointSpeeds(seed=1)
+    >>> slow = Interval(low=3.0, high=3.0)
+    >>> for number in range(5):
+    ...     speeds.observe_step("a", "a/1", slow, now=0.1 * number)
+    >>> endpoints = (("a", "a/1"), ("b", "b/1"), ("c", "c/1"))
+    >>> table = speeds.table("s", endpoints, now=0.5)
+    >>> round(table["a"].step, 1), "b" in table
+    (3.0, False)
+    >>> speeds.table("s", (("a", "a/2"), ("b", "b/1")), now=0.7)
+    {}
+    """
+
+    def __init__(self, *, seed: int | None = None):
+        self._records: dict[str, _Record] = {}
+        self._usual: dict[str, UsualTimes] = {}
+        self._tables: dict[object, _Table] = {}
+        self._notable: set[str] = set()
+        self._changed: set[str] = set()
+        self._random = random.Random(seed)
+
+    @property
+    def changed(self) -> bool:
+        """Whether an estimate has moved by a step since it was reported."""
+        return bool(self._changed)
+
+    def observe_step(
+        self,
+        endpoint: str,
+        run: str,
+        sample: Interval,
+        *,
+        now: float,
+        requests: int = 0,
+    ) -> None:
+        """Count a sample of an engine that was taken with `requests` in progress."""
+        record = self._record(endpoint, run)
+        record.step.observe(sample, now=now)
+        self._delay_probe(record, now)
+        if requests:
+            record.limit.observe(
+                requests=requests, low=sample.low, high=sample.high, now=now
+            )
+        self._update(endpoint, record, now)
+
+    def observe_prefill(
+        self, endpoint: str, run: str, sample: Interval, *, now: float
+    ) -> None:
+        """Count a sample of the time in which a long prompt was prefilled."""
+        record = self._record(endpoint, run)
+        record.prefill.observe(sample, now=now)
+        self._delay_probe(record, now)
+        self._update(endpoint, record, now)
+
+    def observe_wait(self, endpoint: str, run: str, low: float, *, now: float) -> None:
+        """Count that a first token is still awaited: the slowdown is not below `low`."""
+        record = self._records.get(endpoint)
+        if low <= 1.0 and record is None:
+            return
+        record = self._record(endpoint, run)
+        record.step.raise_to(low, now=now)
+        self._delay_probe(record, now)
+        self._update(endpoint, record, now)
+
+    def observe_response(
+        self,
+        service: str,
+        endpoint: str,
+        run: str,
+        seconds: float,
+        *,
+        requests: int,
+        slots: int,
+        now: float,
+    ) -> None:
+        """Count the response time of a plain service with `requests` in progress."""
+        usual = self._usual.setdefault(service, UsualTimes())
+        sample = usual.observe(seconds, requests=requests, slots=slots)
+        if sample is None:
+            return
+        record = self._record(endpoint, run)
+        record.step.observe(sample, now=now, rise=NOISY_RISE, fall=NOISY_FALL)
+        self._delay_probe(record, now)
+        ratio = math.exp(record.step.log(now=now))
+        record.limit.observe(requests=requests, low=ratio, high=ratio, now=now)
+        self._update(endpoint, record, now)
+
+    def record_peer(
+        self, host: str, reported: ReportedSpeed, run: str, *, now: float
+    ) -> None:
+        """Store a neighbour's estimate unless it is of another run."""
+        if reported.run_tag != run_tag(run):
+            return
+        record = self._record(reported.endpoint, run)
+        if host not in record.peers and len(record.peers) >= MAX_PEERS:
+            return
+        log = clamped_log(reported.slowdown)
+        log = min(MAX_PEER_LOG, max(-MAX_PEER_LOG, log))
+        record.peers[host] = (log, now)
+        self._delay_probe(record, now)
+        self._update(reported.endpoint, record, now)
+
+    def table(
+        self, key: object, endpoints: Sequence[tuple[str, str]], *, now: float
+    ) -> SpeedTable:
+        """Return the speeds of those endpoints that are not like the others.
+
+        `endpoints` are the names and runs of all endpoints of one service that this
+        gateway uses; `key` identifies them. The table holds for a moment.
+        """
+        if not self._notable:
+            return NO_SPEEDS
+        known = self._tables.get(key)
+        if known is None or now >= known.valid_until:
+            known = _Table(
+                speeds=self._compare(endpoints, now), valid_until=now + TABLE_SECONDS
+            )
+            self._tables[key] = known
+        return known.speeds
+
+    def is_current(self, key: object, *, now: float) -> bool:
+        """Whether `table` needs no endpoints: it has them, or nothing is notable."""
+        if not self._notable:
+            return True
+        known = self._tables.get(key)
+        return known is not None and now < known.valid_until
+
+    def record_start(self, endpoint: str, *, now: float) -> None:
+        """Record a request to an endpoint: a due probe is made with it."""
+        if endpoint not in self._notable:
+            return
+        record = self._records[endpoint]
+        if now >= record.probe_at:
+            self._delay_probe(record, now)
+            self._tables.clear()
+
+    def slowdown(self, endpoint: str, *, now: float) -> float:
+        """Return the estimate of one endpoint, not related to the others."""
+        record = self._records.get(endpoint)
+        return math.exp(record.log(now)) if record else 1.0
+
+    def limit(self, endpoint: str, *, now: float) -> float:
+        """Return the learned concurrency of one endpoint, infinite if unknown."""
+        record = self._records.get(endpoint)
+        return record.limit.value(now=now) if record else math.inf
+
+    def reports(self, *, now: float, is_complete: bool) -> tuple[ReportedSpeed, ...]:
+        """Return this gateway's own estimates that others should know.
+
+        These are all that differ from the prediction by a step and have fresh samples
+        if `is_complete`, and otherwise those that changed by a step since reported.
+        """
+        chosen = self._notable if is_complete else self._changed
+        found = []
+        for endpoint in chosen:
+            record = self._records.get(endpoint)
+            if record is None or now - record.step.sampled_at > PEER_EXPIRY_SECONDS:
+                continue
+            log = record.step.log(now=now)
+            if is_complete and abs(log) < NOTABLE_LOG and not record.reported:
+                continue
+            found.append((abs(log), endpoint, record, log))
+        found.sort(key=lambda item: (-item[0], item[1]))
+        self._changed.clear()
+        reports = []
+        for _, endpoint, record, log in found[:MAX_REPORTED]:
+            record.reported = log if abs(log) >= NOTABLE_LOG else 0.0
+            reports.append(
+                ReportedSpeed(
+                    endpoint=endpoint,
+                    run_tag=run_tag(record.run),
+                    slowdown=math.exp(log),
+                )
+            )
+        return tuple(reports)
+
+    def expire(self, *, now: float) -> None:
+        """Drop the estimates of neighbours that were not repeated."""
+        for endpoint in tuple(self._notable):
+            record = self._records[endpoint]
+            for host, (_, at) in tuple(record.peers.items()):
+                if now - at > PEER_EXPIRY_SECONDS:
+                    del record.peers[host]
+            self._update(endpoint, record, now)
+
+    def forget(self, endpoint: str) -> None:
+        """Forget an endpoint that is no longer announced."""
+        self._records.pop(endpoint, None)
+        self._notable.discard(endpoint)
+        self._changed.discard(endpoint)
+        self._tables.clear()
+
+    def _record(self, endpoint: str, run: str) -> _Record:
+        record = self._records.get(endpoint)
+        if record is None or record.run != run:
+            record = self._records[endpoint] = _Record(run=run)
+            self._notable.discard(endpoint)
+            self._tables.clear()
+        return record
+
+    def _update(self, endpoint: str, record: _Record, now: float) -> None:
+        """Note whether an endpoint is like its prediction after a change."""
+        log = record.log(now)
+        is_notable = (
+            abs(log) >= NOTABLE_LOG
+            or abs(record.prefill.log(now=now)) >= NOTABLE_LOG
+            or not math.isinf(record.limit.value(now=now))
+        )
+        if is_notable:
+            self._notable.add(endpoint)
+        else:
+            self._notable.discard(endpoint)
+        own = record.step.log(now=now)
+        own = own if abs(own) >= NOTABLE_LOG else 0.0
+        if abs(own - record.reported) >= NOTABLE_LOG or (not own and record.reported):
+            self._changed.add(endpoint)
+
+    def _delay_probe(self, record: _Record, now: float) -> None:
+        record.probe_at = now + PROBE_SECONDS * self._random.uniform(0.5, 1.5)
+
+    def _compare(self, endpoints: Sequence[tuple[str, str]], now: float) -> SpeedTable:
+        """Return the speeds of the endpoints that are not like the others."""
+        records, logs, prefill_logs = {}, [], []
+        for endpoint, run in endpoints:
+            record = self._records.get(endpoint)
+            if record is not None and record.run != run:
+                self.forget(endpoint)
+                record = None
+            log = record.log(now) if record is not None else 0.0
+            logs.append(log)
+            if record is not None:
+                records[endpoint] = record, log
+                if now - record.prefill.sampled_at <= 4.0 * FRESH_SECONDS:
+                    prefill_logs.append(record.prefill.log(now=now))
+        if not records:
+            return NO_SPEEDS
+        usual = _lower_median(logs)
+        usual_prefill = _lower_median(prefill_logs) if prefill_logs else usual
+        table = {}
+        for endpoint, (record, log) in records.items():
+            step = _relation(log - usual)
+            prefill = step
+            if now - record.prefill.sampled_at <= 4.0 * FRESH_SECONDS:
+                prefill = _relation(record.prefill.log(now=now) - usual_prefill)
+            if now >= record.probe_at:
+                step = min(1.0, step)
+                prefill = min(1.0, prefill)
+            limit = record.limit.value(now=now)
+            if step != 1.0 or prefill != 1.0 or not math.isinf(limit):
+                table[endpoint] = Speed(step=step, prefill=prefill, limit=limit)
+        return table
+
+
+def run_tag(run: str) -> int:
+    """Return a number below `RUN_TAGS` that tells the runs of an endpoint apart."""
+    started_at = run.rpartition("/")[2]
+    return int(started_at) % RUN_TAGS if started_at.isdecimal() else 0
+
+
+def _relation(log: float) -> float:
+    return 1.0 if abs(log) < NOTABLE_LOG else math.exp(log)
+
+
+def _lower_median(values: list[float]) -> float:
+    return sorted(values)[(len(values) - 1) // 2]
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -12,6 +12,8 @@
     FleetState,
     RequestKind,
 )
+from bilberryring.capacity import EndpointSpeeds
+from bilberryring.gateway.capacity_samples import CapacitySamples
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
@@ -121,6 +123,7 @@
         statements: StatementRecorder,
         log: RequestLog,
         on_work_changed,
+        samples: CapacitySamples | None = None,
     ):
         self._reactor = reactor
         self._codec = codec
@@ -135,6 +138,9 @@
         self._statements = statements
         self._log = log
         self._on_work_changed = on_work_changed
+        self._samples = samples or CapacitySamples(
+            clock=reactor, chooser=chooser, speeds=EndpointSpeeds(), is_on=False
+        )
         self._held = HeldAnswers()
         self._open = OpenResponses()
 
@@ -275,6 +281,7 @@
     ) -> EndpointResponse:
         choice = attempt.choice
         may_repeat = context.route.may_repeat
+        began_at = self._reactor.seconds()
         connection = await self._pool.acquire(
             choice.endpoint.address,
             max_idle=MAX_IDLE_SECONDS if may_repeat else MAX_IDLE_WITHOUT_RETRY_SECONDS,
@@ -306,6 +313,8 @@
         context.sends += 1
         attempt.number = context.sends
         attempt.sent_at = now
+        if not connection.is_reused:
+            self._samples.connected(choice.endpoint, since=began_at)
         attempt.progress_at = now
         attempt.silence_limit = self._first_response_limit(context, choice)
         attempt.silent_at = now + attempt.silence_limit
@@ -387,6 +396,7 @@
         self._claim(relay, head)
         self._record_first_response(context)
         self.send_to_caller(context, head, body)
+        self._samples.answered(context, attempt)
 
     def _is_retryable(self, relay: "_Relay", head: ResponseHead) -> bool:
         """Whether an error of the endpoint is not yet for the caller.
@@ -429,6 +439,7 @@
 
     def _report_silence(self, relay: "_Relay") -> None:
         attempt = relay.attempt
+        self._samples.waiting(relay.context, attempt)
         now = self._reactor.seconds()
         since = self._silent_since(relay)
         silent_at = since + attempt.silence_limit
@@ -646,6 +657,9 @@
             self._record_gap(context, attempt)
         if attempt.answer_began_at is None and is_progress:
             attempt.answer_began_at = self._reactor.seconds()
+            self._samples.first_event(context, attempt)
+        elif is_progress:
+            self._samples.event(context, attempt)
         if attempt.choice.placed.is_in_prefill:
             self._record_first_response(context)
             self._tracker.mark_prefilled(
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -6,6 +6,7 @@
 from twisted.web.resource import Resource
 
 from bilberryring.admission import EndpointStatements, PlannedStop, StatedStanding
+from bilberryring.capacity import TICK_SECONDS, EndpointSpeeds
 from bilberryring.core import (
     ErrorCode,
     Incarnation,
@@ -15,6 +16,7 @@
 from bilberryring.fleet import AnnouncedEndpoint, CallerLimits, FleetState, Workspace
 from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.caller_site import CallerExchange, CallerSite
+from bilberryring.gateway.capacity_samples import CapacitySamples
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.crash_record import CrashRecord
@@ -89,6 +91,7 @@
         self._tracker = WorkTracker()
         self._health = EndpointHealth()
         self._statements = EndpointStatements()
+        self._speeds = EndpointSpeeds()
         self._pool = ConnectionPool(reactor=reactor)
         self._copies = PublishedCopies(
             prefixes=adapter_class.prefixes,
@@ -169,6 +172,13 @@
             peers=self._peer_view,
             health=self._health,
             statements=self._statements,
+            speeds=self._speeds,
+        )
+        self._samples = CapacitySamples(
+            clock=self._reactor,
+            chooser=chooser,
+            speeds=self._speeds,
+            is_on=self._settings.learns_capacity,
         )
         self._queries = GatewayQueries(
             clock=self._reactor,
@@ -218,6 +228,7 @@
             statements=statements,
             log=log,
             on_work_changed=self._peers.report_change,
+            samples=self._samples,
         )
         return Forwarder(
             reactor=self._reactor,
@@ -272,6 +283,13 @@
             seconds=HOUSEKEEPING_SECONDS,
             log=self._log,
         )
+        if settings.learns_capacity:
+            start_loop(
+                reactor=self._reactor,
+                work=self._samples.tick,
+                seconds=TICK_SECONDS,
+                log=self._log,
+            )
         self._log.write(
             LogEvent.PROCESS_STARTED,
             caller_address=settings.caller_address,
@@ -377,6 +395,7 @@
         self._health.forget(endpoint.id)
         self._statements.forget_limit(endpoint.run)
         self._pool.close_address(endpoint.address)
+        self._samples.forget(endpoint)
 
     def _on_endpoint_started(self, endpoint: AnnouncedEndpoint) -> None:
         self._forwarder.end_earlier_runs(endpoint)
@@ -404,6 +423,7 @@
         self._statements.expire(now=self._reactor.seconds())
         self._log_part_decisions()
         self._pool.close_expired()
+        self._speeds.expire(now=self._reactor.seconds())
         self._log_dropped_lines()
         self._counters.set_totals(
             store_calls=self._adapter.store_calls,
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -15,6 +15,7 @@
     StatedStanding,
     UserPlace,
 )
+from bilberryring.capacity import USUAL_SPEED, EndpointSpeeds, SpeedTable
 from bilberryring.fleet import (
     MS_PER_SECOND,
     AnnouncedEndpoint,
@@ -42,6 +43,9 @@
 """Milliseconds added to the delay of an endpoint in another failure domain."""
 FAILURE_WEIGHT = 3.0
 """Number of requests in progress that cost as much as a failure share of 1."""
+OVER_LIMIT_WEIGHT = 1.0
+"""Number of further requests in progress as which one beyond the learned concurrency of
+an endpoint counts."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,7 +56,8 @@
     the wait for other prompts; both are 0 without a prompt. `helpers` are the other
     engines that prefill parts of the prompt. Of these, `holders` keep their part of the
     KV cache until the request ends. On the engines `stopped` the prefill lets
-    `leaving_callers` callers wait until they leave.
+    `leaving_callers` callers wait until they leave. The endpoint had `requests` others
+    in progress.
     """
 
     endpoint: AnnouncedEndpoint
@@ -63,6 +68,7 @@
     holders: tuple[AnnouncedEndpoint, ...] = ()
     stopped: tuple[EndpointId, ...] = ()
     leaving_callers: int = 0
+    requests: int = 0
 
     @property
     def holder_tokens(self) -> int:
@@ -82,6 +88,7 @@
         peers: PeerView,
         health: EndpointHealth,
         statements: EndpointStatements,
+        speeds: EndpointSpeeds | None = None,
         seed: int | None = None,
     ):
         self._settings = settings
@@ -90,6 +97,7 @@
         self._peers = peers
         self._health = health
         self._statements = statements
+        self._speeds = speeds or EndpointSpeeds(seed=seed)
         self._starts = StartRate()
         self._planners: dict[ServiceName, PromptPlanner] = {}
         self._random = random.Random(seed)
@@ -127,9 +135,12 @@
         if not usable:
             return None
         self._random.shuffle(usable)
+        speeds = self._speed_table(route, service, workspace, now)
         if service.engine is None or not metadata.prompt_tokens:
-            return self._choose_by_load(usable, now)
-        return self._choose_by_plan(route, service, metadata, usable, now, seconds_left)
+            return self._choose_by_load(usable, speeds, now)
+        return self._choose_by_plan(
+            route, service, metadata, usable, speeds, now, seconds_left
+        )
 
     def work(self, endpoint: EndpointId, *, now: float) -> EndpointWork:
         """Return the work that this gateway and live peers placed on an endpoint."""
@@ -196,6 +207,7 @@
         """Count a request as a start on each of its endpoints."""
         for endpoint in (choice.endpoint, *choice.helpers):
             self._statements.record_start(endpoint.run, now=now)
+            self._speeds.record_start(endpoint.id, now=now)
 
     def record_start(self, endpoint: EndpointId, *, now: float) -> None:
         """Count a request against the start rate of the endpoint."""
@@ -224,12 +236,27 @@
             )
         ]
 
+    def _speed_table(
+        self, route: Route, service: Service, workspace: Workspace | None, now: float
+    ) -> SpeedTable:
+        """Return the learned speeds of the endpoints that differ from the others."""
+        regions = _allowed_regions(route, workspace) or frozenset()
+        key = service.name, regions
+        if self._speeds.is_current(key, now=now):
+            return self._speeds.table(key, (), now=now)
+        endpoints = tuple(
+            (endpoint.id, endpoint.run)
+            for endpoint in self._slices.endpoints(service, regions=regions)
+        )
+        return self._speeds.table(key, endpoints, now=now)
+
     def _choose_by_load(
-        self, usable: Sequence[AnnouncedEndpoint], now: float
+        self, usable: Sequence[AnnouncedEndpoint], speeds: SpeedTable, now: float
     ) -> Choice:
         """Return the endpoint with the least load for its number of slots.
 
-        Another failure domain counts as half a request in progress.
+        Another failure domain counts as half a request in progress. On a slower
+        endpoint each request counts more, the one to place as well.
         """
 
         def cost(endpoint: AnnouncedEndpoint) -> float:
@@ -238,11 +265,22 @@
                 endpoint.id
             )
             is_remote = endpoint.failure_domain != self._settings.failure_domain
-            return (load + 0.5 * is_remote) / endpoint.slots
+            load += 0.5 * is_remote
+            speed = speeds.get(endpoint.id)
+            if speed is not None:
+                over = max(0.0, work.requests + 1 - speed.limit)
+                load += OVER_LIMIT_WEIGHT * over
+                load = (load + 1.0) * speed.step - 1.0
+            return load / endpoint.slots
 
         best = min(usable, key=cost)
-        placed = PlacedRequest(lead=best.id)
-        return Choice(endpoint=best, helpers=(), placed=placed, predicted_ms=0.0)
+        return Choice(
+            endpoint=best,
+            helpers=(),
+            placed=PlacedRequest(lead=best.id),
+            predicted_ms=0.0,
+            requests=self.work(best.id, now=now).requests,
+        )
 
     def _choose_by_plan(
         self,
@@ -250,6 +288,7 @@
         service: Service,
         metadata: CallerMetadata,
         usable: Sequence[AnnouncedEndpoint],
+        speeds: SpeedTable,
         now: float,
         seconds_left: float,
     ) -> Choice | None:
@@ -261,7 +300,7 @@
             gap_ms=None if gap is None else gap * MS_PER_SECOND,
             deadline_ms=seconds_left * MS_PER_SECOND,
         )
-        candidates = [self._candidate(endpoint, now) for endpoint in usable]
+        candidates = [self._candidate(endpoint, speeds, now) for endpoint in usable]
         by_id = {endpoint.id: endpoint for endpoint in usable}
         planner = self._planners.setdefault(service.name, PromptPlanner())
         plan = planner.plan(
@@ -294,15 +333,26 @@
             backlog_ms=plan.backlog_ms,
             stopped=tuple(by_id[name].id for name in plan.stopped),
             leaving_callers=plan.leaving_callers,
+            requests=next(
+                item.work.requests
+                for item in candidates
+                if item.endpoint == plan.lead
+            ),
         )
 
-    def _candidate(self, endpoint: AnnouncedEndpoint, now: float) -> Candidate:
+    def _candidate(
+        self, endpoint: AnnouncedEndpoint, speeds: SpeedTable, now: float
+    ) -> Candidate:
         is_remote = endpoint.failure_domain != self._settings.failure_domain
+        speed = speeds.get(endpoint.id, USUAL_SPEED) if speeds else USUAL_SPEED
         return Candidate(
             endpoint=endpoint.id,
             work=self.work(endpoint.id, now=now),
             delay_ms=REMOTE_PENALTY_MS if is_remote else 0.0,
             failure_share=self._health.failure_share(endpoint.id),
+            slowdown=speed.step,
+            prefill_slowdown=speed.prefill,
+            max_requests=speed.limit,
         )
 
 
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol as Interface
 
+from bilberryring.capacity import PaceWindow
 from bilberryring.core import Fingerprint, RequestId
 from bilberryring.execution import AnswerEnd, SilenceDecision
 from bilberryring.fleet import EndpointId, Route, Service, Workspace
@@ -136,7 +137,8 @@
     `busy_seconds` it may send no event, of which it may not begin the prompt for
     `slot_wait_seconds`. `is_silent` is true while it counts as silent, and `is_excused`
     if it does only because its caller leaves before its known work can be done;
-    `silence_decision` is what last followed from it.
+    `silence_decision` is what last followed from it. `pace` are the last gaps between
+    events of a stream.
     """
 
     choice: Choice
@@ -154,6 +156,7 @@
     is_silent: bool = False
     is_excused: bool = False
     silence_decision: SilenceDecision | None = None
+    pace: PaceWindow | None = None
 
     @property
     def endpoint(self) -> EndpointId:
--- a/bilberryring/gateway/settings.py
+++ b/bilberryring/gateway/settings.py
@@ -26,7 +26,8 @@
     """The addresses of one gateway and its limits.
 
     `seed_hosts` are hosts that may run a peer. `regions_by_domain` pairs failure
-    domains with their regions.
+    domains with their regions. With `learns_capacity` the choice between endpoints
+    follows their learned speed.
     """
 
     process: str
@@ -41,6 +42,7 @@
     seed_hosts: tuple[str, ...] = ()
     regions_by_domain: tuple[tuple[str, str], ...] = ()
     bounds: GatewayBounds = GatewayBounds()
+    learns_capacity: bool = True
 
     @property
     def metrics_address(self) -> str:
--- a/bilberryring/platform/settings.py
+++ b/bilberryring/platform/settings.py
@@ -53,6 +53,7 @@
     seeds: tuple[str, ...] = ()
     zones: dict[str, str] = {}
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    learn_capacity: bool = True
 
 
 def read_settings(path: Path) -> GatewaySettings:
@@ -94,6 +95,7 @@
         seed_hosts=tuple(seed.rsplit(":", 1)[0] for seed in content.seeds),
         regions_by_domain=tuple(content.zones.items()),
         bounds=_convert_bounds(content.bounds),
+        learns_capacity=content.learn_capacity,
     )
 
 
--- a/bilberryring/routing/endpoint_work.py
+++ b/bilberryring/routing/endpoint_work.py
@@ -96,6 +96,14 @@
         minimum = self.prefill_ms * MIN_REMAINING_SHARE
         return max(self.prefill_ms - self.prefill_elapsed_ms, minimum)
 
+    def remaining_ms_at(self, slowdown: float) -> float:
+        """Return the same for an engine that takes `slowdown` times as long."""
+        if slowdown == 1.0:
+            return self.remaining_ms
+        prefill_ms = self.prefill_ms * slowdown
+        minimum = prefill_ms * MIN_REMAINING_SHARE
+        return max(prefill_ms - self.prefill_elapsed_ms, minimum)
+
     def __add__(self, other: "EndpointWork") -> "EndpointWork":
         if not (other.requests or other.prefill_ms or other.kv_tokens):
             return self
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -50,6 +50,14 @@
 """Cost, in short requests, of the last free slot of an engine. Another gateway may have
 taken it, and the request then waits until a stream ends."""
 
+SLOW_COST = 0.25
+"""Cost, in short requests, of a lead that is slower by its whole usual time: the stream
+lasts as much longer and keeps its slot."""
+MAX_SLOW_COST = 1.5
+"""Largest such cost. It stays below that of a full engine, on which the prompt waits."""
+OVER_LIMIT_COST = 0.5
+"""Cost of each request beyond the number up to which an engine keeps its speed."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PromptPlan:
@@ -143,19 +151,17 @@
         key=lambda item: item.helper_cost,
     )
     helpers = rest[: parts - 1]
-    backlog = backlog_ms(lead, helpers)
-    predicted = backlog + part_ms + first_pass_ms(lead)
+    expected = expected_ms(lead, helpers)
     cost = sum(item.helper_cost for item in helpers)
     cost += _lead_cost(prompt, figures, lead, packed_share)
-    cost += lateness_cost(prompt, predicted)
+    cost += lateness_cost(prompt, expected)
     cost += arrival_cost(figures, candidates, parts=parts, part_ms=part_ms)
     return PromptPlan(
         lead=lead.candidate.endpoint,
         helpers=tuple(item.candidate.endpoint for item in helpers),
         part_ms=part_ms,
-        predicted_ms=predicted,
         cost=cost,
-        backlog_ms=backlog,
+        **predicted_times((lead, *helpers), part_ms=part_ms),
         **stopped_streams((lead, *helpers)),
     )
 
@@ -169,14 +175,25 @@
     }
 
 
-def backlog_ms(lead: ScoredCandidate, helpers: Sequence[ScoredCandidate]) -> float:
-    """Return the time until the last of the engines begins with its part."""
-    return max(item.wait_ms for item in (lead, *helpers))
+def expected_ms(lead: ScoredCandidate, helpers: Sequence[ScoredCandidate]) -> float:
+    """Return the time to the first token at the engines' learned speeds."""
+    prefilled = max(item.wait_ms + item.part_ms for item in (lead, *helpers))
+    return prefilled + (lead.pass_ms + lead.candidate.delay_ms)
+
 
+def predicted_times(
+    engines: Sequence[ScoredCandidate], *, part_ms: float
+) -> dict:
+    """Return the predicted times of a plan by the published figures.
 
-def first_pass_ms(lead: ScoredCandidate) -> float:
-    """Return the time from the end of the prefill to the first token at the caller."""
-    return lead.pass_ms + lead.candidate.delay_ms
+    The lead is the first of the engines. Limits on silences and refusals follow these
+    times, as well as the samples of the engines' speed.
+    """
+    lead = engines[0].candidate
+    backlog = max(item.candidate.work.remaining_ms for item in engines)
+    pass_ms = engines[0].pass_ms / lead.slowdown
+    predicted = backlog + part_ms + (pass_ms + lead.delay_ms)
+    return {"predicted_ms": predicted, "backlog_ms": backlog}
 
 
 def _lead_cost(
@@ -188,6 +205,11 @@
     work = item.candidate.work
     cost = item.stream_cost + item.wait_ms * BACKLOG_COST_PER_MS
     cost += prompt.value * item.candidate.failure_share
+    candidate = item.candidate
+    if candidate.slowdown != 1.0:
+        cost += min(MAX_SLOW_COST, SLOW_COST * (candidate.slowdown - 1.0))
+    if work.requests >= candidate.max_requests:
+        cost += OVER_LIMIT_COST * (1.0 + work.requests - candidate.max_requests)
     if work.requests >= figures.slots:
         cost += OVERLOAD_PENALTY * (1 + work.requests - figures.slots)
     elif work.requests + 1 == figures.slots:
--- a/bilberryring/routing/read_cost.py
+++ b/bilberryring/routing/read_cost.py
@@ -3,6 +3,7 @@
 All costs are in short requests: 1 is the loss of the answer to a short prompt.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -74,13 +75,18 @@
     """An engine that may get the prompt or a part of it.
 
     `delay_ms` is the extra network delay to the engine, and `failure_share` the
-    share of failures among its recent attempts.
+    share of failures among its recent attempts. It is slower than other engines by the
+    factor `slowdown` in token steps and by `prefill_slowdown` in prefill, and keeps its
+    speed up to `max_requests` requests.
     """
 
     endpoint: str
     work: EndpointWork
     delay_ms: float = 0.0
     failure_share: float = 0.0
+    slowdown: float = 1.0
+    prefill_slowdown: float = 1.0
+    max_requests: float = math.inf
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -88,7 +94,7 @@
     """A candidate with what does not depend on the length of a part.
 
     `pass_ms` is the duration of a pass without prefill, `remaining_ms` the time until
-    the engine has prefilled its present prompts.
+    the engine has prefilled its present prompts, both at the engine's learned speed.
     """
 
     candidate: Candidate
@@ -118,10 +124,9 @@
         items.append(
             PreparedCandidate(
                 candidate=candidate,
-                pass_ms=figures.pass_ms(
-                    streams=work.requests, context_tokens=work.kv_tokens
-                ),
-                remaining_ms=work.remaining_ms,
+                pass_ms=candidate.slowdown
+                * figures.pass_ms(streams=work.requests, context_tokens=work.kv_tokens),
+                remaining_ms=work.remaining_ms_at(candidate.prefill_slowdown),
             )
         )
         for group in work.decode_groups:
@@ -142,24 +147,30 @@
     `helper_stream_cost` comes on top when the engine is a helper: it prefills a part
     for another engine before its own prompts, so their first tokens can be late.
     `wait_ms` is the time until the engine has prefilled its present prompts, and
-    `leaving` are the callers that the part lets wait until they leave.
+    `leaving` are the callers that the part lets wait until they leave. The part itself
+    takes `part_ms` at the engine's learned speed.
     """
 
     candidate: Candidate
     pass_ms: float
     stream_cost: float
     wait_ms: float
+    part_ms: float = 0.0
     helper_stream_cost: float = 0.0
     leaving: LeavingCallers = NO_CALLERS
 
     @property
     def helper_cost(self) -> float:
         """Cost of a part on this engine when another one leads."""
-        return (
+        cost = (
             self.stream_cost
             + self.helper_stream_cost
             + self.wait_ms * BACKLOG_COST_PER_MS
         )
+        slowdown = self.candidate.prefill_slowdown
+        if slowdown != 1.0:
+            cost += self.part_ms * (1.0 - 1.0 / slowdown) * BACKLOG_COST_PER_MS
+        return cost
 
 
 def score_candidate(prepared: PreparedCandidate, part_ms: float) -> ScoredCandidate:
@@ -172,6 +183,7 @@
     """
     candidate = prepared.candidate
     work = candidate.work
+    part_ms *= candidate.prefill_slowdown
     bare_pass = prepared.pass_ms + GAP_MARGIN_MS
     present_pass = bare_pass + prepared.remaining_ms
     late = overdue = 0.0
@@ -194,6 +206,7 @@
         ),
         helper_stream_cost=LATE_COST * overdue,
         wait_ms=prepared.remaining_ms,
+        part_ms=part_ms,
         leaving=leaving,
     )
 
--- a/bilberryring/routing/span_plan.py
+++ b/bilberryring/routing/span_plan.py
@@ -13,9 +13,9 @@
 from bilberryring.routing.engine_figures import EngineFigures
 from bilberryring.routing.prompt_plan import (
     PromptPlan,
-    backlog_ms,
-    first_pass_ms,
+    expected_ms,
     part_counts,
+    predicted_times,
     stopped_streams,
 )
 from bilberryring.routing.read_cost import (
@@ -72,18 +72,16 @@
     lead, holders, tokens = split
     helpers = [item for item in readers if item is not lead and item not in holders]
     others = [*holders, *helpers]
-    backlog = backlog_ms(lead, others)
-    predicted = backlog + part_ms + first_pass_ms(lead)
+    expected = expected_ms(lead, others)
     cost = sum(item.helper_cost for item in readers)
-    cost += lateness_cost(prompt, predicted)
+    cost += lateness_cost(prompt, expected)
     cost += arrival_cost(figures, candidates, parts=parts, part_ms=part_ms)
     return PromptPlan(
         lead=lead.candidate.endpoint,
         helpers=tuple(item.candidate.endpoint for item in others),
         part_ms=part_ms,
-        predicted_ms=predicted,
         cost=cost,
-        backlog_ms=backlog,
+        **predicted_times((lead, *others), part_ms=part_ms),
         holders=tuple(item.candidate.endpoint for item in holders),
         holder_tokens=tokens,
         **stopped_streams(readers),
