--- a/bilberryring/capacity/endpoint_speeds.py
+++ b/bilberryring/capacity/endpoint_speeds.py
@@ -5,9 +5,10 @@
 of the whole service, no endpoint is preferred to another one.
 """
 
+import functools
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from bilberryring.capacity.concurrency import ConcurrencyLimit
@@ -40,7 +41,10 @@
 TABLE_SECONDS = 0.1
 """Seconds for which the relations of one service's endpoints are kept."""
 MAX_REPORTED = 32
-"""Most estimates of one report, the slowest first; each takes about 20 bytes."""
+"""Most estimates of one report, the slowest first. Each takes 7 bytes, and some 30 where
+the report tells no work of the endpoint."""
+MAX_RECORDS = 8_192
+"""Endpoints of which neighbours' estimates are kept; twice those of a large fleet."""
 RUN_TAGS = 1 << 14
 """Number of tags that tell runs of an endpoint apart in reports, in two bytes."""
 
@@ -77,7 +81,8 @@
 class _Record:
     """What is known of one run of an endpoint."""
 
-    run: str
+    tag: int
+    has_samples: bool = False
     step: SpeedEstimate = field(default_factory=SpeedEstimate)
     prefill: SpeedEstimate = field(default_factory=SpeedEstimate)
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
@@ -116,6 +121,7 @@
     """The learned speeds by endpoint; times are in seconds.
 
     `run` identifies a run of an endpoint: with a new one its estimate begins anew.
+    Unless `is_on`, nothing is learned from others' reports.
 
     >>> speeds = EndpointSpeeds(seed=1)
     >>> slow = Interval(low=3.0, high=3.0)
@@ -129,7 +135,8 @@
     {}
     """
 
-    def __init__(self, *, seed: int | None = None):
+    def __init__(self, *, is_on: bool = True, seed: int | None = None):
+        self._is_on = is_on
         self._records: dict[str, _Record] = {}
         self._usual: dict[str, UsualTimes] = {}
         self._tables: dict[object, _Table] = {}
@@ -204,12 +211,23 @@
         self._update(endpoint, record, now)
 
     def record_peer(
-        self, host: str, reported: ReportedSpeed, run: str, *, now: float
+        self, host: str, reported: ReportedSpeed, *, now: float
     ) -> None:
-        """Store a neighbour's estimate unless it is of another run."""
-        if reported.run_tag != run_tag(run):
+        """Store a neighbour's estimate unless it is of another run.
+
+        The run of an endpoint without a record is not known here; `table` drops the
+        estimate if it is of another one.
+        """
+        if not self._is_on:
+            return
+        record = self._records.get(reported.endpoint)
+        if record is None:
+            if len(self._records) >= MAX_RECORDS:
+                return
+            record = _Record(tag=reported.run_tag)
+            self._records[reported.endpoint] = record
+        if record.tag != reported.run_tag:
             return
-        record = self._record(reported.endpoint, run)
         if host not in record.peers and len(record.peers) >= MAX_PEERS:
             return
         log = clamped_log(reported.slowdown)
@@ -262,35 +280,36 @@
         record = self._records.get(endpoint)
         return record.limit.value(now=now) if record else math.inf
 
-    def reports(self, *, now: float, is_complete: bool) -> tuple[ReportedSpeed, ...]:
+    def reports(
+        self, endpoints: Collection[str], *, now: float, is_complete: bool
+    ) -> dict[str, ReportedSpeed]:
         """Return this gateway's own estimates that others should know.
 
-        These are all that differ from the prediction by a step and have fresh samples
-        if `is_complete`, and otherwise those that changed by a step since reported.
+        If `is_complete`, these are all that differ from the prediction by a step, by
+        this gateway's samples or by those of others. Otherwise they are those that
+        changed by a step since reported, and those of `endpoints`, of which the report
+        tells the work. Estimates without fresh samples are left out.
         """
-        chosen = self._notable if is_complete else self._changed
+        if not (self._notable or self._changed):
+            return {}
+        chosen = self._notable
+        if not is_complete:
+            chosen = self._changed | self._notable.intersection(endpoints)
         found = []
         for endpoint in chosen:
             record = self._records.get(endpoint)
             if record is None or now - record.step.sampled_at > PEER_EXPIRY_SECONDS:
                 continue
             log = record.step.log(now=now)
-            if is_complete and abs(log) < NOTABLE_LOG and not record.reported:
-                continue
-            found.append((abs(log), endpoint, record, log))
-        found.sort(key=lambda item: (-item[0], item[1]))
+            found.append((-abs(log), endpoint, record, log))
         self._changed.clear()
-        reports = []
-        for _, endpoint, record, log in found[:MAX_REPORTED]:
+        reports = {}
+        for _, endpoint, record, log in sorted(found)[:MAX_REPORTED]:
             record.reported = log if abs(log) >= NOTABLE_LOG else 0.0
-            reports.append(
-                ReportedSpeed(
-                    endpoint=endpoint,
-                    run_tag=run_tag(record.run),
-                    slowdown=math.exp(log),
-                )
+            reports[endpoint] = ReportedSpeed(
+                endpoint=endpoint, run_tag=record.tag, slowdown=math.exp(log)
             )
-        return tuple(reports)
+        return reports
 
     def expire(self, *, now: float) -> None:
         """Drop the estimates of neighbours that were not repeated."""
@@ -300,6 +319,8 @@
                 if now - at > PEER_EXPIRY_SECONDS:
                     del record.peers[host]
             self._update(endpoint, record, now)
+            if not (record.has_samples or record.peers):
+                self.forget(endpoint)
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that is no longer announced."""
@@ -310,10 +331,12 @@
 
     def _record(self, endpoint: str, run: str) -> _Record:
         record = self._records.get(endpoint)
-        if record is None or record.run != run:
-            record = self._records[endpoint] = _Record(run=run)
+        tag = run_tag(run)
+        if record is None or record.tag != tag:
+            record = self._records[endpoint] = _Record(tag=tag)
             self._notable.discard(endpoint)
             self._tables.clear()
+        record.has_samples = True
         return record
 
     def _update(self, endpoint: str, record: _Record, now: float) -> None:
@@ -341,7 +364,7 @@
         records, logs, prefill_logs = {}, [], []
         for endpoint, run in endpoints:
             record = self._records.get(endpoint)
-            if record is not None and record.run != run:
+            if record is not None and record.tag != run_tag(run):
                 self.forget(endpoint)
                 record = None
             log = record.log(now) if record is not None else 0.0
@@ -369,6 +392,7 @@
         return table
 
 
+@functools.lru_cache(maxsize=MAX_RECORDS)
 def run_tag(run: str) -> int:
     """Return a number below `RUN_TAGS` that tells the runs of an endpoint apart."""
     started_at = run.rpartition("/")[2]
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -91,7 +91,7 @@
         self._tracker = WorkTracker()
         self._health = EndpointHealth()
         self._statements = EndpointStatements()
-        self._speeds = EndpointSpeeds()
+        self._speeds = EndpointSpeeds(is_on=settings.learns_capacity)
         self._pool = ConnectionPool(reactor=reactor)
         self._copies = PublishedCopies(
             prefixes=adapter_class.prefixes,
@@ -131,6 +131,7 @@
             copies=self._copies,
             crashes=crashes,
             duty=self._duty,
+            speeds=self._speeds,
             log=log,
         )
         self._adapter = adapter_class(
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -9,6 +9,7 @@
 import random
 from dataclasses import dataclass, field
 
+from bilberryring.capacity import ReportedSpeed
 from bilberryring.core import Fingerprint, PromptPartId
 from bilberryring.fleet import MS_PER_SECOND, FailureDomain, ReplicaPosition
 from bilberryring.gateway.store_readers import StoreAccess
@@ -59,7 +60,7 @@
     it changed since the last report. `positions` are those of its published items by
     prefix; without `knows_eras` it tells none. `members` are some of the gateways that
     it knows. `parts` is what it knows of parts of prompts under which endpoints
-    crashed.
+    crashed. `speeds` are its own estimates of endpoints that differ from others.
     """
 
     incarnation: str
@@ -74,6 +75,7 @@
     members: tuple[Member, ...] = ()
     deaths: tuple[EndpointDeath, ...] = ()
     parts: tuple[PartStanding, ...] = ()
+    speeds: tuple[ReportedSpeed, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -17,6 +17,7 @@
 from twisted.internet.protocol import ClientCreator, DatagramProtocol, Factory
 from twisted.internet.task import LoopingCall
 
+from bilberryring.capacity import EndpointSpeeds
 from bilberryring.core import Incarnation
 from bilberryring.fleet import ReplicaPosition
 from bilberryring.gateway.copy_codec import (
@@ -110,6 +111,7 @@
         crashes: CrashRecord,
         duty: ReadingDuty,
         log: EventLog,
+        speeds: EndpointSpeeds | None = None,
         generator: random.Random | None = None,
     ):
         self._random = generator or random.Random()
@@ -123,6 +125,7 @@
         self._crashes = crashes
         self._duty = duty
         self._log = log
+        self._speeds = speeds or EndpointSpeeds()
         self._sequence = 0
         self._reported_at = -math.inf
         self._completed_at = -math.inf
@@ -220,6 +223,8 @@
         if self._view.update(report, now=now):
             self._log.write(LogEvent.PEER_HEARD, peer=report.host)
             self._send_report(self._complete_report(now), (report.host,))
+        for speed in report.speeds:
+            self._speeds.record_peer(report.host, speed, now=now)
         self._handle_news(CrashNews(deaths=report.deaths, parts=report.parts))
         if self._is_ahead(report):
             self._copy_from_peers()
@@ -298,12 +303,18 @@
     ) -> GatewayReport:
         now = self._reactor.seconds()
         self._sequence += 1
+        speeds = self._speeds.reports(endpoints, now=now, is_complete=is_complete)
+        endpoints = (*endpoints, *(name for name in speeds if name not in endpoints))
         return GatewayReport(
             incarnation=self._incarnation[:INCARNATION_CHARS],
             sequence=self._sequence,
             is_complete=is_complete,
             work=[
-                encode_work(endpoint, self._tracker.work(endpoint, now=now))
+                encode_work(
+                    endpoint,
+                    self._tracker.work(endpoint, now=now),
+                    speeds.get(endpoint),
+                )
                 for endpoint in endpoints
             ],
             revisions=encode_positions(self._copies.positions),
--- a/bilberryring/gateway/report_codec.py
+++ b/bilberryring/gateway/report_codec.py
@@ -9,6 +9,7 @@
 import itertools
 from collections.abc import Iterable
 
+from bilberryring.capacity import ReportedSpeed
 from bilberryring.core import Fingerprint, PromptPartId
 from bilberryring.fleet import MS_PER_SECOND
 from bilberryring.gateway.copy_codec import decode_position
@@ -33,6 +34,8 @@
 from bilberryring.wire import Member as MemberMessage
 
 HUNDREDTHS = 100.0
+MAX_SLOWDOWN_HUNDREDTHS = 10_000
+"""Largest slowdown in a report; a larger one counts as this one."""
 MAX_MILLISECONDS = 3_600_000
 """The longest time in a report; a request without an objective has no due time."""
 MAX_REQUESTS = 1_000_000
@@ -61,10 +64,14 @@
         )
 
 
-def encode_work(endpoint: str, work: EndpointWork) -> WorkReport:
-    """Return the message with the work on one endpoint."""
+def encode_work(
+    endpoint: str, work: EndpointWork, speed: ReportedSpeed | None = None
+) -> WorkReport:
+    """Return the message with the work on one endpoint and its speed, if known."""
     return WorkReport(
         endpoint=endpoint,
+        slowdown_hundredths=None if speed is None else _encode_slowdown(speed),
+        run_tag=None if speed is None else speed.run_tag,
         requests=_clamp(work.requests, MAX_REQUESTS),
         prefill_ms=_clamp(work.prefill_ms, MAX_MILLISECONDS),
         prefill_elapsed_ms=_clamp(work.prefill_elapsed_ms, MAX_MILLISECONDS),
@@ -165,6 +172,16 @@
             members=_decode_members(message.members or ()),
             deaths=tuple(_decode_death(item) for item in message.deaths or ()),
             parts=tuple(_decode_part(item) for item in message.parts or ()),
+            speeds=tuple(
+                ReportedSpeed(
+                    endpoint=_required(item.endpoint),
+                    run_tag=_count(item.run_tag or 0),
+                    slowdown=min(item.slowdown_hundredths, MAX_SLOWDOWN_HUNDREDTHS)
+                    / HUNDREDTHS,
+                )
+                for item in message.work or ()
+                if item.slowdown_hundredths is not None
+            ),
         )
     except ValueError as error:
         raise ReportError(str(error))
@@ -247,6 +264,10 @@
     )
 
 
+def _encode_slowdown(speed: ReportedSpeed) -> int:
+    return max(1, _clamp(speed.slowdown * HUNDREDTHS, MAX_SLOWDOWN_HUNDREDTHS))
+
+
 def _clamp(figure: float, most: int) -> int:
     """Return the whole number from 0 to `most` that is nearest to a figure."""
     return round(min(max(figure, 0), most))
--- a/bilberryring/standins/pass_engine.py
+++ b/bilberryring/standins/pass_engine.py
@@ -42,10 +42,14 @@
 
 @dataclass(slots=True, kw_only=True)
 class PassEngine:
-    """A simulated engine; its passes are scheduled on `clock`."""
+    """A simulated engine; its passes are scheduled on `clock`.
+
+    A pass that begins takes `slowdown` times as long as the figures say.
+    """
 
     clock: object
     figures: EngineFigures
+    slowdown: float = 1.0
     _parts: list[ReadPart] = field(default_factory=list)
     _streams: list[SimulatedStream] = field(default_factory=list)
     _is_busy: bool = False
@@ -81,7 +85,10 @@
                 streams=len(active_streams), context_tokens=context
             )
         self.clock.callLater(
-            milliseconds / 1_000.0, self._end_pass, active_streams, finished_parts
+            milliseconds * self.slowdown / 1_000.0,
+            self._end_pass,
+            active_streams,
+            finished_parts,
         )
 
     def _end_pass(
--- a/bilberryring/testing/burst_fleet.py
+++ b/bilberryring/testing/burst_fleet.py
@@ -119,6 +119,10 @@
         self._waiting.append(job)
         self._begin_next()
 
+    def slow_down(self, slowdown: float) -> None:
+        """Let the passes that begin from now on take as many times as long."""
+        self._passes.slowdown = slowdown
+
     def stop(self) -> None:
         """Write nothing any more; connections stay open."""
         self._is_dead = True
@@ -231,8 +235,8 @@
 class BurstFleet(SilentFleet):
     """Gateways before sound engines, which report their callers' requests."""
 
-    def __init__(self, *, network: PeerNetwork, seed: int, retry_slack: float):
-        super().__init__(network=network, seed=seed, retry_slack=retry_slack)
+    def __init__(self, *, network: PeerNetwork, seed: int, **options):
+        super().__init__(network=network, seed=seed, **options)
         self._lengths = random.Random(seed)
         self._engines: dict[str, _SlotEngine] = {}
         self._shapes: dict[str, StreamShape] = {}
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -14,6 +14,7 @@
 from twisted.internet.error import TCPTimedOutError
 from twisted.python.failure import Failure
 
+from bilberryring.capacity import EndpointSpeeds
 from bilberryring.core import Fingerprint, Incarnation
 from bilberryring.fleet import (
     AnnouncedEndpoint,
@@ -60,6 +61,7 @@
     duty: ReadingDuty
     exchange: PeerExchange
     crashes: CrashRecord
+    speeds: EndpointSpeeds
     copies: PublishedCopies
     generator: random.Random
     bytes_sent: int = 0
@@ -399,6 +401,7 @@
         )
         duty.record(StoreAccess.WORKING)
         crashes = CrashRecord(clock=self._clock, seed=generator.randrange(2**32))
+        speeds = EndpointSpeeds(seed=self._n_starts)
         copies = PublishedCopies(
             prefixes=self._prefixes, clock=self._clock, rules=self._rules
         )
@@ -412,6 +415,7 @@
             copies=copies,
             crashes=crashes,
             duty=duty,
+            speeds=speeds,
             log=EventLog(process=host, role="gateway", stream=StringIO()),
             generator=generator,
         )
@@ -424,6 +428,7 @@
             duty=duty,
             exchange=exchange,
             crashes=crashes,
+            speeds=speeds,
             copies=copies,
             generator=generator,
         )
--- a/bilberryring/testing/silent_fleet.py
+++ b/bilberryring/testing/silent_fleet.py
@@ -24,6 +24,7 @@
 )
 from bilberryring.fleet.configuration import CallerLimits
 from bilberryring.gateway.attempts import AttemptRunner
+from bilberryring.gateway.capacity_samples import CapacitySamples
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.endpoint_choice import EndpointChooser
@@ -79,17 +80,32 @@
     tokens_per_event: int = 1
 
 
+@dataclass(slots=True, kw_only=True)
+class StreamTimes:
+    """When a request was sent, its time to the first event, and its longest gap.
+
+    All are in seconds, and infinite for what did not come.
+    """
+
+    sent_at: float
+    request_id: str
+    first: float = math.inf
+    longest_gap: float = 0.0
+    is_whole: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class StreamOutcomes:
     """What callers got, and what reached the endpoints.
 
     `sends` are the addresses that each request reached. `first_seconds` are the times
-    until the first event.
+    until the first event, and `streams` those of all requests that have ended.
     """
 
     delivered: list[Delivery] = field(default_factory=list)
     is_right: list[bool] = field(default_factory=list)
     first_seconds: list[float] = field(default_factory=list)
+    streams: list["StreamTimes"] = field(default_factory=list)
     sends: dict[str, list[str]] = field(default_factory=dict)
 
     @property
@@ -184,7 +200,8 @@
         self._fleet = fleet
         self._shape = shape
         self._request_id = request_id
-        self._sent_at = fleet.clock.seconds()
+        self._sent_at = self._last_at = fleet.clock.seconds()
+        self._times = StreamTimes(sent_at=self._sent_at, request_id=request_id)
         self._body = b""
         self._is_aborted = False
         self._is_finished = False
@@ -227,9 +244,14 @@
         self._status = status
 
     def write(self, data: bytes) -> None:
+        now = self._fleet.clock.seconds()
         if not self._body:
-            waited = self._fleet.clock.seconds() - self._sent_at
-            self._fleet.outcomes.first_seconds.append(waited)
+            self._times.first = now - self._sent_at
+            self._fleet.outcomes.first_seconds.append(self._times.first)
+        else:
+            gap = now - self._last_at
+            self._times.longest_gap = max(self._times.longest_gap, gap)
+        self._last_at = now
         self._body += data
 
     def end(self) -> None:
@@ -250,6 +272,8 @@
             b"id: %d\ndata: piece %d\n\n" % (number, number)
             for number in range(1, self._shape.events + 1)
         )
+        self._times.is_whole = self._is_finished
+        self._fleet.outcomes.streams.append(self._times)
         self._fleet.outcomes.delivered.append(self.delivery)
         self._fleet.outcomes.is_right.append(
             self._status == 200 and self._body == expected
@@ -260,10 +284,19 @@
     """Gateways before one service whose endpoints may fall silent.
 
     `retry_slack` is the fixed number of retries that all gateways together may make.
+    With `learns_capacity` they follow the learned speed of the endpoints.
     """
 
-    def __init__(self, *, network: PeerNetwork, seed: int, retry_slack: float):
+    def __init__(
+        self,
+        *,
+        network: PeerNetwork,
+        seed: int,
+        retry_slack: float,
+        learns_capacity: bool = True,
+    ):
         self._network = network
+        self._learns_capacity = learns_capacity
         self._random = random.Random(seed)
         self._bounds = replace(GatewayBounds(), retry_slack=retry_slack)
         self._fleet = _with_route(network)
@@ -381,8 +414,15 @@
             peers=gateway.view,
             health=health,
             statements=statements,
+            speeds=gateway.speeds,
             seed=self._random.randrange(2**32),
         )
+        samples = CapacitySamples(
+            clock=clock,
+            chooser=chooser,
+            speeds=gateway.speeds,
+            is_on=self._learns_capacity,
+        )
         log = RequestLog(
             clock=clock,
             log=event_log,
@@ -413,6 +453,7 @@
             on_work_changed=lambda *, is_urgent=False: self.report_work(
                 gateway, is_urgent=is_urgent
             ),
+            samples=samples,
         )
         return Forwarder(
             reactor=clock,
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -2567,6 +2567,8 @@
      - kv_tokens
      - decode_groups
      - prefill_streams
+     - slowdown_hundredths
+     - run_tag
 
     """
 
@@ -2578,10 +2580,12 @@
         'kv_tokens',
         'decode_groups',
         'prefill_streams',
+        'slowdown_hundredths',
+        'run_tag',
     )
 
 
-    def __init__(self, endpoint=None, requests=None, prefill_ms=None, prefill_elapsed_ms=None, kv_tokens=None, decode_groups=None, prefill_streams=None,):
+    def __init__(self, endpoint=None, requests=None, prefill_ms=None, prefill_elapsed_ms=None, kv_tokens=None, decode_groups=None, prefill_streams=None, slowdown_hundredths=None, run_tag=None,):
         self.endpoint = endpoint
         self.requests = requests
         self.prefill_ms = prefill_ms
@@ -2589,6 +2593,8 @@
         self.kv_tokens = kv_tokens
         self.decode_groups = decode_groups
         self.prefill_streams = prefill_streams
+        self.slowdown_hundredths = slowdown_hundredths
+        self.run_tag = run_tag
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2646,6 +2652,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.slowdown_hundredths = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.run_tag = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2690,6 +2706,14 @@
                 iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.slowdown_hundredths is not None:
+            oprot.writeFieldBegin('slowdown_hundredths', TType.I32, 8)
+            oprot.writeI32(self.slowdown_hundredths)
+            oprot.writeFieldEnd()
+        if self.run_tag is not None:
+            oprot.writeFieldBegin('run_tag', TType.I32, 9)
+            oprot.writeI32(self.run_tag)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4190,6 +4214,8 @@
     (5, TType.I64, 'kv_tokens', None, None, ),  # 5
     (6, TType.LIST, 'decode_groups', (TType.STRUCT, [DecodeGroupReport, None], False), None, ),  # 6
     (7, TType.LIST, 'prefill_streams', (TType.STRUCT, [PrefillStreamReport, None], False), None, ),  # 7
+    (8, TType.I32, 'slowdown_hundredths', None, None, ),  # 8
+    (9, TType.I32, 'run_tag', None, None, ),  # 9
 )
 all_structs.append(CopyRevision)
 CopyRevision.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -181,6 +181,10 @@
   5: i64 kv_tokens,
   6: list<DecodeGroupReport> decode_groups,
   7: list<PrefillStreamReport> prefill_streams,
+  // The sender's own estimate of the endpoint's speed, in hundredths of the predicted
+  // times, and a tag of the run. Gateways of earlier versions send and read neither.
+  8: optional i32 slowdown_hundredths,
+  9: optional i32 run_tag,
 }
 
 struct CopyRevision {
