Log, export and show learned speeds; tests of the estimates

Change: event 316, the gauge endpoint_slowdown (slowest and median of a service that has a slow endpoint), slowdown and learned limit in status and explain; unit tests of bilberryring/capacity. The cost of a slow lead is 0.1 instead of 0.25 a unit of slowdown.

--- a/bilberryring/capacity/__init__.py
+++ b/bilberryring/capacity/__init__.py
@@ -6,16 +6,16 @@
 """
 
 from bilberryring.capacity.concurrency import ConcurrencyLimit
-from bilberryring.capacity.endpoint_speeds import (
+from bilberryring.capacity.endpoint_speeds import NOTABLE_LOG, EndpointSpeeds
+from bilberryring.capacity.pace import PaceWindow
+from bilberryring.capacity.records import (
     NO_SPEEDS,
-    NOTABLE_LOG,
     USUAL_SPEED,
-    EndpointSpeeds,
     ReportedSpeed,
     Speed,
+    SpeedChange,
     SpeedTable,
 )
-from bilberryring.capacity.pace import PaceWindow
 from bilberryring.capacity.speed import Interval, SpeedEstimate
 from bilberryring.capacity.stalls import TICK_SECONDS, LinkDelays, StallRecord
 from bilberryring.capacity.usual_times import UsualTimes
@@ -30,6 +30,7 @@
     "PaceWindow",
     "ReportedSpeed",
     "Speed",
+    "SpeedChange",
     "SpeedEstimate",
     "SpeedTable",
     "StallRecord",
--- a/bilberryring/capacity/concurrency.py
+++ b/bilberryring/capacity/concurrency.py
@@ -13,6 +13,8 @@
 CROSSINGS = 2
 RAISE_SECONDS = 5.0
 """Seconds without a sign of the limit after which it is raised by one request."""
+FORGET_SECONDS = 60.0
+"""Seconds without a sign of the limit after which it is forgotten."""
 SLOW_RATIO = 1.6
 """Slowdown from which a sample counts as slow; below `FINE_RATIO` it counts as fast."""
 FINE_RATIO = 1.3
@@ -32,7 +34,7 @@
 
     def __init__(self):
         self._limit: float = math.inf
-        self._set_at = 0.0
+        self._set_at = -math.inf
         self._fine: int | None = None
         self._slow: int | None = None
         self._crossings = 0
@@ -40,7 +42,7 @@
 
     def value(self, *, now: float) -> float:
         """Return the number of requests, infinite if no limit is known."""
-        if math.isinf(self._limit):
+        if now - self._set_at > FORGET_SECONDS:
             return math.inf
         return self._limit + int((now - self._set_at) / RAISE_SECONDS)
 
--- a/bilberryring/capacity/endpoint_speeds.py
+++ b/bilberryring/capacity/endpoint_speeds.py
@@ -5,110 +5,49 @@
 of the whole service, no endpoint is preferred to another one.
 """
 
-import functools
 import math
 import random
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, field
-
-from bilberryring.capacity.concurrency import ConcurrencyLimit
+from dataclasses import dataclass
+
+from bilberryring.capacity.records import (
+    NO_SPEEDS,
+    PEER_EXPIRY_SECONDS,
+    ReportedSpeed,
+    Speed,
+    SpeedChange,
+    SpeedRecord,
+    SpeedTable,
+    passed_steps,
+    run_tag,
+)
 from bilberryring.capacity.speed import (
     FRESH_SECONDS,
     NOISY_FALL,
     NOISY_RISE,
     Interval,
-    SpeedEstimate,
     clamped_log,
-    freshness,
 )
 from bilberryring.capacity.usual_times import UsualTimes
 
 NOTABLE_LOG = math.log(1.35)
 """Distance from the other endpoints up to which one counts as equal to them. The errors
 of predictions differ by endpoint for a while, and choices shall not follow them."""
-OWN_WEIGHT = 2.0
-"""Weight of a gateway's own samples beside those of one neighbour."""
 MAX_PEER_LOG = math.log(8.0)
 """Largest distance that a neighbour's estimate counts."""
-PEER_EXPIRY_SECONDS = 2.5
-"""Seconds after which a neighbour's estimate is dropped. It reports all that it still
-takes samples of every two seconds."""
 MAX_PEERS = 32
 """Neighbours whose estimates of one endpoint are kept; gateways have no more."""
 PROBE_SECONDS = 1.0
-"""Seconds without a sample after which a slow endpoint gets one request like the others,
-so that its recovery is noticed. It varies by half of it, so that gateways take turns."""
+"""Seconds without a sample after which a slow endpoint gets one request like others,
+so that its recovery is noticed. It varies by half of it, so that gateways take turns.
+"""
 TABLE_SECONDS = 0.1
 """Seconds for which the relations of one service's endpoints are kept."""
 MAX_REPORTED = 32
-"""Most estimates of one report, the slowest first. Each takes 7 bytes, and some 30 where
-the report tells no work of the endpoint."""
+"""Most estimates of one report, the slowest first. Each takes 7 bytes, and some 30
+where the report tells no work of the endpoint."""
 MAX_RECORDS = 8_192
 """Endpoints of which neighbours' estimates are kept; twice those of a large fleet."""
-RUN_TAGS = 1 << 14
-"""Number of tags that tell runs of an endpoint apart in reports, in two bytes."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Speed:
-    """How much slower an endpoint is than the others of its service.
-
-    `step` is for token steps and whole responses, `prefill` for prompts; both are 1 for
-    an endpoint that is like the others. `limit` is the number of requests in progress
-    up to which it keeps its speed, infinite if no limit is known.
-    """
-
-    step: float = 1.0
-    prefill: float = 1.0
-    limit: float = math.inf
-
-
-USUAL_SPEED = Speed()
-SpeedTable = dict[str, Speed]
-NO_SPEEDS: SpeedTable = {}
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ReportedSpeed:
-    """One gateway's own estimate of an endpoint's run, as it is reported to others."""
-
-    endpoint: str
-    run_tag: int
-    slowdown: float
-
-
-@dataclass(slots=True, kw_only=True, eq=False)
-class _Record:
-    """What is known of one run of an endpoint."""
-
-    tag: int
-    has_samples: bool = False
-    step: SpeedEstimate = field(default_factory=SpeedEstimate)
-    prefill: SpeedEstimate = field(default_factory=SpeedEstimate)
-    limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
-    peers: dict[str, tuple[float, float]] = field(default_factory=dict)
-    probe_at: float = 0.0
-    reported: float = 0.0
-
-    def log(self, now: float) -> float:
-        """Return the logarithm of the slowdown by all gateways' samples.
-
-        The weight of each gateway's estimate falls with its age, and all estimates
-        together return to 0 when the latest one is old.
-        """
-        if not self.peers:
-            return self.step.log(now=now)
-        age = now - self.step.sampled_at
-        latest = freshness(age)
-        weights = OWN_WEIGHT * latest
-        total = self.step.log(now=now) * OWN_WEIGHT
-        for log, at in self.peers.values():
-            if now - at <= PEER_EXPIRY_SECONDS:
-                weight = freshness(now - at)
-                latest = max(latest, weight)
-                weights += weight
-                total += weight * log
-        return total / weights * latest if weights else 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -137,17 +76,18 @@
 
     def __init__(self, *, is_on: bool = True, seed: int | None = None):
         self._is_on = is_on
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, SpeedRecord] = {}
         self._usual: dict[str, UsualTimes] = {}
         self._tables: dict[object, _Table] = {}
         self._notable: set[str] = set()
         self._changed: set[str] = set()
+        self._shown: set[str] = set()
         self._random = random.Random(seed)
 
     @property
-    def changed(self) -> bool:
-        """Whether an estimate has moved by a step since it was reported."""
-        return bool(self._changed)
+    def notable(self) -> tuple[str, ...]:
+        """The endpoints that differ from the prediction, or have a limit."""
+        return tuple(self._notable)
 
     def observe_step(
         self,
@@ -178,7 +118,7 @@
         self._update(endpoint, record, now)
 
     def observe_wait(self, endpoint: str, run: str, low: float, *, now: float) -> None:
-        """Count that a first token is still awaited: the slowdown is not below `low`."""
+        """Count an awaited first token: the slowdown is not below `low`."""
         record = self._records.get(endpoint)
         if low <= 1.0 and record is None:
             return
@@ -210,9 +150,7 @@
         record.limit.observe(requests=requests, low=ratio, high=ratio, now=now)
         self._update(endpoint, record, now)
 
-    def record_peer(
-        self, host: str, reported: ReportedSpeed, *, now: float
-    ) -> None:
+    def record_peer(self, host: str, reported: ReportedSpeed, *, now: float) -> None:
         """Store a neighbour's estimate unless it is of another run.
 
         The run of an endpoint without a record is not known here; `table` drops the
@@ -224,7 +162,7 @@
         if record is None:
             if len(self._records) >= MAX_RECORDS:
                 return
-            record = _Record(tag=reported.run_tag)
+            record = SpeedRecord(tag=reported.run_tag)
             self._records[reported.endpoint] = record
         if record.tag != reported.run_tag:
             return
@@ -311,6 +249,38 @@
             )
         return reports
 
+    def take_changes(self, *, now: float, most: int) -> tuple[SpeedChange, ...]:
+        """Return up to `most` estimates that passed a step since they were returned."""
+        changes = []
+        for endpoint in sorted(self._notable | self._shown):
+            record = self._records.get(endpoint)
+            if record is None:
+                self._shown.discard(endpoint)
+                continue
+            log = record.log(now)
+            step = passed_steps(log, record.shown_step)
+            limit = record.limit.value(now=now)
+            shown_limit = None if math.isinf(limit) else int(limit)
+            if step == record.shown_step and shown_limit == record.shown_limit:
+                continue
+            if len(changes) >= most:
+                break
+            changes.append(
+                SpeedChange(
+                    endpoint=endpoint,
+                    slowdown=math.exp(log),
+                    was_step=record.shown_step,
+                    step=step,
+                    limit=shown_limit,
+                )
+            )
+            record.shown_step, record.shown_limit = step, shown_limit
+            if step or shown_limit is not None:
+                self._shown.add(endpoint)
+            else:
+                self._shown.discard(endpoint)
+        return tuple(changes)
+
     def expire(self, *, now: float) -> None:
         """Drop the estimates of neighbours that were not repeated."""
         for endpoint in tuple(self._notable):
@@ -327,19 +297,20 @@
         self._records.pop(endpoint, None)
         self._notable.discard(endpoint)
         self._changed.discard(endpoint)
+        self._shown.discard(endpoint)
         self._tables.clear()
 
-    def _record(self, endpoint: str, run: str) -> _Record:
+    def _record(self, endpoint: str, run: str) -> SpeedRecord:
         record = self._records.get(endpoint)
         tag = run_tag(run)
         if record is None or record.tag != tag:
-            record = self._records[endpoint] = _Record(tag=tag)
+            record = self._records[endpoint] = SpeedRecord(tag=tag)
             self._notable.discard(endpoint)
             self._tables.clear()
         record.has_samples = True
         return record
 
-    def _update(self, endpoint: str, record: _Record, now: float) -> None:
+    def _update(self, endpoint: str, record: SpeedRecord, now: float) -> None:
         """Note whether an endpoint is like its prediction after a change."""
         log = record.log(now)
         is_notable = (
@@ -356,7 +327,7 @@
         if abs(own - record.reported) >= NOTABLE_LOG or (not own and record.reported):
             self._changed.add(endpoint)
 
-    def _delay_probe(self, record: _Record, now: float) -> None:
+    def _delay_probe(self, record: SpeedRecord, now: float) -> None:
         record.probe_at = now + PROBE_SECONDS * self._random.uniform(0.5, 1.5)
 
     def _compare(self, endpoints: Sequence[tuple[str, str]], now: float) -> SpeedTable:
@@ -392,13 +363,6 @@
         return table
 
 
-@functools.lru_cache(maxsize=MAX_RECORDS)
-def run_tag(run: str) -> int:
-    """Return a number below `RUN_TAGS` that tells the runs of an endpoint apart."""
-    started_at = run.rpartition("/")[2]
-    return int(started_at) % RUN_TAGS if started_at.isdecimal() else 0
-
-
 def _relation(log: float) -> float:
     return 1.0 if abs(log) < NOTABLE_LOG else math.exp(log)
 
--- a/bilberryring/capacity/usual_times.py
+++ b/bilberryring/capacity/usual_times.py
@@ -34,9 +34,7 @@
         self._logs = [0.0] * (BUSY_STEPS + 1)
         self._counts = [0] * (BUSY_STEPS + 1)
 
-    def observe(
-        self, seconds: float, *, requests: int, slots: int
-    ) -> Interval | None:
+    def observe(self, seconds: float, *, requests: int, slots: int) -> Interval | None:
         """Count a response; return its sample if the usual time was known."""
         step = min(BUSY_STEPS, max(0, requests - 1) * BUSY_STEPS // max(1, slots))
         log = math.log(max(seconds, 1e-4))
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass
 
+from bilberryring.capacity import EndpointSpeeds
 from bilberryring.execution import AnswerEnd, Place, Proof, proof_of_end
 from bilberryring.fleet import (
     MS_PER_SECOND,
@@ -12,7 +13,6 @@
     FleetState,
     RequestKind,
 )
-from bilberryring.capacity import EndpointSpeeds
 from bilberryring.gateway.capacity_samples import CapacitySamples
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
--- a/bilberryring/gateway/capacity_samples.py
+++ b/bilberryring/gateway/capacity_samples.py
@@ -5,16 +5,21 @@
 endpoints in cold start, which are slow by themselves.
 """
 
-from bilberryring.capacity import EndpointSpeeds, Interval, LinkDelays, StallRecord
-from bilberryring.capacity import PaceWindow
+from bilberryring.capacity import (
+    EndpointSpeeds,
+    Interval,
+    LinkDelays,
+    PaceWindow,
+    StallRecord,
+)
 from bilberryring.fleet import MS_PER_SECOND, AnnouncedEndpoint
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.request_context import SUCCESS, Attempt, RequestContext
 from bilberryring.routing import EndpointWork, EngineFigures
 
 LONG_PREFILL_MS = 100.0
-"""Predicted time of a prefill from which a first token is a sample of the prefill; before
-a sooner one the token steps and the wait for a pass take as long."""
+"""Predicted time of a prefill from which a first token is a sample of the prefill. With
+a shorter one the token steps and the wait for a pass take as long."""
 FIRST_TOKEN_MARGIN_MS = 60.0
 """Milliseconds beyond the prediction and one more pass that a first token may take. Of
 sound engines' first tokens, 90% came within 89 ms of their prediction."""
@@ -159,9 +164,7 @@
         if attempt.slot_wait_seconds:
             return None
         work = self._chooser.work(attempt.endpoint, now=self._clock.seconds())
-        pass_ms = figures.pass_ms(
-            streams=work.requests, context_tokens=work.kv_tokens
-        )
+        pass_ms = figures.pass_ms(streams=work.requests, context_tokens=work.kv_tokens)
         others = max(0.0, work.prefill_ms - choice.placed.part_ms)
         at_most = choice.predicted_ms + others + pass_ms + FIRST_TOKEN_MARGIN_MS
         return choice.predicted_ms, at_most
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -16,6 +16,7 @@
 from bilberryring.fleet import AnnouncedEndpoint, CallerLimits, FleetState, Workspace
 from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.caller_site import CallerExchange, CallerSite
+from bilberryring.gateway.capacity_report import CapacityReport
 from bilberryring.gateway.capacity_samples import CapacitySamples
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.counters import GatewayCounters
@@ -112,6 +113,13 @@
         self._slices = EndpointSlices(
             clock=reactor, settings=settings, fleet=self._fleet, peers=self._peer_view
         )
+        self._capacity_report = CapacityReport(
+            clock=reactor,
+            speeds=self._speeds,
+            fleet=self._fleet,
+            metrics=self._metrics,
+            log=log,
+        )
         self._duty = ReadingDuty(
             clock=reactor,
             own_host=settings.host,
@@ -191,6 +199,7 @@
             statements=self._statements,
             crashes=crashes,
             counters=self._counters,
+            speeds=self._speeds,
         )
         retry_policy = RetryPolicy(
             clock=self._reactor, bounds=self._settings.bounds, peers=self._peer_view
@@ -424,7 +433,7 @@
         self._statements.expire(now=self._reactor.seconds())
         self._log_part_decisions()
         self._pool.close_expired()
-        self._speeds.expire(now=self._reactor.seconds())
+        self._capacity_report.update()
         self._log_dropped_lines()
         self._counters.set_totals(
             store_calls=self._adapter.store_calls,
--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -334,9 +334,7 @@
             stopped=tuple(by_id[name].id for name in plan.stopped),
             leaving_callers=plan.leaving_callers,
             requests=next(
-                item.work.requests
-                for item in candidates
-                if item.endpoint == plan.lead
+                item.work.requests for item in candidates if item.endpoint == plan.lead
             ),
         )
 
--- a/bilberryring/gateway/operator_queries.py
+++ b/bilberryring/gateway/operator_queries.py
@@ -1,6 +1,9 @@
 """Answers to operators' queries: the status, and where a prompt would be sent."""
 
+import math
+
 from bilberryring.admission import EndpointStatements, StatedStanding
+from bilberryring.capacity import EndpointSpeeds
 from bilberryring.core import Incarnation
 from bilberryring.fleet import (
     MS_PER_SECOND,
@@ -46,6 +49,7 @@
         statements: EndpointStatements,
         crashes: CrashRecord,
         counters: GatewayCounters,
+        speeds: EndpointSpeeds,
     ):
         self._clock = clock
         self._settings = settings
@@ -56,6 +60,7 @@
         self._statements = statements
         self._crashes = crashes
         self._counters = counters
+        self._speeds = speeds
 
     def status(
         self, *, state: str, in_progress: int, links: int, is_reader: bool
@@ -83,6 +88,7 @@
                     standing=self._standing(endpoint),
                     outstanding=self._requests(endpoint),
                     set_number=version,
+                    slowdown=self._slowdown(endpoint),
                 )
                 for endpoint in self._fleet.endpoints.all
             ),
@@ -176,6 +182,8 @@
             is_candidate=self._is_candidate(endpoint),
             first_token_seconds=alone_ms / MS_PER_SECOND,
             requests=work.requests,
+            slowdown=self._slowdown(endpoint),
+            learned_limit=self._limit(endpoint),
         )
 
     def _is_candidate(self, endpoint: AnnouncedEndpoint) -> bool:
@@ -184,6 +192,15 @@
             endpoint.id
         ) and self._statements.may_start(endpoint.run, now=now)
 
+    def _slowdown(self, endpoint: AnnouncedEndpoint) -> float:
+        slowdown = self._speeds.slowdown(endpoint.id, now=self._clock.seconds())
+        return round(slowdown, 2)
+
+    def _limit(self, endpoint: AnnouncedEndpoint) -> int:
+        """Return the learned concurrency of an endpoint, 0 if it has none."""
+        limit = self._speeds.limit(endpoint.id, now=self._clock.seconds())
+        return 0 if math.isinf(limit) else int(limit)
+
     def _requests(self, endpoint: AnnouncedEndpoint) -> int:
         return self._chooser.work(endpoint.id, now=self._clock.seconds()).requests
 
--- a/bilberryring/process/explanations.py
+++ b/bilberryring/process/explanations.py
@@ -26,6 +26,8 @@
     """The state of an endpoint that decides whether it is chosen.
 
     `first_token_seconds` is the predicted time on this endpoint alone, without helpers.
+    `slowdown` is its estimated time as a multiple of the predicted one, and
+    `learned_limit` the requests up to which it keeps its speed, 0 if not known.
     """
 
     endpoint: str
@@ -35,6 +37,8 @@
     first_token_seconds: float
     tokens_ahead: int = 0
     requests: int = 0
+    slowdown: float = 1.0
+    learned_limit: int = 0
 
 
 class Explanation(msgspec.Struct, frozen=True, kw_only=True):
--- a/bilberryring/process/operator_site.py
+++ b/bilberryring/process/operator_site.py
@@ -24,13 +24,17 @@
 
 
 class EndpointStatus(msgspec.Struct, frozen=True, kw_only=True):
-    """How an entry rates an endpoint, and its outstanding requests there."""
+    """How an entry rates an endpoint, and its outstanding requests there.
+
+    `slowdown` is the endpoint's estimated time as a multiple of the predicted one.
+    """
 
     endpoint: str
     failure_domain: str
     standing: str
     outstanding: int
     set_number: int
+    slowdown: float = 1.0
 
 
 class ProcessStatus(msgspec.Struct, frozen=True, kw_only=True):
--- a/bilberryring/routing/prompt_plan.py
+++ b/bilberryring/routing/prompt_plan.py
@@ -49,12 +49,12 @@
 NEARLY_FULL_COST = 0.2
 """Cost, in short requests, of the last free slot of an engine. Another gateway may have
 taken it, and the request then waits until a stream ends."""
-
-SLOW_COST = 0.25
+SLOW_COST = 0.1
 """Cost, in short requests, of a lead that is slower by its whole usual time: the stream
-lasts as much longer and keeps its slot."""
+lasts as much longer and keeps its slot. With 0.25, sound engines that are nearly full
+get too many, and with 0 a slower engine gets them before others are half full."""
 MAX_SLOW_COST = 1.5
-"""Largest such cost. It stays below that of a full engine, on which the prompt waits."""
+"""Largest such cost, below that of a full engine, on which the prompt waits."""
 OVER_LIMIT_COST = 0.5
 """Cost of each request beyond the number up to which an engine keeps its speed."""
 
@@ -181,9 +181,7 @@
     return prefilled + (lead.pass_ms + lead.candidate.delay_ms)
 
 
-def predicted_times(
-    engines: Sequence[ScoredCandidate], *, part_ms: float
-) -> dict:
+def predicted_times(engines: Sequence[ScoredCandidate], *, part_ms: float) -> dict:
     """Return the predicted times of a plan by the published figures.
 
     The lead is the first of the engines. Limits on silences and refusals follow these
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -123,6 +123,11 @@
         "info",
         "A request found no endpoint; how many rest, leave or are limited",
     )
+    ENDPOINT_SPEED_CHANGED = (
+        316,
+        "info",
+        "The estimated speed of an endpoint, or its learned limit, changed by a step",
+    )
     PEER_HEARD = (
         320,
         "info",
--- a/bilberryring/testing/burst_fleet.py
+++ b/bilberryring/testing/burst_fleet.py
@@ -111,6 +111,7 @@
     def __init__(self, *, clock):
         self._passes = PassEngine(clock=clock, figures=FIGURES)
         self._n_running = 0
+        self._knee: tuple[int, float] | None = None
         self._is_dead = False
         self._waiting: deque[_Job] = deque()
 
@@ -123,6 +124,10 @@
         """Let the passes that begin from now on take as many times as long."""
         self._passes.slowdown = slowdown
 
+    def slow_down_beyond(self, requests: int, slowdown: float) -> None:
+        """Let passes take longer while more requests than that run."""
+        self._knee = requests, slowdown
+
     def stop(self) -> None:
         """Write nothing any more; connections stay open."""
         self._is_dead = True
@@ -145,6 +150,7 @@
         if self._is_dead or not self._waiting or self._n_running >= FIGURES.slots:
             return
         self._n_running += 1
+        self._apply_knee()
         job = self._waiting.popleft()
         tokens = job.shape.prompt_tokens
         job.parts_left = 1 + len(job.helpers)
@@ -179,8 +185,14 @@
             job.write(job.next_event)
             job.next_event += 1
 
+    def _apply_knee(self) -> None:
+        if self._knee is not None:
+            requests, slowdown = self._knee
+            self.slow_down(slowdown if self._n_running > requests else 1.0)
+
     def _end(self) -> None:
         self._n_running -= 1
+        self._apply_knee()
         self._begin_next()
 
 
--- a/bilberryring/testing/slow_fleet.py
+++ b/bilberryring/testing/slow_fleet.py
@@ -23,15 +23,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Slowdown:
-    """A share of the engines takes `factor` times as long for some seconds."""
+    """A share of the engines takes `factor` times as long for some seconds.
+
+    With `beyond` they do so only, and to the end, while more requests than that run.
+    """
 
     share: float
     factor: float
     seconds: float
+    beyond: int | None = None
 
 
 THIRD = Slowdown(share=1 / 3, factor=3.0, seconds=9.0)
 FIFTH = Slowdown(share=1 / 5, factor=8.0, seconds=9.0)
+KNEE = Slowdown(share=1 / 2, factor=4.0, seconds=20.0, beyond=4)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,9 +72,14 @@
     def draw(self, share: float) -> tuple[str, ...]:
         """Return the addresses of a random share of the engines."""
         addresses = sorted(item.address for item in self._fleet.endpoints.all)
-        return tuple(
-            self._generator.sample(addresses, round(share * len(addresses)))
-        )
+        return tuple(self._generator.sample(addresses, round(share * len(addresses))))
+
+    def slow_down_beyond(
+        self, addresses: tuple[str, ...], requests: int, factor: float
+    ) -> None:
+        """Let engines take as many times as long while more requests run."""
+        for address in addresses:
+            self.engine(address).slow_down_beyond(requests, factor)
 
     def slow_down(self, addresses: tuple[str, ...], factor: float) -> None:
         """Let engines take `factor` times as long from now on."""
@@ -114,11 +124,15 @@
     network.advance(SETTLE_SECONDS)
     began_at, received = network.now, network.bytes_received
     slow = fleet.draw(slowdown.share)
-    fleet.slow_down(slow, slowdown.factor)
+    if slowdown.beyond is None:
+        fleet.slow_down(slow, slowdown.factor)
+    else:
+        fleet.slow_down_beyond(slow, slowdown.beyond, slowdown.factor)
     network.advance(slowdown.seconds)
     ended_at = network.now
     control_bytes = (network.bytes_received - received) / slowdown.seconds / gateways
-    fleet.slow_down(slow, 1.0)
+    if slowdown.beyond is None:
+        fleet.slow_down(slow, 1.0)
     network.advance(AFTER_SECONDS + CALLER_SECONDS + 0.5)
     shares = []
     for second in range(int(slowdown.seconds + AFTER_SECONDS)):
@@ -135,9 +149,7 @@
 
 
 def _share_on_time(fleet: SlowFleet, since: float, until: float) -> float:
-    streams = [
-        item for item in fleet.outcomes.streams if since <= item.sent_at < until
-    ]
+    streams = [item for item in fleet.outcomes.streams if since <= item.sent_at < until]
     on_time = sum(
         item.is_whole
         and item.first <= FIRST_SECONDS
--- a/bilberryring/tool/main.py
+++ b/bilberryring/tool/main.py
@@ -33,6 +33,8 @@
 ERROR_EXIT_CODE = 2
 """Exit status when a rendered set cannot be read or a process does not answer."""
 DIGEST_PREFIX_LENGTH = 12
+SHOWN_SLOWDOWN = 1.5
+"""Slowdown of an endpoint from which `status` shows it."""
 """Number of hexadecimal digits that are printed of a digest."""
 
 directory_argument = click.argument(
@@ -301,6 +303,8 @@
             item.standing,
             str(item.requests),
             f"{item.first_token_seconds:.3f}" if item.is_candidate else "-",
+            f"{item.slowdown:.2f}",
+            str(item.learned_limit or "-"),
         )
         for item in explanation.endpoints
     ]
@@ -310,6 +314,8 @@
         "standing",
         "requests",
         "first token alone (s)",
+        "slowdown",
+        "learned limit",
     )
     print_rows(header, rows)
 
@@ -354,6 +360,14 @@
     }
     for endpoint, standing in sorted(standings):
         click.echo(f"{standing}: {endpoint}")
+    slowdowns: dict[str, float] = {}
+    for item in report.processes:
+        for endpoint in item.endpoints:
+            if endpoint.slowdown >= SHOWN_SLOWDOWN:
+                known = slowdowns.get(endpoint.endpoint, 0.0)
+                slowdowns[endpoint.endpoint] = max(known, endpoint.slowdown)
+    for name, slowdown in sorted(slowdowns.items()):
+        click.echo(f"slow: {name} takes {slowdown:.1f} times as long as predicted")
     for digest in sorted({q for item in report.processes for q in item.quarantined}):
         click.echo(f"quarantined: {digest}")
 
