--- a/bilberryring/gateway/endpoint_choice.py
+++ b/bilberryring/gateway/endpoint_choice.py
@@ -43,7 +43,7 @@
 """Milliseconds added to the delay of an endpoint in another failure domain."""
 FAILURE_WEIGHT = 3.0
 """Number of requests in progress that cost as much as a failure share of 1."""
-OVER_LIMIT_WEIGHT = 1.0
+OVER_LIMIT_WEIGHT = 2.0
 """Number of further requests in progress as which one beyond the learned concurrency of
 an endpoint counts."""
 
--- a/bilberryring/gateway/tests/test_endpoint_choice.py
+++ b/bilberryring/gateway/tests/test_endpoint_choice.py
@@ -95,7 +95,7 @@
     return fleet
 
 
-def make_chooser(fleet, *, entries=ENTRIES, health=None, statements=None):
+def make_chooser(fleet, *, entries=ENTRIES, health=None, statements=None, speeds=None):
     seeds = tuple(f"h{number + 1}" for number in range(entries))
     settings = replace(SETTINGS, seed_hosts=seeds)
     clock = Clock()
@@ -109,6 +109,7 @@
         peers=peers,
         health=health or EndpointHealth(),
         statements=statements or EndpointStatements(seed=1),
+        speeds=speeds,
         seed=1,
     )
 
