List the mechanisms of learned speeds; a whole gateway learns on a paused clock

Change: entries in testing/capacity_mechanisms.py, which testing/mechanisms.py takes in (Mechanism moved to testing/mechanism.py). Events that arrive together and prompts that were over before a request no longer make an endpoint count as fast. Answers that waited for other long ones are no samples.

--- a/bilberryring/capacity/endpoint_speeds.py
+++ b/bilberryring/capacity/endpoint_speeds.py
@@ -100,8 +100,8 @@
     ) -> None:
         """Count a sample of an engine that was taken with `requests` in progress."""
         record = self._record(endpoint, run)
+        self._schedule_probe(record, sample, now)
         record.step.observe(sample, now=now)
-        self._delay_probe(record, now)
         if requests:
             record.limit.observe(
                 requests=requests, low=sample.low, high=sample.high, now=now
@@ -144,8 +144,8 @@
         if sample is None:
             return
         record = self._record(endpoint, run)
+        self._schedule_probe(record, sample, now)
         record.step.observe(sample, now=now, rise=NOISY_RISE, fall=NOISY_FALL)
-        self._delay_probe(record, now)
         ratio = math.exp(record.step.log(now=now))
         record.limit.observe(requests=requests, low=ratio, high=ratio, now=now)
         self._update(endpoint, record, now)
@@ -327,6 +327,15 @@
         if abs(own - record.reported) >= NOTABLE_LOG or (not own and record.reported):
             self._changed.add(endpoint)
 
+    def _schedule_probe(
+        self, record: SpeedRecord, sample: Interval, now: float
+    ) -> None:
+        """Delay the next probe, unless a fast sample shows that the speed changes."""
+        if clamped_log(sample.high) < record.log(now) - NOTABLE_LOG:
+            record.probe_at = now
+        else:
+            self._delay_probe(record, now)
+
     def _delay_probe(self, record: SpeedRecord, now: float) -> None:
         record.probe_at = now + PROBE_SECONDS * self._random.uniform(0.5, 1.5)
 
--- a/bilberryring/capacity/tests/test_concurrency.py
+++ b/bilberryring/capacity/tests/test_concurrency.py
@@ -36,6 +36,16 @@
     assert math.isinf(limit.value(now=30.0))
 
 
+def test_one_coincidence_is_no_limit():
+    """Guards against a limit because the load fell as a slow time ended."""
+    limit = ConcurrencyLimit()
+    for number, (requests, ratio) in enumerate(
+        ((3, 1.0), (5, 8.0), (3, 1.0), (2, 1.0))
+    ):
+        limit.observe(requests=requests, low=ratio, high=ratio, now=number)
+    assert math.isinf(limit.value(now=4.0))
+
+
 def test_limit_is_raised_slowly_and_forgotten():
     """Guards against a limit that outlives its cause."""
     limit = ConcurrencyLimit()
--- a/bilberryring/capacity/tests/test_speed.py
+++ b/bilberryring/capacity/tests/test_speed.py
@@ -84,7 +84,7 @@
         now += gap
         usual = window.add(now=now)
         if usual is not None:
-            found.append(usual)
+            found.append(usual[0])
             window.restart(now=now)
     assert found and max(found) < 0.06
 
@@ -93,7 +93,15 @@
     """Guards against a window of so many events that a slow time is over before."""
     window = PaceWindow(now=0.0)
     assert window.add(now=0.4) is None
-    assert window.add(now=0.8) == 0.4
+    assert window.add(now=0.8) == (0.4, 0.4)
+
+
+def test_events_that_arrive_together_are_no_fast_pace():
+    """Guards against an endpoint that draws work as its packets are lost."""
+    window = PaceWindow(now=0.0)
+    assert window.add(now=0.3) is None
+    shortest, longest = window.add(now=0.3)
+    assert shortest == 0.0 and longest > 0.1
 
 
 def test_usual_time_is_that_for_the_load():
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -396,7 +396,7 @@
         self._claim(relay, head)
         self._record_first_response(context)
         self.send_to_caller(context, head, body)
-        self._samples.answered(context, attempt)
+        self._samples.answered(context, attempt, paused_until=response.paused_until)
 
     def _is_retryable(self, relay: "_Relay", head: ResponseHead) -> bool:
         """Whether an error of the endpoint is not yet for the caller.
--- a/bilberryring/gateway/capacity_samples.py
+++ b/bilberryring/gateway/capacity_samples.py
@@ -72,8 +72,7 @@
         observed = self._observed_ms(attempt, now)
         sample = Interval.of(observed=observed, at_least=at_least, at_most=at_most)
         endpoint = attempt.choice.endpoint
-        prefill_ms = attempt.choice.placed.part_ms + attempt.choice.backlog_ms
-        if prefill_ms >= LONG_PREFILL_MS:
+        if attempt.choice.placed.part_ms >= LONG_PREFILL_MS:
             self._speeds.observe_prefill(endpoint.id, endpoint.run, sample, now=now)
         else:
             self._speeds.observe_step(endpoint.id, endpoint.run, sample, now=now)
@@ -99,8 +98,8 @@
         if pace is None:
             return
         now = self._clock.seconds()
-        gap = pace.add(now=now)
-        if gap is None:
+        gaps = pace.add(now=now)
+        if gaps is None:
             return
         figures = context.service.engine
         began_at = pace.began_at
@@ -110,17 +109,25 @@
         endpoint = attempt.choice.endpoint
         work = self._chooser.work(endpoint.id, now=now)
         pass_ms, busy_ms = _pass_bounds(work, figures)
-        sample = Interval.of(
-            observed=gap * MS_PER_SECOND, at_least=pass_ms, at_most=pass_ms + busy_ms
+        sample = Interval(
+            low=gaps[0] * MS_PER_SECOND / (pass_ms + busy_ms),
+            high=gaps[1] * MS_PER_SECOND / pass_ms,
         )
         self._speeds.observe_step(
             endpoint.id, endpoint.run, sample, now=now, requests=work.requests
         )
 
-    def answered(self, context: RequestContext, attempt: Attempt) -> None:
-        """Take a sample of a whole response of a plain service."""
+    def answered(
+        self, context: RequestContext, attempt: Attempt, *, paused_until: float
+    ) -> None:
+        """Take a sample of a whole response of a plain service.
+
+        Until `paused_until` this gateway did not read it.
+        """
         if context.service.engine is not None or context.status not in SUCCESS:
             return
+        if paused_until >= attempt.sent_at:
+            return
         if not self._is_sound(context, attempt, since=attempt.sent_at):
             return
         now = self._clock.seconds()
@@ -167,7 +174,8 @@
         pass_ms = figures.pass_ms(streams=work.requests, context_tokens=work.kv_tokens)
         others = max(0.0, work.prefill_ms - choice.placed.part_ms)
         at_most = choice.predicted_ms + others + pass_ms + FIRST_TOKEN_MARGIN_MS
-        return choice.predicted_ms, at_most
+        # The prompts that were counted before this one may have been over already.
+        return choice.predicted_ms - choice.backlog_ms, at_most
 
 
 def _pass_bounds(work: EndpointWork, figures: EngineFigures) -> tuple[float, float]:
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -254,6 +254,11 @@
             log=log,
         )
 
+    @property
+    def metrics(self) -> Metrics:
+        """The metrics of the process."""
+        return self._metrics
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send requests to this gateway."""
@@ -382,14 +387,15 @@
 
     def _operator_site(self) -> Resource:
         root = operator_resource(
-            status=self._status,
+            status=self.status,
             metrics=self._metrics,
             is_ready=lambda: self.is_ready,
         )
         root.putChild(b"explain", ExplainQuery(explain=self._queries.explain))
         return root
 
-    def _status(self) -> ProcessStatus:
+    def status(self) -> ProcessStatus:
+        """Return the state that operators see."""
         if self._is_draining:
             state = "leaving"
         else:
--- a/bilberryring/gateway/tests/test_capacity_choice.py
+++ b/bilberryring/gateway/tests/test_capacity_choice.py
@@ -14,10 +14,12 @@
 )
 from bilberryring.routing import (
     Candidate,
+    DecodeGroup,
     EndpointWork,
     PromptDemand,
     plan_prompt,
 )
+from bilberryring.routing.read_cost import prepare_candidates, score_candidate
 from bilberryring.testing.prompt_load import FIGURES
 
 NAMES = tuple("abcdef")
@@ -159,6 +161,18 @@
     assert slow.cost > plan.cost
 
 
+def test_part_on_a_slow_engine_makes_its_streams_late():
+    """Guards against parts whose time on a slow engine is that of a sound one."""
+    group = DecodeGroup(gap_ms=250, count=3, value=3.0)
+    work = EndpointWork(requests=3, kv_tokens=9_000, decode_groups=(group,))
+    costs = []
+    for slowdown in (1.0, 4.0):
+        item = Candidate(endpoint="a", work=work, prefill_slowdown=slowdown)
+        (prepared,) = prepare_candidates([item], FIGURES).items
+        costs.append(score_candidate(prepared, part_ms=60.0).stream_cost)
+    assert costs[0] == 0.0 < costs[1]
+
+
 def test_long_prompt_is_not_split_over_slow_engines():
     """Guards against helpers that let a whole prompt wait for them."""
     prompt = PromptDemand(
--- a/bilberryring/gateway/tests/test_capacity_samples.py
+++ b/bilberryring/gateway/tests/test_capacity_samples.py
@@ -65,12 +65,13 @@
         self.clock.rightNow += seconds
         self.clock.advance(0.0)
 
-    def send(self, *, helpers=(), predicted_ms=PREDICTED_MS):
+    def send(self, *, helpers=(), predicted_ms=PREDICTED_MS, backlog_ms=0.0):
         choice = Choice(
             endpoint=self.endpoint,
             helpers=helpers,
             placed=PlacedRequest(lead="a", part_ms=20.0),
             predicted_ms=predicted_ms,
+            backlog_ms=backlog_ms,
         )
         attempt = Attempt(choice=choice, stream=None)
         attempt.sent_at = self.clock.seconds()
@@ -93,11 +94,11 @@
             self.advance(gap)
             self.samples.event(self.context(), attempt)
 
-    def answer(self, seconds, *, status=200):
+    def answer(self, seconds, *, status=200, paused_until=0.0):
         """Play one call of a plain service."""
         attempt = self.send(predicted_ms=0.0)
         self.advance(seconds)
-        self.samples.answered(self.context(status), attempt)
+        self.samples.answered(self.context(status), attempt, paused_until=paused_until)
 
     @property
     def slowdown(self):
@@ -226,6 +227,15 @@
     assert plain.slowdown < 1.2
 
 
+def test_prompts_that_were_over_make_no_fast_engine(site):
+    """Guards against an engine that draws work as its load was overestimated."""
+    for _ in range(6):
+        attempt = site.send(predicted_ms=480.0, backlog_ms=400.0)
+        site.advance(0.08)
+        site.samples.first_event(site.context(), attempt)
+    assert site.slowdown > 0.95
+
+
 def test_cold_endpoint_is_not_slow(site):
     """Guards against a verdict on an endpoint that has just started."""
     site.endpoint = replace(ENDPOINT, cold_until=60.0)
@@ -248,6 +258,13 @@
     assert plain.slowdown > 2.5
 
 
+def test_answer_that_waited_for_others_is_no_sample(plain):
+    """Guards against an endpoint whose long responses this gateway did not read."""
+    for _ in range(8):
+        plain.answer(0.3, paused_until=plain.clock.seconds() + 0.2)
+    assert plain.slowdown < 1.1
+
+
 def test_failures_are_no_samples(plain):
     """Guards against an endpoint that draws all requests by failing fast."""
     for _ in range(30):
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -8,11 +8,12 @@
 import shutil
 import subprocess
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 
 import click
 
+from bilberryring.testing.capacity_mechanisms import CAPACITY_MECHANISMS
+from bilberryring.testing.mechanism import Mechanism
 from bilberryring.testing.processes import scratch_directory
 from bilberryring.testing.soak_checks import CHECKS
 
@@ -22,21 +23,6 @@
 SIGNAL_MOMENTS = "bilberryring/process/tests/test_signals_at_any_moment.py"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Mechanism:
-    """A source text that implements a mechanism, and the test that guards it.
-
-    In `module`, a path below the package, the text `present` is replaced by `absent`
-    to remove the mechanism. `test` is the pytest id of the test.
-    """
-
-    name: str
-    module: str
-    present: str
-    absent: str
-    test: str
-
-
 MECHANISMS = (
     Mechanism(
         name="ledger joins a running copy",
@@ -1182,6 +1168,7 @@
         )
         for check, function in CHECKS.items()
     ),
+    *CAPACITY_MECHANISMS,
 )
 
 
--- a/bilberryring/testing/played_gateway.py
+++ b/bilberryring/testing/played_gateway.py
@@ -32,6 +32,7 @@
     REQUEST_ID,
     TOKEN_USAGE,
 )
+from bilberryring.process.operator_site import ProcessStatus
 from bilberryring.standins.gateway_site import (
     API_KEY,
     HOST_NAME,
@@ -363,9 +364,12 @@
 
 
 class PlayedGateway:
-    """A gateway with published endpoints; `seeds` are the peers in its settings."""
+    """A gateway with published endpoints; `seeds` are the peers in its settings.
 
-    def __init__(self, *, seeds: tuple[str, ...] = ()):
+    With `learns_capacity` it follows the learned speed of endpoints.
+    """
+
+    def __init__(self, *, seeds: tuple[str, ...] = (), learns_capacity: bool = True):
         self.clock = PlayedReactor()
         self.clock.on_connect = self._connect
         self.openings: list[PlayedOpening] = []
@@ -373,6 +377,7 @@
         self.callers: list[PlayedCaller] = []
         self.calls: list[PlayedCall] = []
         self.seeds = seeds
+        self._learns_capacity = learns_capacity
         self.copies = None
         self._revision = 0
         self._output = StringIO()
@@ -459,6 +464,14 @@
         for opening in self.pending_openings:
             opening.accept()
 
+    def status(self) -> ProcessStatus:
+        """Return what the operators' status shows."""
+        return self._daemon.status()
+
+    def metrics(self) -> str:
+        """Return the metrics as text."""
+        return b"".join(self._daemon.metrics.render()).decode()
+
     def events(self, *names: str) -> list[dict]:
         lines = [json.loads(line) for line in self._output.getvalue().splitlines()]
         return [line for line in lines if not names or line["event"] in names]
@@ -484,6 +497,7 @@
             metrics_port=83,
             platform_address="10.0.0.2:84",
             seed_hosts=self.seeds,
+            learns_capacity=self._learns_capacity,
         )
 
 
