--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -6,6 +6,7 @@
 from twisted.web.resource import Resource
 
 from bilberryring.admission import EndpointStatements, PlannedStop, StatedStanding
+from bilberryring.capacity import TICK_SECONDS, EndpointSpeeds
 from bilberryring.core import (
     ErrorCode,
     Incarnation,
@@ -15,6 +16,8 @@
 from bilberryring.fleet import AnnouncedEndpoint, CallerLimits, FleetState, Workspace
 from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.caller_site import CallerExchange, CallerSite
+from bilberryring.gateway.capacity_report import CapacityReport
+from bilberryring.gateway.capacity_samples import CapacitySamples
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.counters import GatewayCounters
 from bilberryring.gateway.crash_record import CrashRecord
@@ -96,6 +99,7 @@
         self._tracker = WorkTracker()
         self._health = EndpointHealth()
         self._statements = EndpointStatements()
+        self._speeds = EndpointSpeeds(is_on=settings.learns_capacity)
         self._pool = ConnectionPool(reactor=reactor)
         self._copies = PublishedCopies(
             prefixes=adapter_class.prefixes,
@@ -116,6 +120,13 @@
         self._slices = EndpointSlices(
             clock=reactor, settings=settings, fleet=self._fleet, peers=self._peer_view
         )
+        self._capacity_report = CapacityReport(
+            clock=reactor,
+            speeds=self._speeds,
+            fleet=self._fleet,
+            metrics=self._metrics,
+            log=log,
+        )
         self._duty = ReadingDuty(
             clock=reactor,
             own_host=settings.host,
@@ -135,6 +146,7 @@
             copies=self._copies,
             crashes=crashes,
             duty=self._duty,
+            speeds=self._speeds,
             log=log,
         )
         self._adapter = adapter_class(
@@ -176,6 +188,13 @@
             peers=self._peer_view,
             health=self._health,
             statements=self._statements,
+            speeds=self._speeds,
+        )
+        self._samples = CapacitySamples(
+            clock=self._reactor,
+            chooser=chooser,
+            speeds=self._speeds,
+            is_on=self._settings.learns_capacity,
         )
         self._queries = GatewayQueries(
             clock=self._reactor,
@@ -187,6 +206,7 @@
             statements=self._statements,
             crashes=crashes,
             counters=self._counters,
+            speeds=self._speeds,
         )
         retry_policy = RetryPolicy(
             clock=self._reactor, bounds=self._settings.bounds, peers=self._peer_view
@@ -225,6 +245,7 @@
             statements=statements,
             log=log,
             on_work_changed=self._peers.report_change,
+            samples=self._samples,
         )
         return Forwarder(
             reactor=self._reactor,
@@ -240,6 +261,11 @@
             log=log,
         )
 
+    @property
+    def metrics(self) -> Metrics:
+        """The metrics of the process."""
+        return self._metrics
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send requests to this gateway."""
@@ -277,6 +303,13 @@
             seconds=HOUSEKEEPING_SECONDS,
             log=self._log,
         )
+        if settings.learns_capacity:
+            start_loop(
+                reactor=self._reactor,
+                work=self._samples.tick,
+                seconds=TICK_SECONDS,
+                log=self._log,
+            )
         self._log.write(
             LogEvent.PROCESS_STARTED,
             caller_address=settings.caller_address,
@@ -388,14 +421,15 @@
 
     def _operator_site(self) -> Resource:
         root = operator_resource(
-            status=self._status,
+            status=self.status,
             metrics=self._metrics,
             is_ready=lambda: self.is_ready,
         )
         root.putChild(b"explain", ExplainQuery(explain=self._queries.explain))
         return root
 
-    def _status(self) -> ProcessStatus:
+    def status(self) -> ProcessStatus:
+        """Return the state that operators see."""
         if self._is_draining:
             state = "leaving"
         else:
@@ -411,6 +445,7 @@
         self._health.forget(endpoint.id)
         self._statements.forget_limit(endpoint.run)
         self._pool.close_address(endpoint.address)
+        self._samples.forget(endpoint)
 
     def _on_endpoint_started(self, endpoint: AnnouncedEndpoint) -> None:
         self._forwarder.end_earlier_runs(endpoint)
@@ -438,6 +473,7 @@
         self._statements.expire(now=self._reactor.seconds())
         self._log_part_decisions()
         self._pool.close_expired()
+        self._capacity_report.update()
         self._log_dropped_lines()
         self._counters.set_totals(
             store_calls=self._adapter.store_calls,
--- a/bilberryring/testing/burst_fleet.py
+++ b/bilberryring/testing/burst_fleet.py
@@ -111,6 +111,7 @@
     def __init__(self, *, clock):
         self._passes = PassEngine(clock=clock, figures=FIGURES)
         self._n_running = 0
+        self._knee: tuple[int, float] | None = None
         self._is_dead = False
         self._waiting: deque[_Job] = deque()
 
@@ -119,6 +120,14 @@
         self._waiting.append(job)
         self._begin_next()
 
+    def slow_down(self, slowdown: float) -> None:
+        """Let the passes that begin from now on take as many times as long."""
+        self._passes.slowdown = slowdown
+
+    def slow_down_beyond(self, requests: int, slowdown: float) -> None:
+        """Let passes take longer while more requests than that run."""
+        self._knee = requests, slowdown
+
     def stop(self) -> None:
         """Write nothing any more; connections stay open."""
         self._is_dead = True
@@ -141,6 +150,7 @@
         if self._is_dead or not self._waiting or self._n_running >= FIGURES.slots:
             return
         self._n_running += 1
+        self._apply_knee()
         job = self._waiting.popleft()
         tokens = job.shape.prompt_tokens
         job.parts_left = 1 + len(job.helpers)
@@ -175,8 +185,14 @@
             job.write(job.next_event)
             job.next_event += 1
 
+    def _apply_knee(self) -> None:
+        if self._knee is not None:
+            requests, slowdown = self._knee
+            self.slow_down(slowdown if self._n_running > requests else 1.0)
+
     def _end(self) -> None:
         self._n_running -= 1
+        self._apply_knee()
         self._begin_next()
 
 
@@ -231,8 +247,8 @@
 class BurstFleet(SilentFleet):
     """Gateways before sound engines, which report their callers' requests."""
 
-    def __init__(self, *, network: PeerNetwork, seed: int, retry_slack: float):
-        super().__init__(network=network, seed=seed, retry_slack=retry_slack)
+    def __init__(self, *, network: PeerNetwork, seed: int, **options):
+        super().__init__(network=network, seed=seed, **options)
         self._lengths = random.Random(seed)
         self._engines: dict[str, _SlotEngine] = {}
         self._shapes: dict[str, StreamShape] = {}
