Decode the memory and the descriptors of the machine from the settings

Cause: the budget for misbehaving clients is derived from the memory of the machine, and no settings had it.

Change: the table limits (memory_mb, max_fds) of the gateway's settings file, and the keys memory_mb and max_descriptors of entries and sidecars, are decoded; nothing uses them yet. A megabyte is 1,000,000 bytes, the smaller meaning. GatewaySite and FleetPlan can set them.

--- a/bilberryring/core/__init__.py
+++ b/bilberryring/core/__init__.py
@@ -24,7 +24,11 @@
     new_request_id,
 )
 from bilberryring.core.json_decoding import MalformedJsonError, decode_json
-from bilberryring.core.numbers import parse_number, parse_whole_number
+from bilberryring.core.numbers import (
+    bytes_from_megabytes,
+    parse_number,
+    parse_whole_number,
+)
 from bilberryring.core.tcp_options import (
     KEEPALIVE_SECONDS,
     TCP_USER_TIMEOUT_MS,
@@ -49,6 +53,7 @@
     "ServingError",
     "SettingsError",
     "TCP_USER_TIMEOUT_MS",
+    "bytes_from_megabytes",
     "compress",
     "decode_json",
     "decompress",
--- a/bilberryring/core/numbers.py
+++ b/bilberryring/core/numbers.py
@@ -9,6 +9,23 @@
 MAX_DIGITS = 20
 """Most characters of a whole number that is looked at."""
 
+BYTES_PER_MEGABYTE = 1_000_000
+"""The smaller of the two usual meanings, so that a process stays within either one."""
+MAX_MEGABYTES = 1e9
+"""The largest size that is taken for a real one."""
+
+
+def bytes_from_megabytes(megabytes: float | None) -> int | None:
+    """Return a size in bytes; 0 if it is implausible, `None` if it is missing.
+
+    >>> bytes_from_megabytes(1.5), bytes_from_megabytes(math.nan)
+    (1500000, 0)
+    """
+    if megabytes is None:
+        return None
+    is_plausible = 0.0 < megabytes <= MAX_MEGABYTES
+    return int(megabytes * BYTES_PER_MEGABYTE) if is_plausible else 0
+
 
 def parse_whole_number(text: bytes, *, most: int) -> int | None:
     """Return a whole number from 0 to `most`, or `None` if the text is none.
--- a/bilberryring/gateway/settings.py
+++ b/bilberryring/gateway/settings.py
@@ -26,7 +26,9 @@
     """The addresses of one gateway and its limits.
 
     `seed_hosts` are hosts that may run a peer. `regions_by_domain` pairs failure
-    domains with their regions.
+    domains with their regions. `memory_bytes` and `max_descriptors` are what the
+    machine gives to the process, 0 if what the operators wrote is implausible, or
+    `None` if they wrote nothing.
     """
 
     process: str
@@ -41,6 +43,8 @@
     seed_hosts: tuple[str, ...] = ()
     regions_by_domain: tuple[tuple[str, str], ...] = ()
     bounds: GatewayBounds = GatewayBounds()
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
 
     @property
     def metrics_address(self) -> str:
--- a/bilberryring/platform/settings.py
+++ b/bilberryring/platform/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bilberryring.core import ErrorCode, SettingsError
+from bilberryring.core import ErrorCode, SettingsError, bytes_from_megabytes
 from bilberryring.gateway.settings import GatewayBounds, GatewaySettings
 
 DEFAULT_INTERNAL_PORT = 7340
@@ -39,6 +39,11 @@
     free_ms: float = 4_000
 
 
+class _Limits(msgspec.Struct, kw_only=True):
+    memory_mb: float | None = None
+    max_fds: int | None = None
+
+
 class _SettingsFile(msgspec.Struct, kw_only=True):
     node: str
     ip: str
@@ -53,6 +58,7 @@
     seeds: tuple[str, ...] = ()
     zones: dict[str, str] = {}
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read_settings(path: Path) -> GatewaySettings:
@@ -94,6 +100,8 @@
         seed_hosts=tuple(seed.rsplit(":", 1)[0] for seed in content.seeds),
         regions_by_domain=tuple(content.zones.items()),
         bounds=_convert_bounds(content.bounds),
+        memory_bytes=bytes_from_megabytes(content.limits.memory_mb),
+        max_descriptors=_plausible_descriptors(content.limits.max_fds),
     )
 
 
@@ -107,6 +115,10 @@
     return int(text)
 
 
+def _plausible_descriptors(count: int | None) -> int | None:
+    return None if count is None else max(0, count)
+
+
 def _convert_bounds(bounds: _Bounds) -> GatewayBounds:
     return GatewayBounds(
         drain_seconds=bounds.grace_s,
--- a/bilberryring/process/settings.py
+++ b/bilberryring/process/settings.py
@@ -7,7 +7,7 @@
 import msgspec
 import pyjson5
 
-from bilberryring.core import ErrorCode, SettingsError
+from bilberryring.core import ErrorCode, SettingsError, bytes_from_megabytes
 from bilberryring.objects import is_address
 
 URL_PATTERN = re.compile(r"http://(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})\Z")
@@ -16,7 +16,10 @@
 class CommonSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """The settings that entries and sidecars have in common; times are in seconds."""
+    """The settings that entries and sidecars have in common; times are in seconds.
+
+    `memory_mb` and `max_descriptors` are what the machine gives to the process.
+    """
 
     process: str
     failure_domain: str
@@ -24,6 +27,8 @@
     platform_url: str
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     drain_seconds: float = 300.0
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
 
     def __post_init__(self):
         _require_address(self.operator_address, "operator_address")
@@ -31,6 +36,11 @@
         if self.drain_seconds <= 0:
             raise ValueError("drain_seconds: must be above 0 seconds")
 
+    @property
+    def memory_bytes(self) -> int | None:
+        """The memory of the machine; 0 if the setting is implausible."""
+        return bytes_from_megabytes(self.memory_mb)
+
 
 class EntrySettings(CommonSettings, frozen=True, kw_only=True):
     """The settings of an entry."""
--- a/bilberryring/process/tests/test_settings.py
+++ b/bilberryring/process/tests/test_settings.py
@@ -28,6 +28,18 @@
     assert parse_settings(text, EntrySettings).drain_seconds == 5
 
 
+def test_limits_of_the_machine_may_be_missing_or_implausible():
+    for limits, memory_bytes in (
+        ({}, None),
+        ({"memory_mb": None}, None),
+        ({"memory_mb": 152, "max_descriptors": 1_535}, 152_000_000),
+        ({"memory_mb": -1, "max_descriptors": -1}, 0),
+    ):
+        decoded = parse_settings(json.dumps(VALID | limits), EntrySettings)
+        assert decoded.memory_bytes == memory_bytes
+        assert decoded.max_descriptors == limits.get("max_descriptors")
+
+
 @pytest.mark.parametrize(
     ("change", "key"),
     [
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -123,7 +123,8 @@
     `gateways` is the number of gateways that know each other as peers; each one is
     started with `start_gateway`. `retry_slack` is the number of retries that they may
     make in a window in any case, and `retry_ratio` the number for each request.
-    `grace` is the seconds that a stop may take.
+    `grace` is the seconds that a stop may take. `memory_mb` and `max_fds` are the
+    limits of the machine in each gateway's settings, which say nothing without them.
     """
 
     def __init__(
@@ -133,12 +134,15 @@
         retry_slack: int = 100,
         retry_ratio: float = 0.2,
         grace: float = 6.0,
+        memory_mb: float | None = None,
+        max_fds: int | None = None,
     ):
         self._directory = scratch_directory()
         self._n_gateways = gateways
         self._retry_slack = retry_slack
         self._retry_ratio = retry_ratio
         self._grace = grace
+        self._machine_limits = {"memory_mb": memory_mb, "max_fds": max_fds}
         self._network = LoopbackNetwork()
         self._processes: dict[str, ManagedProcess] = {}
         self._endpoints: list[ScriptedEndpoint] = []
@@ -207,8 +211,10 @@
             f'ready = "{host}:{READY_PORT}"\n'
             f'[platform]\naddress = "{store_address or self._store_address}"\n'
             f"[bounds]\ngrace_s = {self._grace}\nretry_slack = {self._retry_slack}\n"
-            f"budget_ratio = {self._retry_ratio}\n"
+            f"budget_ratio = {self._retry_ratio}\n[limits]\n"
         )
+        for key, value in self._machine_limits.items():
+            text += "" if value is None else f"{key} = {value}\n"
         path = self._directory / f"{name}.toml"
         path.write_text(text, "utf-8")
         os.environ["BILBERRYRING_NODE_FILE"] = str(path)
--- a/bilberryring/testing/fleet.py
+++ b/bilberryring/testing/fleet.py
@@ -177,6 +177,8 @@
             "operator_address": operator,
             "platform_url": f"http://{self._platform_address}",
             "drain_seconds": self._plan.drain_seconds,
+            "memory_mb": self._plan.memory_mb,
+            "max_descriptors": self._plan.max_descriptors,
             "endpoint": endpoint,
             "link_address": self._sidecar_addresses[endpoint],
             "target_url": f"http://{self._relayed_target_address(endpoint)}",
@@ -195,6 +197,8 @@
             "caller_address": caller,
             "platform_url": f"http://{self._platform_address}",
             "drain_seconds": self._plan.drain_seconds,
+            "memory_mb": self._plan.memory_mb,
+            "max_descriptors": self._plan.max_descriptors,
         }
         self._start_daemon(name, "entry", settings)
 
--- a/bilberryring/testing/plan.py
+++ b/bilberryring/testing/plan.py
@@ -30,7 +30,8 @@
     `prefill_rate` is in tokens a second. An engine is cold until it has completed
     `cold_completions` prompts, and crashes while cold when it holds more than
     `cold_bears` prompts; `cold_allowance` is the limit that is published for it. The
-    drain of an entry or a sidecar may take `drain_seconds`.
+    drain of an entry or a sidecar may take `drain_seconds`; `memory_mb` and
+    `max_descriptors` are the limits of its machine, if any.
     With `is_relayed`, all traffic to the sidecars and endpoints goes through a relay
     that can disturb it.
     """
@@ -52,6 +53,8 @@
     first_token_seconds: float = 20.0
     drain_seconds: float = 300.0
     is_relayed: bool = False
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
 
     def domain_of(self, endpoint: str) -> str:
         """Return the failure domain that an endpoint's name contains."""
