Charge what callers hold, and refuse by the head what its head rules out

Cause: 200 connections with bodies one byte short, or with unread responses, took 0.9 to 1.3 GB of a gateway, also on paths without a route and on the port for readiness. Change: every channel of a gateway's listeners has an account. Room for a body is made before it is read, or the request is refused with 503 and Retry-After; what lags gives way. A body that the head rules out is dropped as it arrives. A connection whose responses are not read is not read from, and data read ahead is bounded while a response waits too. Ruled out: closing each connection whose head is refused, since a caller that sends its body in time keeps its connection today.

--- a/bilberryring/budget/__init__.py
+++ b/bilberryring/budget/__init__.py
@@ -4,7 +4,11 @@
 """
 
 from bilberryring.budget.accounts import Account, MemoryBudget
-from bilberryring.budget.eviction import MIN_LAG_SECONDS, choose_connection, choose_memory
+from bilberryring.budget.eviction import (
+    MIN_LAG_SECONDS,
+    choose_connection,
+    choose_memory,
+)
 from bilberryring.budget.limits import (
     DEFAULT_MEMORY_BYTES,
     PROCESS_BYTES,
--- a/bilberryring/budget/accounts.py
+++ b/bilberryring/budget/accounts.py
@@ -1,9 +1,9 @@
 """Accounts of what each client connection holds, and the budget of all of them.
 
->>> budget = MemoryBudget(limit_bytes=1_000)
+>>> budget = MemoryBudget(limit_bytes=1_000_000)
 >>> account = budget.open(address="192.0.2.1", now=0.0)
->>> account.hold(600)
->>> budget.fits(500), budget.fits(400)
+>>> account.hold(900_000)
+>>> budget.fits(200_000), budget.fits(100_000)
 (False, True)
 >>> account.close()
 >>> budget.held_bytes
@@ -12,6 +12,11 @@
 
 from collections.abc import Iterator
 
+SMALL_BYTES = 256 * 1024
+"""Size up to which a request may use all of the budget."""
+LARGE_SHARE = 0.875
+"""Share of the budget that larger requests may use, so that small ones, which are most,
+are still served while large bodies occupy the rest."""
 PROGRESS_RATE = 16 * 1024
 """Bytes per second at which a client makes full progress. A body that needs the whole
 60 s allowed for it comes at 70 KiB/s if it has the largest published size."""
@@ -130,8 +135,11 @@
         return account
 
     def fits(self, n_bytes: int) -> bool:
-        """Whether `n_bytes` more stay within the limit."""
-        return self._held_bytes + n_bytes <= self._limit_bytes
+        """Whether a request may hold `n_bytes` more."""
+        limit = self._limit_bytes
+        if n_bytes > SMALL_BYTES:
+            limit *= LARGE_SHARE
+        return self._held_bytes + n_bytes <= limit
 
     def main_address(self) -> str | None:
         """Return the address whose connections hold more than half, if there is one."""
--- a/bilberryring/budget/limits.py
+++ b/bilberryring/budget/limits.py
@@ -52,15 +52,17 @@
 ) -> BudgetLimits:
     """Return the limits for a machine; `None` stands for a setting that is missing.
 
+    0 is what an implausible setting is decoded to.
+
     `available_descriptors` is how many the operating system lets the process open.
     """
     memory = DEFAULT_MEMORY_BYTES if memory_bytes is None else memory_bytes
     floor = REQUEST_COPIES * largest_request_bytes + FLOOR_SLACK_BYTES
     for_clients = int((memory - PROCESS_BYTES) * CLIENT_SHARE)
     descriptors = available_descriptors
-    if max_descriptors is not None:
+    if max_descriptors:
         descriptors = min(descriptors, max_descriptors)
-    reserve = FILE_DESCRIPTORS + int(descriptors * PEER_SHARE)
+    reserve = min(FILE_DESCRIPTORS, descriptors // 5) + int(descriptors * PEER_SHARE)
     return BudgetLimits(
         memory_bytes=max(floor, for_clients),
         max_connections=max(MIN_CONNECTIONS, descriptors - reserve),
--- a/bilberryring/core/errors.py
+++ b/bilberryring/core/errors.py
@@ -61,6 +61,12 @@
         "The request line and the headers are too large",
         "send fewer or shorter headers",
     )
+    MEMORY_SHORT = (
+        "memory_short",
+        503,
+        "The memory that callers may use is taken",
+        "retry after the given time, or send a smaller request",
+    )
     HEADERS_TOO_SLOW = (
         "headers_too_slow",
         408,
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -15,7 +15,10 @@
     MIN_IDLE_SECONDS,
     BoundedRequest,
     CallerChannel,
+    CheckHead,
+    ClientBudget,
     OnRefused,
+    make_client_budget,
 )
 
 LINGER_BYTES = 8 * 1024 * 1024
@@ -113,18 +116,23 @@
             return Delivery.UNMARKED if self._is_left_incomplete else Delivery.CUT
         return Delivery.WHOLE
 
+    def read_headers(self) -> HeaderPairs:
+        """Return the headers of the request."""
+        return tuple(
+            (name, value)
+            for name, values in self.requestHeaders.getAllRawHeaders()
+            for value in values
+        )
+
     def read_request(self) -> CallerRequest:
         """Return the request with its complete body."""
         return CallerRequest(
             method=self.method,
             target=self.uri,
-            headers=tuple(
-                (name, value)
-                for name, values in self.requestHeaders.getAllRawHeaders()
-                for value in values
-            ),
+            headers=self.read_headers(),
             body=self.read_body(),
             received_at=self._reactor.seconds(),
+            refusal=self.refusal,
         )
 
     def start(self, status: int, reason: bytes, headers: HeaderPairs) -> None:
@@ -172,6 +180,15 @@
         self._remove_backpressure()
         self.channel.transport.abortConnection()
 
+    def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
+        """Handle the request without a table of its query, which may have many fields.
+
+        The query is passed on as a part of the target.
+        """
+        self.method, self.uri, self.clientproto = command, path, version
+        self.path = path.split(b"?", 1)[0]
+        self.process()
+
     def process(self) -> None:
         self._on_request(self)
 
@@ -219,7 +236,15 @@
         on_request: OnRequest,
         limits: Callable[[], CallerLimits] = CallerLimits,
         on_refused: OnRefused | None = None,
+        check_head: CheckHead | None = None,
+        client_budget: ClientBudget | None = None,
+        is_always_served: bool = False,
     ):
+        self.is_always_served = is_always_served
+        self.check_head = check_head
+        self.client_budget = client_budget or make_client_budget(
+            clock=reactor, largest_request_bytes=limits().max_body_bytes
+        )
         self._limits = limits
         self._on_refused = on_refused
         super().__init__(timeout=limits().idle_timeout, reactor=reactor)
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -21,6 +21,7 @@
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.forwarding import Forwarder
+from bilberryring.gateway.head_checks import caller_head_check, refuse_body
 from bilberryring.gateway.operator_queries import GatewayQueries
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.peers import PeerExchange
@@ -33,10 +34,16 @@
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.gateway.statement_recorder import StatementRecorder
 from bilberryring.gateway.store_readers import ReadingDuty
+from bilberryring.http import make_client_budget
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.client_budget_report import ClientBudgetReport
 from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.loops import start_loop
-from bilberryring.process.operator_site import ProcessStatus, operator_resource
+from bilberryring.process.operator_site import (
+    ProcessStatus,
+    operator_listener,
+    operator_resource,
+)
 from bilberryring.process.pauses import PauseDetector
 from bilberryring.process.running import Listeners
 from bilberryring.routing import WorkTracker
@@ -146,14 +153,29 @@
             lambda replica, keys: self._peers.report_change(is_urgent=True)
         )
         self._forwarder = self._build_forwarder(codec, crashes, incarnation)
+        self._client_budget = make_client_budget(
+            clock=reactor,
+            largest_request_bytes=CallerLimits().max_body_bytes,
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+        )
+        self._budget_report = ClientBudgetReport(
+            clock=reactor, budget=self._client_budget, metrics=self._metrics, log=log
+        )
         self._site = CallerSite(
             reactor=reactor,
             on_request=self._forwarder.accept,
             limits=self._caller_limits,
             on_refused=lambda code: log.write(LogEvent.CALLER_REFUSED, code=code.value),
+            check_head=caller_head_check(codec=codec, gate=self._gate),
+            client_budget=self._client_budget,
         )
         self._ready_site = CallerSite(
-            reactor=reactor, on_request=self._respond_to_readiness
+            reactor=reactor,
+            on_request=self._respond_to_readiness,
+            check_head=refuse_body,
+            client_budget=self._client_budget,
+            is_always_served=True,
         )
         self._listeners = Listeners(reactor=reactor, log=log)
         self._is_draining = False
@@ -219,10 +241,11 @@
             log=log,
             on_work_changed=self._peers.report_change,
         )
+        self._gate = RequestGate(fleet=self._fleet, crashes=crashes)
         return Forwarder(
             reactor=self._reactor,
             codec=codec,
-            gate=RequestGate(fleet=self._fleet, crashes=crashes),
+            gate=self._gate,
             retry_policy=retry_policy,
             chooser=chooser,
             attempts=attempts,
@@ -259,6 +282,7 @@
                 settings.metrics_address,
                 self._operator_site(),
                 key="metrics_address",
+                **operator_listener(self._client_budget),
             )
             self._peers.start()
         except CannotListenError as error:
@@ -398,6 +422,7 @@
 
     def _run_housekeeping(self) -> None:
         self._check_pause()
+        self._budget_report.update()
         self._check_settings()
         self._adapter.expire()
         self._crashes.update()
--- a/bilberryring/gateway/messages.py
+++ b/bilberryring/gateway/messages.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from bilberryring.admission import Statement
-from bilberryring.core import PromptPartId, RequestId
+from bilberryring.core import PromptPartId, RequestId, ServingError
 from bilberryring.execution import Close, Framing
 from bilberryring.fleet import WorkspaceName
 
@@ -34,13 +34,17 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerRequest:
-    """A caller's request with its complete body; `received_at` is in seconds."""
+    """A caller's request with its complete body; `received_at` is in seconds.
+
+    `refusal` is why its head ruled it out; its body was dropped then.
+    """
 
     method: bytes
     target: bytes
     headers: HeaderPairs
     body: bytes
     received_at: float
+    refusal: ServingError | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/request_gate.py
+++ b/bilberryring/gateway/request_gate.py
@@ -34,18 +34,12 @@
 
         Raises `ServingError` if the request is refused.
         """
+        if request.refusal is not None:
+            raise request.refusal
+        route, workspace = self.check_head(request.target, metadata)
         configuration = self._fleet.configuration
-        if self._refuses_new:
-            raise not_run(ErrorCode.LEAVING, retry_after=RETRY_AFTER_SECONDS)
-        if configuration is None:
-            raise not_run(ErrorCode.NO_SET, retry_after=2 * RETRY_AFTER_SECONDS)
         if len(request.body) > configuration.limits.max_body_bytes:
             raise not_run(ErrorCode.BODY_TOO_LARGE)
-        path = request.target.split(b"?", 1)[0].decode("latin-1")
-        route = configuration.route_of(metadata.host, path)
-        if route is None:
-            raise self._unknown_error(ErrorCode.PATH_UNKNOWN)
-        workspace = self._workspace(metadata, route)
         fingerprint = fingerprint_of(request, metadata.key)
         if self._crashes.is_quarantined(fingerprint):
             retry_after = self._crashes.seconds_left(fingerprint)
@@ -68,6 +62,24 @@
             configuration=configuration.version,
         )
 
+    def check_head(
+        self, target: bytes, metadata: CallerMetadata
+    ) -> tuple[Route, Workspace | None]:
+        """Return the route and the workspace of a request.
+
+        Raises `ServingError` if the request is refused whatever its body is.
+        """
+        configuration = self._fleet.configuration
+        if self._refuses_new:
+            raise not_run(ErrorCode.LEAVING, retry_after=RETRY_AFTER_SECONDS)
+        if configuration is None:
+            raise not_run(ErrorCode.NO_SET, retry_after=2 * RETRY_AFTER_SECONDS)
+        path = target.split(b"?", 1)[0].decode("latin-1")
+        route = configuration.route_of(metadata.host, path)
+        if route is None:
+            raise self._unknown_error(ErrorCode.PATH_UNKNOWN)
+        return route, self._workspace(metadata, route)
+
     def _unknown_error(self, code: ErrorCode) -> ServingError:
         """Return the error for an unknown path or API key.
 
--- a/bilberryring/http/__init__.py
+++ b/bilberryring/http/__init__.py
@@ -27,6 +27,7 @@
 from bilberryring.http.caller_channel import (
     MIN_IDLE_SECONDS,
     CallerChannel,
+    CheckHead,
     OnRefused,
 )
 from bilberryring.http.client import (
@@ -38,6 +39,11 @@
     LineStream,
     ResponseTimeoutError,
 )
+from bilberryring.http.client_budget import (
+    Cause,
+    ClientBudget,
+    make_client_budget,
+)
 
 __all__ = [
     "MAX_ANSWER_BYTES",
@@ -48,6 +54,9 @@
     "BoundedRequest",
     "CONNECT_TIMEOUT_SECONDS",
     "CallerChannel",
+    "Cause",
+    "CheckHead",
+    "ClientBudget",
     "DrainableCallerChannel",
     "DrainableSite",
     "HttpResponse",
@@ -64,6 +73,7 @@
     "Problem",
     "RESPONSE_TIMEOUT_SECONDS",
     "ResponseTimeoutError",
+    "make_client_budget",
     "make_site",
     "problem_from_error",
     "write_json",
--- a/bilberryring/http/bodies.py
+++ b/bilberryring/http/bodies.py
@@ -6,12 +6,14 @@
 from twisted.web.http import NO_BODY_CODES, HTTPChannel
 from twisted.web.server import Request, Site
 
-from bilberryring.core import Delivery
+from bilberryring.core import Delivery, ServingError
 from bilberryring.http.caller_channel import (
     MIN_IDLE_SECONDS,
     CallerChannel,
+    CheckHead,
     OnRefused,
 )
+from bilberryring.http.client_budget import ClientBudget, make_client_budget
 
 MAX_BODY_BYTES = 24 * 1024 * 1024
 IDLE_TIMEOUT_SECONDS = 60.0
@@ -28,6 +30,7 @@
         super().__init__()
         self._limit = limit
         self._is_limit_exceeded = False
+        self._n_dropped: int | None = None
 
     @property
     def is_limit_exceeded(self) -> bool:
@@ -35,18 +38,33 @@
         return self._is_limit_exceeded
 
     def write(self, data: bytes) -> int:
+        if self._n_dropped is not None:
+            self._n_dropped += len(data)
+            self._is_limit_exceeded |= self._n_dropped > self._limit
+            return len(data)
         if self.tell() + len(data) > self._limit:
             self._is_limit_exceeded = True
             return len(data)
         return super().write(data)
 
+    def discard(self) -> None:
+        """Drop what was written and what will be; its size counts for the limit."""
+        if self._n_dropped is None:
+            self._n_dropped = self.tell()
+            self.seek(0)
+            self.truncate()
+
 
 class BoundedRequest(Request):
     """A request that keeps its body in memory, for VMs without a disk.
 
-    The request class of Twisted writes large bodies to a temporary file.
+    The request class of Twisted writes large bodies to a temporary file. `refusal` is
+    why the request is refused whatever its body is, which is dropped then.
     """
 
+    refusal: ServingError | None = None
+    _body_buffer: _BoundedBody | None = None
+
     @property
     def max_body_bytes(self) -> int:
         """The size of the largest body that is kept."""
@@ -56,6 +74,14 @@
         self._body_buffer = _BoundedBody(self.max_body_bytes)
         self.content = self._body_buffer
 
+    def parseCookies(self) -> None:
+        """Leave cookies in their header: a table of many short ones is large."""
+
+    def discard_body(self) -> None:
+        """Drop what has arrived of the body, and what follows."""
+        if self._body_buffer is not None:
+            self._body_buffer.discard()
+
     @property
     def is_body_too_large(self) -> bool:
         """Whether the body is larger than `max_body_bytes`."""
@@ -98,8 +124,8 @@
 
     def read_body(self) -> bytes:
         """Return the body, which is incomplete when `is_body_too_large`."""
-        self.content.seek(0)
-        return self.content.read()
+        # Unlike `read` this makes no copy.
+        return self.content.getvalue()
 
 
 class _TrackedChannel(HTTPChannel):
@@ -122,10 +148,13 @@
     """A site that counts its open connections and can close them after their output.
 
     With `limits`, connections are those of callers: `channel` is their class, and
-    `on_refused` is called with the code of each request that is refused unread.
+    `on_refused` is called with the code of each request that is refused unread,
+    `check_head` with each request that has a body, before it arrives.
     """
 
     protocol = _TrackedChannel
+    is_always_served = False
+    """Whether requests are served also while no memory is left."""
 
     def __init__(
         self,
@@ -133,12 +162,22 @@
         channel: type[DrainableCallerChannel] = DrainableCallerChannel,
         limits: object = None,
         on_refused: OnRefused | None = None,
+        check_head: CheckHead | None = None,
+        client_budget: ClientBudget | None = None,
+        is_always_served: bool = False,
         **kwargs,
     ):
         super().__init__(*args, **kwargs)
         self._channels: set[HTTPChannel] = set()
         self._limits = limits
         self._on_refused = on_refused
+        self.check_head = check_head
+        self.client_budget = client_budget
+        self.is_always_served = is_always_served
+        if client_budget is None and limits is not None:
+            self.client_budget = make_client_budget(
+                clock=self.reactor, largest_request_bytes=limits.max_body_bytes
+            )
         self.timeOut = IDLE_TIMEOUT_SECONDS
         if limits is not None:
             self.protocol = channel
--- /dev/null
+++ b/bilberryring/http/budgeted_channel.py
@@ -0,0 +1,250 @@
+"""An HTTP connection whose memory is counted, and which reads only what it can use."""
+
+import fcntl
+import struct
+import termios
+
+from twisted.python.failure import Failure
+from twisted.web.http import HTTPChannel
+
+from bilberryring.core import ErrorCode
+from bilberryring.http.client_budget import Cause, ClientBudget
+
+CONNECTION_BYTES = 16 * 1024
+"""Memory of an idle connection: its protocol, transport, timers and socket object."""
+REQUEST_BYTES = 32 * 1024
+"""Memory of a request in progress beside its head and its body."""
+FIELD_BYTES = 512
+"""Memory of a header field beside its text: it is kept in the table that was parsed,
+in the list that is passed on and in the request to the endpoint."""
+HEAD_COPIES = 3
+"""How often the text of a head is in memory."""
+BODY_COPIES = 2
+"""How often a body is in memory: the buffer in which it arrives is larger by an eighth,
+and it is copied once when it is sent to an endpoint."""
+CHUNKED_STEP_BYTES = 64 * 1024
+"""Least size for which room is made when the length of a body is not declared."""
+MAX_AHEAD_PIECES = 32
+"""Pieces of data read ahead after which they are joined; a piece of one byte takes 41
+bytes."""
+
+
+class BudgetedChannel(HTTPChannel):
+    """Charges what a client holds to the account of its connection.
+
+    A subclass refuses requests. While the client does not read its responses, no
+    further request is read.
+    """
+
+    account = None
+    _body_bytes = 0
+    _head_bytes = 0
+    _ahead_bytes = 0
+    _unread_bytes = 0
+    _unsent_bytes = 0
+
+    @property
+    def budget(self) -> ClientBudget:
+        """The budget of all connections of the process."""
+        return self.factory.client_budget
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request that is being received has been refused."""
+        raise NotImplementedError
+
+    def refuse(self, code: ErrorCode) -> None:
+        """Send an error for the request that is being received, and close."""
+        raise NotImplementedError
+
+    def connectionMade(self) -> None:
+        peer = self.transport.getPeer()
+        address = getattr(peer, "host", "")
+        super().connectionMade()
+        self.account = self.budget.open(self, address=address)
+        self._count_held()
+        self.budget.admit(self.account)
+
+    def connectionLost(self, reason: Failure) -> None:
+        if self.account is not None:
+            self.budget.close(self.account)
+        super().connectionLost(reason)
+
+    def evict(self, cause: Cause) -> None:
+        """Refuse the request that is being received, or reset the connection."""
+        is_receiving = self.requests and not self._handlingRequest
+        can_refuse = is_receiving and not self.is_refused and not self._unread_bytes
+        if can_refuse and cause is Cause.EVICTED:
+            self.refuse(ErrorCode.MEMORY_SHORT)
+            return
+        self.budget.close(self.account)
+        self.transport.abortConnection()
+
+    def update_output(self) -> None:
+        """Count the output that the client has not read; what it reads is progress."""
+        transport = self.transport
+        if not getattr(transport, "_tempDataLen", 0) and not getattr(
+            transport, "dataBuffer", b""
+        ):
+            if self._unread_bytes:
+                self._set_unread(0)
+            return
+        self._set_unread(transport._tempDataLen + len(transport.dataBuffer))
+        unsent = self._unread_bytes - transport.offset + _bytes_in_kernel(transport)
+        if unsent < self._unsent_bytes:
+            now = self.factory.reactor.seconds()
+            self.account.advance(self._unsent_bytes - unsent, now=now)
+        self._unsent_bytes = unsent
+
+    def dataReceived(self, data: bytes) -> None:
+        account = self.account
+        now = self.factory.reactor.seconds()
+        if not self.requests and not self._buffer:
+            account.begin(now=now)
+        account.advance(len(data), now=now)
+        super().dataReceived(data)
+        self._count_held()
+        if self.requests and not self._handlingRequest and not self.is_refused:
+            self.check_memory()
+
+    def check_memory(self) -> None:
+        """Refuse a request if no memory is left, unless room was made for its body."""
+        if self._body_bytes or self.factory.is_always_served:
+            return
+        self._count_held()
+        if not self.budget.make_room(self.account, 0):
+            self.refuse(ErrorCode.MEMORY_SHORT)
+
+    def allHeadersReceived(self) -> None:
+        super().allHeadersReceived()
+        self._head_bytes = self._size_of_head()
+
+    def make_room_for_body(self) -> bool:
+        """Whether the body that the head declares fits into the budget."""
+        n_bytes = 0 if self.length is None else self.length
+        return self._make_room(BODY_COPIES * n_bytes)
+
+    def allContentReceived(self) -> None:
+        self._body_bytes = BODY_COPIES * self.requests[-1].content.tell()
+        self.account.is_evictable = False
+        super().allContentReceived()
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if self._handlingRequest:
+            self._keep_ahead(data)
+            return
+        decoder = self._transferDecoder
+        super().rawDataReceived(data)
+        trailers = getattr(decoder, "_trailerHeaders", None)
+        if trailers:
+            # Nobody reads them, and each short one takes 60 bytes.
+            trailers.clear()
+
+    def make_room_for_chunks(self) -> bool:
+        """Whether what has arrived of a body of undeclared length fits."""
+        if self.length is not None:
+            return True
+        needed = BODY_COPIES * self.requests[-1].content.tell()
+        if needed <= self._body_bytes:
+            return True
+        most = BODY_COPIES * self.factory.limits.max_body_bytes
+        ahead = min(most, 2 * max(needed, BODY_COPIES * CHUNKED_STEP_BYTES))
+        return self._make_room(ahead - self._body_bytes) or self._make_room(
+            needed - self._body_bytes
+        )
+
+    def writeHeaders(self, version, code, reason, headers) -> None:
+        # The endpoint has read the request, so that its copy is gone.
+        self._body_bytes //= BODY_COPIES
+        self._count_held()
+        super().writeHeaders(version, code, reason, headers)
+
+    def requestDone(self, request) -> None:
+        self._head_bytes = self._body_bytes = self._ahead_bytes = 0
+        now = self.factory.reactor.seconds()
+        self.account.begin(now=now)
+        self.account.is_evictable = self.account.has_served = True
+        if self._waitingForTransport and self.persistent:
+            self._hold_input()
+        super().requestDone(request)
+        self._count_held()
+
+    def pauseProducing(self) -> None:
+        super().pauseProducing()
+        if not self._handlingRequest:
+            self._hold_input()
+        if not self._unread_bytes:
+            self.account.begin(now=self.factory.reactor.seconds())
+        self.account.is_evictable = True
+        self.update_output()
+
+    def resumeProducing(self) -> None:
+        super().resumeProducing()
+        self._set_unread(0)
+        self.account.is_evictable = not self._handlingRequest
+        if self.paused:
+            self.paused = False
+            if self._buffer:
+                self.dataReceived(b"")
+
+    def release_body(self) -> None:
+        """Drop what has arrived of the body of a refused request."""
+        self._body_bytes = 0
+        if self.requests and not self._handlingRequest:
+            self.requests[-1].discard_body()
+        self._count_held()
+
+    def _hold_input(self) -> None:
+        """Parse no further request until the client has read its responses."""
+        self.paused = True
+        self._networkProducer.pauseProducing()
+
+    def _keep_ahead(self, data: bytes) -> None:
+        """Keep what arrives while a request is in progress, and read no more of it.
+
+        What is read at all tells when the client closes the connection.
+        """
+        kept = self._dataBuffer
+        kept.append(data)
+        if len(kept) >= MAX_AHEAD_PIECES:
+            kept[:] = [b"".join(kept)]
+        self._ahead_bytes += len(data)
+        if self._ahead_bytes > self._optimisticEagerReadSize:
+            self._networkProducer.pauseProducing()
+
+    def _make_room(self, n_bytes: int) -> bool:
+        if not self.budget.make_room(self.account, n_bytes):
+            return False
+        self._body_bytes += n_bytes
+        self._count_held()
+        return True
+
+    def _set_unread(self, n_bytes: int) -> None:
+        self._unread_bytes = n_bytes
+        if not n_bytes:
+            self._unsent_bytes = 0
+        self._count_held()
+
+    def _size_of_head(self) -> int:
+        fields = self._receivedHeaderCount * FIELD_BYTES
+        return self._receivedHeaderSize * HEAD_COPIES + fields + REQUEST_BYTES
+
+    def _count_held(self) -> None:
+        if self.account is None:
+            return
+        held = CONNECTION_BYTES + len(self._buffer) + self._ahead_bytes
+        held += self._unread_bytes + self._body_bytes
+        if self._head_bytes:
+            held += self._head_bytes
+        elif self.requests:
+            held += self._size_of_head()
+        self.account.hold(held)
+
+
+def _bytes_in_kernel(transport) -> int:
+    """Return the sent bytes that the client's host has not acknowledged."""
+    try:
+        answer = fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return struct.unpack("i", answer)[0]
--- a/bilberryring/http/caller_channel.py
+++ b/bilberryring/http/caller_channel.py
@@ -6,7 +6,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.python.failure import Failure
-from twisted.web.http import RESPONSES, HTTPChannel
+from twisted.web.http import RESPONSES, SERVICE_UNAVAILABLE
 from zope.interface import implementer
 
 from bilberryring.core import (
@@ -17,6 +17,7 @@
     set_reset_on_close,
 )
 from bilberryring.http.answers import PROBLEM_TYPE, problem_from_error
+from bilberryring.http.budgeted_channel import BudgetedChannel
 
 MAX_BODY_SECONDS = 60.0
 """Seconds within which a body must arrive, as long as callers are assumed to wait."""
@@ -26,16 +27,29 @@
 MIN_IDLE_SECONDS = 0.5
 """Seconds without a request after which a connection is closed at a stop."""
 
+REFUSED_BODY_SECONDS = 2.0
+"""Seconds within which the body of a request that its head rules out has to arrive, for
+the request to be answered like others, without closing the connection. A 503 may be
+awaited longer, as the caller's body is not at fault."""
+RETRY_AFTER_SECONDS = 1.0
+"""Seconds after which a caller that was refused for lack of memory may come again."""
+ABORT_SECONDS = 15.0
+"""Seconds after which a refused caller that reads nothing is disconnected."""
+
 OnRefused = Callable[[ErrorCode], None]
+CheckHead = Callable[[object], ServingError | None]
+"""Returns why a request is refused whatever its body is, or `None`."""
 
 
 @implementer(IHalfCloseableProtocol)
-class CallerChannel(HTTPChannel):
+class CallerChannel(BudgetedChannel):
     """Refuses a request that is malformed, too large or too slow, and closes.
 
     The request is refused at once and without reading the rest of it. The factory has
     the limits as `limits`: `max_header_bytes`, `max_body_bytes`, and in seconds
-    `header_timeout` and `idle_timeout`.
+    `header_timeout` and `idle_timeout`, its budget as `client_budget`, and as
+    `check_head` a function that tells of a request with a body, by its head, why it is
+    refused. Such a body is dropped as it arrives.
     """
 
     on_refused: OnRefused | None = None
@@ -54,16 +68,22 @@
     _is_left_unread = False
     _is_response_complete = False
     _idle_since = 0.0
+    _is_continue_due = False
 
     @property
     def refusal_outcome(self) -> RunOutcome:
         """Whether a refused request was executed."""
         return RunOutcome.NOT_RUN
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request that is being received has been refused."""
+        return self._is_refused
+
     @property
     def has_next_request(self) -> bool:
         """Whether bytes of another request wait for the end of the current one."""
-        return any(self._dataBuffer)
+        return any(self._dataBuffer) or bool(self.paused and self._buffer)
 
     def idle_seconds(self, *, now: float) -> float:
         """Return for how long no request was received or answered; 0 during one."""
@@ -184,22 +204,52 @@
         if self._is_refused:
             self._drop(data)
             return
-        if self._timer is None and not self._handlingRequest:
+        if self._timer is None and not self._handlingRequest and not self.paused:
             limits = self.factory.limits
             self.totalHeadersSize = self.MAX_LENGTH = limits.max_header_bytes
             self._set_timer(limits.header_timeout, ErrorCode.HEADERS_TOO_SLOW)
         super().dataReceived(data)
 
     def allHeadersReceived(self) -> None:
+        self._is_continue_due = False
         super().allHeadersReceived()
         self._set_timer(MAX_BODY_SECONDS, ErrorCode.BODY_TOO_SLOW)
         if self.length is not None and self.length > self.factory.limits.max_body_bytes:
             self.refuse(ErrorCode.BODY_TOO_LARGE)
+            return
+        error = None if self.length == 0 else self._check_head()
+        if error is not None:
+            self._discard_body(error.code)
+        elif not self.make_room_for_body():
+            self.refuse(ErrorCode.MEMORY_SHORT)
+        elif self._is_continue_due:
+            super()._send100Continue()
+
+    def _send100Continue(self) -> None:
+        """Let the body be sent only once the head has been checked."""
+        self._is_continue_due = True
+
+    def _check_head(self) -> ServingError | None:
+        request, check = self.requests[-1], self.factory.check_head
+        request.method, request.uri = self._command, self._path
+        request.refusal = None if check is None else check(request)
+        return request.refusal
+
+    def _discard_body(self, code: ErrorCode) -> None:
+        """Drop the body as it arrives; refuse the request at once if it is awaited."""
+        if self._is_continue_due:
+            self.refuse(code)
+            return
+        self.requests[-1].discard_body()
+        if code.status != SERVICE_UNAVAILABLE:
+            self._set_timer(REFUSED_BODY_SECONDS, code)
 
     def allContentReceived(self) -> None:
         self._set_timer(None)
         if self.requests[-1].is_body_too_large:
             self.refuse(ErrorCode.BODY_TOO_LARGE)
+        if not self._is_refused:
+            self.check_memory()
         if not self._is_refused:
             super().allContentReceived()
 
@@ -213,8 +263,11 @@
         super().rawDataReceived(data)
         if self._handlingRequest or self._is_refused or not self.requests:
             return
-        if self.requests[-1].is_body_too_large:
+        request = self.requests[-1]
+        if request.is_body_too_large:
             self.refuse(ErrorCode.BODY_TOO_LARGE)
+        elif request.refusal is None and not self.make_room_for_chunks():
+            self.refuse(ErrorCode.MEMORY_SHORT)
 
     def requestDone(self, request) -> None:
         self._idle_since = self.factory.reactor.seconds()
@@ -235,7 +288,8 @@
             return
         self._is_refused = True
         self._set_timer(None)
-        if self.on_refused is not None:
+        self.release_body()
+        if self.on_refused is not None and code is not ErrorCode.MEMORY_SHORT:
             self.on_refused(code)
         self.transport.write(_encode_refusal(code, self.refusal_outcome))
         if not self.linger_bytes:
@@ -243,7 +297,12 @@
             return
         self.setTimeout(None)
         self.transport.loseWriteConnection()
-        self._linger_timer = self.callLater(self.linger_seconds, self.loseConnection)
+        self._linger_timer = self.callLater(self.linger_seconds, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Close the connection, also if the caller does not read the error."""
+        self._linger_timer = self.callLater(ABORT_SECONDS, self.forceAbortClient)
+        self.loseConnection()
 
     def _drop(self, data: bytes) -> None:
         """Drop a part of a refused request, and close after too many of them."""
@@ -271,7 +330,8 @@
 
 
 def _encode_refusal(code: ErrorCode, outcome: RunOutcome) -> bytes:
-    error = ServingError(code=code, outcome=outcome)
+    retry_after = RETRY_AFTER_SECONDS if code.status == SERVICE_UNAVAILABLE else None
+    error = ServingError(code=code, outcome=outcome, retry_after=retry_after)
     body = msgspec.json.encode(problem_from_error(error, request_id=""))
     reason = RESPONSES.get(code.status, b"")
     head = b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\n" % (
@@ -279,5 +339,7 @@
         reason,
         PROBLEM_TYPE,
     )
+    if retry_after is not None:
+        head += b"Retry-After: %d\r\n" % retry_after
     head += b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(body)
     return head + body
--- a/bilberryring/process/operator_site.py
+++ b/bilberryring/process/operator_site.py
@@ -8,11 +8,47 @@
 from twisted.web.server import NOT_DONE_YET, Request
 
 from bilberryring.acceptance import RefusedSet
-from bilberryring.http import JsonResource
+from bilberryring.core import ErrorCode, RunOutcome, ServingError
+from bilberryring.fleet import CallerLimits
+from bilberryring.http import (
+    IDLE_TIMEOUT_SECONDS,
+    ClientBudget,
+    DrainableCallerChannel,
+    JsonResource,
+)
 from bilberryring.telemetry import Metrics
 
 METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
+OPERATOR_LIMITS = CallerLimits(max_body_bytes=0, idle_timeout=IDLE_TIMEOUT_SECONDS)
+"""Limits on operators' requests, none of which has a body."""
+LINGER_BYTES = 1024 * 1024
+"""Bytes of a refused request that are read and dropped."""
+LINGER_SECONDS = 2.0
+"""Seconds for which they are."""
+
+
+class OperatorChannel(DrainableCallerChannel):
+    """An operator's connection, whose requests have no bodies."""
+
+    linger_bytes = LINGER_BYTES
+    linger_seconds = LINGER_SECONDS
+
+
+def operator_listener(budget: ClientBudget) -> dict[str, object]:
+    """Return the options of the operators' listener."""
+    return {
+        "channel": OperatorChannel,
+        "limits": OPERATOR_LIMITS,
+        "check_head": _refuse_body,
+        "client_budget": budget,
+        "is_always_served": True,
+    }
+
+
+def _refuse_body(request: Request) -> ServingError:
+    return ServingError(code=ErrorCode.BODY_TOO_LARGE, outcome=RunOutcome.NOT_RUN)
+
 
 class RefusedSetStatus(msgspec.Struct, frozen=True, kw_only=True):
     """A refused set with the reason and the remedy."""
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -149,6 +149,23 @@
         "warning",
         "A caller's request was malformed, too large or too slow, and was not read",
     )
+    CLIENTS_REFUSED = (
+        405,
+        "warning",
+        "Callers were refused or disconnected for lack of memory or connections; how "
+        "many since the last such line",
+    )
+    CLIENT_MEMORY_MISCOUNTED = (
+        406,
+        "error",
+        "The count of the memory that callers hold was wrong and was corrected",
+    )
+    CLIENT_MEMORY_AT_FLOOR = (
+        407,
+        "warning",
+        "The memory in the settings is implausible or below what the process needs; "
+        "the least limit for callers is in force",
+    )
     REQUEST_RECEIVED = (400, "info", "A caller's request was read")
     REQUEST_FINISHED = (401, "info", "A caller received a complete answer")
     REQUEST_FAILED = (402, "warning", "A caller received an error")
