--- a/bilberryring/budget/__init__.py
+++ b/bilberryring/budget/__init__.py
@@ -6,6 +6,7 @@
 from bilberryring.budget.accounts import Account, MemoryBudget
 from bilberryring.budget.eviction import (
     MIN_LAG_SECONDS,
+    MIN_UNREAD_LAG_SECONDS,
     choose_connection,
     choose_memory,
 )
@@ -21,6 +22,7 @@
     "BudgetLimits",
     "DEFAULT_MEMORY_BYTES",
     "MIN_LAG_SECONDS",
+    "MIN_UNREAD_LAG_SECONDS",
     "MemoryBudget",
     "PROCESS_BYTES",
     "choose_connection",
--- a/bilberryring/budget/accounts.py
+++ b/bilberryring/budget/accounts.py
@@ -20,6 +20,9 @@
 PROGRESS_RATE = 16 * 1024
 """Bytes per second at which a client makes full progress. A body that needs the whole
 60 s allowed for it comes at 70 KiB/s if it has the largest published size."""
+UNREAD_SHARE = 0.5
+"""Share of the budget for responses that callers have not read. Above it no further
+response that is held whole is read from an endpoint."""
 
 
 class Account:
@@ -34,6 +37,7 @@
         "_budget",
         "_held_bytes",
         "_progress_at",
+        "_unread_bytes",
         "has_served",
         "is_evictable",
     )
@@ -42,6 +46,7 @@
         self._budget: MemoryBudget | None = budget
         self._address = address
         self._held_bytes = 0
+        self._unread_bytes = 0
         self._progress_at = now
         self.has_served = False
         self.is_evictable = True
@@ -56,6 +61,11 @@
         """The bytes that the connection holds."""
         return self._held_bytes
 
+    @property
+    def unread_bytes(self) -> int:
+        """Those of the bytes that are responses which the client has not read."""
+        return self._unread_bytes
+
     @property
     def is_open(self) -> bool:
         """Whether the account counts for its budget."""
@@ -88,10 +98,18 @@
             self._held_bytes = n_bytes
             self._budget.count(self, change)
 
+    def hold_unread(self, n_bytes: int) -> None:
+        """State how many of the bytes are responses that the client has not read."""
+        change = n_bytes - self._unread_bytes
+        if change and self._budget is not None:
+            self._unread_bytes = n_bytes
+            self._budget.count_unread(change)
+
     def close(self) -> None:
         """Release all bytes, and count for the budget no longer."""
         if self._budget is not None:
             self.hold(0)
+            self.hold_unread(0)
             self._budget.forget(self)
             self._budget = None
 
@@ -102,6 +120,8 @@
     def __init__(self, *, limit_bytes: int):
         self._limit_bytes = limit_bytes
         self._held_bytes = 0
+        self._unread_bytes = 0
+        self._other_bytes = 0
         self._accounts: dict[Account, None] = {}
         self._held_by_address: dict[str, int] = {}
         self._open_by_address: dict[str, int] = {}
@@ -116,6 +136,11 @@
         """The bytes that all accounts hold."""
         return self._held_bytes
 
+    @property
+    def other_bytes(self) -> int:
+        """The bytes that are held for clients and belong to no connection."""
+        return self._other_bytes
+
     @property
     def n_open(self) -> int:
         """The number of open accounts."""
@@ -139,7 +164,16 @@
         limit = self._limit_bytes
         if n_bytes > SMALL_BYTES:
             limit *= LARGE_SHARE
-        return self._held_bytes + n_bytes <= limit
+        return self._held_bytes + self._other_bytes + n_bytes <= limit
+
+    @property
+    def is_unread_too_much(self) -> bool:
+        """Whether responses that nobody reads take more than their share."""
+        return self._unread_bytes > self._limit_bytes * UNREAD_SHARE
+
+    def hold_others(self, n_bytes: int) -> None:
+        """Count memory that is held for clients and belongs to no connection."""
+        self._other_bytes = n_bytes
 
     def main_address(self) -> str | None:
         """Return the address whose connections hold more than half, if there is one."""
@@ -158,6 +192,10 @@
         else:
             self._held_by_address.pop(account.address, None)
 
+    def count_unread(self, change: int) -> None:
+        """Count a change of an account; called by the account."""
+        self._unread_bytes += change
+
     def forget(self, account: Account) -> None:
         """Forget an account; called by the account."""
         del self._accounts[account]
@@ -168,7 +206,8 @@
             del self._open_by_address[account.address]
 
     def correct(self) -> int:
-        """Recompute the sum from the open accounts; return by how much it was off."""
+        """Recompute the sums from the open accounts; return by how much one was off."""
+        self._unread_bytes = sum(account.unread_bytes for account in self._accounts)
         held: dict[str, int] = {}
         for account in self._accounts:
             if account.held_bytes:
--- a/bilberryring/budget/eviction.py
+++ b/bilberryring/budget/eviction.py
@@ -12,6 +12,9 @@
 MIN_LAG_SECONDS = 1.0
 """Lag from which a connection may give way. A client within the published limits that
 pauses for a shorter time, as after a lost packet, keeps its connection."""
+MIN_UNREAD_LAG_SECONDS = 0.5
+"""The same while more is held than may be. What has been answered already cannot be
+refused; a client that reads acknowledges some of it within this time."""
 
 
 def choose_memory(
@@ -20,17 +23,19 @@
     now: float,
     requester: Account | None = None,
     min_lag: float = MIN_LAG_SECONDS,
+    is_unread_only: bool = False,
 ) -> Account | None:
     """Return the account whose memory is to be freed first, if there is one.
 
-    `requester` is never chosen.
+    `requester` is never chosen; with `is_unread_only` only clients are that have not
+    read their responses.
     """
     candidates = [
         account
         for account in budget.accounts
         if account.is_evictable
         and account is not requester
-        and account.held_bytes
+        and (account.unread_bytes if is_unread_only else account.held_bytes)
         and account.lag(now=now) >= min_lag
     ]
     candidates = _of_address(candidates, budget.main_address())
--- a/bilberryring/budget/limits.py
+++ b/bilberryring/budget/limits.py
@@ -22,7 +22,10 @@
 FILE_DESCRIPTORS = 200
 """Descriptors that are kept for files."""
 PEER_SHARE = 0.2
-"""Share of the descriptors for endpoints, peers and the store."""
+"""Share of the descriptors that no caller's connection takes, so that endpoints, peers
+and the store can be reached beside any number of callers."""
+PEER_DESCRIPTORS = 64
+"""Descriptors for peers, the store and idle connections to endpoints."""
 MIN_CONNECTIONS = 16
 REQUEST_COPIES = 2
 """How often the body of a request is in memory while it is sent to an endpoint."""
@@ -34,12 +37,14 @@
 class BudgetLimits:
     """What all clients of a process may occupy together.
 
+    `max_sockets` bounds their connections and those to endpoints for their requests.
     `is_floor` is true if the memory of the machine is below what the process itself
     needs, so that the least sensible limit is in force.
     """
 
     memory_bytes: int
     max_connections: int
+    max_sockets: int
     is_floor: bool = False
 
 
@@ -49,6 +54,7 @@
     max_descriptors: int | None,
     largest_request_bytes: int,
     available_descriptors: int = 1_048_576,
+    connects_to_endpoints: bool = True,
 ) -> BudgetLimits:
     """Return the limits for a machine; `None` stands for a setting that is missing.
 
@@ -62,9 +68,14 @@
     descriptors = available_descriptors
     if max_descriptors:
         descriptors = min(descriptors, max_descriptors)
-    reserve = min(FILE_DESCRIPTORS, descriptors // 5) + int(descriptors * PEER_SHARE)
+    files = min(FILE_DESCRIPTORS, descriptors // 5)
+    max_connections = descriptors - files - int(descriptors * PEER_SHARE)
+    max_sockets = descriptors - files - min(PEER_DESCRIPTORS, descriptors // 5)
+    if not connects_to_endpoints:
+        max_sockets = 2 * descriptors
     return BudgetLimits(
         memory_bytes=max(floor, for_clients),
-        max_connections=max(MIN_CONNECTIONS, descriptors - reserve),
+        max_connections=max(MIN_CONNECTIONS, max_connections),
+        max_sockets=max(2 * MIN_CONNECTIONS, max_sockets),
         is_floor=for_clients < floor,
     )
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -121,6 +121,7 @@
         statements: StatementRecorder,
         log: RequestLog,
         on_work_changed,
+        held: HeldAnswers | None = None,
     ):
         self._reactor = reactor
         self._codec = codec
@@ -135,7 +136,7 @@
         self._statements = statements
         self._log = log
         self._on_work_changed = on_work_changed
-        self._held = HeldAnswers()
+        self._held = held or HeldAnswers()
         self._open = OpenResponses()
 
     def end_earlier_runs(self, endpoint: AnnouncedEndpoint) -> None:
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -276,6 +276,9 @@
 
         def connection_lost(reason):
             self._channels.discard(channel)
+            # Without this the channel refers to itself, and stays until garbage is
+            # collected.
+            del channel.connectionLost
             connection_lost_base(reason)
 
         channel.connectionLost = connection_lost
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -22,6 +22,7 @@
 from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.forwarding import Forwarder
 from bilberryring.gateway.head_checks import caller_head_check, refuse_body
+from bilberryring.gateway.held_answers import MAX_HELD_BYTES, HeldAnswers
 from bilberryring.gateway.operator_queries import GatewayQueries
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.peers import PeerExchange
@@ -36,6 +37,7 @@
 from bilberryring.gateway.store_readers import ReadingDuty
 from bilberryring.http import make_client_budget
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.allocator import return_large_blocks
 from bilberryring.process.client_budget_report import ClientBudgetReport
 from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.loops import start_loop
@@ -152,13 +154,17 @@
         self._copies.add_listener(
             lambda replica, keys: self._peers.report_change(is_urgent=True)
         )
-        self._forwarder = self._build_forwarder(codec, crashes, incarnation)
         self._client_budget = make_client_budget(
             clock=reactor,
             largest_request_bytes=CallerLimits().max_body_bytes,
             memory_bytes=settings.memory_bytes,
             max_descriptors=settings.max_descriptors,
         )
+        self._held_answers = HeldAnswers(
+            on_change=self._count_held_answers,
+            must_wait=lambda: self._client_budget.is_unread_too_much,
+        )
+        self._forwarder = self._build_forwarder(codec, crashes, incarnation)
         self._budget_report = ClientBudgetReport(
             clock=reactor, budget=self._client_budget, metrics=self._metrics, log=log
         )
@@ -240,6 +246,7 @@
             statements=statements,
             log=log,
             on_work_changed=self._peers.report_change,
+            held=self._held_answers,
         )
         self._gate = RequestGate(fleet=self._fleet, crashes=crashes)
         return Forwarder(
@@ -271,6 +278,7 @@
         Raises `SettingsError` if an address cannot be bound.
         """
         settings = self._settings
+        return_large_blocks()
         try:
             self._listeners.listen(
                 settings.caller_address, self._site, key="caller_address"
@@ -405,6 +413,10 @@
     def _on_endpoint_started(self, endpoint: AnnouncedEndpoint) -> None:
         self._forwarder.end_earlier_runs(endpoint)
 
+    def _count_held_answers(self, n_bytes: int) -> None:
+        """Charge what is held above the memory that is kept for held answers."""
+        self._client_budget.hold_others(max(0, n_bytes - MAX_HELD_BYTES))
+
     def _caller_limits(self) -> CallerLimits:
         configuration = self._fleet.configuration
         return CallerLimits() if configuration is None else configuration.limits
@@ -423,6 +435,7 @@
     def _run_housekeeping(self) -> None:
         self._check_pause()
         self._budget_report.update()
+        self._held_answers.resume()
         self._check_settings()
         self._adapter.expire()
         self._crashes.update()
--- a/bilberryring/http/budgeted_channel.py
+++ b/bilberryring/http/budgeted_channel.py
@@ -10,13 +10,17 @@
 from bilberryring.core import ErrorCode
 from bilberryring.http.client_budget import Cause, ClientBudget
 
-CONNECTION_BYTES = 16 * 1024
+CONNECTION_BYTES = 6 * 1024
 """Memory of an idle connection: its protocol, transport, timers and socket object."""
-REQUEST_BYTES = 32 * 1024
-"""Memory of a request in progress beside its head and its body."""
-FIELD_BYTES = 512
+RECEIVING_BYTES = 4 * 1024
+"""Memory of a request that is being received beside its head and its body."""
+REQUEST_BYTES = 44 * 1024
+"""Memory of a request that is handled beside its head and its body. 600 of them took
+18.5 KiB each, and an endpoint that answers at once sends up to 64 KiB in one read."""
+FIELD_BYTES = 320
 """Memory of a header field beside its text: it is kept in the table that was parsed,
-in the list that is passed on and in the request to the endpoint."""
+in the list that is passed on and in the request to the endpoint. 200 of them took 57
+KiB."""
 HEAD_COPIES = 3
 """How often the text of a head is in memory."""
 BODY_COPIES = 2
@@ -37,6 +41,7 @@
     """
 
     account = None
+    _is_counted = False
     _body_bytes = 0
     _head_bytes = 0
     _ahead_bytes = 0
@@ -67,8 +72,12 @@
 
     def connectionLost(self, reason: Failure) -> None:
         if self.account is not None:
+            self._end_request()
             self.budget.close(self.account)
+        self._drop_data()
         super().connectionLost(reason)
+        # It refers to the connection, which would stay until garbage is collected.
+        self._transferDecoder = None
 
     def evict(self, cause: Cause) -> None:
         """Refuse the request that is being received, or reset the connection."""
@@ -79,13 +88,12 @@
             return
         self.budget.close(self.account)
         self.transport.abortConnection()
+        self._drop_data()
 
     def update_output(self) -> None:
         """Count the output that the client has not read; what it reads is progress."""
         transport = self.transport
-        if not getattr(transport, "_tempDataLen", 0) and not getattr(
-            transport, "dataBuffer", b""
-        ):
+        if not self._has_output():
             if self._unread_bytes:
                 self._set_unread(0)
             return
@@ -111,10 +119,17 @@
         """Refuse a request if no memory is left, unless room was made for its body."""
         if self._body_bytes or self.factory.is_always_served:
             return
-        self._count_held()
         if not self.budget.make_room(self.account, 0):
             self.refuse(ErrorCode.MEMORY_SHORT)
 
+    def check_request(self) -> None:
+        """Refuse a complete request if there is no room to handle it."""
+        self._count_held()
+        if self.factory.is_always_served:
+            return
+        if not self.budget.make_room_for_request(self.account, REQUEST_BYTES):
+            self.refuse(ErrorCode.MEMORY_SHORT)
+
     def allHeadersReceived(self) -> None:
         super().allHeadersReceived()
         self._head_bytes = self._size_of_head()
@@ -127,6 +142,8 @@
     def allContentReceived(self) -> None:
         self._body_bytes = BODY_COPIES * self.requests[-1].content.tell()
         self.account.is_evictable = False
+        self._is_counted = True
+        self.budget.begin_request()
         super().allContentReceived()
 
     def rawDataReceived(self, data: bytes) -> None:
@@ -159,7 +176,31 @@
         self._count_held()
         super().writeHeaders(version, code, reason, headers)
 
+    def _drop_data(self) -> None:
+        """Free what is left to be read or sent on a closed connection.
+
+        Others may refer to the connection for a while.
+        """
+        self._buffer = b""
+        self._dataBuffer = []
+        if self._has_output():
+            self.transport.dataBuffer = b""
+            self.transport._tempDataBuffer = []
+            self.transport._tempDataLen = self.transport.offset = 0
+
+    def _has_output(self) -> bool:
+        """Whether the transport holds data that has not been sent."""
+        transport = self.transport
+        has_buffer = bool(getattr(transport, "dataBuffer", b""))
+        return has_buffer or bool(getattr(transport, "_tempDataLen", 0))
+
+    def _end_request(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self.budget.end_request()
+
     def requestDone(self, request) -> None:
+        self._end_request()
         self._head_bytes = self._body_bytes = self._ahead_bytes = 0
         now = self.factory.reactor.seconds()
         self.account.begin(now=now)
@@ -188,10 +229,11 @@
                 self.dataReceived(b"")
 
     def release_body(self) -> None:
-        """Drop what has arrived of the body of a refused request."""
+        """Drop what has arrived of a refused request and of those after it."""
         self._body_bytes = 0
         if self.requests and not self._handlingRequest:
             self.requests[-1].discard_body()
+        self._buffer = b""
         self._count_held()
 
     def _hold_input(self) -> None:
@@ -223,17 +265,20 @@
         self._unread_bytes = n_bytes
         if not n_bytes:
             self._unsent_bytes = 0
+        self.account.hold_unread(n_bytes)
         self._count_held()
 
     def _size_of_head(self) -> int:
         fields = self._receivedHeaderCount * FIELD_BYTES
-        return self._receivedHeaderSize * HEAD_COPIES + fields + REQUEST_BYTES
+        return self._receivedHeaderSize * HEAD_COPIES + fields + RECEIVING_BYTES
 
     def _count_held(self) -> None:
         if self.account is None:
             return
         held = CONNECTION_BYTES + len(self._buffer) + self._ahead_bytes
         held += self._unread_bytes + self._body_bytes
+        if self._is_counted:
+            held += REQUEST_BYTES
         if self._head_bytes:
             held += self._head_bytes
         elif self.requests:
--- a/bilberryring/http/caller_channel.py
+++ b/bilberryring/http/caller_channel.py
@@ -249,7 +249,7 @@
         if self.requests[-1].is_body_too_large:
             self.refuse(ErrorCode.BODY_TOO_LARGE)
         if not self._is_refused:
-            self.check_memory()
+            self.check_request()
         if not self._is_refused:
             super().allContentReceived()
 
--- a/bilberryring/http/client_budget.py
+++ b/bilberryring/http/client_budget.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from bilberryring.budget import (
-    MIN_LAG_SECONDS,
+    MIN_UNREAD_LAG_SECONDS,
     Account,
     BudgetLimits,
     MemoryBudget,
@@ -46,6 +46,7 @@
         self._limits = limits
         self._budget = MemoryBudget(limit_bytes=limits.memory_bytes)
         self._connections: dict[Account, BudgetedConnection] = {}
+        self._n_requests = 0
         self._causes: Counter[Cause] = Counter()
         self._searches_from = 0.0
 
@@ -56,8 +57,13 @@
 
     @property
     def held_bytes(self) -> int:
-        """The bytes that all connections hold."""
-        return self._budget.held_bytes
+        """The bytes that are held for all clients."""
+        return self._budget.held_bytes + self._budget.other_bytes
+
+    @property
+    def is_half_full(self) -> bool:
+        """Whether clients hold more than half of what they may."""
+        return 2 * self.held_bytes > self._limits.memory_bytes
 
     @property
     def n_connections(self) -> int:
@@ -82,6 +88,15 @@
         account.close()
         self._connections.pop(account, None)
 
+    @property
+    def is_unread_too_much(self) -> bool:
+        """Whether responses that nobody reads take more than their share."""
+        return self._budget.is_unread_too_much
+
+    def hold_others(self, n_bytes: int) -> None:
+        """Count memory that is held for clients and belongs to no connection."""
+        self._budget.hold_others(n_bytes)
+
     def make_room(self, account: Account, n_bytes: int) -> bool:
         """Whether a connection may hold `n_bytes` more; others may give way for it."""
         if self._budget.fits(n_bytes):
@@ -96,6 +111,32 @@
         self._causes[Cause.MEMORY_SHORT] += 1
         return False
 
+    def make_room_for_request(self, account: Account, n_bytes: int) -> bool:
+        """Whether a request may be handled; idle connections may give way for it.
+
+        It needs `n_bytes`, and a descriptor for the connection to its endpoint.
+        """
+        if not self.make_room(account, n_bytes):
+            return False
+        n_sockets = self._budget.n_open + self._n_requests
+        if n_sockets < self._limits.max_sockets:
+            return True
+        now = self._clock.seconds()
+        victim = choose_connection(self._budget, now=now, requester=account)
+        if victim is None:
+            self._causes[Cause.TOO_MANY_CONNECTIONS] += 1
+            return False
+        self._evict(victim, Cause.TOO_MANY_CONNECTIONS)
+        return True
+
+    def begin_request(self) -> None:
+        """Count a request that is handled."""
+        self._n_requests += 1
+
+    def end_request(self) -> None:
+        """Count a request that is handled no longer."""
+        self._n_requests -= 1
+
     def update(self) -> int:
         """Count unread output, free memory that is short, and audit the sum.
 
@@ -103,11 +144,7 @@
         """
         for connection in tuple(self._connections.values()):
             connection.update_output()
-        now = self._clock.seconds()
-        while not self._budget.fits(0):
-            victim = choose_memory(self._budget, now=now, min_lag=MIN_LAG_SECONDS / 4)
-            if victim is None:
-                break
+        while victim := self._choose_surplus():
             self._evict(victim, Cause.EVICTED)
         return self._budget.correct()
 
@@ -116,6 +153,18 @@
         causes, self._causes = dict(self._causes), Counter()
         return causes
 
+    def _choose_surplus(self) -> Account | None:
+        """Return who gives way as more is held than may be, if somebody does."""
+        is_unread_only = self._budget.is_unread_too_much
+        if not is_unread_only and self._budget.fits(0):
+            return None
+        return choose_memory(
+            self._budget,
+            now=self._clock.seconds(),
+            min_lag=MIN_UNREAD_LAG_SECONDS,
+            is_unread_only=is_unread_only,
+        )
+
     def _evict(self, account: Account, cause: Cause) -> None:
         self._causes[cause] += 1
         connection = self._connections.get(account)
@@ -133,14 +182,19 @@
     largest_request_bytes: int,
     memory_bytes: int | None = None,
     max_descriptors: int | None = None,
+    connects_to_endpoints: bool = True,
 ) -> ClientBudget:
-    """Return the budget of a process on a machine; `None` stands for no setting."""
+    """Return the budget of a process on a machine; `None` stands for no setting.
+
+    `connects_to_endpoints` is whether each request may need a connection of its own.
+    """
     return ClientBudget(
         clock=clock,
         limits=limits_of_machine(
             memory_bytes=memory_bytes,
             max_descriptors=max_descriptors,
             largest_request_bytes=largest_request_bytes,
+            connects_to_endpoints=connects_to_endpoints,
             available_descriptors=resource.getrlimit(resource.RLIMIT_NOFILE)[0],
         ),
     )
--- a/bilberryring/process/client_budget_report.py
+++ b/bilberryring/process/client_budget_report.py
@@ -1,6 +1,7 @@
 """Metrics and log lines on what clients occupy, and who was refused for it."""
 
 from bilberryring.http import Cause, ClientBudget
+from bilberryring.process.allocator import return_free_pages
 from bilberryring.telemetry import EventLog, LogEvent, Metrics
 
 LOG_SECONDS = 1.0
@@ -33,6 +34,8 @@
     def update(self) -> None:
         """Let the budget do its periodic work, and report on it."""
         miscounted = self._budget.update()
+        if self._budget.is_half_full:
+            return_free_pages()
         if miscounted:
             self._log.write(LogEvent.CLIENT_MEMORY_MISCOUNTED, bytes=miscounted)
         limits = self._budget.limits
