--- a/bilberryring/entry/caller_site.py
+++ b/bilberryring/entry/caller_site.py
@@ -145,6 +145,16 @@
         Raises `ServingError` when the entry takes no requests, the key is
         unknown or the body is too large.
         """
+        objects, workspace = self.find_workspace(request)
+        if request.is_body_too_large:
+            raise _no_ledger_error(request, ErrorCode.BODY_TOO_LARGE, retry_after=None)
+        return _Caller(ending=ending, objects=objects, workspace=workspace)
+
+    def find_workspace(self, request: BoundedRequest) -> tuple[ObjectSet, Workspace]:
+        """Return the workspace of the API key of a request, and the set it is in.
+
+        Raises `ServingError` when the entry takes no requests or the key is unknown.
+        """
         if self._state.is_draining:
             raise _no_ledger_error(request, ErrorCode.LEAVING)
         objects = self._state.objects
@@ -155,9 +165,7 @@
         workspace = objects.workspace_of_key(key)
         if workspace is None:
             raise _no_ledger_error(request, ErrorCode.KEY_UNKNOWN, retry_after=None)
-        if request.is_body_too_large:
-            raise _no_ledger_error(request, ErrorCode.BODY_TOO_LARGE, retry_after=None)
-        return _Caller(ending=ending, objects=objects, workspace=workspace)
+        return objects, workspace
 
     def _report_failure(self, ending: RequestEnding, error: ServingError) -> None:
         """Send the error if nothing was sent, and write the last record."""
--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -13,9 +13,15 @@
 from bilberryring.entry.caller_site import CallerSite
 from bilberryring.entry.entry_state import EntryState
 from bilberryring.entry.explain import explain_prompt
+from bilberryring.entry.head_checks import entry_head_check
 from bilberryring.entry.sidecar_links import SidecarLinks
-from bilberryring.http import HttpClient
+from bilberryring.http import HttpClient, make_client_budget
 from bilberryring.objects import ModelEndpoint, ObjectSet
+from bilberryring.process.allocator import return_large_blocks
+from bilberryring.process.client_budget_report import (
+    UPDATE_SECONDS,
+    ClientBudgetReport,
+)
 from bilberryring.process.configuration import ConfigurationTask
 from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.loops import make_loop, start_task
@@ -23,6 +29,7 @@
     EndpointStatus,
     ProcessStatus,
     add_health_resources,
+    operator_listener,
     operator_resource,
     refused_statuses,
 )
@@ -62,6 +69,13 @@
             endpoint=None,
             on_change=self._on_set_changed,
         )
+        self._client_budget = make_client_budget(
+            clock=reactor,
+            largest_request_bytes=CALLER_LIMITS.max_body_bytes,
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+            connects_to_endpoints=False,
+        )
         self._links = SidecarLinks(
             reactor=reactor,
             log=log,
@@ -82,6 +96,10 @@
             links=self._links,
         )
         self._caller_site = CallerSite(state=self._state)
+        report = ClientBudgetReport(
+            clock=reactor, budget=self._client_budget, metrics=self._metrics, log=log
+        )
+        self._budget_loop = make_loop(reactor=reactor, work=report.update, log=log)
         self._is_ready_logged = False
         self._is_leaving = False
         self._unreadable_vms = 0
@@ -105,6 +123,8 @@
             on_refused=lambda code: self._log.write(
                 LogEvent.CALLER_REFUSED, code=code.value
             ),
+            check_head=entry_head_check(self._caller_site),
+            client_budget=self._client_budget,
         )
         operators = operator_resource(
             status=self._status, metrics=self._metrics, is_ready=self._is_ready
@@ -113,8 +133,13 @@
             b"explain", ExplainQuery(explain=partial(explain_prompt, self._state))
         )
         self._listeners.listen_http(
-            self._settings.operator_address, operators, key="operator_address"
+            self._settings.operator_address,
+            operators,
+            key="operator_address",
+            **operator_listener(self._client_budget),
         )
+        return_large_blocks()
+        self._budget_loop.start(UPDATE_SECONDS)
         self._configuration.start()
         self._vm_list_loop.start(VM_LIST_INTERVAL_SECONDS)
         self._track_loop.start(TRACK_INTERVAL_SECONDS, now=False)
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -130,7 +130,7 @@
             method=self.method,
             target=self.uri,
             headers=self.read_headers(),
-            body=self.read_body(),
+            body=b"" if self.refusal else self.read_body(),
             received_at=self._reactor.seconds(),
             refusal=self.refusal,
         )
--- a/bilberryring/http/bodies.py
+++ b/bilberryring/http/bodies.py
@@ -123,7 +123,12 @@
         return is_caller and has_body and not is_framed
 
     def read_body(self) -> bytes:
-        """Return the body, which is incomplete when `is_body_too_large`."""
+        """Return the body, which is incomplete when `is_body_too_large`.
+
+        Raises `refusal` if the body was dropped for it.
+        """
+        if self.refusal is not None:
+            raise self.refusal
         # Unlike `read` this makes no copy.
         return self.content.getvalue()
 
--- a/bilberryring/process/client_budget_report.py
+++ b/bilberryring/process/client_budget_report.py
@@ -4,6 +4,8 @@
 from bilberryring.process.allocator import return_free_pages
 from bilberryring.telemetry import EventLog, LogEvent, Metrics
 
+UPDATE_SECONDS = 0.25
+"""Seconds between two updates."""
 LOG_SECONDS = 1.0
 """Least time in seconds between two lines on refused clients."""
 
--- a/bilberryring/sidecar/daemon.py
+++ b/bilberryring/sidecar/daemon.py
@@ -6,7 +6,7 @@
 from bilberryring.adapters import EngineClient, PlatformReader
 from bilberryring.admission import EndpointLimits
 from bilberryring.core import ErrorCode, RunOutcome, new_incarnation, to_micros
-from bilberryring.http import HttpClient
+from bilberryring.http import MAX_BODY_BYTES, HttpClient, make_client_budget
 from bilberryring.membership import (
     HEARTBEAT_SECONDS,
     ReportedLoad,
@@ -14,11 +14,17 @@
     needs_report,
 )
 from bilberryring.objects import ModelEndpoint, ObjectSet, ServiceEndpoint
+from bilberryring.process.allocator import return_large_blocks
+from bilberryring.process.client_budget_report import (
+    UPDATE_SECONDS,
+    ClientBudgetReport,
+)
 from bilberryring.process.configuration import ConfigurationTask
 from bilberryring.process.engine_death_broadcaster import EngineDeathBroadcaster
 from bilberryring.process.loops import make_loop
 from bilberryring.process.operator_site import (
     ProcessStatus,
+    operator_listener,
     operator_resource,
     refused_statuses,
 )
@@ -98,6 +104,17 @@
             endpoint=settings.endpoint,
             on_change=self._set_changed,
         )
+        self._client_budget = make_client_budget(
+            clock=reactor,
+            largest_request_bytes=MAX_BODY_BYTES,
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+            connects_to_endpoints=False,
+        )
+        report = ClientBudgetReport(
+            clock=reactor, budget=self._client_budget, metrics=self._metrics, log=log
+        )
+        self._budget_loop = make_loop(reactor=reactor, work=report.update, log=log)
         self._heartbeat_loop = make_loop(
             reactor=reactor, work=self._send_report_or_beat, log=log
         )
@@ -126,6 +143,7 @@
                 on_message=self._message_received,
                 on_closed=self._link_closed,
                 max_frame_bytes=MAX_HELLO_BYTES,
+                budget=self._client_budget,
             )
         )
         factory.noisy = False
@@ -136,7 +154,10 @@
                 status=self._status, metrics=self._metrics, is_ready=self._is_ready
             ),
             key="operator_address",
+            **operator_listener(self._client_budget),
         )
+        return_large_blocks()
+        self._budget_loop.start(UPDATE_SECONDS)
         self._configuration.start()
         self._heartbeat_loop.start(HEARTBEAT_SECONDS, now=False)
         self._log.write(
@@ -322,6 +343,7 @@
     def _register_peer(self, link: LinkProtocol, hello: Hello) -> None:
         batcher = TokenBatcher(reactor=self._reactor, link=link)
         link.set_max_frame(MAX_STRING_BYTES)
+        link.keep()
         self._peers[link] = PeerLink(
             link=link, incarnation=hello.incarnation, batcher=batcher
         )
--- a/bilberryring/wire/link.py
+++ b/bilberryring/wire/link.py
@@ -1,5 +1,6 @@
 """A link between two processes: framed Envelopes over one TCP connection."""
 
+import typing
 from collections.abc import Callable
 
 from twisted.internet.interfaces import IDelayedCall
@@ -15,16 +16,47 @@
 
 PREFIX_BYTES = 4
 """Bytes of the length that precedes each frame."""
+CONNECTION_BYTES = 8 * 1024
+"""Memory of a link that holds no data."""
 FRAME_SECONDS = 60.0
 """Seconds within which a frame that has begun has to be complete."""
 
 
+class LinkAccount(typing.Protocol):
+    """What a link holds, as its budget counts it."""
+
+    is_evictable: bool
+
+    def hold(self, n_bytes: int) -> None:
+        """Hold `n_bytes` in all."""
+
+    def advance(self, n_bytes: int, *, now: float) -> None:
+        """Record that the peer has sent `n_bytes`."""
+
+
+class LinkBudget(typing.Protocol):
+    """What all clients of a process may occupy together."""
+
+    def open(self, connection: object, *, address: str) -> LinkAccount:
+        """Return the account of a new connection."""
+
+    def admit(self, account: LinkAccount) -> None:
+        """Close a connection if a new one is too many."""
+
+    def make_room(self, account: LinkAccount, n_bytes: int) -> bool:
+        """Whether a connection may hold `n_bytes` more."""
+
+    def close(self, account: LinkAccount) -> None:
+        """Forget a connection that was closed."""
+
+
 class LinkProtocol(Protocol):
     """Sends messages and passes each received message to `on_message`.
 
     The connection is closed at once after a frame that is malformed or larger than
     `max_frame_bytes`, or that is not complete in time. Messages of unknown types are
-    dropped.
+    dropped. With a `budget` what is received counts for it, and the link may be closed
+    for others until `keep` is called.
     """
 
     def __init__(
@@ -35,6 +67,7 @@
         on_message: Callable[["LinkProtocol", object], None],
         on_closed: Callable[["LinkProtocol"], None],
         max_frame_bytes: int = MAX_STRING_BYTES,
+        budget: LinkBudget | None = None,
     ):
         self._clock = clock
         self._max_frame_bytes = max_frame_bytes
@@ -48,6 +81,8 @@
         self._frame_timer: IDelayedCall | None = None
         self._bytes_sent = 0
         self._bytes_received = 0
+        self._budget = budget
+        self._account: LinkAccount | None = None
 
     @property
     def is_open(self) -> bool:
@@ -68,6 +103,19 @@
         """Close the connection from now on only after a frame larger than this."""
         self._max_frame_bytes = n_bytes
 
+    def keep(self) -> None:
+        """Keep the link whatever others need: its peer has said who it is."""
+        if self._account is not None:
+            self._account.is_evictable = False
+
+    def evict(self, cause: object) -> None:
+        """Close the link, so that others have what it holds; called by the budget."""
+        self._close_account()
+        self._abort()
+
+    def update_output(self) -> None:
+        """Count nothing: only peers that said who they are get any output."""
+
     def send(self, message: object) -> bool:
         """Send one message, or return `False` when the link is closed or ended."""
         if not self.is_open:
@@ -91,6 +139,11 @@
         self._is_open = True
         set_tcp_options(self.transport)
         self._on_open(self)
+        if self._budget is not None:
+            address = self.transport.getPeer().host
+            self._account = self._budget.open(self, address=address)
+            self._account.hold(CONNECTION_BYTES)
+            self._budget.admit(self._account)
 
     def dataReceived(self, data: bytes):
         if self._is_aborted:
@@ -99,9 +152,23 @@
         # seconds for a large frame, and for ever for one that comes byte by byte.
         self._unread += data
         self._read_frames()
+        if self._account is not None:
+            self._count(len(data))
         if self._unread and self._frame_timer is None:
             self._frame_timer = self._clock.callLater(FRAME_SECONDS, self._frame_is_due)
 
+    def _count(self, n_bytes: int) -> None:
+        """Count what is held, and close an unknown peer's link if that is too much."""
+        account = self._account
+        account.advance(n_bytes, now=self._clock.seconds())
+        account.hold(CONNECTION_BYTES + len(self._unread))
+        if account.is_evictable and not self._budget.make_room(account, 0):
+            self._abort()
+
+    def _close_account(self) -> None:
+        if self._account is not None:
+            self._budget.close(self._account)
+
     def _read_frames(self) -> None:
         while not self._is_aborted:
             if len(self._unread) < PREFIX_BYTES:
@@ -122,6 +189,7 @@
 
     def connectionLost(self, reason=connectionDone):
         self._unread.clear()
+        self._close_account()
         self._stop_frame_timer()
         if self._is_open:
             self._is_open = False
