--- a/bilberryring/http/budgeted_channel.py
+++ b/bilberryring/http/budgeted_channel.py
@@ -6,9 +6,11 @@
 
 from twisted.python.failure import Failure
 from twisted.web.http import HTTPChannel
+from twisted.web.http_headers import Headers
 
 from bilberryring.core import ErrorCode
 from bilberryring.http.client_budget import Cause, ClientBudget
+from bilberryring.http.header_names import bound_header_names
 
 CONNECTION_BYTES = 6 * 1024
 """Memory of an idle connection: its protocol, transport, timers and socket object."""
@@ -32,6 +34,8 @@
 """Pieces of data read ahead after which they are joined; a piece of one byte takes 41
 bytes."""
 
+bound_header_names()
+
 
 class BudgetedChannel(HTTPChannel):
     """Charges what a client holds to the account of its connection.
@@ -228,12 +232,13 @@
             if self._buffer:
                 self.dataReceived(b"")
 
-    def release_body(self) -> None:
+    def release_request(self) -> None:
         """Drop what has arrived of a refused request and of those after it."""
-        self._body_bytes = 0
+        self._body_bytes = self._head_bytes = 0
+        self._buffer = b""
         if self.requests and not self._handlingRequest:
             self.requests[-1].discard_body()
-        self._buffer = b""
+            self.requests[-1].requestHeaders = Headers()
         self._count_held()
 
     def _hold_input(self) -> None:
@@ -281,7 +286,7 @@
             held += REQUEST_BYTES
         if self._head_bytes:
             held += self._head_bytes
-        elif self.requests:
+        elif self.requests and not self.is_refused:
             held += self._size_of_head()
         self.account.hold(held)
 
--- a/bilberryring/http/caller_channel.py
+++ b/bilberryring/http/caller_channel.py
@@ -288,10 +288,11 @@
             return
         self._is_refused = True
         self._set_timer(None)
-        self.release_body()
+        answer = _encode_refusal(code, self.refusal_outcome)
+        self.release_request()
         if self.on_refused is not None and code is not ErrorCode.MEMORY_SHORT:
             self.on_refused(code)
-        self.transport.write(_encode_refusal(code, self.refusal_outcome))
+        self.transport.write(answer)
         if not self.linger_bytes:
             self.loseConnection()
             return
