--- a/bilberryring/budget/tests/test_budget.py
+++ b/bilberryring/budget/tests/test_budget.py
@@ -64,8 +64,10 @@
 
 def test_large_requests_leave_room_for_small_ones(budget):
     large = budget.open(address="a", now=0.0)
-    large.hold(int(LIMIT * LARGE_SHARE))
+    large.hold(int(LIMIT * LARGE_SHARE) - SMALL_BYTES)
     assert not budget.fits(SMALL_BYTES + 1)
+    assert budget.fits(SMALL_BYTES)
+    large.hold(int(LIMIT * LARGE_SHARE))
     assert budget.fits(LIMIT // 10)
 
 
--- a/bilberryring/http/tests/test_budgeted_channel.py
+++ b/bilberryring/http/tests/test_budgeted_channel.py
@@ -197,6 +197,7 @@
         prefix = b"%x\r\n" % (BODY - 1) if b"chunked" in head else b""
         callers.send(channel, prefix)
         callers.send_body(channel, BODY - 1)
+        assert channel.requests[0].content.getvalue() == b""
     assert callers.budget.held_bytes < 2 * MIB
     assert callers.budget.n_connections == 50
     callers.wait(REFUSED_BODY_SECONDS)
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -1171,6 +1171,135 @@
         test="bilberryring/platform/tests/test_lost_watch_fleets.py"
         "::test_the_gateways_that_notice_first_end_during_the_silence[3]",
     ),
+    Mechanism(
+        name="room for a body before it is read",
+        module="http/caller_channel.py",
+        present="elif not self.make_room_for_body():",
+        absent="elif False:",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_bodies_of_legal_size_are_refused_before_they_are_read_when_none_fits",
+    ),
+    Mechanism(
+        name="bodies that their heads rule out are dropped",
+        module="http/caller_channel.py",
+        present="self.requests[-1].discard_body()\n        if code",
+        absent="if code",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_a_body_that_its_head_rules_out_is_not_kept",
+    ),
+    Mechanism(
+        name="what has stopped gives way",
+        module="http/client_budget.py",
+        present="if now >= self._searches_from:",
+        absent="if False:",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_a_body_that_stopped_gives_way_to_one_that_comes",
+    ),
+    Mechanism(
+        name="requests in progress keep their memory",
+        module="http/budgeted_channel.py",
+        present="self.account.is_evictable = False",
+        absent="self.account.is_evictable = True",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_a_request_in_progress_is_not_evicted",
+    ),
+    Mechanism(
+        name="requests wait for responses to be read",
+        module="http/budgeted_channel.py",
+        present="if self._waitingForTransport and self.persistent:",
+        absent="if False:",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_requests_in_one_read_wait_too_when_each_is_answered_at_once",
+    ),
+    Mechanism(
+        name="little is read ahead beside an unread response",
+        module="http/budgeted_channel.py",
+        present="if self._ahead_bytes > self._optimisticEagerReadSize:",
+        absent="if self._ahead_bytes > self._optimisticEagerReadSize and (\n"
+        "            not self._waitingForTransport\n        ):",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_little_is_read_ahead_of_a_request_in_progress",
+    ),
+    Mechanism(
+        name="trailers are dropped",
+        module="http/budgeted_channel.py",
+        present="trailers.clear()",
+        absent="pass",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_trailers_are_not_kept",
+    ),
+    Mechanism(
+        name="long header names are not remembered",
+        module="http/header_names.py",
+        present="if len(name) <= MAX_NAME_BYTES and",
+        absent="if",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_long_header_names_are_not_remembered",
+    ),
+    Mechanism(
+        name="connections have a limit",
+        module="http/client_budget.py",
+        present="if self._budget.n_open > self._limits.max_connections:",
+        absent="if False:",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_above_the_limit_a_connection_that_was_never_used_is_closed",
+    ),
+    Mechanism(
+        name="a request needs a descriptor for its endpoint",
+        module="http/client_budget.py",
+        present="if n_sockets < self._limits.max_sockets:",
+        absent="if True:",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_a_request_without_a_descriptor_for_its_endpoint_is_refused",
+    ),
+    Mechanism(
+        name="a closed connection is freed at once",
+        module="gateway/caller_site.py",
+        present="del channel.connectionLost",
+        absent="pass",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_a_closed_connection_is_freed_at_once",
+    ),
+    Mechanism(
+        name="progress is a rate",
+        module="budget/accounts.py",
+        present="min(now, self._progress_at + n_bytes / PROGRESS_RATE)",
+        absent="now",
+        test="bilberryring/budget/tests/test_budget.py"
+        "::test_a_client_that_drips_bytes_falls_behind",
+    ),
+    Mechanism(
+        name="large requests leave room for small ones",
+        module="budget/accounts.py",
+        present="limit *= LARGE_SHARE",
+        absent="limit *= 1",
+        test="bilberryring/budget/tests/test_budget.py"
+        "::test_large_requests_leave_room_for_small_ones",
+    ),
+    Mechanism(
+        name="answers wait while callers do not read",
+        module="gateway/held_answers.py",
+        present="if is_crowded or self._must_wait():",
+        absent="if is_crowded:",
+        test="bilberryring/gateway/tests/test_waiting_answers.py"
+        "::test_no_answer_is_read_on_while_callers_do_not_read",
+    ),
+    Mechanism(
+        name="links of unknown peers stay within the budget",
+        module="wire/link.py",
+        present="if account.is_evictable and not self._budget.make_room(account, 0):",
+        absent="if False:",
+        test="bilberryring/wire/tests/test_link_budget.py"
+        "::test_half_sent_frames_of_unknown_peers_stay_within_the_budget",
+    ),
+    Mechanism(
+        name="one line a second on refused clients",
+        module="process/client_budget_report.py",
+        present="if self._unlogged and now >= self._logs_from:",
+        absent="if self._unlogged:",
+        test="bilberryring/process/tests/test_client_budget_report.py"
+        "::test_refusals_make_one_line_a_second_with_their_number",
+    ),
     *(
         Mechanism(
             name=f"soak check: {check}",
