Document the budget of clients; serve a request larger than it alone

A request above the whole budget is served while little else is held, since operators may publish a larger limit on bodies. A new connection has 0.25 s for its first request before it may be closed for another. Ruled out: closing unserved connections first whatever their age, which closed each new one for the next before its request was read.

--- a/bilberryring/budget/accounts.py
+++ b/bilberryring/budget/accounts.py
@@ -20,6 +20,10 @@
 PROGRESS_RATE = 16 * 1024
 """Bytes per second at which a client makes full progress. A body that needs the whole
 60 s allowed for it comes at 70 KiB/s if it has the largest published size."""
+ALONE_FACTOR = 2.0
+"""How much larger than the limit a request may be that is served alone."""
+ALONE_SHARE = 0.125
+"""Share of the budget up to which others may hold memory beside such a request."""
 UNREAD_SHARE = 0.5
 """Share of the budget for responses that callers have not read. Above it no further
 response that is held whole is read from an endpoint."""
@@ -160,11 +164,18 @@
         return account
 
     def fits(self, n_bytes: int) -> bool:
-        """Whether a request may hold `n_bytes` more."""
+        """Whether a request may hold `n_bytes` more.
+
+        One that is larger than all may be is served alone, as long as the memory of the
+        machine allows it: the operators may have published a larger limit on bodies.
+        """
         limit = self._limit_bytes
+        held = self._held_bytes + self._other_bytes
         if n_bytes > SMALL_BYTES:
             limit *= LARGE_SHARE
-        return self._held_bytes + self._other_bytes + n_bytes <= limit
+            if n_bytes > limit:
+                return n_bytes <= ALONE_FACTOR * limit and held <= limit * ALONE_SHARE
+        return held + n_bytes <= limit
 
     @property
     def is_unread_too_much(self) -> bool:
--- a/bilberryring/budget/eviction.py
+++ b/bilberryring/budget/eviction.py
@@ -12,6 +12,8 @@
 MIN_LAG_SECONDS = 1.0
 """Lag from which a connection may give way. A client within the published limits that
 pauses for a shorter time, as after a lost packet, keeps its connection."""
+FIRST_REQUEST_SECONDS = 0.25
+"""Time in which a new connection is expected to send a request."""
 MIN_UNREAD_LAG_SECONDS = 0.5
 """The same while more is held than may be. What has been answered already cannot be
 refused; a client that reads acknowledges some of it within this time."""
@@ -51,8 +53,9 @@
 ) -> Account | None:
     """Return the account whose connection is to be closed for a new one.
 
-    Connections that were never served a request go first, then those that have been
-    without progress for longest. One with a request in progress is never chosen.
+    Connections that sent no request in `FIRST_REQUEST_SECONDS` go first, then those
+    that have been without progress for longest. One with a request in progress is never
+    chosen.
     """
     candidates = [
         account
@@ -62,7 +65,10 @@
     candidates = _of_address(candidates, budget.most_connected_address())
     return max(
         candidates,
-        key=lambda account: (not account.has_served, account.lag(now=now)),
+        key=lambda account: (
+            not account.has_served and account.lag(now=now) >= FIRST_REQUEST_SECONDS,
+            account.lag(now=now),
+        ),
         default=None,
     )
 
