Count the links of the peer port of gateways for the budget

Cause: any client may ask for a copy of the published items, up to 16 MiB each, and not read it. Change: connections of the peer port have accounts, and unread output counts.

--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -127,6 +127,12 @@
         incarnation = new_incarnation()
         self._crashes = crashes = CrashRecord(clock=reactor)
         self._counters = GatewayCounters(metrics=self._metrics)
+        self._client_budget = make_client_budget(
+            clock=reactor,
+            largest_request_bytes=CallerLimits().max_body_bytes,
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+        )
         self._peers = PeerExchange(
             reactor=reactor,
             settings=settings,
@@ -138,6 +144,7 @@
             crashes=crashes,
             duty=self._duty,
             log=log,
+            client_budget=self._client_budget,
         )
         self._adapter = adapter_class(
             reactor=reactor,
@@ -154,12 +161,6 @@
         self._copies.add_listener(
             lambda replica, keys: self._peers.report_change(is_urgent=True)
         )
-        self._client_budget = make_client_budget(
-            clock=reactor,
-            largest_request_bytes=CallerLimits().max_body_bytes,
-            memory_bytes=settings.memory_bytes,
-            max_descriptors=settings.max_descriptors,
-        )
         self._held_answers = HeldAnswers(
             on_change=self._count_held_answers,
             must_wait=lambda: self._client_budget.is_unread_too_much,
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -41,6 +41,7 @@
 )
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.gateway.store_readers import ReadingDuty
+from bilberryring.http import ClientBudget
 from bilberryring.process.loops import start_loop
 from bilberryring.routing import WorkTracker
 from bilberryring.telemetry import EventLog, LogEvent
@@ -111,8 +112,10 @@
         duty: ReadingDuty,
         log: EventLog,
         generator: random.Random | None = None,
+        client_budget: ClientBudget | None = None,
     ):
         self._random = generator or random.Random()
+        self._client_budget = client_budget
         self._reactor = reactor
         self._settings = settings
         self._incarnation = incarnation
@@ -148,7 +151,9 @@
         self._reactor.listenUDP(port, self, interface=host)
         self._listener = self._reactor.listenTCP(
             port,
-            CopyFactory(copies=self._copies, clock=self._reactor),
+            CopyFactory(
+                copies=self._copies, clock=self._reactor, budget=self._client_budget
+            ),
             interface=host,
         )
         self.start_reports()
@@ -433,8 +438,11 @@
     A connection is for one query, and is closed after `QUERY_SECONDS`.
     """
 
-    def __init__(self, *, copies: PublishedCopies, clock):
+    def __init__(
+        self, *, copies: PublishedCopies, clock, budget: ClientBudget | None = None
+    ):
         self._copies = copies
+        self._budget = budget
         self._clock = clock
         self._timers: dict[LinkProtocol, IDelayedCall] = {}
         self._answered: set[LinkProtocol] = set()
@@ -446,6 +454,7 @@
             on_message=self._answer,
             on_closed=self._closed,
             max_frame_bytes=MAX_QUERY_BYTES,
+            budget=self._budget,
         )
 
     def _opened(self, link: LinkProtocol) -> None:
--- a/bilberryring/wire/link.py
+++ b/bilberryring/wire/link.py
@@ -114,7 +114,10 @@
         self._abort()
 
     def update_output(self) -> None:
-        """Count nothing: only peers that said who they are get any output."""
+        """Count what an unknown peer has not read; called by the budget."""
+        if self._account.is_evictable:
+            output = self._output_bytes()
+            self._account.hold(CONNECTION_BYTES + len(self._unread) + output)
 
     def send(self, message: object) -> bool:
         """Send one message, or return `False` when the link is closed or ended."""
@@ -123,6 +126,8 @@
         frame = encode_message(message)
         self._bytes_sent += PREFIX_BYTES + len(frame)
         self.transport.write(len(frame).to_bytes(PREFIX_BYTES, "big") + frame)
+        if self._account is not None and self._account.is_evictable:
+            self._count(0)
         return True
 
     def end(self) -> None:
@@ -161,10 +166,15 @@
         """Count what is held, and close an unknown peer's link if that is too much."""
         account = self._account
         account.advance(n_bytes, now=self._clock.seconds())
-        account.hold(CONNECTION_BYTES + len(self._unread))
+        account.hold(CONNECTION_BYTES + len(self._unread) + self._output_bytes())
         if account.is_evictable and not self._budget.make_room(account, 0):
             self._abort()
 
+    def _output_bytes(self) -> int:
+        """Return the bytes that the peer has not read."""
+        in_buffer = len(getattr(self.transport, "dataBuffer", b""))
+        return in_buffer + getattr(self.transport, "_tempDataLen", 0)
+
     def _close_account(self) -> None:
         if self._account is not None:
             self._budget.close(self._account)
--- a/bilberryring/wire/tests/test_link_budget.py
+++ b/bilberryring/wire/tests/test_link_budget.py
@@ -82,3 +82,14 @@
         if link.is_open:
             link.transport.abortConnection()
     assert budget.held_bytes == budget.n_connections == 0
+
+
+def test_output_that_an_unknown_peer_does_not_read_counts(connect, budget):
+    """A copy of published items has up to 16 MiB, and any client may ask for one."""
+    link = connect()
+    link.transport.dataBuffer = b"x" * 300 * KIB
+    assert budget.update() == 0
+    assert budget.held_bytes > 300 * KIB
+    link.keep()
+    link.transport.dataBuffer = b""
+    assert budget.update() == 0
