Test a gateway, an entry and a sidecar against misbehaving clients

Cause: the sum of what connections hold is not bounded: bodies, parsed fields, unread answers and the connections themselves. No test used a client outside the limits in numbers.

--- a/bilberryring/measure/main.py
+++ b/bilberryring/measure/main.py
@@ -12,6 +12,7 @@
     failure_domain_table,
     gateway,
     head_of_line_table,
+    misbehaving_clients,
     planned_stop,
     prediction,
     relay,
@@ -82,6 +83,17 @@
     configuration_step.run_table()
 
 
+@main.command("misbehaving-clients")
+@click.option("--memory-mb", "memories", type=float, multiple=True, default=(300, 152))
+@click.option("--connections", "counts", type=int, multiple=True, default=(200, 1_000))
+@click.option("--kind", "kinds", multiple=True, help="Only kinds that begin like this.")
+def misbehaving_clients_command(
+    memories: tuple[float, ...], counts: tuple[int, ...], kinds: tuple[str, ...]
+) -> None:
+    """Memory and descriptors of a gateway beside clients out of its control."""
+    misbehaving_clients.run_table(memories=memories, counts=counts, kinds=kinds)
+
+
 @main.command("planned-stop")
 def planned_stop_command() -> None:
     """What callers get while a gateway is stopped under load."""
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -166,14 +166,12 @@
                 "bilberryring.standins.main",
                 "store",
                 "--host",
-                self._host(STORE_HOST_NUMBER),
+                self.host(STORE_HOST_NUMBER),
             ],
             directory=self._directory,
         )
         self._processes["store"] = store
-        self._store_address = (
-            f"{self._host(STORE_HOST_NUMBER)}:{store.listening_port()}"
-        )
+        self._store_address = f"{self.host(STORE_HOST_NUMBER)}:{store.listening_port()}"
         return self
 
     def stop(self) -> None:
@@ -200,8 +198,8 @@
         `RuntimeError` is raised when it exits before it is ready.
         """
         name = f"gateway-{number}"
-        host = self._host(number)
-        seeds = [f"{self._host(other + 1)}:1" for other in range(self._n_gateways)]
+        host = self.host(number)
+        seeds = [f"{self.host(other + 1)}:1" for other in range(self._n_gateways)]
         text = (
             f'node = "{name}"\nip = "{host}"\nzone = "north"\nregion = "here"\n'
             f"internal_ports = [{PEER_PORT}, {PEER_PORT + 9}]\n"
@@ -299,7 +297,7 @@
         """Return whether a gateway answers its readiness probe with status 200."""
         try:
             connection = http.client.HTTPConnection(
-                self._host(number), READY_PORT, timeout=1.0
+                self.host(number), READY_PORT, timeout=1.0
             )
             connection.request("GET", "/v1/ready")
             return connection.getresponse().status == 200
@@ -309,13 +307,13 @@
     def connect(self, number: int = 1) -> http.client.HTTPConnection:
         """Return an HTTP connection to the callers' port of a gateway."""
         return http.client.HTTPConnection(
-            self._host(number), CALLER_PORT, timeout=ANSWER_TIMEOUT_SECONDS
+            self.host(number), CALLER_PORT, timeout=ANSWER_TIMEOUT_SECONDS
         )
 
     def caller_socket(self, number: int = 1) -> socket.socket:
         """Return a connected socket to the callers' port of a gateway."""
         return socket.create_connection(
-            (self._host(number), CALLER_PORT), timeout=ANSWER_TIMEOUT_SECONDS
+            (self.host(number), CALLER_PORT), timeout=ANSWER_TIMEOUT_SECONDS
         )
 
     def call(
@@ -356,14 +354,14 @@
     def metrics(self, number: int = 1) -> str:
         """Return the text of a gateway's metrics page."""
         connection = http.client.HTTPConnection(
-            self._host(number), PEER_PORT + 1, timeout=ANSWER_TIMEOUT_SECONDS
+            self.host(number), PEER_PORT + 1, timeout=ANSWER_TIMEOUT_SECONDS
         )
         connection.request("GET", "/metrics")
         return connection.getresponse().read().decode()
 
     def operator_address(self, number: int = 1) -> str:
         """Return the address on which a gateway serves operators."""
-        return f"{self._host(number)}:{PEER_PORT + 1}"
+        return f"{self.host(number)}:{PEER_PORT + 1}"
 
     def log_events(self, number: int = 1, event: str | None = None) -> list[dict]:
         """Return the log lines of a gateway, or only those of one event."""
@@ -423,14 +421,15 @@
         self._processes[name] = process
         return process
 
+    def host(self, number: int = 1) -> str:
+        """Return the IP address of a gateway."""
+        return self._network.host(number)
+
     def _raise_if_exited(self, name: str) -> None:
         process = self._processes[name]
         if not process.is_running:
             raise RuntimeError(f"{name} exited: {process.log_text[-2000:]}")
 
-    def _host(self, number: int) -> str:
-        return self._network.host(number)
-
     def _control(self, action: str, query: str, body: bytes) -> None:
         connection = http.client.HTTPConnection(
             self._store_address, timeout=ANSWER_TIMEOUT_SECONDS
