--- a/bilberryring/http/budgeted_channel.py
+++ b/bilberryring/http/budgeted_channel.py
@@ -33,6 +33,10 @@
 CHUNKED_READ_BYTES = 8 * 1024
 """Bytes of a chunked body that are read at a time. 64 KiB of chunks of 16 bytes take 30
 ms to decode, and 200 such callers made others wait for six seconds."""
+MAX_REQUESTS_IN_PASS = 16
+"""Pipelined requests of a connection that are answered before others have a turn. One
+read may have 1,000 of them, which take 0.1 s; 40 such callers made the process stand
+still for seven seconds."""
 PIECE_BYTES = 48
 """Memory of a piece of output beside its bytes."""
 MAX_AHEAD_PIECES = 32
@@ -51,6 +55,7 @@
 
     account = None
     _is_counted = False
+    _n_in_pass = 0
     _read_size = 0
     _body_bytes = 0
     _head_bytes = 0
@@ -122,6 +127,8 @@
         if not self.requests and not self._buffer:
             account.begin(now=now)
         account.advance(len(data), now=now)
+        if not self._busyReceiving:
+            self._n_in_pass = 0
         super().dataReceived(data)
         self._count_held()
         if self.requests and not self._handlingRequest and not self.is_refused:
@@ -239,11 +246,21 @@
         now = self.factory.reactor.seconds()
         self.account.begin(now=now)
         self.account.is_evictable = self.account.has_served = True
-        if self._waitingForTransport and self.persistent:
+        self._n_in_pass += 1
+        is_turn_over = self._busyReceiving and self._n_in_pass >= MAX_REQUESTS_IN_PASS
+        if (self._waitingForTransport or is_turn_over) and self.persistent:
             self._hold_input()
+        if is_turn_over and self.persistent:
+            self.callLater(0, self._take_turn)
         super().requestDone(request)
         self._count_held()
 
+    def _take_turn(self) -> None:
+        """Handle further requests that were read, once others had their turn."""
+        is_closed = self.account is None or not self.account.is_open
+        if self.paused and not self._waitingForTransport and not is_closed:
+            self._resume_input()
+
     def pauseProducing(self) -> None:
         super().pauseProducing()
         if not self._handlingRequest:
@@ -258,9 +275,12 @@
         self._set_unread(0)
         self.account.is_evictable = not self._handlingRequest
         if self.paused:
-            self.paused = False
-            if self._buffer:
-                self.dataReceived(b"")
+            self._resume_input()
+
+    def _resume_input(self) -> None:
+        self.paused = False
+        if self._buffer and not self.is_refused:
+            self.dataReceived(b"")
 
     def release_request(self) -> None:
         """Drop what has arrived of a refused request and of those after it."""
--- a/bilberryring/http/tests/test_budgeted_channel.py
+++ b/bilberryring/http/tests/test_budgeted_channel.py
@@ -19,6 +19,7 @@
 from bilberryring.http import Cause, ClientBudget, make_client_budget
 from bilberryring.http.budgeted_channel import (
     CONNECTION_BYTES,
+    MAX_REQUESTS_IN_PASS,
     REQUEST_BYTES,
 )
 from bilberryring.http.caller_channel import REFUSED_BODY_SECONDS
@@ -257,6 +258,38 @@
         assert len(callers.exchanges) == number
 
 
+def test_pipelined_requests_that_are_answered_at_once_let_others_have_a_turn(callers):
+    """40 callers with 1,000 requests in a read made the process stand still for 7 s."""
+    served = []
+
+    def answer_at_once(exchange):
+        answer(exchange)
+        served.append(exchange)
+
+    callers.site = CallerSite(
+        reactor=callers.clock, on_request=answer_at_once, client_budget=callers.budget
+    )
+    turns = []
+    channel = callers.connect()
+
+    def call_later(seconds, work, *values):
+        if seconds:
+            return callers.clock.callLater(seconds, work, *values)
+        # The clock of the test would run all turns in one call.
+        turns.append(work)
+
+    channel.callLater = call_later
+    channel.dataReceived(GET * 100)
+    for number in range(1, 7):
+        assert len(served) == number * MAX_REQUESTS_IN_PASS
+        (work,) = turns
+        turns.clear()
+        work()
+    assert len(served) == 100 and not turns
+    callers.send(channel, GET)
+    assert len(served) == 101
+
+
 @pytest.mark.parametrize("is_unread", [False, True])
 def test_little_is_read_ahead_of_a_request_in_progress(callers, is_unread):
     """The library read on without a bound while a response was not read."""
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -1300,6 +1300,22 @@
         test="bilberryring/gateway/tests/test_head_checks.py"
         "::test_a_refusal_does_not_keep_what_was_read_with_the_head",
     ),
+    Mechanism(
+        name="pipelined requests take turns with other callers",
+        module="http/budgeted_channel.py",
+        present="is_turn_over = self._busyReceiving and",
+        absent="is_turn_over = False and",
+        test="bilberryring/http/tests/test_budgeted_channel.py"
+        "::test_pipelined_requests_that_are_answered_at_once_let_others_have_a_turn",
+    ),
+    Mechanism(
+        name="a body is decoded to a bounded number of objects",
+        module="entry/body_checks.py",
+        present="if n_objects > MAX_OBJECTS:",
+        absent="if False:",
+        test="bilberryring/entry/tests/test_body_checks.py"
+        "::test_a_body_of_very_many_empty_messages_is_refused",
+    ),
     Mechanism(
         name="one line a second on refused clients",
         module="process/client_budget_report.py",
