--- a/bilberryring/entry/caller_site.py
+++ b/bilberryring/entry/caller_site.py
@@ -24,6 +24,7 @@
     JsonSink,
     StreamSink,
 )
+from bilberryring.entry.body_checks import check_objects
 from bilberryring.entry.caller_prompt import CallerPrompt
 from bilberryring.entry.entry_state import EntryState
 from bilberryring.entry.openai_messages import (
@@ -145,6 +146,16 @@
         Raises `ServingError` when the entry takes no requests, the key is
         unknown or the body is too large.
         """
+        objects, workspace = self.find_workspace(request)
+        if request.is_body_too_large:
+            raise _no_ledger_error(request, ErrorCode.BODY_TOO_LARGE, retry_after=None)
+        return _Caller(ending=ending, objects=objects, workspace=workspace)
+
+    def find_workspace(self, request: BoundedRequest) -> tuple[ObjectSet, Workspace]:
+        """Return the workspace of the API key of a request, and the set it is in.
+
+        Raises `ServingError` when the entry takes no requests or the key is unknown.
+        """
         if self._state.is_draining:
             raise _no_ledger_error(request, ErrorCode.LEAVING)
         objects = self._state.objects
@@ -155,9 +166,7 @@
         workspace = objects.workspace_of_key(key)
         if workspace is None:
             raise _no_ledger_error(request, ErrorCode.KEY_UNKNOWN, retry_after=None)
-        if request.is_body_too_large:
-            raise _no_ledger_error(request, ErrorCode.BODY_TOO_LARGE, retry_after=None)
-        return _Caller(ending=ending, objects=objects, workspace=workspace)
+        return objects, workspace
 
     def _report_failure(self, ending: RequestEnding, error: ServingError) -> None:
         """Send the error if nothing was sent, and write the last record."""
@@ -176,11 +185,11 @@
         write_json(request, ModelList(data=entries))
 
     async def _chat(self, request: BoundedRequest, caller: _Caller) -> None:
-        body = _decode(request.read_body(), ChatRequest)
+        body = _decode(check_objects(request, request.read_body()), ChatRequest)
         await self._answer_prompt(request, caller, body, body.prompt, is_chat=True)
 
     async def _complete(self, request: BoundedRequest, caller: _Caller) -> None:
-        body = _decode(request.read_body(), CompletionRequest)
+        body = _decode(check_objects(request, request.read_body()), CompletionRequest)
         await self._answer_prompt(request, caller, body, body.prompt, is_chat=False)
 
     async def _answer_prompt(
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -124,6 +124,7 @@
         log: RequestLog,
         on_work_changed,
         samples: CapacitySamples | None = None,
+        held: HeldAnswers | None = None,
     ):
         self._reactor = reactor
         self._codec = codec
@@ -141,7 +142,7 @@
         self._samples = samples or CapacitySamples(
             clock=reactor, chooser=chooser, speeds=EndpointSpeeds(), is_on=False
         )
-        self._held = HeldAnswers()
+        self._held = held or HeldAnswers()
         self._open = OpenResponses()
 
     def end_earlier_runs(self, endpoint: AnnouncedEndpoint) -> None:
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -24,6 +24,8 @@
 from bilberryring.gateway.endpoint_choice import EndpointChooser
 from bilberryring.gateway.endpoint_slices import EndpointSlices
 from bilberryring.gateway.forwarding import Forwarder
+from bilberryring.gateway.head_checks import caller_head_check, refuse_body
+from bilberryring.gateway.held_answers import MAX_HELD_BYTES, HeldAnswers
 from bilberryring.gateway.operator_queries import GatewayQueries
 from bilberryring.gateway.peer_view import PeerView
 from bilberryring.gateway.peers import PeerExchange
@@ -36,11 +38,18 @@
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.gateway.statement_recorder import StatementRecorder
 from bilberryring.gateway.store_readers import ReadingDuty
+from bilberryring.http import make_client_budget
 from bilberryring.membership import EndpointHealth
+from bilberryring.process.allocator import return_large_blocks
+from bilberryring.process.client_budget_report import ClientBudgetReport
 from bilberryring.process.early_listener import EarlyListener
 from bilberryring.process.explanations import ExplainQuery
 from bilberryring.process.loops import start_loop
-from bilberryring.process.operator_site import ProcessStatus, operator_resource
+from bilberryring.process.operator_site import (
+    ProcessStatus,
+    operator_listener,
+    operator_resource,
+)
 from bilberryring.process.pauses import PauseDetector
 from bilberryring.process.running import Listeners
 from bilberryring.routing import WorkTracker
@@ -136,6 +145,12 @@
         incarnation = new_incarnation()
         self._crashes = crashes = CrashRecord(clock=reactor)
         self._counters = GatewayCounters(metrics=self._metrics)
+        self._client_budget = make_client_budget(
+            clock=reactor,
+            largest_request_bytes=CallerLimits().max_body_bytes,
+            memory_bytes=settings.memory_bytes,
+            max_descriptors=settings.max_descriptors,
+        )
         self._peers = PeerExchange(
             reactor=reactor,
             settings=settings,
@@ -148,6 +163,7 @@
             duty=self._duty,
             speeds=self._speeds,
             log=log,
+            client_budget=self._client_budget,
         )
         self._adapter = adapter_class(
             reactor=reactor,
@@ -164,15 +180,28 @@
         self._copies.add_listener(
             lambda replica, keys: self._peers.report_change(is_urgent=True)
         )
+        self._held_answers = HeldAnswers(
+            on_change=self._count_held_answers,
+            must_wait=lambda: self._client_budget.is_unread_too_much,
+        )
         self._forwarder = self._build_forwarder(codec, crashes, incarnation)
+        self._budget_report = ClientBudgetReport(
+            clock=reactor, budget=self._client_budget, metrics=self._metrics, log=log
+        )
         self._site = CallerSite(
             reactor=reactor,
             on_request=self._forwarder.accept,
             limits=self._caller_limits,
             on_refused=lambda code: log.write(LogEvent.CALLER_REFUSED, code=code.value),
+            check_head=caller_head_check(codec=codec, gate=self._gate),
+            client_budget=self._client_budget,
         )
         self._ready_site = CallerSite(
-            reactor=reactor, on_request=self._respond_to_readiness
+            reactor=reactor,
+            on_request=self._respond_to_readiness,
+            check_head=refuse_body,
+            client_budget=self._client_budget,
+            is_always_served=True,
         )
         self._listeners = Listeners(reactor=reactor, log=log)
         self._is_draining = False
@@ -246,11 +275,13 @@
             log=log,
             on_work_changed=self._peers.report_change,
             samples=self._samples,
+            held=self._held_answers,
         )
+        self._gate = RequestGate(fleet=self._fleet, crashes=crashes)
         return Forwarder(
             reactor=self._reactor,
             codec=codec,
-            gate=RequestGate(fleet=self._fleet, crashes=crashes),
+            gate=self._gate,
             retry_policy=retry_policy,
             chooser=chooser,
             attempts=attempts,
@@ -281,6 +312,7 @@
         Raises `SettingsError` if an address cannot be bound.
         """
         settings = self._settings
+        return_large_blocks()
         try:
             self._listen_for_callers()
             self._listeners.listen(
@@ -290,6 +322,7 @@
                 settings.metrics_address,
                 self._operator_site(),
                 key="metrics_address",
+                **operator_listener(self._client_budget),
             )
             self._peers.start()
         except CannotListenError as error:
@@ -450,6 +483,10 @@
     def _on_endpoint_started(self, endpoint: AnnouncedEndpoint) -> None:
         self._forwarder.end_earlier_runs(endpoint)
 
+    def _count_held_answers(self, n_bytes: int) -> None:
+        """Charge what is held above the memory that is kept for held answers."""
+        self._client_budget.hold_others(max(0, n_bytes - MAX_HELD_BYTES))
+
     def _caller_limits(self) -> CallerLimits:
         configuration = self._fleet.configuration
         return CallerLimits() if configuration is None else configuration.limits
@@ -467,6 +504,8 @@
 
     def _run_housekeeping(self) -> None:
         self._check_pause()
+        self._budget_report.update()
+        self._held_answers.resume()
         self._check_settings()
         self._adapter.expire()
         self._crashes.update()
--- a/bilberryring/gateway/settings.py
+++ b/bilberryring/gateway/settings.py
@@ -27,7 +27,9 @@
 
     `seed_hosts` are hosts that may run a peer. `regions_by_domain` pairs failure
     domains with their regions. With `learns_capacity` the choice between endpoints
-    follows their learned speed.
+    follows their learned speed. `memory_bytes` and `max_descriptors` are what the
+    machine gives to the process, 0 if what the operators wrote is implausible, or
+    `None` if they wrote nothing.
     """
 
     process: str
@@ -43,6 +45,8 @@
     regions_by_domain: tuple[tuple[str, str], ...] = ()
     bounds: GatewayBounds = GatewayBounds()
     learns_capacity: bool = True
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
 
     @property
     def metrics_address(self) -> str:
--- a/bilberryring/platform/settings.py
+++ b/bilberryring/platform/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bilberryring.core import ErrorCode, SettingsError
+from bilberryring.core import ErrorCode, SettingsError, bytes_from_megabytes
 from bilberryring.gateway.settings import GatewayBounds, GatewaySettings
 
 DEFAULT_INTERNAL_PORT = 7340
@@ -39,6 +39,11 @@
     free_ms: float = 4_000
 
 
+class _Limits(msgspec.Struct, kw_only=True):
+    memory_mb: float | None = None
+    max_fds: int | None = None
+
+
 class _SettingsFile(msgspec.Struct, kw_only=True):
     node: str
     ip: str
@@ -54,6 +59,7 @@
     zones: dict[str, str] = {}
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     learn_capacity: bool = True
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read_settings(path: Path) -> GatewaySettings:
@@ -96,6 +102,8 @@
         regions_by_domain=tuple(content.zones.items()),
         bounds=_convert_bounds(content.bounds),
         learns_capacity=content.learn_capacity,
+        memory_bytes=bytes_from_megabytes(content.limits.memory_mb),
+        max_descriptors=_plausible_descriptors(content.limits.max_fds),
     )
 
 
@@ -109,6 +117,10 @@
     return int(text)
 
 
+def _plausible_descriptors(count: int | None) -> int | None:
+    return None if count is None else max(0, count)
+
+
 def _convert_bounds(bounds: _Bounds) -> GatewayBounds:
     return GatewayBounds(
         drain_seconds=bounds.grace_s,
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -123,7 +123,8 @@
     `gateways` is the number of gateways that know each other as peers; each one is
     started with `start_gateway`. `retry_slack` is the number of retries that they may
     make in a window in any case, and `retry_ratio` the number for each request.
-    `grace` is the seconds that a stop may take.
+    `grace` is the seconds that a stop may take. `memory_mb` and `max_fds` are the
+    limits of the machine in each gateway's settings, which say nothing without them.
     """
 
     def __init__(
@@ -133,12 +134,15 @@
         retry_slack: int = 100,
         retry_ratio: float = 0.2,
         grace: float = 6.0,
+        memory_mb: float | None = None,
+        max_fds: int | None = None,
     ):
         self._directory = scratch_directory()
         self._n_gateways = gateways
         self._retry_slack = retry_slack
         self._retry_ratio = retry_ratio
         self._grace = grace
+        self._machine_limits = {"memory_mb": memory_mb, "max_fds": max_fds}
         self._network = LoopbackNetwork()
         self._processes: dict[str, ManagedProcess] = {}
         self._endpoints: list[ScriptedEndpoint] = []
@@ -162,14 +166,12 @@
                 "bilberryring.standins.main",
                 "store",
                 "--host",
-                self._host(STORE_HOST_NUMBER),
+                self.host(STORE_HOST_NUMBER),
             ],
             directory=self._directory,
         )
         self._processes["store"] = store
-        self._store_address = (
-            f"{self._host(STORE_HOST_NUMBER)}:{store.listening_port()}"
-        )
+        self._store_address = f"{self.host(STORE_HOST_NUMBER)}:{store.listening_port()}"
         return self
 
     def stop(self) -> None:
@@ -196,8 +198,8 @@
         `RuntimeError` is raised when it exits before it is ready.
         """
         name = f"gateway-{number}"
-        host = self._host(number)
-        seeds = [f"{self._host(other + 1)}:1" for other in range(self._n_gateways)]
+        host = self.host(number)
+        seeds = [f"{self.host(other + 1)}:1" for other in range(self._n_gateways)]
         text = (
             f'node = "{name}"\nip = "{host}"\nzone = "north"\nregion = "here"\n'
             f"internal_ports = [{PEER_PORT}, {PEER_PORT + 9}]\n"
@@ -207,8 +209,10 @@
             f'ready = "{host}:{READY_PORT}"\n'
             f'[platform]\naddress = "{store_address or self._store_address}"\n'
             f"[bounds]\ngrace_s = {self._grace}\nretry_slack = {self._retry_slack}\n"
-            f"budget_ratio = {self._retry_ratio}\n"
+            f"budget_ratio = {self._retry_ratio}\n[limits]\n"
         )
+        for key, value in self._machine_limits.items():
+            text += "" if value is None else f"{key} = {value}\n"
         path = self._directory / f"{name}.toml"
         path.write_text(text, "utf-8")
         os.environ["BILBERRYRING_NODE_FILE"] = str(path)
@@ -293,7 +297,7 @@
         """Return whether a gateway answers its readiness probe with status 200."""
         try:
             connection = http.client.HTTPConnection(
-                self._host(number), READY_PORT, timeout=1.0
+                self.host(number), READY_PORT, timeout=1.0
             )
             connection.request("GET", "/v1/ready")
             return connection.getresponse().status == 200
@@ -303,13 +307,13 @@
     def connect(self, number: int = 1) -> http.client.HTTPConnection:
         """Return an HTTP connection to the callers' port of a gateway."""
         return http.client.HTTPConnection(
-            self._host(number), CALLER_PORT, timeout=ANSWER_TIMEOUT_SECONDS
+            self.host(number), CALLER_PORT, timeout=ANSWER_TIMEOUT_SECONDS
         )
 
     def caller_socket(self, number: int = 1) -> socket.socket:
         """Return a connected socket to the callers' port of a gateway."""
         return socket.create_connection(
-            (self._host(number), CALLER_PORT), timeout=ANSWER_TIMEOUT_SECONDS
+            (self.host(number), CALLER_PORT), timeout=ANSWER_TIMEOUT_SECONDS
         )
 
     def call(
@@ -350,14 +354,14 @@
     def metrics(self, number: int = 1) -> str:
         """Return the text of a gateway's metrics page."""
         connection = http.client.HTTPConnection(
-            self._host(number), PEER_PORT + 1, timeout=ANSWER_TIMEOUT_SECONDS
+            self.host(number), PEER_PORT + 1, timeout=ANSWER_TIMEOUT_SECONDS
         )
         connection.request("GET", "/metrics")
         return connection.getresponse().read().decode()
 
     def operator_address(self, number: int = 1) -> str:
         """Return the address on which a gateway serves operators."""
-        return f"{self._host(number)}:{PEER_PORT + 1}"
+        return f"{self.host(number)}:{PEER_PORT + 1}"
 
     def log_events(self, number: int = 1, event: str | None = None) -> list[dict]:
         """Return the log lines of a gateway, or only those of one event."""
@@ -417,14 +421,15 @@
         self._processes[name] = process
         return process
 
+    def host(self, number: int = 1) -> str:
+        """Return the IP address of a gateway."""
+        return self._network.host(number)
+
     def _raise_if_exited(self, name: str) -> None:
         process = self._processes[name]
         if not process.is_running:
             raise RuntimeError(f"{name} exited: {process.log_text[-2000:]}")
 
-    def _host(self, number: int) -> str:
-        return self._network.host(number)
-
     def _control(self, action: str, query: str, body: bytes) -> None:
         connection = http.client.HTTPConnection(
             self._store_address, timeout=ANSWER_TIMEOUT_SECONDS
