--- a/bilberryring/testing/capacity_mechanisms.py
+++ b/bilberryring/testing/capacity_mechanisms.py
@@ -6,6 +6,14 @@
 ESTIMATES = "bilberryring/capacity/tests"
 
 CAPACITY_MECHANISMS = (
+    Mechanism(
+        name="a settings key turns learned speeds off",
+        module="platform/settings.py",
+        present="        learns_capacity=content.learn_capacity,\n",
+        absent="",
+        test="bilberryring/platform/tests/test_capacity_switch.py"
+        "::test_switch_is_read_from_the_settings_file",
+    ),
     Mechanism(
         name="a backlog that was over is no sign of speed",
         module="gateway/capacity_samples.py",
