--- a/bilberryring/capacity/usual_times.py
+++ b/bilberryring/capacity/usual_times.py
@@ -14,6 +14,10 @@
 """Responses from which the usual time is known."""
 BUSY_STEPS = 4
 """Number of classes up to all slots in use; more requests are one further class."""
+JITTER_SECONDS = 0.02
+"""Time added to each response time. Differences of a few milliseconds come from links
+and processes, and no caller feels them; services that answer within 1 ms would
+otherwise seem to differ by a multiple."""
 MAX_STEP = math.log(8.0)
 """Largest distance of a response from the usual time that counts."""
 
@@ -37,7 +41,7 @@
     def observe(self, seconds: float, *, requests: int, slots: int) -> Interval | None:
         """Count a response; return its sample if the usual time was known."""
         step = min(BUSY_STEPS, max(0, requests - 1) * BUSY_STEPS // max(1, slots))
-        log = math.log(max(seconds, 1e-4))
+        log = math.log(max(seconds, 0.0) + JITTER_SECONDS)
         count = self._counts[step] = self._counts[step] + 1
         distance = min(MAX_STEP, max(-MAX_STEP, log - self._logs[step]))
         if count <= MIN_RESPONSES:
