Log the steps of a stop, and keep room for the last record of each request

Cause: the record of the lost stream has no line of it. Lines over 300 a second are dropped whatever they say, drain_finished does not tell what was left, caller_left does not tell a caller that leaves from a connection that the gateway closes, and `bilberryring losses` did not count answers that ended without a mark (delivered unmarked).

Change: last records and steps of a stop have a reserve of 300 lines; drain_continued says at each step what is open (requests, connections, unsent bytes, releases); last records have stop_ms, request_failed its answer_end, caller_left closed_by; losses lists unmarked answers. No decision changes.

--- a/bilberryring/admission/__init__.py
+++ b/bilberryring/admission/__init__.py
@@ -21,7 +21,7 @@
     length_class_of,
 )
 from bilberryring.admission.memory import SHORT_RESERVE_SHARE, KvMemory
-from bilberryring.admission.planned_stop import PlannedStop
+from bilberryring.admission.planned_stop import PlannedStop, StopStep
 from bilberryring.admission.prompt_admission import (
     INITIAL_PREFILL_RATE,
     MAX_QUEUED_PROMPTS,
@@ -79,6 +79,7 @@
     "OVERDUE_SECONDS",
     "PRIORITIES_PER_CLASS",
     "PlannedStop",
+    "StopStep",
     "VERY_LONG_PREFILL_SHARE",
     "PromptAdmission",
     "PromptRefusal",
--- a/bilberryring/admission/planned_stop.py
+++ b/bilberryring/admission/planned_stop.py
@@ -8,6 +8,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 BALANCER_EXIT_SECONDS = 3.0
 """Seconds after a stop signal for which new requests are still served. The load
@@ -34,6 +35,20 @@
 The process needs the rest to exit."""
 
 
+class StopStep(Enum):
+    """The steps of a stop in their order; one without anything to wait for is short."""
+
+    REFUSING = "refusing"
+    """New requests are no longer served."""
+    NOT_LISTENING = "not_listening"
+    """No caller is accepted any more."""
+    ENDING = "ending"
+    """What is still in progress is answered now."""
+    FLUSHING = "flushing"
+    """Callers may still read the last answers."""
+    EXITING = "exiting"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlannedStop:
     """A stop signal, after which the platform kills the process within `grace`."""
--- a/bilberryring/core/__init__.py
+++ b/bilberryring/core/__init__.py
@@ -13,7 +13,7 @@
     use_monotonic_time,
 )
 from bilberryring.core.compression import compress, decompress
-from bilberryring.core.delivery import Delivery
+from bilberryring.core.delivery import ClosedBy, Delivery
 from bilberryring.core.errors import (
     ErrorCode,
     RunOutcome,
@@ -47,6 +47,7 @@
 __all__ = [
     "ADDRESS_PATTERN",
     "AttemptId",
+    "ClosedBy",
     "Delivery",
     "ErrorCode",
     "Fingerprint",
--- a/bilberryring/core/delivery.py
+++ b/bilberryring/core/delivery.py
@@ -1,4 +1,4 @@
-"""What a caller has got of the response to its request."""
+"""What a caller has got of the response to its request, and who ended it."""
 
 from enum import Enum
 
@@ -13,3 +13,10 @@
     CUT = "cut"
     """A part of it; for a stream, also one that ends with an error."""
     NOTHING = "nothing"
+
+
+class ClosedBy(Enum):
+    """Who closed a connection on which a request was in progress."""
+
+    CALLER = "caller"
+    SERVER = "server"
--- a/bilberryring/gateway/caller_site.py
+++ b/bilberryring/gateway/caller_site.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 from functools import partial
 
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.interfaces import IPushProducer
 from twisted.web import http
 from twisted.web.http_headers import Headers
 from zope.interface import implementer
 
-from bilberryring.core import Delivery
+from bilberryring.core import ClosedBy, Delivery
 from bilberryring.fleet import CallerLimits
 from bilberryring.gateway.messages import CallerRequest, HeaderPairs
 from bilberryring.http import (
@@ -84,6 +85,7 @@
         self._reactor = reactor
         self._backpressure: _BackpressureProducer | None = None
         self._is_disconnected = False
+        self._closed_by: ClosedBy | None = None
         self._is_left_incomplete = False
         self._closes_after_response = False
 
@@ -97,6 +99,11 @@
         """Whether the caller has disconnected or the response is complete."""
         return self._is_disconnected or bool(self.finished)
 
+    @property
+    def closed_by(self) -> ClosedBy | None:
+        """Who closed the connection before the response was complete, if it is."""
+        return self._closed_by
+
     @property
     def has_started(self) -> bool:
         """Whether the status line of the response has been sent."""
@@ -205,6 +212,10 @@
 
     def connectionLost(self, reason) -> None:
         self._is_disconnected = True
+        is_closed_here = reason.check(ConnectionAborted) is not None or getattr(
+            self.channel.transport, "disconnecting", False
+        )
+        self._closed_by = ClosedBy.SERVER if is_closed_here else ClosedBy.CALLER
         if self._backpressure is not None:
             self._backpressure.release_source()
         super().connectionLost(reason)
@@ -261,6 +272,11 @@
         """The number of open connections."""
         return len(self._channels)
 
+    @property
+    def output_bytes(self) -> int:
+        """The number of bytes that wait to be passed to the kernel."""
+        return sum(channel.output_bytes for channel in self._channels)
+
     @property
     def limits(self) -> CallerLimits:
         """The limits on requests that are in force now."""
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -5,7 +5,12 @@
 from twisted.web import http
 from twisted.web.resource import Resource
 
-from bilberryring.admission import EndpointStatements, PlannedStop, StatedStanding
+from bilberryring.admission import (
+    EndpointStatements,
+    PlannedStop,
+    StatedStanding,
+    StopStep,
+)
 from bilberryring.capacity import TICK_SECONDS, EndpointSpeeds
 from bilberryring.core import (
     ErrorCode,
@@ -395,15 +400,32 @@
         self._reservations.drain(until=stop.releases_until)
         await deferLater(self._reactor, stop.refuses_at - stop.signalled_at)
         self._forwarder.refuse_new()
+        self._log_step(stop, StopStep.REFUSING)
         await self._wait_for_callers(until=stop.listens_until)
         await self._listeners.close("caller_address")
+        self._log_step(stop, StopStep.NOT_LISTENING)
         await self._wait_for_callers(until=stop.ends_at)
+        self._log_step(stop, StopStep.ENDING)
         await self._answer_the_rest()
+        self._log_step(stop, StopStep.FLUSHING)
         await self._wait_for_callers(until=stop.exits_at)
         await self._wait_for_releases(until=stop.releases_until)
+        self._log_step(stop, StopStep.EXITING)
         self._adapter.stop()
         self._peers.stop()
 
+    def _log_step(self, stop: PlannedStop, step: StopStep) -> None:
+        """Log what is open at a step of a stop, and what a caller may still lose."""
+        self._log.write(
+            LogEvent.DRAIN_CONTINUED,
+            step=step.value,
+            signalled_ago=round(self._reactor.seconds() - stop.signalled_at, 3),
+            in_progress=self._forwarder.in_progress,
+            connections=self._site.open_connections,
+            unsent_bytes=self._site.output_bytes,
+            releases=self._reservations.releases_in_progress,
+        )
+
     async def _wait_for_callers(self, *, until: float) -> None:
         """Wait until all connections are closed; those that are idle are closed.
 
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -139,6 +139,7 @@
         Each caller's connection is closed after the response to its next request.
         """
         self._stop = stop
+        self._log.begin_stop(signalled_at=stop.signalled_at)
 
     def refuse_new(self) -> None:
         """Refuse new requests with the outcome "not run": the process exits soon."""
@@ -189,7 +190,9 @@
             self._log.request_failed(metadata, context, error, exchange.delivery)
         except CancelledError as error:
             if exchange.has_caller_left:
-                self._log.caller_left(metadata, context, exchange.delivery)
+                self._log.caller_left(
+                    metadata, context, exchange.delivery, exchange.closed_by
+                )
             else:
                 self._send_internal_error(exchange, metadata, context, error)
         except Exception as error:
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import replace
 
-from bilberryring.core import Delivery, ServingError
+from bilberryring.core import ClosedBy, Delivery, ServingError
 from bilberryring.execution import AnswerEnd, SilenceDecision, proof_of_end
 from bilberryring.fleet import AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.counters import CALLER_LEFT, GatewayCounters
@@ -34,6 +34,11 @@
         self._log = log
         self._counters = counters
         self._observe_first_response = observe_first_response
+        self._stop_signalled_at: float | None = None
+
+    def begin_stop(self, *, signalled_at: float) -> None:
+        """Log from now on with each last record how long ago the stop signal came."""
+        self._stop_signalled_at = signalled_at
 
     def write(
         self, event: LogEvent, metadata: CallerMetadata, **fields: object
@@ -198,6 +203,7 @@
             sends=context.sends,
             configuration=context.configuration,
             delivered=delivery.value,
+            stop_ms=self._stop_ms(),
         )
 
     def request_failed(
@@ -219,8 +225,12 @@
             sends=context.sends if context else 0,
             retry_after=error.retry_after,
             detail=error.detail,
+            answer_end=_describe_end(
+                context.attempt.answer_end if context and context.attempt else None
+            ),
             configuration=context.configuration if context else None,
             delivered=delivery.value,
+            stop_ms=self._stop_ms(),
         )
 
     def caller_left(
@@ -228,11 +238,13 @@
         metadata: CallerMetadata,
         context: RequestContext | None,
         delivery: Delivery,
+        closed_by: ClosedBy | None,
     ) -> None:
-        """Log and count a request whose caller closed its connection.
+        """Log and count a request whose connection was closed.
 
-        `silent_ms` is for how long it had got no event, and `silence_cause` is that of
-        the longest time without one.
+        `closed_by` is its caller, or the gateway if clients held too much memory.
+        `silent_ms` is for how long the caller had got no event, and `silence_cause` is
+        that of the longest time without one.
         """
         route = context.route.name if context else ""
         silent_ms = patience_ms = None
@@ -251,6 +263,7 @@
             route=route,
             sends=context.sends if context else 0,
             configuration=context.configuration if context else None,
+            closed_by=closed_by.value if closed_by else None,
             has_event=context is not None and context.last_data_at is not None,
             silent_ms=silent_ms,
             patience_ms=patience_ms,
@@ -258,8 +271,15 @@
             silence_ms=round(longest.seconds * 1_000),
             silence_cause=_describe_cause(context, longest),
             delivered=delivery.value,
+            stop_ms=self._stop_ms(),
         )
 
+    def _stop_ms(self) -> int | None:
+        """Return the milliseconds since the stop signal, if one has come."""
+        if self._stop_signalled_at is None:
+            return None
+        return round((self._clock.seconds() - self._stop_signalled_at) * 1_000)
+
     def _sent_ago(self, attempt: Attempt) -> float | None:
         """Return the seconds since the sending, if the attempt has sent the request."""
         if not attempt.number:
--- a/bilberryring/gateway/tests/test_caller_site.py
+++ b/bilberryring/gateway/tests/test_caller_site.py
@@ -1,14 +1,16 @@
-"""Which of the callers' connections are closed at a stop."""
+"""Which of the callers' connections are closed at a stop, and who closed one."""
 
 import socket
 import time
 
 import pytest
 from twisted.internet.epollreactor import EPollReactor
+from twisted.internet.error import ConnectionAborted, ConnectionDone, ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
-from bilberryring.core import has_unread
+from bilberryring.core import ClosedBy, has_unread
 from bilberryring.fleet import CallerLimits
 from bilberryring.gateway.caller_site import CallerSite
 from bilberryring.http import MIN_IDLE_SECONDS, CallerChannel
@@ -64,6 +66,29 @@
     assert site.close_idle() == 1
 
 
+@pytest.mark.parametrize(
+    ("reason", "is_closing", "closed_by"),
+    [
+        (ConnectionDone(), False, ClosedBy.CALLER),
+        (ConnectionLost(), False, ClosedBy.CALLER),
+        (ConnectionDone(), True, ClosedBy.SERVER),
+        (ConnectionAborted(), False, ClosedBy.SERVER),
+    ],
+)
+def test_an_exchange_knows_who_closed_its_connection(
+    clock, reason, is_closing, closed_by
+):
+    exchanges = []
+    site = CallerSite(reactor=clock, on_request=exchanges.append)
+    channel, transport = connect(site)
+    channel.dataReceived(HEAD + b"xy")
+    exchanges[0].notifyFinish().addErrback(lambda _: None)
+    assert exchanges[0].closed_by is None
+    transport.disconnecting = is_closing
+    channel.connectionLost(Failure(reason))
+    assert exchanges[0].closed_by is closed_by
+
+
 class AdvancedReactor(EPollReactor):
     """A reactor whose clock the test can advance by `seconds_ahead`."""
 
--- a/bilberryring/http/budgeted_channel.py
+++ b/bilberryring/http/budgeted_channel.py
@@ -105,6 +105,14 @@
         self.transport.abortConnection()
         self._drop_data()
 
+    @property
+    def output_bytes(self) -> int:
+        """The number of bytes that are written and not passed to the kernel yet."""
+        if not self._has_output():
+            return 0
+        transport = self.transport
+        return transport._tempDataLen + len(transport.dataBuffer) - transport.offset
+
     def update_output(self) -> None:
         """Count the output that the client has not read; what it reads is progress."""
         transport = self.transport
--- a/bilberryring/platform/gateway_process.py
+++ b/bilberryring/platform/gateway_process.py
@@ -31,7 +31,12 @@
         loaded_version = settings_version()
         settings = load_settings()
         output = standard_output(seconds=reactor.seconds)
-        log = EventLog(process=settings.process, role="gateway", stream=output)
+        log = EventLog(
+            process=settings.process,
+            role="gateway",
+            stream=output,
+            reserved_stream=output.reserved,
+        )
         daemon = GatewayDaemon(
             reactor=reactor,
             settings=settings,
--- a/bilberryring/platform/tests/test_ends_of_stops.py
+++ b/bilberryring/platform/tests/test_ends_of_stops.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bilberryring.admission import StopStep
 from bilberryring.standins.gateway_site import (
     MODEL_SERVICE,
     PLAIN_SERVICE,
@@ -150,3 +151,18 @@
     long_site.start_gateway()
     answer = call_over_a_stop(long_site, "/charge/", endpoint)
     assert answer.status == 200
+
+
+def test_the_log_tells_what_was_open_at_each_step_of_a_stop(long_site):
+    endpoint = long_site.add_endpoint("a", begin_stream, service=MODEL_SERVICE)
+    long_site.start_gateway()
+    call_over_a_stop(long_site, "/chat/", endpoint)
+    steps = long_site.log_events(event="drain_continued")
+    assert [line["step"] for line in steps] == [step.value for step in StopStep]
+    in_progress = [line["in_progress"] for line in steps]
+    assert in_progress == [1, 1, 1, 0, 0]
+    assert [line["connections"] for line in steps][-1] == 0
+    ages = [line["signalled_ago"] for line in steps]
+    assert ages == sorted(ages)
+    (record,) = last_records(long_site)
+    assert steps[2]["signalled_ago"] <= record["stop_ms"] / 1_000 <= GRACE_SECONDS
--- a/bilberryring/platform/tests/test_last_records.py
+++ b/bilberryring/platform/tests/test_last_records.py
@@ -73,5 +73,6 @@
     record = last_record(site)
     assert record["event"] == LogEvent.CALLER_LEFT.name.lower()
     assert (record["delivered"], record["sends"]) == ("cut", 1)
+    assert record["closed_by"] == "caller"
     assert 'caller_left="true"' in site.metrics()
     assert read_endings(map(str, site.log_events())).is_clean
--- a/bilberryring/telemetry/event_log.py
+++ b/bilberryring/telemetry/event_log.py
@@ -23,7 +23,8 @@
     """Writes the log events of one process.
 
     Events below `level` are not written. A line that cannot be written is dropped, and
-    the number of those lines is written once that is possible again.
+    the number of those lines is written once that is possible again. Reserved events go
+    to `reserved_stream`, if there is one.
     """
 
     def __init__(
@@ -33,14 +34,19 @@
         role: str,
         level: str = "info",
         stream: TextIO | None = None,
+        reserved_stream: TextIO | None = None,
     ):
         self._min_level_index = _LEVELS.index(level)
         self._n_unwritten = 0
-        self._logger = structlog.wrap_logger(
-            structlog.WriteLogger(stream or sys.stderr),
-            processors=[_encode_line],
-            process=process,
-            role=role,
+        stream = stream or sys.stderr
+        self._logger, self._reserved_logger = (
+            structlog.wrap_logger(
+                structlog.WriteLogger(target),
+                processors=[_encode_line],
+                process=process,
+                role=role,
+            )
+            for target in (stream, reserved_stream or stream)
         )
 
     def write(self, event: LogEvent, **fields: object) -> None:
@@ -58,8 +64,9 @@
 
     def _try_write(self, event: LogEvent, fields: dict[str, object]) -> bool:
         """Write a line, and return whether that was possible, as on a full disk not."""
+        logger = self._reserved_logger if event.is_reserved else self._logger
         try:
-            self._logger.info(
+            logger.info(
                 event.name.lower(),
                 number=event.value,
                 level=event.level,
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -10,7 +10,9 @@
     """The events that processes log.
 
     A member's value is the stable number of the event. `level` is its log level,
-    and `meaning` describes it for operators.
+    and `meaning` describes it for operators. `is_reserved` is true for the last record
+    of a request and for the steps of a stop: without them what became of a request
+    cannot be told.
     """
 
     def __new__(cls, number: int, level: str, meaning: str):
@@ -20,6 +22,16 @@
         member.meaning = meaning
         return member
 
+    @property
+    def is_last_record(self) -> bool:
+        """Whether an event says how a request ended."""
+        return self in LAST_RECORD_EVENTS
+
+    @property
+    def is_reserved(self) -> bool:
+        """Whether the event's lines may use the reserve of a bounded output."""
+        return self.is_last_record or self in STOP_EVENTS
+
     PROCESS_STARTED = (100, "info", "The process started to listen on its addresses")
     PROCESS_READY = (101, "info", "The process has a set in force and accepts requests")
     PROCESS_PAUSED = (102, "warning", "The process or its VM was paused for a while")
@@ -47,6 +59,11 @@
         "info",
         "The listener for callers is open, since before the imports if no peer served",
     )
+    DRAIN_CONTINUED = (
+        116,
+        "info",
+        "A planned stop reached its next step; what was still open then",
+    )
     SETTINGS_RELOADED = (120, "info", "The settings file was read again")
     SETTINGS_REFUSED = (121, "error", "A changed settings file was refused")
     SETTINGS_KEPT = (
@@ -265,3 +282,17 @@
         "Prompts with a part are served again",
     )
     INTERNAL_FAULT = (900, "error", "An internal error occurred in the process")
+
+
+LAST_RECORD_EVENTS = frozenset(
+    {LogEvent.REQUEST_FINISHED, LogEvent.REQUEST_FAILED, LogEvent.CALLER_LEFT}
+)
+"""Each admitted request has one line of one of these."""
+STOP_EVENTS = frozenset(
+    {
+        LogEvent.DRAIN_STARTED,
+        LogEvent.DRAIN_CONTINUED,
+        LogEvent.DRAIN_TIMED_OUT,
+        LogEvent.DRAIN_FINISHED,
+    }
+)
--- a/bilberryring/telemetry/request_endings.py
+++ b/bilberryring/telemetry/request_endings.py
@@ -16,6 +16,9 @@
 >>> endings = read_endings(lines)
 >>> endings.requests, endings.cut, endings.is_clean
 (2, ('b',), False)
+>>> unmarked = '{"event": "request_failed", "request": "c", "delivered": "unmarked"}'
+>>> read_endings([unmarked]).unmarked
+('c',)
 """
 
 from collections import Counter
@@ -25,16 +28,9 @@
 import msgspec
 
 from bilberryring.core import Delivery, RequestId
-from bilberryring.telemetry.events import LogEvent
-
-LAST_RECORDS = frozenset(
-    event.name.lower()
-    for event in (
-        LogEvent.REQUEST_FINISHED,
-        LogEvent.REQUEST_FAILED,
-        LogEvent.CALLER_LEFT,
-    )
-)
+from bilberryring.telemetry.events import LAST_RECORD_EVENTS, LogEvent
+
+LAST_RECORDS = frozenset(event.name.lower() for event in LAST_RECORD_EVENTS)
 CALLER_LEFT = LogEvent.CALLER_LEFT.name.lower()
 SILENT_SHARE = 0.95
 """Share of a caller's patience from which a silence counts as why it left. Callers
@@ -47,7 +43,8 @@
     """How requests ended; `requests` is their number.
 
     `unended` have no last record, `repeated` more than one. The callers of `cut` got a
-    part of an answer, those of `unanswered` nothing; those that left are not counted.
+    part of an answer, those of `unmarked` all that was known without the mark of its
+    end, and those of `unanswered` nothing; those that left are not counted.
     `dropped_lines` is the number of log lines that were dropped: with any, a request
     without a last record may have ended. `left_silent` counts the callers that left
     after a silence by its cause.
@@ -57,14 +54,21 @@
     unended: tuple[RequestId, ...] = ()
     repeated: tuple[RequestId, ...] = ()
     cut: tuple[RequestId, ...] = ()
+    unmarked: tuple[RequestId, ...] = ()
     unanswered: tuple[RequestId, ...] = ()
     dropped_lines: int = 0
     left_silent: dict[str, int] = field(default_factory=dict)
 
     @property
     def is_clean(self) -> bool:
-        """Whether each request ended once and no caller got a part or nothing."""
-        return not (self.unended or self.repeated or self.cut or self.unanswered)
+        """Whether each request ended once, and with a whole answer."""
+        return not (
+            self.unended
+            or self.repeated
+            or self.cut
+            or self.unmarked
+            or self.unanswered
+        )
 
 
 def read_endings(lines: Iterable[str]) -> RequestEndings:
@@ -74,7 +78,7 @@
     """
     last_records: Counter[RequestId] = Counter()
     requests: set[RequestId] = set()
-    cut, unanswered = [], []
+    cut, unmarked, unanswered = [], [], []
     left_silent: Counter[str] = Counter()
     dropped_lines = 0
     for line in lines:
@@ -96,6 +100,8 @@
         match record.get("delivered"):
             case Delivery.CUT.value:
                 cut.append(request)
+            case Delivery.UNMARKED.value:
+                unmarked.append(request)
             case Delivery.NOTHING.value:
                 unanswered.append(request)
     return RequestEndings(
@@ -103,6 +109,7 @@
         unended=tuple(sorted(requests - last_records.keys())),
         repeated=tuple(sorted(id for id, n in last_records.items() if n > 1)),
         cut=tuple(cut),
+        unmarked=tuple(unmarked),
         unanswered=tuple(unanswered),
         dropped_lines=dropped_lines,
         left_silent=dict(sorted(left_silent.items())),
--- a/bilberryring/tool/main.py
+++ b/bilberryring/tool/main.py
@@ -174,7 +174,7 @@
     LOGS are those of gateways and entries.
 
     The exit status is 1 if there are any: requests without a last record or with
-    several, and those whose callers stayed and got a part of an answer or nothing.
+    several, and those whose callers stayed and got no whole answer.
     """
     endings = read_endings(line for log in logs for line in log)
     if as_json:
@@ -273,6 +273,7 @@
         "no last record": endings.unended,
         "several last records": endings.repeated,
         "a part of an answer": endings.cut,
+        "an answer without the mark of its end": endings.unmarked,
         "no answer": endings.unanswered,
     }
     for description, requests in groups.items():
