--- /dev/null
+++ b/bilberryring/platform/tests/test_unmarked_ends.py
@@ -0,0 +1,237 @@
+"""Streams of sound endpoints that end with their connection, without an end mark.
+
+Such an end may be that of a crash, so another endpoint is asked to go on after the last
+event. The caller gets a whole answer also if none can be asked, or if none has more.
+"""
+
+import contextlib
+import socket
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from bilberryring.standins.gateway_site import (
+    MODEL_SERVICE,
+    GatewaySite,
+    make_configuration,
+    make_route,
+)
+from bilberryring.standins.scripted_endpoint import (
+    NOT_EXECUTED_HEADER,
+    STAMP_HEADER,
+    chunk,
+    event,
+    reset,
+    stream_head,
+    whole_answer,
+)
+from bilberryring.testing.processes import pause, wait_until
+
+GRACE_SECONDS = 8.0
+CALLER_MS = "9000"
+EVENTS = [event(number) for number in range(1, 31)]
+WHOLE = b"".join(EVENTS)
+ROUTES = [
+    make_route("/chat/", "streaming", MODEL_SERVICE, timeout_ms=10_000),
+    make_route("/alone/", "streaming", MODEL_SERVICE, timeout_ms=10_000, attempts=1),
+]
+
+
+def unmarked_head(request):
+    head = f"HTTP/1.1 200 OK\r\nBilberryring-Request-Id: {request.request_id}\r\n"
+    return f"{head}{STAMP_HEADER}\r\nContent-Type: text/event-stream\r\n\r\n".encode()
+
+
+def events_left(request, events=EVENTS):
+    return events[int(request.headers.get("last-event-id") or 0) :]
+
+
+def send_unmarked(request, connection, *, events=EVENTS, seconds=0.0):
+    """Send the events that are left over some seconds, and close in order."""
+    rest = events_left(request, events)
+    connection.sendall(unmarked_head(request))
+    for data in rest:
+        connection.sendall(data)
+        pause(seconds / len(rest))
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
+
+
+def send_half_unmarked(request, connection):
+    """End in order after half of the events."""
+    send_unmarked(request, connection, events=EVENTS[:15])
+
+
+def send_chunked(request, connection):
+    rest = b"".join(events_left(request))
+    connection.sendall(stream_head(request.request_id))
+    connection.sendall((chunk(rest) if rest else b"") + chunk(b""))
+
+
+def refuse(request, connection):
+    extra = f"{STAMP_HEADER}\r\n{NOT_EXECUTED_HEADER}"
+    answer = whole_answer(
+        request.request_id, b"", status="503 Service Unavailable", extra=extra
+    )
+    connection.sendall(answer)
+
+
+def break_off(request, connection):
+    reset(connection)
+
+
+class FirstThenOthers:
+    """Runs one script for the first request at any endpoint, another for all later."""
+
+    def __init__(self, first, later):
+        self._scripts = [first, later]
+        self.requests = []
+
+    def __call__(self, request, connection):
+        self.requests.append(request)
+        self._scripts[min(len(self.requests), 2) - 1](request, connection)
+
+
+@pytest.fixture
+def make_site():
+    """Makes sites with the routes of this module."""
+    sites = []
+
+    def make(**options):
+        site = GatewaySite(grace=GRACE_SECONDS, **options).start()
+        sites.append(site)
+        site.publish(make_configuration(routes=ROUTES))
+        return site
+
+    yield make
+    for site in sites:
+        site.stop()
+
+
+def add_endpoints(site, first, later, names="ab"):
+    script = FirstThenOthers(first, later)
+    for name in names:
+        site.add_endpoint(name, script, service=MODEL_SERVICE)
+    return script
+
+
+def call(site, path="/chat/"):
+    return site.call(path, Bilberryring_Deadline_Ms=CALLER_MS)
+
+
+def call_over_a_stop(site, script, *, sent_before=0.3):
+    """Return the answer to a request that is sent some seconds before the signal."""
+    process = site.process("gateway-1")
+    with ThreadPoolExecutor(1) as pool:
+        pending = pool.submit(call, site)
+        wait_until(lambda: script.requests, 2.0, "a request")
+        pause(sent_before)
+        process.terminate()
+        answer = pending.result()
+    assert process.wait(GRACE_SECONDS) == 0
+    return answer
+
+
+def assert_whole(answer):
+    assert (answer.status, answer.body, answer.is_cut) == (200, WHOLE, False)
+
+
+def last_record(site):
+    names = ("request_finished", "request_failed", "caller_left")
+    (record,) = [line for line in site.log_events() if line["event"] in names]
+    return record
+
+
+@pytest.mark.parametrize("later", [send_chunked, send_unmarked])
+@pytest.mark.parametrize("ends_after", [0.5, 2.0, 3.5, 5.0])
+def test_a_stream_that_ends_during_a_stop_is_not_left_without_an_end_mark(
+    make_site, ends_after, later
+):
+    site = make_site()
+
+    def answer(request, connection):
+        send_unmarked(request, connection, seconds=ends_after + 0.3)
+
+    script = add_endpoints(site, answer, later)
+    site.start_gateway()
+    assert_whole(call_over_a_stop(site, script))
+    assert last_record(site)["delivered"] == "whole"
+
+
+@pytest.mark.parametrize(
+    "later", [send_unmarked, refuse, break_off], ids=lambda script: script.__name__
+)
+def test_a_stream_that_no_endpoint_has_more_of_is_not_left_without_an_end_mark(
+    make_site, later
+):
+    site = make_site()
+    script = add_endpoints(site, send_unmarked, later)
+    site.start_gateway()
+    assert_whole(call(site))
+    assert len(script.requests) > 1
+
+
+@pytest.mark.parametrize(
+    ("path", "names", "options"),
+    [
+        ("/alone/", "ab", {}),
+        ("/chat/", "a", {}),
+        ("/chat/", "ab", {"retry_slack": 0, "retry_ratio": 0.0}),
+    ],
+    ids=["one attempt", "one endpoint", "no retry budget"],
+)
+def test_a_stream_that_cannot_be_repeated_is_not_left_without_an_end_mark(
+    make_site, path, names, options
+):
+    site = make_site(**options)
+    script = add_endpoints(site, send_unmarked, send_unmarked, names)
+    site.start_gateway()
+    assert_whole(call(site, path))
+    assert len(script.requests) == 1
+
+
+def test_a_stream_whose_endpoint_crashed_has_no_end_mark(make_site):
+    """The connections of a process that crashes are closed in order too."""
+    site = make_site()
+    endpoints = []
+
+    def crash(request, connection):
+        connection.sendall(unmarked_head(request) + EVENTS[0] + EVENTS[1])
+        pause(0.2)
+        endpoints[0].stop_listening()
+        connection.shutdown(socket.SHUT_WR)
+
+    endpoints.append(site.add_endpoint("a", crash, service=MODEL_SERVICE))
+    site.start_gateway()
+    answer = call(site)
+    assert answer.is_cut
+    assert last_record(site)["delivered"] != "whole"
+
+
+def test_a_stream_whose_endpoint_is_shown_to_have_broken_off_has_no_end_mark(
+    make_site,
+):
+    """Another endpoint had more events: the next end without a mark proves nothing."""
+    site = make_site()
+    add_endpoints(site, send_half_unmarked, send_unmarked)
+    site.start_gateway()
+    answer = call(site)
+    assert (answer.body, answer.is_cut) == (WHOLE, True)
+
+
+@pytest.mark.parametrize("breaks_after", [0.5, 3.5, 5.0])
+def test_a_stream_that_breaks_off_during_a_stop_goes_on_at_another_endpoint(
+    make_site, breaks_after
+):
+    site = make_site()
+
+    def break_later(request, connection):
+        connection.sendall(stream_head(request.request_id))
+        for data in EVENTS[:29]:
+            connection.sendall(chunk(data))
+            pause((breaks_after + 0.3) / 29)
+        reset(connection)
+
+    script = add_endpoints(site, break_later, send_chunked)
+    site.start_gateway()
+    assert_whole(call_over_a_stop(site, script))
