Give a whole stream its end mark also when no other endpoint can confirm its end

What callers saw: all events of a stream and then a closed connection without the last chunk.

Cause: a sound endpoint may end a stream by closing its connection in order. Since a crash looks the same, another endpoint was asked to go on, and without its word the stream was left without a mark: when the stop lets no stream be sent any more, when the retry budget or the attempts are used up, when the other endpoint refuses or fails, and also when it ends in order with nothing more, which was "unknown" once more. So two sound endpoints that do not frame their streams lost every one of them. The class of fault: proof of a good end is asked of a resource that may be gone, and no proof counts as a bad end.

Change: what several attempts tell of an end is one pure state (execution/stream_end.py). An endpoint that ends a stream in order is asked at once whether it still runs; its end is presumed until another endpoint refutes it, and complete when another one has no more either. An endpoint that another one refutes, or a stream that has been broken off before, gets no benefit of the doubt.

Ruled out: asking nobody (a crash after a whole event would look complete).

--- a/bilberryring/execution/__init__.py
+++ b/bilberryring/execution/__init__.py
@@ -28,6 +28,7 @@
 from bilberryring.execution.retry_budget import RETRY_RESERVE, RETRY_SHARE, RetryBudget
 from bilberryring.execution.retry_window import RetryWindow
 from bilberryring.execution.silence import SilenceDecision
+from bilberryring.execution.stream_end import KnownEnd, StreamEnd
 from bilberryring.execution.ticket import (
     MAX_TICKET_LENGTH,
     NONCE_BYTES,
@@ -53,6 +54,7 @@
     "Call",
     "Decision",
     "Join",
+    "KnownEnd",
     "Ledger",
     "MAX_ANSWER_BYTES",
     "MAX_RECORDS",
@@ -67,6 +69,7 @@
     "RetryBudget",
     "Run",
     "SilenceDecision",
+    "StreamEnd",
     "TICKET_CLOCK_TOLERANCE_SECONDS",
     "TICKET_FIELD_COUNT",
     "TICKET_PREFIX",
--- /dev/null
+++ b/bilberryring/execution/stream_end.py
@@ -0,0 +1,74 @@
+"""What the ends of several attempts at one stream tell together.
+
+The end of a connection may be that of a crash. Another endpoint, which goes on after
+the last event, can tell; without its word an orderly end counts if the endpoint still
+runs.
+
+>>> from bilberryring.execution.answer_end import Close, Framing, Place
+>>> end = AnswerEnd(
+...     framing=Framing.CONNECTION, close=Close.CLEAN, place=Place.AFTER_EVENT
+... )
+>>> known = KnownEnd().after_end(end, is_endpoint_running=True)
+>>> known.end
+<StreamEnd.PRESUMED: 'presumed'>
+>>> nothing_more = replace(end, place=Place.BEFORE_EVENTS, is_resumed=True)
+>>> known.after_end(nothing_more, is_endpoint_running=True).end
+<StreamEnd.COMPLETE: 'complete'>
+>>> known.after_event()
+KnownEnd(end=<StreamEnd.OPEN: 'open'>, has_broken_off=True)
+"""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from bilberryring.execution.answer_end import AnswerEnd, Place, Proof, proof_of_end
+
+
+class StreamEnd(Enum):
+    """What is known of the end of a stream whose events the caller has."""
+
+    OPEN = "open"
+    """More events are to come, as far as is known."""
+    UNKNOWN = "unknown"
+    """It may be complete, but its endpoints have shown that they break off."""
+    PRESUMED = "presumed"
+    """It is complete unless another endpoint has more events."""
+    COMPLETE = "complete"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KnownEnd:
+    """What the attempts at a stream have told of its end so far.
+
+    `has_broken_off` is true once one of them has ended before the stream did.
+    """
+
+    end: StreamEnd = StreamEnd.OPEN
+    has_broken_off: bool = False
+
+    def after_event(self) -> "KnownEnd":
+        """Return what is known after an event that follows the last one."""
+        if self.end is StreamEnd.OPEN:
+            return self
+        return KnownEnd(has_broken_off=True)
+
+    def after_end(self, end: AnswerEnd, *, is_endpoint_running: bool) -> "KnownEnd":
+        """Return what is known after the end of an attempt.
+
+        `is_endpoint_running` says whether the endpoint has not crashed with it.
+        """
+        match proof_of_end(end):
+            case Proof.COMPLETE:
+                return replace(self, end=StreamEnd.COMPLETE)
+            case Proof.UNKNOWN if is_endpoint_running:
+                return replace(self, end=self._end_after_unknown(end.place))
+        if end.place is Place.INSIDE_EVENT:
+            return KnownEnd(has_broken_off=True)
+        return replace(self, has_broken_off=True)
+
+    def _end_after_unknown(self, place: Place) -> StreamEnd:
+        if place is Place.BEFORE_EVENTS:
+            # Two endpoints agree that nothing follows the last event.
+            is_confirmed = self.end is not StreamEnd.OPEN
+            return StreamEnd.COMPLETE if is_confirmed else StreamEnd.UNKNOWN
+        return StreamEnd.UNKNOWN if self.has_broken_off else StreamEnd.PRESUMED
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass
 
 from bilberryring.capacity import EndpointSpeeds
-from bilberryring.execution import AnswerEnd, Place, Proof, proof_of_end
+from bilberryring.execution import (
+    AnswerEnd,
+    Place,
+    Proof,
+    StreamEnd,
+    proof_of_end,
+)
 from bilberryring.fleet import (
     MS_PER_SECOND,
     AnnouncedEndpoint,
@@ -223,6 +229,12 @@
         exchange.write(body)
         exchange.end()
 
+    def complete_stream(self, context: RequestContext) -> None:
+        """End a stream that is presumed complete, as no endpoint can tell any more."""
+        context.exchange.end()
+        self._crashes.clear(context.fingerprint)
+        self._record_served(context, context.attempt)
+
     def _may_abort(self, context: RequestContext) -> bool:
         """Whether the connection to the endpoint may be aborted.
 
@@ -549,8 +561,10 @@
                     proof = self._proof_of(relay.attempt, ended, Place.IN_BODY)
                     if proof is Proof.BROKEN_OFF:
                         raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-                    if proof is Proof.UNKNOWN:
-                        await self._check_crash(relay.attempt)
+                    if proof is Proof.UNKNOWN and not await self._is_running(
+                        relay.attempt
+                    ):
+                        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     return b"".join(parts)
 
     async def _relay_stream(self, relay: "_Relay", head: ResponseHead) -> None:
@@ -563,9 +577,7 @@
                     if self._relay_data(relay, head, data):
                         self._record_progress(relay, limit=self._gap_limit(context))
                 case ResponseEnd() as ended:
-                    proof = self._check_stream_end(context, attempt, ended)
-                    if proof is Proof.UNKNOWN:
-                        await self._check_crash(attempt)
+                    await self._check_stream_end(context, attempt, ended)
                     self._claim(relay, head)
                     rest = relay.unsent + attempt.stream.take_partial()
                     if rest and not context.exchange.is_closed:
@@ -593,25 +605,28 @@
             exchange.start(head.status, head.reason, headers)
         exchange.apply_backpressure(relay.response.transport)
 
-    def _check_stream_end(
+    async def _check_stream_end(
         self, context: RequestContext, attempt: Attempt, ended: ResponseEnd
-    ) -> Proof:
-        """Raise `AttemptError` unless the stream is or may be complete.
+    ) -> None:
+        """Raise `AttemptError` unless the stream is complete.
 
-        A stream of unknown end that cannot be resumed is complete if its endpoint still
-        runs, which is checked next.
+        If it may be complete, another endpoint is to tell. A stream that must not be
+        sent again is complete if its endpoint still runs.
         """
         proof = self._proof_of(attempt, ended, attempt.stream.place)
-        match proof:
-            case Proof.BROKEN_OFF:
-                raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-            case Proof.UNKNOWN if context.route.may_repeat:
-                context.may_be_complete = True
-                raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
-        return proof
+        is_running = proof is Proof.UNKNOWN and await self._is_running(attempt)
+        context.known_end = context.known_end.after_end(
+            attempt.answer_end, is_endpoint_running=is_running
+        )
+        if context.known_end.end is StreamEnd.COMPLETE:
+            return
+        if not is_running:
+            raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
+        if context.route.may_repeat:
+            raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
 
-    async def _check_crash(self, attempt: Attempt) -> None:
-        """Raise `AttemptError` if a crash may have ended an answer of unknown end.
+    async def _is_running(self, attempt: Attempt) -> bool:
+        """Whether no crash of the endpoint has ended its answer.
 
         The connections of a process that crashes are closed like those of a sound one,
         but no new one is accepted, or it is announced as another run. An endpoint that
@@ -621,9 +636,8 @@
         failure = await self._pool.connection_failure(endpoint.address)
         announced = self._fleet.endpoints.get(endpoint.id)
         if announced is None or announced.state is EndpointState.LEAVING:
-            return
-        if failure is not None or announced.run != endpoint.run:
-            raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
+            return True
+        return failure is None and announced.run == endpoint.run
 
     def _proof_of(self, attempt: Attempt, ended: ResponseEnd, place: Place) -> Proof:
         """Record how the answer ended; return what that proves."""
@@ -653,8 +667,8 @@
                 raise AttemptError(reason=FailureReason.MALFORMED, was_sent=True)
             return False
         self._claim(relay, head)
-        context.may_be_complete = False
         if is_progress:
+            context.known_end = context.known_end.after_event()
             self._record_gap(context, attempt)
         if attempt.answer_began_at is None and is_progress:
             attempt.answer_began_at = self._reactor.seconds()
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -5,7 +5,7 @@
 
 from bilberryring.admission import PlannedStop
 from bilberryring.core import ErrorCode, RequestId, ServingError
-from bilberryring.execution import SilenceDecision
+from bilberryring.execution import SilenceDecision, StreamEnd
 from bilberryring.fleet import MS_PER_SECOND, AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.caller_site import CallerExchange
@@ -69,8 +69,6 @@
 REPLACEMENT_SLOT_SHARE = 0.5
 """Share of an engine's slots in use from which it gets no request whose endpoint is
 only busy. In a burst all engines are, and a repeat would make others wait."""
-CLOSE_REASONS = (FailureReason.CLOSED, FailureReason.END_UNKNOWN)
-"""Why an attempt can fail when its endpoint crashes."""
 BEGIN_SECONDS = 1.0
 """Seconds of writing after which an answer no longer counts as just begun."""
 DEATH_CHECK_SECONDS = 0.1
@@ -180,10 +178,13 @@
             try:
                 await self._forward(context)
             except ServingError as error:
-                self._send_failure_response(context, error)
+                self._end_without_answer(context, error)
             self._log.request_finished(context)
         except ServingError as error:
-            if context is not None and context.may_be_complete and exchange.has_started:
+            may_be_complete = (
+                context is not None and context.known_end.end is StreamEnd.UNKNOWN
+            )
+            if may_be_complete and exchange.has_started:
                 exchange.leave_incomplete()
             else:
                 send_error(exchange, error, request_id=metadata.request_id)
@@ -423,13 +424,16 @@
                 context.unknown_sends += attempt.number > 0
                 self._record_fault(context, error)
 
-    def _send_failure_response(
-        self, context: RequestContext, error: ServingError
-    ) -> None:
-        """Send the last failure response of an endpoint to the caller.
+    def _end_without_answer(self, context: RequestContext, error: ServingError) -> None:
+        """End a request whose attempts are over without a complete answer.
 
-        Raises `error` if there is none or another response has been started.
+        A stream that is presumed complete ends as such. Otherwise the caller gets the
+        last failure response of an endpoint. Raises `error` if there is none or another
+        response has been started.
         """
+        if context.known_end.end is StreamEnd.PRESUMED:
+            self._attempts.complete_stream(context)
+            return
         failed = context.failure_response
         if failed is None or context.exchange.has_started:
             raise error
@@ -554,7 +558,7 @@
             self._health.record_broken_attempt(
                 attempt.endpoint, now=self._reactor.seconds()
             )
-        if error.was_sent and error.reason in CLOSE_REASONS:
+        if error.was_sent and error.reason is FailureReason.CLOSED:
             check = Deferred.fromCoroutine(self._check_death(context, attempt))
             check.addErrback(lambda failure: self._record_fault(context, failure.value))
             if context.metadata.shared_parts:
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -6,7 +6,7 @@
 
 from bilberryring.capacity import PaceWindow
 from bilberryring.core import Fingerprint, RequestId
-from bilberryring.execution import AnswerEnd, SilenceDecision
+from bilberryring.execution import AnswerEnd, KnownEnd, SilenceDecision
 from bilberryring.fleet import EndpointId, Route, Service, Workspace
 from bilberryring.gateway.caller_site import CallerExchange
 from bilberryring.gateway.endpoint_choice import Choice
@@ -69,9 +69,9 @@
     that the caller gets. `failure_response` is the last complete error response of an
     endpoint; the caller gets it if no later attempt succeeds. `configuration` is the
     version under which the request was admitted.
-    `attempt` is the one whose answer the caller gets. `may_be_complete` is true if the
-    caller has a stream that may be complete. `replaced_endpoint` had the request
-    when another one answered; a stream that breaks may return to it once.
+    `attempt` is the one whose answer the caller gets. `known_end` is what its attempts
+    have told of the end of a stream. `replaced_endpoint` had the request when another
+    one answered; a stream that breaks may return to it once.
     `longest_gap` is between two events, `longest_silence` also before the first one;
     `last_silence` is the one in which the last attempt ended.
     """
@@ -93,7 +93,7 @@
     first_response_at: float | None = None
     last_data_at: float | None = None
     attempt: "Attempt | None" = None
-    may_be_complete: bool = False
+    known_end: KnownEnd = KnownEnd()
     replaced_endpoint: EndpointId | None = None
     longest_gap: float = 0.0
     longest_silence: Silence = NO_SILENCE
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -200,6 +200,7 @@
             attempt=attempt.number if attempt else None,
             stated_limit=attempt.stated_limit if attempt else None,
             answer_end=_describe_end(attempt.answer_end if attempt else None),
+            stream_end=context.known_end.end.value if context.stream else None,
             sends=context.sends,
             configuration=context.configuration,
             delivered=delivery.value,
