Let a stream that has begun go on at another endpoint until the end of a stop

What callers saw: a stream whose endpoint broke off later than 2.5 s after the signal was reset at once, although seconds of the grace and another endpoint were left.

Cause: from 2.5 s on no stream is sent that is only predicted to end in time, since the end of the stop would cut it. A stream of which the caller has a part is cut by that refusal.

Change: the bound holds for streams of which the caller has nothing.

--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -273,12 +273,13 @@
         """Return whether the request may be sent; limits its deadline if so."""
         if self._stop is None:
             return True
+        has_begun = context.exchange.has_started
         seconds = predicted_seconds(
             route=context.route,
             service=context.service,
             metadata=context.metadata,
             choice=choice,
-            has_begun=context.exchange.has_started,
+            has_begun=has_begun,
         )
         deadline = deadline_in_stop(
             self._stop,
@@ -286,6 +287,7 @@
             route=context.route,
             now=self._reactor.seconds(),
             predicted_seconds=seconds,
+            has_begun=has_begun,
         )
         if deadline is None:
             return False
--- a/bilberryring/gateway/late_requests.py
+++ b/bilberryring/gateway/late_requests.py
@@ -24,18 +24,22 @@
     route: Route,
     now: float,
     predicted_seconds: float,
+    has_begun: bool = False,
 ) -> float | None:
     """Return the deadline with which a request is sent, `None` if it must not be.
 
     `deadline` is the caller's or the route's, and `predicted_seconds` the predicted
-    duration of the response. Times are on the clock of `stop`, in seconds.
+    duration of the response. With `has_begun` the caller has a part of the stream.
+    Times are on the clock of `stop`, in seconds.
     """
     if deadline <= stop.answers_by:
         return deadline
     if not route.may_repeat or now + predicted_seconds > stop.answers_by:
         return None
-    # The end of a stop cuts a stream; other responses are replaced by an error.
-    if route.kind is RequestKind.STREAMING and now >= stop.relies_until:
+    # The end of a stop cuts a stream; other responses are replaced by an error. One of
+    # which the caller has a part is cut in any case if it is not sent.
+    is_new_stream = route.kind is RequestKind.STREAMING and not has_begun
+    if is_new_stream and now >= stop.relies_until:
         return None
     return stop.answers_by
 
--- a/bilberryring/gateway/tests/test_late_requests.py
+++ b/bilberryring/gateway/tests/test_late_requests.py
@@ -72,6 +72,21 @@
     assert (deadline is not None) == is_sent
 
 
+@given(now=MOMENTS, predicted=st.floats(0.0, 20.0))
+def test_a_stream_that_has_begun_is_sent_on_if_its_next_event_is_in_time(
+    now, predicted
+):
+    deadline = deadline_in_stop(
+        STOP,
+        deadline=130.0,
+        route=make_route(RequestKind.STREAMING, may_repeat=True),
+        now=now,
+        predicted_seconds=predicted,
+        has_begun=True,
+    )
+    assert (deadline is not None) == (now + predicted <= STOP.answers_by)
+
+
 def predicted(kind, *, predicted_ms=0.0, max_tokens=0, engine=None, has_begun=False):
     return predicted_seconds(
         route=SimpleNamespace(kind=kind, first_answer_objective=0.3),
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -16,6 +16,7 @@
 from bilberryring.testing.mechanism import Mechanism
 from bilberryring.testing.processes import scratch_directory
 from bilberryring.testing.soak_checks import CHECKS
+from bilberryring.testing.stop_mechanisms import STOP_MECHANISMS
 
 ROOT = Path(__file__).parents[2]
 TEST_SECONDS = 300
@@ -1338,6 +1339,7 @@
         for check, function in CHECKS.items()
     ),
     *CAPACITY_MECHANISMS,
+    *STOP_MECHANISMS,
 )
 
 
