Believe no end without a mark of an endpoint that was to leave and has exited

Change: what became of an endpoint is one of three (runs, left, crashed); a stream of one that has left may be complete and gets no end mark without the word of another one. Bodies, and streams that must not be sent again, are handed on as before.

--- a/bilberryring/execution/__init__.py
+++ b/bilberryring/execution/__init__.py
@@ -28,7 +28,7 @@
 from bilberryring.execution.retry_budget import RETRY_RESERVE, RETRY_SHARE, RetryBudget
 from bilberryring.execution.retry_window import RetryWindow
 from bilberryring.execution.silence import SilenceDecision
-from bilberryring.execution.stream_end import KnownEnd, StreamEnd
+from bilberryring.execution.stream_end import EndpointFate, KnownEnd, StreamEnd
 from bilberryring.execution.ticket import (
     MAX_TICKET_LENGTH,
     NONCE_BYTES,
@@ -53,6 +53,7 @@
     "MissingTokensError",
     "Call",
     "Decision",
+    "EndpointFate",
     "Join",
     "KnownEnd",
     "Ledger",
--- a/bilberryring/execution/stream_end.py
+++ b/bilberryring/execution/stream_end.py
@@ -8,11 +8,11 @@
 >>> end = AnswerEnd(
 ...     framing=Framing.CONNECTION, close=Close.CLEAN, place=Place.AFTER_EVENT
 ... )
->>> known = KnownEnd().after_end(end, is_endpoint_running=True)
+>>> known = KnownEnd().after_end(end, endpoint=EndpointFate.RUNS)
 >>> known.end
 <StreamEnd.PRESUMED: 'presumed'>
 >>> nothing_more = replace(end, place=Place.BEFORE_EVENTS, is_resumed=True)
->>> known.after_end(nothing_more, is_endpoint_running=True).end
+>>> known.after_end(nothing_more, endpoint=EndpointFate.RUNS).end
 <StreamEnd.COMPLETE: 'complete'>
 >>> known.after_event()
 KnownEnd(end=<StreamEnd.OPEN: 'open'>, has_broken_off=True)
@@ -24,13 +24,22 @@
 from bilberryring.execution.answer_end import AnswerEnd, Place, Proof, proof_of_end
 
 
+class EndpointFate(Enum):
+    """What became of an endpoint that has ended an answer in order."""
+
+    RUNS = "runs"
+    LEFT = "left"
+    """It was to leave and has exited, perhaps after its last answer."""
+    CRASHED = "crashed"
+
+
 class StreamEnd(Enum):
     """What is known of the end of a stream whose events the caller has."""
 
     OPEN = "open"
     """More events are to come, as far as is known."""
     UNKNOWN = "unknown"
-    """It may be complete, but its endpoints have shown that they break off."""
+    """It may be complete, but an endpoint of it has broken off, or has exited."""
     PRESUMED = "presumed"
     """It is complete unless another endpoint has more events."""
     COMPLETE = "complete"
@@ -52,16 +61,16 @@
             return self
         return KnownEnd(has_broken_off=True)
 
-    def after_end(self, end: AnswerEnd, *, is_endpoint_running: bool) -> "KnownEnd":
-        """Return what is known after the end of an attempt.
-
-        `is_endpoint_running` says whether the endpoint has not crashed with it.
-        """
-        match proof_of_end(end):
-            case Proof.COMPLETE:
+    def after_end(self, end: AnswerEnd, *, endpoint: EndpointFate) -> "KnownEnd":
+        """Return what is known after an attempt with this end at this endpoint."""
+        match proof_of_end(end), endpoint:
+            case Proof.COMPLETE, _:
                 return replace(self, end=StreamEnd.COMPLETE)
-            case Proof.UNKNOWN if is_endpoint_running:
+            case Proof.UNKNOWN, EndpointFate.RUNS:
                 return replace(self, end=self._end_after_unknown(end.place))
+            case Proof.UNKNOWN, EndpointFate.LEFT:
+                is_open = self.end is StreamEnd.OPEN
+                return replace(self, end=StreamEnd.UNKNOWN) if is_open else self
         if end.place is Place.INSIDE_EVENT:
             return KnownEnd(has_broken_off=True)
         return replace(self, has_broken_off=True)
--- a/bilberryring/execution/tests/test_stream_end.py
+++ b/bilberryring/execution/tests/test_stream_end.py
@@ -7,6 +7,7 @@
 from bilberryring.execution import (
     AnswerEnd,
     Close,
+    EndpointFate,
     Framing,
     KnownEnd,
     Place,
@@ -26,12 +27,13 @@
 
 ENDED = unmarked(Place.AFTER_EVENT)
 NOTHING_MORE = unmarked(Place.BEFORE_EVENTS, is_resumed=True)
+RUNS, LEFT, CRASHED = EndpointFate
 BROKEN = unmarked(Place.AFTER_EVENT, close=Close.RESET)
 BROKEN_INSIDE = unmarked(Place.INSIDE_EVENT)
 
 
 def known_after(*steps):
-    """Return what is known after ends, each with whether its endpoint still runs.
+    """Return what is known after ends, each with what became of its endpoint.
 
     `None` stands for an event.
     """
@@ -40,28 +42,31 @@
         if step is None:
             known = known.after_event()
         else:
-            end, is_running = step
-            known = known.after_end(end, is_endpoint_running=is_running)
+            end, fate = step
+            known = known.after_end(end, endpoint=fate)
     return known.end
 
 
 @pytest.mark.parametrize(
     ("steps", "expected"),
     [
-        ((None, (ENDED, True)), StreamEnd.PRESUMED),
-        ((None, (ENDED, False)), StreamEnd.OPEN),
-        ((None, (ENDED, True), (NOTHING_MORE, True)), StreamEnd.COMPLETE),
-        ((None, (ENDED, True), (NOTHING_MORE, False)), StreamEnd.PRESUMED),
-        ((None, (ENDED, True), (BROKEN_INSIDE, True)), StreamEnd.OPEN),
-        ((None, (ENDED, True), None, (ENDED, True)), StreamEnd.UNKNOWN),
-        ((None, (BROKEN, False), None, (ENDED, True)), StreamEnd.UNKNOWN),
-        ((None, (BROKEN, False), (NOTHING_MORE, True)), StreamEnd.UNKNOWN),
+        ((None, (ENDED, RUNS)), StreamEnd.PRESUMED),
+        ((None, (ENDED, CRASHED)), StreamEnd.OPEN),
+        ((None, (ENDED, RUNS), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
+        ((None, (ENDED, RUNS), (NOTHING_MORE, CRASHED)), StreamEnd.PRESUMED),
+        ((None, (ENDED, RUNS), (BROKEN_INSIDE, RUNS)), StreamEnd.OPEN),
+        ((None, (ENDED, RUNS), None, (ENDED, RUNS)), StreamEnd.UNKNOWN),
+        ((None, (BROKEN, CRASHED), None, (ENDED, RUNS)), StreamEnd.UNKNOWN),
+        ((None, (BROKEN, CRASHED), (NOTHING_MORE, RUNS)), StreamEnd.UNKNOWN),
         (
-            (None, (BROKEN, False), None, (ENDED, True), (NOTHING_MORE, True)),
+            (None, (BROKEN, CRASHED), None, (ENDED, RUNS), (NOTHING_MORE, RUNS)),
             StreamEnd.COMPLETE,
         ),
-        (((NOTHING_MORE, True),), StreamEnd.UNKNOWN),
-        (((NOTHING_MORE, True), (NOTHING_MORE, True)), StreamEnd.COMPLETE),
+        ((None, (ENDED, LEFT)), StreamEnd.UNKNOWN),
+        ((None, (ENDED, LEFT), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
+        ((None, (ENDED, RUNS), (NOTHING_MORE, LEFT)), StreamEnd.PRESUMED),
+        (((NOTHING_MORE, RUNS),), StreamEnd.UNKNOWN),
+        (((NOTHING_MORE, RUNS), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
     ],
 )
 def test_an_end_without_a_mark_is_believed_as_far_as_the_attempts_allow(
@@ -77,7 +82,7 @@
         self.known = KnownEnd()
         self.n_sent = 0
 
-    def send(self, n_events, close, *, is_running):
+    def send(self, n_events, close, fate):
         """Send at most so many of the events that are left, and end."""
         is_resumed = self.n_sent > 0
         n_events = min(n_events, N_EVENTS - self.n_sent)
@@ -86,13 +91,15 @@
         self.n_sent += n_events
         place = Place.AFTER_EVENT if n_events else Place.BEFORE_EVENTS
         end = unmarked(place, close=close, is_resumed=is_resumed)
-        self.known = self.known.after_end(end, is_endpoint_running=is_running)
+        self.known = self.known.after_end(end, endpoint=fate)
 
 
 broken_attempts = st.lists(
     st.tuples(
         st.integers(min_value=0, max_value=N_EVENTS),
-        st.sampled_from([(Close.RESET, True), (Close.CLEAN, False)]),
+        st.sampled_from(
+            [(Close.RESET, RUNS), (Close.CLEAN, CRASHED), (Close.CLEAN, LEFT)]
+        ),
     ),
     max_size=4,
 )
@@ -101,11 +108,11 @@
 @given(broken=broken_attempts)
 def test_a_stream_of_resets_and_crashes_is_not_marked_before_its_last_event(broken):
     attempts = Attempts()
-    for n_events, (close, is_running) in broken:
-        attempts.send(n_events, close, is_running=is_running)
+    for n_events, (close, fate) in broken:
+        attempts.send(n_events, close, fate)
         assert attempts.known.end not in CALLERS_END
-    attempts.send(N_EVENTS, Close.CLEAN, is_running=True)
-    attempts.send(N_EVENTS, Close.CLEAN, is_running=True)
+    attempts.send(N_EVENTS, Close.CLEAN, RUNS)
+    attempts.send(N_EVENTS, Close.CLEAN, RUNS)
     assert attempts.known.end in CALLERS_END
     assert attempts.n_sent == N_EVENTS
 
@@ -113,15 +120,15 @@
 @given(n_events=st.integers(min_value=1, max_value=N_EVENTS - 1))
 def test_an_endpoint_that_another_one_refutes_is_not_believed(n_events):
     attempts = Attempts()
-    attempts.send(n_events, Close.CLEAN, is_running=True)
-    attempts.send(1, Close.CLEAN, is_running=True)
+    attempts.send(n_events, Close.CLEAN, RUNS)
+    attempts.send(1, Close.CLEAN, RUNS)
     assert attempts.known.end not in CALLERS_END
 
 
 @given(broken=broken_attempts)
 def test_a_whole_stream_of_a_sound_endpoint_is_marked_whatever_follows(broken):
     attempts = Attempts()
-    attempts.send(N_EVENTS, Close.CLEAN, is_running=True)
-    for n_events, (close, is_running) in broken:
-        attempts.send(n_events, close, is_running=is_running)
+    attempts.send(N_EVENTS, Close.CLEAN, RUNS)
+    for n_events, (close, fate) in broken:
+        attempts.send(n_events, close, fate)
     assert attempts.known.end in CALLERS_END
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -6,6 +6,7 @@
 from bilberryring.capacity import EndpointSpeeds
 from bilberryring.execution import (
     AnswerEnd,
+    EndpointFate,
     Place,
     Proof,
     StreamEnd,
@@ -561,10 +562,12 @@
                     proof = self._proof_of(relay.attempt, ended, Place.IN_BODY)
                     if proof is Proof.BROKEN_OFF:
                         raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-                    if proof is Proof.UNKNOWN and not await self._is_running(
-                        relay.attempt
-                    ):
-                        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
+                    if proof is Proof.UNKNOWN:
+                        fate = await self._endpoint_fate(relay.attempt)
+                        if fate is EndpointFate.CRASHED:
+                            raise AttemptError(
+                                reason=FailureReason.CLOSED, was_sent=True
+                            )
                     return b"".join(parts)
 
     async def _relay_stream(self, relay: "_Relay", head: ResponseHead) -> None:
@@ -611,33 +614,35 @@
         """Raise `AttemptError` unless the stream is complete.
 
         If it may be complete, another endpoint is to tell. A stream that must not be
-        sent again is complete if its endpoint still runs.
+        sent again is complete unless its endpoint has crashed.
         """
         proof = self._proof_of(attempt, ended, attempt.stream.place)
-        is_running = proof is Proof.UNKNOWN and await self._is_running(attempt)
+        fate = EndpointFate.RUNS
+        if proof is Proof.UNKNOWN:
+            fate = await self._endpoint_fate(attempt)
         context.known_end = context.known_end.after_end(
-            attempt.answer_end, is_endpoint_running=is_running
+            attempt.answer_end, endpoint=fate
         )
         if context.known_end.end is StreamEnd.COMPLETE:
             return
-        if not is_running:
+        if proof is Proof.BROKEN_OFF or fate is EndpointFate.CRASHED:
             raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
         if context.route.may_repeat:
             raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
 
-    async def _is_running(self, attempt: Attempt) -> bool:
-        """Whether no crash of the endpoint has ended its answer.
+    async def _endpoint_fate(self, attempt: Attempt) -> EndpointFate:
+        """Return what became of an endpoint that has ended an answer in order.
 
         The connections of a process that crashes are closed like those of a sound one,
-        but no new one is accepted, or it is announced as another run. An endpoint that
-        leaves may have exited after its last answer.
+        but no new one is accepted, or it is announced as another run.
         """
         endpoint = attempt.choice.endpoint
         failure = await self._pool.connection_failure(endpoint.address)
         announced = self._fleet.endpoints.get(endpoint.id)
         if announced is None or announced.state is EndpointState.LEAVING:
-            return True
-        return failure is None and announced.run == endpoint.run
+            return EndpointFate.LEFT if failure else EndpointFate.RUNS
+        is_same_run = failure is None and announced.run == endpoint.run
+        return EndpointFate.RUNS if is_same_run else EndpointFate.CRASHED
 
     def _proof_of(self, attempt: Attempt, ended: ResponseEnd, place: Place) -> Proof:
         """Record how the answer ended; return what that proves."""
--- a/bilberryring/platform/tests/test_unmarked_ends.py
+++ b/bilberryring/platform/tests/test_unmarked_ends.py
@@ -208,6 +208,31 @@
     assert last_record(site)["delivered"] != "whole"
 
 
+def test_a_stream_whose_endpoint_has_left_has_no_end_mark(make_site):
+    """It may have exited in mid-stream, at the end of the time that it had."""
+    site = make_site()
+    endpoints = []
+
+    def leave(request, connection):
+        connection.sendall(unmarked_head(request) + EVENTS[0] + EVENTS[1])
+        site.announce(
+            "a",
+            endpoints[0].address,
+            service=MODEL_SERVICE,
+            state="draining",
+            sequence=2,
+        )
+        site.wait_for_standing("a", "leaving")
+        endpoints[0].stop_listening()
+        connection.shutdown(socket.SHUT_WR)
+
+    endpoints.append(site.add_endpoint("a", leave, service=MODEL_SERVICE))
+    site.start_gateway()
+    answer = call(site)
+    assert answer.is_cut
+    assert last_record(site)["delivered"] == "unmarked"
+
+
 def test_a_stream_whose_endpoint_is_shown_to_have_broken_off_has_no_end_mark(
     make_site,
 ):
--- a/bilberryring/testing/stop_mechanisms.py
+++ b/bilberryring/testing/stop_mechanisms.py
@@ -17,8 +17,8 @@
     Mechanism(
         name="an endpoint is asked whether it runs after it ended a stream",
         module="gateway/attempts.py",
-        present="return failure is None and announced.run == endpoint.run",
-        absent="return True",
+        present="is_same_run = failure is None and announced.run == endpoint.run",
+        absent="is_same_run = True",
         test=f"{UNMARKED_ENDS}::test_a_stream_whose_endpoint_crashed_has_no_end_mark",
     ),
     Mechanism(
