--- a/bilberryring/platform/tests/test_unmarked_ends.py
+++ b/bilberryring/platform/tests/test_unmarked_ends.py
@@ -23,6 +23,7 @@
     event,
     reset,
     stream_head,
+    unmarked_stream_head,
     whole_answer,
 )
 from bilberryring.testing.processes import pause, wait_until
@@ -37,11 +38,6 @@
 ]
 
 
-def unmarked_head(request):
-    head = f"HTTP/1.1 200 OK\r\nBilberryring-Request-Id: {request.request_id}\r\n"
-    return f"{head}{STAMP_HEADER}\r\nContent-Type: text/event-stream\r\n\r\n".encode()
-
-
 def events_left(request, events=EVENTS):
     return events[int(request.headers.get("last-event-id") or 0) :]
 
@@ -49,7 +45,7 @@
 def send_unmarked(request, connection, *, events=EVENTS, seconds=0.0):
     """Send the events that are left over some seconds, and close in order."""
     rest = events_left(request, events)
-    connection.sendall(unmarked_head(request))
+    connection.sendall(unmarked_stream_head(request.request_id))
     for data in rest:
         connection.sendall(data)
         pause(seconds / len(rest))
@@ -196,7 +192,9 @@
     endpoints = []
 
     def crash(request, connection):
-        connection.sendall(unmarked_head(request) + EVENTS[0] + EVENTS[1])
+        connection.sendall(
+            unmarked_stream_head(request.request_id) + EVENTS[0] + EVENTS[1]
+        )
         pause(0.2)
         endpoints[0].stop_listening()
         connection.shutdown(socket.SHUT_WR)
@@ -214,7 +212,9 @@
     endpoints = []
 
     def leave(request, connection):
-        connection.sendall(unmarked_head(request) + EVENTS[0] + EVENTS[1])
+        connection.sendall(
+            unmarked_stream_head(request.request_id) + EVENTS[0] + EVENTS[1]
+        )
         site.announce(
             "a",
             endpoints[0].address,
--- a/bilberryring/standins/scripted_endpoint.py
+++ b/bilberryring/standins/scripted_endpoint.py
@@ -182,6 +182,14 @@
     ).encode()
 
 
+def unmarked_stream_head(request_id: str) -> bytes:
+    """Return the head of an event stream that ends with its connection."""
+    return (
+        f"HTTP/1.1 200 OK\r\nBilberryring-Request-Id: {request_id}\r\n"
+        f"{STAMP_HEADER}\r\nContent-Type: text/event-stream\r\n\r\n"
+    ).encode()
+
+
 def chunk(data: bytes) -> bytes:
     """Return the data as one chunk; a chunk without data ends the stream."""
     return b"%x\r\n%s\r\n" % (len(data), data)
--- a/bilberryring/testing/soak.py
+++ b/bilberryring/testing/soak.py
@@ -14,7 +14,7 @@
 import click
 
 from bilberryring.testing.soak_checks import Finding, SoakHistory, run_checks
-from bilberryring.testing.soak_faults import SoakFleet, draw_schedule
+from bilberryring.testing.soak_faults import SoakFleet, draw_schedule, plan_endpoints
 from bilberryring.testing.soak_records import SoakRecords
 from bilberryring.testing.soak_run import Soak
 from bilberryring.testing.soak_seeds import KEPT_SEEDS, PLANNED_SEEDS
@@ -142,9 +142,11 @@
     if is_kept:
         seeds = [(kept, False) for kept in KEPT_SEEDS]
         seeds += [(kept, True) for kept in PLANNED_SEEDS]
-    fleet = SoakFleet(gateways=gateways)
     n_findings = 0
     for number, is_planned in seeds:
+        fleet = SoakFleet(
+            gateways=gateways, endpoints=plan_endpoints(has_unmarked=is_planned)
+        )
         default_minutes = PLANNED_MINUTES if is_planned else MINUTES
         seconds = (minutes or default_minutes) * SECONDS_PER_MINUTE
         drawn = draw_schedule(
--- a/bilberryring/testing/soak_endpoints.py
+++ b/bilberryring/testing/soak_endpoints.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import replace
 
+from bilberryring.execution import Framing
 from bilberryring.standins.scripted_endpoint import (
     NOT_EXECUTED_HEADER,
     STAMP_HEADER,
@@ -15,6 +16,7 @@
     chunk,
     reset,
     stream_head,
+    unmarked_stream_head,
     whole_answer,
 )
 from bilberryring.testing.processes import pause
@@ -146,6 +148,13 @@
             pause(seconds)
             self._wait_while_silent(place)
             connection.sendall(piece)
+        if self._is_unmarked(request):
+            connection.shutdown(socket.SHUT_WR)
+
+    def _is_unmarked(self, request: ReceivedRequest) -> bool:
+        """Whether the end of the connection is the only mark of an answer's end."""
+        is_stream = request.target in STREAMS
+        return is_stream and self.plan.framing is Framing.CONNECTION
 
     def _pieces(self, request: ReceivedRequest) -> list[tuple[Place, bytes, float]]:
         """Return the parts of an answer, each with its place and a pause before it."""
@@ -157,12 +166,14 @@
             return [(Place.BODY, half, 0.0) for half in halves]
         first = int(request.headers.get("last-event-id") or 0) + 1
         interval = work_seconds(request_id)
-        events = [
-            (Place.EVENTS, chunk(answer_event(request_id, number)), interval)
-            for number in range(first, event_count(request_id) + 1)
-        ]
+        numbers = range(first, event_count(request_id) + 1)
+        events = [answer_event(request_id, number) for number in numbers]
+        if self._is_unmarked(request):
+            head = (Place.HEAD, unmarked_stream_head(request_id), 0.0)
+            return [head, *((Place.EVENTS, event, interval) for event in events)]
         head = (Place.HEAD, stream_head(request_id), 0.0)
-        return [head, *events, (Place.EVENTS, chunk(b""), 0.0)]
+        chunks = [(Place.EVENTS, chunk(event), interval) for event in events]
+        return [head, *chunks, (Place.EVENTS, chunk(b""), 0.0)]
 
     def _wait_while_silent(self, place: Place) -> None:
         for silent_place in (place, Place.ANYWHERE):
--- a/bilberryring/testing/soak_faults.py
+++ b/bilberryring/testing/soak_faults.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from bilberryring.execution import Framing
 from bilberryring.standins.gateway_site import MODEL_SERVICE, PLAIN_SERVICE
 
 SECOND_SERVICE = "orders-b"
@@ -249,20 +250,34 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EndpointPlan:
-    """The name, the service and the failure domain of one endpoint."""
+    """The name, the service and the failure domain of one endpoint.
+
+    `framing` is what marks the ends of its streams.
+    """
 
     name: str
     service: str
     domain: str
+    framing: Framing = Framing.CHUNKS
 
 
-def _plan_endpoints() -> tuple[EndpointPlan, ...]:
+def plan_endpoints(*, has_unmarked: bool = False) -> tuple[EndpointPlan, ...]:
+    """Return the endpoints of a soak.
+
+    With `has_unmarked` half of the engines end their streams with their connections.
+    They must be sound: behind their relays a reset looks like such an end.
+    """
     numbers = {PLAIN_SERVICE: 4, SECOND_SERVICE: 2, MODEL_SERVICE: 4}
     return tuple(
         EndpointPlan(
             name=f"{service}-{number}",
             service=service,
             domain=DOMAINS[number % len(DOMAINS)],
+            framing=(
+                Framing.CONNECTION
+                if has_unmarked and service == MODEL_SERVICE and number % 2
+                else Framing.CHUNKS
+            ),
         )
         for service, count in numbers.items()
         for number in range(1, count + 1)
@@ -274,7 +289,7 @@
     """The gateways, with numbers from 1, and the endpoints of a soak."""
 
     gateways: int = 3
-    endpoints: tuple[EndpointPlan, ...] = field(default_factory=_plan_endpoints)
+    endpoints: tuple[EndpointPlan, ...] = field(default_factory=plan_endpoints)
 
 
 def draw_schedule(
