Keep half of the retry budget from confirmations of ends of streams

What callers saw: beside engines that do not frame their streams, a request whose endpoint broke off got no second attempt.

Now that such an end may be presumed, a confirmation is an option and a failure is not.

Change: a stream that is presumed complete is confirmed only while half of the budget is left.

--- a/bilberryring/execution/retry_window.py
+++ b/bilberryring/execution/retry_window.py
@@ -47,11 +47,11 @@
         self._retries.append(now)
         return True
 
-    def can_spend(self, *, now: float, entries: int) -> bool:
-        """Whether one more retry is within the limit now; it is not counted."""
+    def can_spend(self, *, now: float, entries: int, share: float = 1.0) -> bool:
+        """Whether one more retry is within `share` of the limit; it is not counted."""
         self._drop_expired(now)
         limit = self._ratio * len(self._requests) + self._slack / max(1, entries)
-        return len(self._retries) + 1 <= SAFETY_FACTOR * limit
+        return len(self._retries) + 1 <= share * SAFETY_FACTOR * limit
 
     def _drop_expired(self, now: float) -> None:
         for times in (self._requests, self._retries):
--- a/bilberryring/gateway/repeat_rules.py
+++ b/bilberryring/gateway/repeat_rules.py
@@ -3,7 +3,7 @@
 import random
 
 from bilberryring.core import ErrorCode, ServingError
-from bilberryring.execution import RetryWindow
+from bilberryring.execution import RetryWindow, StreamEnd
 from bilberryring.fleet import MS_PER_SECOND, ServiceName
 from bilberryring.gateway.endpoint_choice import Choice
 from bilberryring.gateway.messages import AttemptError, ResponseMetadata
@@ -21,6 +21,9 @@
 SPREAD_SHARE = 0.25
 """Largest share of the time until endpoints take requests again by which the callers'
 retries are spread."""
+CONFIRMATION_SHARE = 0.5
+"""Share of the retry budget that may be spent to ask whether a stream has ended, if it
+is presumed to. The rest is kept for requests that fail."""
 
 
 class RetryPolicy:
@@ -71,7 +74,8 @@
     def may_retry(self, context: RequestContext) -> bool:
         """Whether another attempt is allowed and within the retry budget.
 
-        The first send of a request costs nothing.
+        The first send of a request costs nothing. One that only confirms the end of a
+        stream finds a smaller budget.
         """
         if not self.allows_another(context) and not self.allows_return(context):
             return False
@@ -79,7 +83,10 @@
             return True
         now = self._clock.seconds()
         entries = self._peers.entry_count(now=now)
-        return self._window(context.service.name).can_spend(now=now, entries=entries)
+        is_presumed = context.known_end.end is StreamEnd.PRESUMED
+        return self._window(context.service.name).can_spend(
+            now=now, entries=entries, share=CONFIRMATION_SHARE if is_presumed else 1.0
+        )
 
     def try_spend(self, context: RequestContext) -> bool:
         """Spend a retry for a request that is about to be sent, unless it is the first.
--- a/bilberryring/platform/tests/test_unmarked_ends.py
+++ b/bilberryring/platform/tests/test_unmarked_ends.py
@@ -80,12 +80,18 @@
     """Runs one script for the first request at any endpoint, another for all later."""
 
     def __init__(self, first, later):
-        self._scripts = [first, later]
         self.requests = []
+        self.set_scripts(first, later)
+
+    def set_scripts(self, first, later):
+        """Use other scripts for the next request, and for those after it."""
+        self._scripts = [first, later]
+        self._n_before = len(self.requests)
 
     def __call__(self, request, connection):
         self.requests.append(request)
-        self._scripts[min(len(self.requests), 2) - 1](request, connection)
+        is_later = len(self.requests) > self._n_before + 1
+        self._scripts[is_later](request, connection)
 
 
 @pytest.fixture
@@ -186,6 +192,19 @@
     assert len(script.requests) == 1
 
 
+def test_streams_that_only_lack_an_end_mark_leave_retries_for_those_that_break_off(
+    make_site,
+):
+    site = make_site(retry_slack=10, retry_ratio=0.0)
+    script = add_endpoints(site, send_unmarked, send_unmarked)
+    site.start_gateway()
+    for _ in range(10):
+        assert_whole(call(site))
+    assert len(script.requests) > 10
+    script.set_scripts(break_off, send_chunked)
+    assert_whole(call(site))
+
+
 def test_a_stream_whose_endpoint_crashed_has_no_end_mark(make_site):
     """The connections of a process that crashes are closed in order too."""
     site = make_site()
--- a/bilberryring/testing/stop_mechanisms.py
+++ b/bilberryring/testing/stop_mechanisms.py
@@ -37,6 +37,14 @@
         test=f"{STREAM_ENDS}"
         "::test_an_end_without_a_mark_is_believed_as_far_as_the_attempts_allow",
     ),
+    Mechanism(
+        name="confirmations leave retries for failures",
+        module="gateway/repeat_rules.py",
+        present="share=CONFIRMATION_SHARE if is_presumed else 1.0",
+        absent="share=1.0",
+        test=f"{UNMARKED_ENDS}::test_streams_that_only_lack_an_end_mark"
+        "_leave_retries_for_those_that_break_off",
+    ),
     Mechanism(
         name="a stream that has begun goes on late in a stop",
         module="gateway/late_requests.py",
