Let a caller wait for the confirmation of an end for half of its patience

Callers of a stream leave after two seconds without an event.

Cause: the confirming attempt was awaited like one that has more to send.

Change: once half of the caller's patience has passed the end is presumed, and the attempt is cancelled.

--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -1,5 +1,7 @@
 """Handling of callers' requests: admission, attempts with retries, and responses."""
 
+import math
+
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure
 
@@ -44,6 +46,7 @@
 from bilberryring.gateway.running_attempts import (
     AttemptEnded,
     AttemptSilent,
+    ConfirmationOverdue,
     RunningAttempts,
     StopEnded,
 )
@@ -69,6 +72,9 @@
 REPLACEMENT_SLOT_SHARE = 0.5
 """Share of an engine's slots in use from which it gets no request whose endpoint is
 only busy. In a burst all engines are, and a repeat would make others wait."""
+CONFIRMATION_PATIENCE_SHARE = 0.5
+"""Share of a caller's patience for which it waits for the end mark of a stream, while
+another endpoint is asked whether it has more."""
 BEGIN_SECONDS = 1.0
 """Seconds of writing after which an answer no longer counts as just begun."""
 DEATH_CHECK_SECONDS = 0.1
@@ -226,6 +232,9 @@
                 match await running.next_event():
                     case StopEnded():
                         raise self._stop_error(context, running)
+                    case ConfirmationOverdue():
+                        if context.known_end.end is StreamEnd.PRESUMED:
+                            raise outcome_unknown(ErrorCode.ENDPOINT_FAILED)
                     case AttemptSilent(attempt=attempt):
                         self._handle_silence(context, attempt, running)
                     case AttemptEnded(error=None):
@@ -236,11 +245,23 @@
                         )
                         if running.are_over:
                             self._check_retry(context, error)
+                            self._limit_confirmation(context, running)
                             self._start_attempt(context, running)
         finally:
             self._running.discard(running)
             running.cancel()
 
+    def _limit_confirmation(
+        self, context: RequestContext, running: RunningAttempts
+    ) -> None:
+        """Bound the wait for an end to be confirmed, so that no caller leaves in it."""
+        patience = context.route.patience_seconds
+        if context.known_end.end is not StreamEnd.PRESUMED or math.isinf(patience):
+            return
+        ends_at = context.silent_since + CONFIRMATION_PATIENCE_SHARE * patience
+        seconds = max(0.0, ends_at - self._reactor.seconds())
+        running.end_confirmation_after(seconds, clock=self._reactor)
+
     def _stop_error(
         self, context: RequestContext, running: RunningAttempts
     ) -> ServingError:
--- a/bilberryring/gateway/running_attempts.py
+++ b/bilberryring/gateway/running_attempts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from twisted.internet.defer import CancelledError, Deferred, DeferredQueue
+from twisted.internet.interfaces import IDelayedCall
 
 from bilberryring.gateway.request_context import Attempt
 
@@ -32,7 +33,12 @@
     """The process exits: the request is to be answered now."""
 
 
-AttemptEvent = AttemptSilent | AttemptEnded | StopEnded
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConfirmationOverdue:
+    """The caller has waited long enough for the end of a stream to be confirmed."""
+
+
+AttemptEvent = AttemptSilent | AttemptEnded | StopEnded | ConfirmationOverdue
 
 
 class RunningAttempts:
@@ -55,6 +61,7 @@
         self._on_fault = on_fault
         self._tasks: dict[Attempt, Deferred] = {}
         self._events = DeferredQueue()
+        self._confirmation_timer: IDelayedCall | None = None
 
     def __len__(self) -> int:
         return len(self._tasks)
@@ -115,6 +122,16 @@
         """Tell the request's task to answer once it has read how attempts ended."""
         self._events.put(StopEnded())
 
+    def end_confirmation_after(self, seconds: float, *, clock) -> None:
+        """Tell the request's task later to wait no longer for a confirmation.
+
+        Only the first call has an effect.
+        """
+        if self._confirmation_timer is None:
+            self._confirmation_timer = clock.callLater(
+                seconds, self._events.put, ConfirmationOverdue()
+            )
+
     def claim(self, attempt: Attempt) -> None:
         """End all other attempts, as this one has an answer for the caller."""
         for other in tuple(self._tasks):
@@ -133,7 +150,10 @@
                 self._on_superseded(other)
 
     def cancel(self) -> None:
-        """End all attempts."""
+        """End all attempts, and the wait for a confirmation."""
+        timer = self._confirmation_timer
+        if timer is not None and timer.active():
+            timer.cancel()
         for attempt in tuple(self._tasks):
             self._cancel(attempt)
 
--- a/bilberryring/platform/tests/test_unmarked_ends.py
+++ b/bilberryring/platform/tests/test_unmarked_ends.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import socket
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
@@ -30,6 +31,8 @@
 
 GRACE_SECONDS = 8.0
 CALLER_MS = "9000"
+CALLERS_PATIENCE_SECONDS = 2.0
+"""Seconds without an event after which callers of these routes leave."""
 EVENTS = [event(number) for number in range(1, 31)]
 WHOLE = b"".join(EVENTS)
 ROUTES = [
@@ -192,6 +195,15 @@
     assert len(script.requests) == 1
 
 
+def test_a_caller_does_not_wait_for_a_silent_endpoint_until_it_leaves(make_site):
+    site = make_site()
+    add_endpoints(site, send_unmarked, lambda *_: pause(GRACE_SECONDS))
+    site.start_gateway()
+    began_at = time.monotonic()
+    assert_whole(call(site))
+    assert time.monotonic() - began_at < CALLERS_PATIENCE_SECONDS
+
+
 def test_streams_that_only_lack_an_end_mark_leave_retries_for_those_that_break_off(
     make_site,
 ):
--- a/bilberryring/testing/stop_mechanisms.py
+++ b/bilberryring/testing/stop_mechanisms.py
@@ -45,6 +45,14 @@
         test=f"{UNMARKED_ENDS}::test_streams_that_only_lack_an_end_mark"
         "_leave_retries_for_those_that_break_off",
     ),
+    Mechanism(
+        name="a caller waits for a confirmation for a part of its patience",
+        module="gateway/forwarding.py",
+        present="running.end_confirmation_after(seconds,",
+        absent="running.end_confirmation_after(seconds + 60.0,",
+        test=f"{UNMARKED_ENDS}"
+        "::test_a_caller_does_not_wait_for_a_silent_endpoint_until_it_leaves",
+    ),
     Mechanism(
         name="a stream that has begun goes on late in a stop",
         module="gateway/late_requests.py",
