Doubt ends in order that a deadline, a departure or a begun event speaks against

What callers could get: an end mark for a stream that its endpoint ended in order at the deadline that the gateway had given it (also the one before the end of a stop), of which another endpoint had begun the next event and then failed, or whose leaving endpoint closed its streams just before its listener. What followed the last event was lost. And a whole stream got no mark if another endpoint had failed before its first event, or if its own could not be reached for a moment.

Cause: only an endpoint that runs and one that crashed were told apart, and an attempt that ended in an error told nothing of the stream.

Two mutation checks whose text had gone are back with the new text.

Also: the number of dropped log lines is a reserved line, and is written before the exit; the engines without frames of the planned soak are in both failure domains.

--- a/bilberryring/execution/stream_end.py
+++ b/bilberryring/execution/stream_end.py
@@ -28,9 +28,15 @@
     """What became of an endpoint that has ended an answer in order."""
 
     RUNS = "runs"
+    """It accepts connections, and is not announced as another run."""
     LEFT = "left"
-    """It was to leave and has exited, perhaps after its last answer."""
+    """It leaves, and may have exited after its last answer or in the middle of it."""
+    TIMED_OUT = "timed_out"
+    """It may have stopped work at the deadline that it was given."""
+    UNREACHABLE = "unreachable"
+    """Whether it runs cannot be told."""
     CRASHED = "crashed"
+    """It refuses connections, or is announced as another run."""
 
 
 class StreamEnd(Enum):
@@ -39,7 +45,7 @@
     OPEN = "open"
     """More events are to come, as far as is known."""
     UNKNOWN = "unknown"
-    """It may be complete, but an endpoint of it has broken off, or has exited."""
+    """It may be complete, but there is a reason to doubt it."""
     PRESUMED = "presumed"
     """It is complete unless another endpoint has more events."""
     COMPLETE = "complete"
@@ -49,7 +55,8 @@
 class KnownEnd:
     """What the attempts at a stream have told of its end so far.
 
-    `has_broken_off` is true once one of them has ended before the stream did.
+    `has_broken_off` is true once an endpoint that had sent a part of the stream has
+    ended before it did.
     """
 
     end: StreamEnd = StreamEnd.OPEN
@@ -68,11 +75,19 @@
                 return replace(self, end=StreamEnd.COMPLETE)
             case Proof.UNKNOWN, EndpointFate.RUNS:
                 return replace(self, end=self._end_after_unknown(end.place))
-            case Proof.UNKNOWN, EndpointFate.LEFT:
-                is_open = self.end is StreamEnd.OPEN
-                return replace(self, end=StreamEnd.UNKNOWN) if is_open else self
-        if end.place is Place.INSIDE_EVENT:
-            return KnownEnd(has_broken_off=True)
+            case Proof.UNKNOWN, (
+                EndpointFate.LEFT | EndpointFate.TIMED_OUT | EndpointFate.UNREACHABLE
+            ):
+                is_first = self.end is StreamEnd.OPEN
+                if is_first and end.place is Place.AFTER_EVENT:
+                    return replace(self, end=StreamEnd.UNKNOWN)
+                return self
+        match end.place:
+            case Place.BEFORE_EVENTS:
+                # The stream has nothing of this endpoint.
+                return self
+            case Place.INSIDE_EVENT:
+                return KnownEnd(has_broken_off=True)
         return replace(self, has_broken_off=True)
 
     def _end_after_unknown(self, place: Place) -> StreamEnd:
--- a/bilberryring/execution/tests/test_stream_end.py
+++ b/bilberryring/execution/tests/test_stream_end.py
@@ -27,8 +27,9 @@
 
 ENDED = unmarked(Place.AFTER_EVENT)
 NOTHING_MORE = unmarked(Place.BEFORE_EVENTS, is_resumed=True)
-RUNS, LEFT, CRASHED = EndpointFate
+RUNS, LEFT, TIMED_OUT, UNREACHABLE, CRASHED = EndpointFate
 BROKEN = unmarked(Place.AFTER_EVENT, close=Close.RESET)
+BROKEN_BEFORE = unmarked(Place.BEFORE_EVENTS, close=Close.RESET)
 BROKEN_INSIDE = unmarked(Place.INSIDE_EVENT)
 
 
@@ -65,6 +66,13 @@
         ((None, (ENDED, LEFT)), StreamEnd.UNKNOWN),
         ((None, (ENDED, LEFT), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
         ((None, (ENDED, RUNS), (NOTHING_MORE, LEFT)), StreamEnd.PRESUMED),
+        ((None, (ENDED, TIMED_OUT)), StreamEnd.UNKNOWN),
+        ((None, (ENDED, UNREACHABLE)), StreamEnd.UNKNOWN),
+        (
+            (None, (NOTHING_MORE, TIMED_OUT), (NOTHING_MORE, TIMED_OUT)),
+            StreamEnd.OPEN,
+        ),
+        (((BROKEN_BEFORE, RUNS), None, (ENDED, RUNS)), StreamEnd.PRESUMED),
         (((NOTHING_MORE, RUNS),), StreamEnd.UNKNOWN),
         (((NOTHING_MORE, RUNS), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
     ],
@@ -98,7 +106,8 @@
     st.tuples(
         st.integers(min_value=0, max_value=N_EVENTS),
         st.sampled_from(
-            [(Close.RESET, RUNS), (Close.CLEAN, CRASHED), (Close.CLEAN, LEFT)]
+            [(Close.RESET, RUNS)]
+            + [(Close.CLEAN, fate) for fate in EndpointFate if fate is not RUNS]
         ),
     ),
     max_size=4,
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -4,22 +4,15 @@
 from dataclasses import dataclass
 
 from bilberryring.capacity import EndpointSpeeds
-from bilberryring.execution import (
-    AnswerEnd,
-    EndpointFate,
-    Place,
-    Proof,
-    StreamEnd,
-    proof_of_end,
-)
+from bilberryring.execution import Place
 from bilberryring.fleet import (
     MS_PER_SECOND,
     AnnouncedEndpoint,
     EndpointId,
-    EndpointState,
     FleetState,
     RequestKind,
 )
+from bilberryring.gateway.answer_ends import AnswerEndCheck
 from bilberryring.gateway.capacity_samples import CapacitySamples
 from bilberryring.gateway.connection_pool import ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
@@ -151,6 +144,7 @@
         )
         self._held = held or HeldAnswers()
         self._open = OpenResponses()
+        self._ends = AnswerEndCheck(clock=reactor, pool=pool, fleet=fleet)
 
     def end_earlier_runs(self, endpoint: AnnouncedEndpoint) -> None:
         """End the attempts at earlier runs of an endpoint that has started.
@@ -199,6 +193,9 @@
         finally:
             if attempt.number and context.attempt in (None, attempt):
                 context.last_silence = self._silence(context, attempt)
+            if attempt.stream and attempt.stream.place is Place.INSIDE_EVENT:
+                # Another event has begun, however the attempt has ended.
+                context.known_end = context.known_end.after_event()
             self._tracker.remove(choice.placed, now=self._reactor.seconds())
             self._on_work_changed()
             if response is not None:
@@ -232,10 +229,15 @@
 
     def complete_stream(self, context: RequestContext) -> None:
         """End a stream that is presumed complete, as no endpoint can tell any more."""
-        context.exchange.end()
-        self._crashes.clear(context.fingerprint)
+        self._end_stream(context)
         self._record_served(context, context.attempt)
 
+    def _end_stream(self, context: RequestContext) -> None:
+        """Send what followed the last event, and the mark of the end."""
+        if context.trailing_bytes and not context.exchange.is_closed:
+            context.exchange.write(context.trailing_bytes)
+        context.exchange.end()
+
     def _may_abort(self, context: RequestContext) -> bool:
         """Whether the connection to the endpoint may be aborted.
 
@@ -327,6 +329,7 @@
         context.sends += 1
         attempt.number = context.sends
         attempt.sent_at = now
+        attempt.deadline = context.deadline
         if not connection.is_reused:
             self._samples.connected(choice.endpoint, since=began_at)
         attempt.progress_at = now
@@ -559,15 +562,7 @@
                             reason=FailureReason.MALFORMED, was_sent=True
                         )
                 case ResponseEnd() as ended:
-                    proof = self._proof_of(relay.attempt, ended, Place.IN_BODY)
-                    if proof is Proof.BROKEN_OFF:
-                        raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-                    if proof is Proof.UNKNOWN:
-                        fate = await self._endpoint_fate(relay.attempt)
-                        if fate is EndpointFate.CRASHED:
-                            raise AttemptError(
-                                reason=FailureReason.CLOSED, was_sent=True
-                            )
+                    await self._ends.check_body(relay.attempt, ended)
                     return b"".join(parts)
 
     async def _relay_stream(self, relay: "_Relay", head: ResponseHead) -> None:
@@ -580,12 +575,11 @@
                     if self._relay_data(relay, head, data):
                         self._record_progress(relay, limit=self._gap_limit(context))
                 case ResponseEnd() as ended:
-                    await self._check_stream_end(context, attempt, ended)
+                    await self._ends.check_stream(context, attempt, ended)
                     self._claim(relay, head)
-                    rest = relay.unsent + attempt.stream.take_partial()
-                    if rest and not context.exchange.is_closed:
-                        context.exchange.write(rest)
-                    context.exchange.end()
+                    if relay.unsent and not context.exchange.is_closed:
+                        context.exchange.write(relay.unsent)
+                    self._end_stream(context)
                     return
 
     def _claim(self, relay: "_Relay", head: ResponseHead) -> None:
@@ -608,52 +602,6 @@
             exchange.start(head.status, head.reason, headers)
         exchange.apply_backpressure(relay.response.transport)
 
-    async def _check_stream_end(
-        self, context: RequestContext, attempt: Attempt, ended: ResponseEnd
-    ) -> None:
-        """Raise `AttemptError` unless the stream is complete.
-
-        If it may be complete, another endpoint is to tell. A stream that must not be
-        sent again is complete unless its endpoint has crashed.
-        """
-        proof = self._proof_of(attempt, ended, attempt.stream.place)
-        fate = EndpointFate.RUNS
-        if proof is Proof.UNKNOWN:
-            fate = await self._endpoint_fate(attempt)
-        context.known_end = context.known_end.after_end(
-            attempt.answer_end, endpoint=fate
-        )
-        if context.known_end.end is StreamEnd.COMPLETE:
-            return
-        if proof is Proof.BROKEN_OFF or fate is EndpointFate.CRASHED:
-            raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
-        if context.route.may_repeat:
-            raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
-
-    async def _endpoint_fate(self, attempt: Attempt) -> EndpointFate:
-        """Return what became of an endpoint that has ended an answer in order.
-
-        The connections of a process that crashes are closed like those of a sound one,
-        but no new one is accepted, or it is announced as another run.
-        """
-        endpoint = attempt.choice.endpoint
-        failure = await self._pool.connection_failure(endpoint.address)
-        announced = self._fleet.endpoints.get(endpoint.id)
-        if announced is None or announced.state is EndpointState.LEAVING:
-            return EndpointFate.LEFT if failure else EndpointFate.RUNS
-        is_same_run = failure is None and announced.run == endpoint.run
-        return EndpointFate.RUNS if is_same_run else EndpointFate.CRASHED
-
-    def _proof_of(self, attempt: Attempt, ended: ResponseEnd, place: Place) -> Proof:
-        """Record how the answer ended; return what that proves."""
-        attempt.answer_end = AnswerEnd(
-            framing=ended.framing,
-            close=ended.close,
-            place=place,
-            is_resumed=place is not Place.IN_BODY and attempt.stream.is_resumed,
-        )
-        return proof_of_end(attempt.answer_end)
-
     def _relay_data(self, relay: "_Relay", head: ResponseHead, data: bytes) -> bool:
         """Pass on the events that are complete; return whether one carries data.
 
@@ -674,6 +622,7 @@
         self._claim(relay, head)
         if is_progress:
             context.known_end = context.known_end.after_event()
+            context.trailing_bytes = b""
             self._record_gap(context, attempt)
         if attempt.answer_began_at is None and is_progress:
             attempt.answer_began_at = self._reactor.seconds()
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -410,6 +410,7 @@
         self._log_step(stop, StopStep.FLUSHING)
         await self._wait_for_callers(until=stop.exits_at)
         await self._wait_for_releases(until=stop.releases_until)
+        self._log_dropped_lines()
         self._log_step(stop, StopStep.EXITING)
         self._adapter.stop()
         self._peers.stop()
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -70,7 +70,8 @@
     endpoint; the caller gets it if no later attempt succeeds. `configuration` is the
     version under which the request was admitted.
     `attempt` is the one whose answer the caller gets. `known_end` is what its attempts
-    have told of the end of a stream. `replaced_endpoint` had the request when another
+    have told of the end of a stream, and `trailing_bytes` followed its last event,
+    unless it goes on. `replaced_endpoint` had the request when another
     one answered; a stream that breaks may return to it once.
     `longest_gap` is between two events, `longest_silence` also before the first one;
     `last_silence` is the one in which the last attempt ended.
@@ -94,6 +95,7 @@
     last_data_at: float | None = None
     attempt: "Attempt | None" = None
     known_end: KnownEnd = KnownEnd()
+    trailing_bytes: bytes = b""
     replaced_endpoint: EndpointId | None = None
     longest_gap: float = 0.0
     longest_silence: Silence = NO_SILENCE
@@ -129,8 +131,9 @@
     """One attempt of a request at a chosen endpoint; times are as in `RequestContext`.
 
     `number` counts the attempts that sent the request. `stream` is what the attempt has
-    read of a stream. The request was sent at `sent_at`; `answer_began_at` is when the
-    first data of the answer came, and `answer_end` how it ended, if it did.
+    read of a stream. The request was sent at `sent_at` with `deadline`;
+    `answer_began_at` is when the first data of the answer came, and `answer_end` how it
+    ended, if it did.
     `stated_limit` is the requests per second to which the endpoint limits all gateways.
     An endpoint that sends nothing for `silence_limit` seconds after `progress_at`,
     until `silent_at`, counts as silent unless its known work takes longer: for
@@ -145,6 +148,7 @@
     stream: EventStream | None
     number: int = 0
     sent_at: float = 0.0
+    deadline: float = math.inf
     answer_began_at: float | None = None
     answer_end: AnswerEnd | None = None
     stated_limit: float | None = None
--- a/bilberryring/platform/tests/conftest.py
+++ b/bilberryring/platform/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bilberryring.standins.gateway_site import GatewaySite, make_configuration
+from bilberryring.testing.unmarked_streams import GRACE_SECONDS, ROUTES
 
 
 @pytest.hookimpl(hookwrapper=True)
@@ -30,3 +31,19 @@
     """A store with a configuration; the test adds endpoints and starts gateways."""
     empty_site.publish(make_configuration())
     return empty_site
+
+
+@pytest.fixture
+def make_stream_site():
+    """Makes stores with the routes of `testing.unmarked_streams`."""
+    sites = []
+
+    def make(**options):
+        site = GatewaySite(grace=GRACE_SECONDS, **options).start()
+        sites.append(site)
+        site.publish(make_configuration(routes=ROUTES))
+        return site
+
+    yield make
+    for site in sites:
+        site.stop()
--- a/bilberryring/platform/tests/test_unmarked_ends.py
+++ b/bilberryring/platform/tests/test_unmarked_ends.py
@@ -4,155 +4,48 @@
 event. The caller gets a whole answer also if none can be asked, or if none has more.
 """
 
-import contextlib
 import socket
 import time
-from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
-from bilberryring.standins.gateway_site import (
-    MODEL_SERVICE,
-    GatewaySite,
-    make_configuration,
-    make_route,
-)
+from bilberryring.standins.gateway_site import MODEL_SERVICE
 from bilberryring.standins.scripted_endpoint import (
-    NOT_EXECUTED_HEADER,
-    STAMP_HEADER,
     chunk,
-    event,
     reset,
     stream_head,
     unmarked_stream_head,
-    whole_answer,
 )
-from bilberryring.testing.processes import pause, wait_until
+from bilberryring.testing.processes import pause
+from bilberryring.testing.unmarked_streams import (
+    EVENTS,
+    GRACE_SECONDS,
+    WHOLE,
+    add_endpoints,
+    break_off,
+    call,
+    call_over_a_stop,
+    last_record,
+    refuse,
+    send_chunked,
+    send_half_unmarked,
+    send_unmarked,
+)
 
-GRACE_SECONDS = 8.0
-CALLER_MS = "9000"
 CALLERS_PATIENCE_SECONDS = 2.0
 """Seconds without an event after which callers of these routes leave."""
-EVENTS = [event(number) for number in range(1, 31)]
-WHOLE = b"".join(EVENTS)
-ROUTES = [
-    make_route("/chat/", "streaming", MODEL_SERVICE, timeout_ms=10_000),
-    make_route("/alone/", "streaming", MODEL_SERVICE, timeout_ms=10_000, attempts=1),
-]
-
-
-def events_left(request, events=EVENTS):
-    return events[int(request.headers.get("last-event-id") or 0) :]
-
-
-def send_unmarked(request, connection, *, events=EVENTS, seconds=0.0):
-    """Send the events that are left over some seconds, and close in order."""
-    rest = events_left(request, events)
-    connection.sendall(unmarked_stream_head(request.request_id))
-    for data in rest:
-        connection.sendall(data)
-        pause(seconds / len(rest))
-    with contextlib.suppress(OSError):
-        connection.shutdown(socket.SHUT_WR)
-
-
-def send_half_unmarked(request, connection):
-    """End in order after half of the events."""
-    send_unmarked(request, connection, events=EVENTS[:15])
-
-
-def send_chunked(request, connection):
-    rest = b"".join(events_left(request))
-    connection.sendall(stream_head(request.request_id))
-    connection.sendall((chunk(rest) if rest else b"") + chunk(b""))
-
-
-def refuse(request, connection):
-    extra = f"{STAMP_HEADER}\r\n{NOT_EXECUTED_HEADER}"
-    answer = whole_answer(
-        request.request_id, b"", status="503 Service Unavailable", extra=extra
-    )
-    connection.sendall(answer)
-
-
-def break_off(request, connection):
-    reset(connection)
-
-
-class FirstThenOthers:
-    """Runs one script for the first request at any endpoint, another for all later."""
-
-    def __init__(self, first, later):
-        self.requests = []
-        self.set_scripts(first, later)
-
-    def set_scripts(self, first, later):
-        """Use other scripts for the next request, and for those after it."""
-        self._scripts = [first, later]
-        self._n_before = len(self.requests)
-
-    def __call__(self, request, connection):
-        self.requests.append(request)
-        is_later = len(self.requests) > self._n_before + 1
-        self._scripts[is_later](request, connection)
-
-
-@pytest.fixture
-def make_site():
-    """Makes sites with the routes of this module."""
-    sites = []
-
-    def make(**options):
-        site = GatewaySite(grace=GRACE_SECONDS, **options).start()
-        sites.append(site)
-        site.publish(make_configuration(routes=ROUTES))
-        return site
-
-    yield make
-    for site in sites:
-        site.stop()
-
-
-def add_endpoints(site, first, later, names="ab"):
-    script = FirstThenOthers(first, later)
-    for name in names:
-        site.add_endpoint(name, script, service=MODEL_SERVICE)
-    return script
-
-
-def call(site, path="/chat/"):
-    return site.call(path, Bilberryring_Deadline_Ms=CALLER_MS)
-
-
-def call_over_a_stop(site, script, *, sent_before=0.3):
-    """Return the answer to a request that is sent some seconds before the signal."""
-    process = site.process("gateway-1")
-    with ThreadPoolExecutor(1) as pool:
-        pending = pool.submit(call, site)
-        wait_until(lambda: script.requests, 2.0, "a request")
-        pause(sent_before)
-        process.terminate()
-        answer = pending.result()
-    assert process.wait(GRACE_SECONDS) == 0
-    return answer
 
 
 def assert_whole(answer):
     assert (answer.status, answer.body, answer.is_cut) == (200, WHOLE, False)
 
 
-def last_record(site):
-    names = ("request_finished", "request_failed", "caller_left")
-    (record,) = [line for line in site.log_events() if line["event"] in names]
-    return record
-
-
 @pytest.mark.parametrize("later", [send_chunked, send_unmarked])
 @pytest.mark.parametrize("ends_after", [0.5, 2.0, 3.5, 5.0])
 def test_a_stream_that_ends_during_a_stop_is_not_left_without_an_end_mark(
-    make_site, ends_after, later
+    make_stream_site, ends_after, later
 ):
-    site = make_site()
+    site = make_stream_site()
 
     def answer(request, connection):
         send_unmarked(request, connection, seconds=ends_after + 0.3)
@@ -167,9 +60,9 @@
     "later", [send_unmarked, refuse, break_off], ids=lambda script: script.__name__
 )
 def test_a_stream_that_no_endpoint_has_more_of_is_not_left_without_an_end_mark(
-    make_site, later
+    make_stream_site, later
 ):
-    site = make_site()
+    site = make_stream_site()
     script = add_endpoints(site, send_unmarked, later)
     site.start_gateway()
     assert_whole(call(site))
@@ -186,17 +79,17 @@
     ids=["one attempt", "one endpoint", "no retry budget"],
 )
 def test_a_stream_that_cannot_be_repeated_is_not_left_without_an_end_mark(
-    make_site, path, names, options
+    make_stream_site, path, names, options
 ):
-    site = make_site(**options)
+    site = make_stream_site(**options)
     script = add_endpoints(site, send_unmarked, send_unmarked, names)
     site.start_gateway()
     assert_whole(call(site, path))
     assert len(script.requests) == 1
 
 
-def test_a_caller_does_not_wait_for_a_silent_endpoint_until_it_leaves(make_site):
-    site = make_site()
+def test_a_caller_does_not_wait_for_a_silent_endpoint_until_it_leaves(make_stream_site):
+    site = make_stream_site()
     add_endpoints(site, send_unmarked, lambda *_: pause(GRACE_SECONDS))
     site.start_gateway()
     began_at = time.monotonic()
@@ -205,9 +98,9 @@
 
 
 def test_streams_that_only_lack_an_end_mark_leave_retries_for_those_that_break_off(
-    make_site,
+    make_stream_site,
 ):
-    site = make_site(retry_slack=10, retry_ratio=0.0)
+    site = make_stream_site(retry_slack=10, retry_ratio=0.0)
     script = add_endpoints(site, send_unmarked, send_unmarked)
     site.start_gateway()
     for _ in range(10):
@@ -217,9 +110,9 @@
     assert_whole(call(site))
 
 
-def test_a_stream_whose_endpoint_crashed_has_no_end_mark(make_site):
+def test_a_stream_whose_endpoint_crashed_has_no_end_mark(make_stream_site):
     """The connections of a process that crashes are closed in order too."""
-    site = make_site()
+    site = make_stream_site()
     endpoints = []
 
     def crash(request, connection):
@@ -237,9 +130,9 @@
     assert last_record(site)["delivered"] != "whole"
 
 
-def test_a_stream_whose_endpoint_has_left_has_no_end_mark(make_site):
+def test_a_stream_whose_endpoint_has_left_has_no_end_mark(make_stream_site):
     """It may have exited in mid-stream, at the end of the time that it had."""
-    site = make_site()
+    site = make_stream_site()
     endpoints = []
 
     def leave(request, connection):
@@ -265,10 +158,10 @@
 
 
 def test_a_stream_whose_endpoint_is_shown_to_have_broken_off_has_no_end_mark(
-    make_site,
+    make_stream_site,
 ):
     """Another endpoint had more events: the next end without a mark proves nothing."""
-    site = make_site()
+    site = make_stream_site()
     add_endpoints(site, send_half_unmarked, send_unmarked)
     site.start_gateway()
     answer = call(site)
@@ -277,9 +170,9 @@
 
 @pytest.mark.parametrize("breaks_after", [0.5, 3.5, 5.0])
 def test_a_stream_that_breaks_off_during_a_stop_goes_on_at_another_endpoint(
-    make_site, breaks_after
+    make_stream_site, breaks_after
 ):
-    site = make_site()
+    site = make_stream_site()
 
     def break_later(request, connection):
         connection.sendall(stream_head(request.request_id))
--- a/bilberryring/telemetry/events.py
+++ b/bilberryring/telemetry/events.py
@@ -11,8 +11,8 @@
 
     A member's value is the stable number of the event. `level` is its log level,
     and `meaning` describes it for operators. `is_reserved` is true for the last record
-    of a request and for the steps of a stop: without them what became of a request
-    cannot be told.
+    of a request, for the steps of a stop and for the number of lines that were dropped:
+    without them what became of a request cannot be told.
     """
 
     def __new__(cls, number: int, level: str, meaning: str):
@@ -30,7 +30,7 @@
     @property
     def is_reserved(self) -> bool:
         """Whether the event's lines may use the reserve of a bounded output."""
-        return self.is_last_record or self in STOP_EVENTS
+        return self.is_last_record or self in RESERVED_EVENTS
 
     PROCESS_STARTED = (100, "info", "The process started to listen on its addresses")
     PROCESS_READY = (101, "info", "The process has a set in force and accepts requests")
@@ -288,8 +288,9 @@
     {LogEvent.REQUEST_FINISHED, LogEvent.REQUEST_FAILED, LogEvent.CALLER_LEFT}
 )
 """Each admitted request has one line of one of these."""
-STOP_EVENTS = frozenset(
+RESERVED_EVENTS = frozenset(
     {
+        LogEvent.LOG_LINES_DROPPED,
         LogEvent.DRAIN_STARTED,
         LogEvent.DRAIN_CONTINUED,
         LogEvent.DRAIN_TIMED_OUT,
--- a/bilberryring/telemetry/tests/test_event_log.py
+++ b/bilberryring/telemetry/tests/test_event_log.py
@@ -26,6 +26,7 @@
         LogEvent.CALLER_LEFT,
         LogEvent.DRAIN_CONTINUED,
         LogEvent.DRAIN_FINISHED,
+        LogEvent.LOG_LINES_DROPPED,
     ],
 )
 def test_a_flood_of_other_lines_drops_no_last_record(event):
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -122,9 +122,9 @@
     ),
     Mechanism(
         name="an endpoint that crashed completes no answer",
-        module="gateway/attempts.py",
-        present="        if failure is not None or announced.run != endpoint.run:",
-        absent="        if announced.run != endpoint.run:",
+        module="gateway/answer_ends.py",
+        present="        failure = await self._pool.connection_failure(endpoint.address)",
+        absent="        failure = None",
         test="bilberryring/platform/tests/test_ends_of_connections.py"
         "::test_an_endpoint_that_crashes_after_an_event_does_not_complete_a_stream[1.1]",
     ),
@@ -645,9 +645,9 @@
     ),
     Mechanism(
         name="a stream of which only the connection tells the end is resumed",
-        module="gateway/attempts.py",
-        present="case Proof.UNKNOWN if context.route.may_repeat:",
-        absent="case None:",
+        module="gateway/answer_ends.py",
+        present="fate is EndpointFate.CRASHED or not context.route.may_repeat",
+        absent="True",
         test="bilberryring/platform/tests/test_answer_ends.py"
         "::test_a_stream_that_is_not_known_to_be_complete_is_resumed_or_cut",
     ),
--- a/bilberryring/testing/soak_faults.py
+++ b/bilberryring/testing/soak_faults.py
@@ -275,7 +275,7 @@
             domain=DOMAINS[number % len(DOMAINS)],
             framing=(
                 Framing.CONNECTION
-                if has_unmarked and service == MODEL_SERVICE and number % 2
+                if has_unmarked and service == MODEL_SERVICE and number <= count // 2
                 else Framing.CHUNKS
             ),
         )
--- a/bilberryring/testing/stop_mechanisms.py
+++ b/bilberryring/testing/stop_mechanisms.py
@@ -16,9 +16,9 @@
     ),
     Mechanism(
         name="an endpoint is asked whether it runs after it ended a stream",
-        module="gateway/attempts.py",
-        present="is_same_run = failure is None and announced.run == endpoint.run",
-        absent="is_same_run = True",
+        module="gateway/answer_ends.py",
+        present="        failure = await self._pool.connection_failure(endpoint.address)",
+        absent="        failure = None",
         test=f"{UNMARKED_ENDS}::test_a_stream_whose_endpoint_crashed_has_no_end_mark",
     ),
     Mechanism(
