Name the test of a mutation check by its present id

Cause: `bin/without` counts a test that is not found as one that still passes; the check "an endpoint that crashed completes no answer" named a parameter id of an earlier form of its test.

Measured: both checks of what becomes of an endpoint fail their tests now (2 of 2).

--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -123,10 +123,10 @@
     Mechanism(
         name="an endpoint that crashed completes no answer",
         module="gateway/answer_ends.py",
-        present="        failure = await self._pool.connection_failure(endpoint.address)",
-        absent="        failure = None",
+        present="failure = await self._pool.connection_failure(endpoint.address)",
+        absent="failure = None",
         test="bilberryring/platform/tests/test_ends_of_connections.py"
-        "::test_an_endpoint_that_crashes_after_an_event_does_not_complete_a_stream[1.1]",
+        "::test_an_endpoint_that_crashes_after_an_event_does_not_complete_a_stream[direct-1.1]",
     ),
     Mechanism(
         name="earlier crashes are told again",
--- a/bilberryring/testing/stop_mechanisms.py
+++ b/bilberryring/testing/stop_mechanisms.py
@@ -17,8 +17,8 @@
     Mechanism(
         name="an endpoint is asked whether it runs after it ended a stream",
         module="gateway/answer_ends.py",
-        present="        failure = await self._pool.connection_failure(endpoint.address)",
-        absent="        failure = None",
+        present="failure = await self._pool.connection_failure(endpoint.address)",
+        absent="failure = None",
         test=f"{UNMARKED_ENDS}::test_a_stream_whose_endpoint_crashed_has_no_end_mark",
     ),
     Mechanism(
