Serve the requests that have arrived at an entry before its stop

An entry without leave_balancer_seconds began to refuse in the pass of the reactor that handles the signal, before the connections that wait were accepted and sockets were read. On a busy machine 0.1 s is not enough for it to be read.

Change: at a stop the entry accepts what waits, reads for some passes of the reactor, and refuses then.

Tests: the test of the listen queue accepted 200 or 503; it is replaced by four stricter cells, which accept 200 alone (accepted or not, short or 100 kB).

--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -149,11 +149,13 @@
         """Stop taking new requests and wait for those in progress.
 
         Readiness fails first. New requests are still accepted for
-        `leave_balancer_seconds`, so that the load balancer can notice it. Requests that
-        are left when the drain time has passed get an error.
+        `leave_balancer_seconds`, so that the load balancer can notice it. Those that
+        have arrived by then are served, whether they have been read or not. Requests
+        that are left when the drain time has passed get an error.
         """
         self._is_leaving = True
         await deferLater(self._reactor, self._settings.leave_balancer_seconds)
+        await self._listeners.read_arrived("caller_address")
         self._state.begin_drain()
         until = self._reactor.seconds() + self._settings.drain_seconds
         while self._state.in_progress:
--- a/bilberryring/process/running.py
+++ b/bilberryring/process/running.py
@@ -23,6 +23,9 @@
 HANDSHAKE_SECONDS = 0.02
 """Seconds for which a listener that takes no new connections stays open, so that those
 whose handshake is under way can be accepted; above a round trip of a region."""
+READ_PASSES = 8
+"""Passes of the reactor in which what has arrived is read. Each reads 64 KiB of every
+connection; the kernel keeps a few times that of one that is not read."""
 
 
 class Listeners:
@@ -94,6 +97,18 @@
         listening_port = self._ports.get(key)
         return listening_port is not None and has_unread(listening_port)
 
+    async def read_arrived(self, key: str) -> None:
+        """Accept the connections that wait on an address and read what has arrived.
+
+        Signals and timers are handled before sockets are read: after a pause of this
+        process, callers may have sent requests before the signal of a stop.
+        """
+        listening_port = self._ports.get(key)
+        if listening_port is not None:
+            _accept_waiting(listening_port)
+        for _ in range(READ_PASSES):
+            await deferLater(self._reactor, 0)
+
     async def close(self, key: str) -> None:
         """Accept the connections that wait on an address, and none after them.
 
--- a/bilberryring/scenarios/tests/test_stops_under_load.py
+++ b/bilberryring/scenarios/tests/test_stops_under_load.py
@@ -39,8 +39,9 @@
     return socket.create_connection((host, int(port)), timeout=READ_SECONDS)
 
 
-def encode_request():
-    body = json.dumps({"model": MODEL, "prompt": "a", "max_tokens": N_TOKENS}).encode()
+def encode_request(prompt="a"):
+    fields = {"model": MODEL, "prompt": prompt, "max_tokens": N_TOKENS}
+    body = json.dumps(fields).encode()
     lines = [
         "POST /v1/completions HTTP/1.1",
         "Host: e",
@@ -95,15 +96,25 @@
     wait_for_exit(fleet)
 
 
-def test_requests_in_the_listen_queue_at_the_stop_are_answered(fleet):
+@pytest.mark.parametrize("prompt", ["a", "a" * 100_000], ids=["short", "long"])
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_requests_that_arrived_before_the_signal_and_are_unread_are_served(
+    fleet, is_accepted, prompt
+):
+    """The entry is as late as on a busy machine, and handles the signal first."""
+    n_callers = 1 if len(prompt) > 1 else N_WAITING
+    callers = []
+    if is_accepted:
+        callers = [connect(fleet) for _ in range(n_callers)]
+        pause(0.2)
     fleet.process(ENTRY).suspend()
-    callers = [connect(fleet) for _ in range(N_WAITING)]
+    callers = callers or [connect(fleet) for _ in range(n_callers)]
     for caller in callers:
-        caller.sendall(encode_request())
+        caller.sendall(encode_request(prompt))
+    pause(0.1)
     fleet.process(ENTRY).terminate()
     fleet.process(ENTRY).resume()
-    for caller in callers:
-        assert answers(caller) in ([200], [503])
+    assert [answers(caller) for caller in callers] == [[200]] * n_callers
     wait_for_exit(fleet)
 
 
