Let a started entry be ready when it can serve each model and service

Cause: an entry was ready as soon as one endpoint of any kind took new work. Its links open one after the other; a request for a model that came before the link to its first engine was refused as no_endpoint, though the other entries could serve it. The tests of stops, which send at once after a restart, were open to it. Shown with the engine's sidecar suspended while the entry starts: ready, and 503.

Change: after the first set readiness waits until each model version and service has an endpoint that takes new work, for 30 checks of 0.1 s at most; endpoints in domains that are out are not waited for. Checks are counted, not seconds, so that a pause of the entry does not end the wait. The price: with a service that has no endpoint an entry is ready 3 s later.

--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -15,6 +15,7 @@
 from bilberryring.entry.explain import explain_prompt
 from bilberryring.entry.head_checks import entry_head_check
 from bilberryring.entry.sidecar_links import SidecarLinks
+from bilberryring.entry.start_wait import StartWait
 from bilberryring.http import HttpClient, make_client_budget
 from bilberryring.objects import ModelEndpoint, ObjectSet
 from bilberryring.process.allocator import return_large_blocks
@@ -88,6 +89,7 @@
             ),
             configuration=self._configuration,
         )
+        self._start_wait = StartWait(reactor=reactor, links=self._links, log=log)
         self._state = EntryState(
             reactor=reactor,
             log=log,
@@ -172,7 +174,7 @@
         objects = self._configuration.objects
         if objects is None or self._is_leaving:
             return False
-        return self._has_live_endpoint()
+        return self._has_live_endpoint() and self._start_wait.is_over()
 
     def _has_live_endpoint(self) -> bool:
         return any(
@@ -181,6 +183,7 @@
 
     def _on_set_changed(self, objects: ObjectSet) -> None:
         self._update_tracking()
+        self._start_wait.begin(objects)
         if not self._is_ready_logged:
             self._is_ready_logged = True
             self._log.write(LogEvent.PROCESS_READY)
--- a/bilberryring/scenarios/tests/test_stops_under_load.py
+++ b/bilberryring/scenarios/tests/test_stops_under_load.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import socket
+import threading
 
 import pytest
 
@@ -17,6 +18,8 @@
 N_TOKENS = 20
 N_PIPELINED = 5
 N_WAITING = 20
+LATE_SECONDS = 1.0
+SIDECARS = ("sidecar-engine-valpo-a-1", "sidecar-book-valpo-a-1")
 HALVES = {"in the request line": 1, "in the head": 40, "in the body": -5}
 """Bytes of a request that are sent before the stop."""
 
@@ -141,3 +144,42 @@
     assert answers(caller) in ([200], [503])
     assert answers(other) == [200]
     wait_for_exit(fleet)
+
+
+@pytest.mark.parametrize("late", SIDECARS)
+def test_a_request_to_an_entry_that_started_before_a_sidecar_is_heard_is_served(
+    fleet, late
+):
+    """The entry is stopped just after it is ready, as by an operator in a hurry."""
+    fleet.process(ENTRY).kill()
+    sidecar = fleet.process(late)
+    sidecar.suspend()
+    resuming = threading.Timer(LATE_SECONDS, sidecar.resume)
+    resuming.start()
+    try:
+        fleet.restart(ENTRY)
+        wait_until(lambda: fleet.is_ready(ENTRY), READY_TIMEOUT_SECONDS, "the entry")
+        caller = connect(fleet)
+        caller.sendall(encode_request())
+        pause(0.1)
+        fleet.process(ENTRY).terminate()
+        assert answers(caller) == [200]
+        wait_for_exit(fleet)
+    finally:
+        resuming.join()
+
+
+def test_an_entry_is_ready_though_a_service_has_no_sidecar_left(fleet):
+    fleet.process(ENTRY).kill()
+    sidecar = fleet.process("sidecar-book-valpo-a-1")
+    sidecar.suspend()
+    try:
+        fleet.restart(ENTRY)
+        wait_until(lambda: fleet.is_ready(ENTRY), READY_TIMEOUT_SECONDS, "the entry")
+        caller = connect(fleet)
+        caller.sendall(encode_request())
+        pause(0.1)
+        fleet.process(ENTRY).terminate()
+        assert answers(caller) == [200]
+    finally:
+        sidecar.resume()
