Believe a call's answer that ends with its connection if the service still runs

Cause: the HTTP client returns proven bodies only. A plain service that answers a call without a length or chunks and closes in order (RFC 9112, 6.3) made each such call `call_unknown`: a booking that ran and was answered whole was told as 502 with an unknown outcome, and each copy of it from the ledger too. Twisted reports `PotentialDataLoss` for such a body whether the connection was closed in order or reset.

Change: the connection wrapper records the reason of its end and whether this side closed it (`http/connection_end.py`); the client raises `UnmarkedAnswerError` with the answer only after an end in order by the server. `sidecar/service_answers.py` believes it if the service accepts a new connection. All other users of the client still get an error.

The test of a service that sends anything expected its answer at once; an unmarked body is now answered after one more connection, so the test plays that one, accepted or refused, and demands that only such an end waits. The endpoint in memory ends with `ConnectionDone` for `loseConnection`, as a real one does.

--- a/bilberryring/http/__init__.py
+++ b/bilberryring/http/__init__.py
@@ -38,6 +38,7 @@
     HttpResponse,
     LineStream,
     ResponseTimeoutError,
+    UnmarkedAnswerError,
 )
 from bilberryring.http.client_budget import (
     Cause,
@@ -73,6 +74,7 @@
     "Problem",
     "RESPONSE_TIMEOUT_SECONDS",
     "ResponseTimeoutError",
+    "UnmarkedAnswerError",
     "make_client_budget",
     "make_site",
     "problem_from_error",
--- a/bilberryring/http/bounded_endpoint.py
+++ b/bilberryring/http/bounded_endpoint.py
@@ -1,15 +1,20 @@
 """Connections of HTTP clients that are closed when an answer does not end."""
 
 import re
+from functools import partial
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IReactorTCP, IStreamClientEndpoint
+from twisted.internet.protocol import connectionDone
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
+from twisted.python.failure import Failure
 from twisted.web.client import URI
 from twisted.web.iweb import IAgentEndpointFactory
 from zope.interface import implementer
 
+from bilberryring.http.connection_end import ConnectionEnd
+
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_HEAD_BYTES = 64 * 1024
 """Bytes of an answer within which its head must end, with interim heads before it."""
@@ -22,8 +27,9 @@
 class _BoundedConnection(ProtocolWrapper):
     """Aborts the connection when the answer to the latest request is too long."""
 
-    def __init__(self, factory, wrapped):
+    def __init__(self, factory, wrapped, *, end: ConnectionEnd):
         super().__init__(factory, wrapped)
+        self._end = end
         self._begin_answer()
 
     def write(self, data: bytes) -> None:
@@ -45,6 +51,10 @@
             return
         super().dataReceived(data)
 
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self._end.record(reason, is_closed_here=bool(self.disconnecting))
+        super().connectionLost(reason)
+
     def _begin_answer(self) -> None:
         self._n_received = 0
         self._has_head = False
@@ -62,23 +72,28 @@
 
 @implementer(IStreamClientEndpoint)
 class _BoundedEndpoint:
-    def __init__(self, endpoint: IStreamClientEndpoint):
+    def __init__(self, endpoint: IStreamClientEndpoint, *, end: ConnectionEnd):
         self._endpoint = endpoint
+        self._end = end
 
     def connect(self, protocolFactory) -> Deferred:
         factory = WrappingFactory(protocolFactory)
         factory.noisy = False
-        factory.protocol = _BoundedConnection
+        factory.protocol = partial(_BoundedConnection, end=self._end)
         connecting = self._endpoint.connect(factory)
         return connecting.addCallback(lambda connection: connection.wrappedProtocol)
 
 
 @implementer(IAgentEndpointFactory)
 class BoundedEndpointFactory:
-    """Connects an agent to hosts that are named by IPv4 address."""
+    """Connects an agent to hosts that are named by IPv4 address.
+
+    The connections that it opens report to `end` how they end.
+    """
 
-    def __init__(self, *, reactor: IReactorTCP):
+    def __init__(self, *, reactor: IReactorTCP, end: ConnectionEnd):
         self._reactor = reactor
+        self._end = end
 
     def endpointForURI(self, uri: URI) -> IStreamClientEndpoint:
         """Return the endpoint of a URI, whose connections are bounded."""
@@ -88,5 +103,6 @@
                 uri.host.decode("ascii"),
                 uri.port,
                 timeout=CONNECT_TIMEOUT_SECONDS,
-            )
+            ),
+            end=self._end,
         )
--- a/bilberryring/http/client.py
+++ b/bilberryring/http/client.py
@@ -8,15 +8,21 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 from twisted.web.client import (
+    URI,
     Agent,
     HTTPConnectionPool,
     ResponseDone,
 )
+from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from bilberryring.http.bounded_endpoint import BoundedEndpointFactory
+from bilberryring.http.bounded_endpoint import (
+    CONNECT_TIMEOUT_SECONDS,
+    BoundedEndpointFactory,
+)
+from bilberryring.http.connection_end import ConnectionEnd, accepts_connection
 
 MAX_LINE_BYTES = 1024 * 1024
 """Longest line of a stream of lines."""
@@ -74,6 +80,23 @@
         return b", ".join(values).decode("latin-1")
 
 
+class UnmarkedAnswerError(Exception):
+    """The body ended with its connection, which the server closed in order.
+
+    It had neither a length nor chunks. `answer` is whole if the server is sound, and a
+    part if it crashed.
+    """
+
+    def __init__(self, answer: HttpResponse):
+        super().__init__("nothing but the end of the connection ended the body")
+        self._answer = answer
+
+    @property
+    def answer(self) -> HttpResponse:
+        """The answer with the body that has arrived."""
+        return self._answer
+
+
 class _LineReceiver(Protocol):
     """Passes complete lines to `on_lines`, without their line ends.
 
@@ -134,11 +157,16 @@
 
 
 class _BodyReader(Protocol):
-    """Collects a body; `done` fires with it, or fails if it may be incomplete."""
+    """Collects a body; `done` fires with it, or fails if it broke off.
 
-    def __init__(self, *, bodies: _HeldBodies):
+    `end` is that of its connection, which alone may end it; see `is_unmarked`.
+    """
+
+    def __init__(self, *, bodies: _HeldBodies, end: ConnectionEnd):
         self.done: Deferred[bytes] = Deferred(lambda _: self.give_up())
         self._bodies = bodies
+        self._end = end
+        self._is_unmarked = False
         self._parts: list[bytes] = []
         self._n_bytes = 0
 
@@ -147,6 +175,11 @@
         """The number of bytes that are held."""
         return self._n_bytes
 
+    @property
+    def is_unmarked(self) -> bool:
+        """Whether nothing but an end in order of its connection ended the body."""
+        return self._is_unmarked
+
     def dataReceived(self, data: bytes) -> None:
         if not self.done.called:
             self._parts.append(data)
@@ -164,7 +197,10 @@
         self._release()
         if self.done.called:
             return
-        if reason.check(ResponseDone):
+        self._is_unmarked = bool(
+            reason.check(PotentialDataLoss) and self._end.is_in_order
+        )
+        if self._is_unmarked or reason.check(ResponseDone):
             self.done.callback(body)
         else:
             self.done.errback(reason)
@@ -217,9 +253,6 @@
         pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS_PER_HOST
         pool.retryAutomatically = False
         self._pool = pool
-        self._agent = Agent.usingEndpointFactory(
-            reactor, BoundedEndpointFactory(reactor=reactor), pool=pool
-        )
         self._base_url = base_url
         self._bodies = _HeldBodies()
 
@@ -241,14 +274,16 @@
 
         `timeout` is in seconds. It limits the time until the headers, including
         the connection, and once more the time for the body. `ResponseTimeoutError` is
-        raised when it has passed.
+        raised when it has passed, and `UnmarkedAnswerError` when it is not known
+        whether the body is complete although its connection was closed in order.
         """
+        end = ConnectionEnd()
         started_at = self._reactor.seconds()
         try:
-            sending = self._send(method, path, body, content_type)
+            sending = self._send(method, path, body, content_type, end)
             sending.addTimeout(timeout, self._reactor)
             response = await sending
-            reader = _BodyReader(bodies=self._bodies)
+            reader = _BodyReader(bodies=self._bodies, end=end)
             reader.done.addTimeout(timeout, self._reactor)
             response.deliverBody(reader)
             content = await reader.done
@@ -256,9 +291,21 @@
             if self._reactor.seconds() - started_at >= timeout:
                 raise ResponseTimeoutError(f"no response in {timeout} s: {error}")
             raise
-        return HttpResponse(
+        answer = HttpResponse(
             status=response.code, headers=response.headers, body=content
         )
+        if reader.is_unmarked:
+            raise UnmarkedAnswerError(answer)
+        return answer
+
+    async def accepts_connection(self) -> bool:
+        """Return whether the server accepts a new connection now."""
+        uri = URI.fromBytes(self._base_url.encode())
+        return await accepts_connection(
+            self._reactor,
+            (uri.host.decode("ascii"), uri.port),
+            timeout=CONNECT_TIMEOUT_SECONDS,
+        )
 
     async def open_line_stream(
         self,
@@ -271,15 +318,29 @@
 
         It returns once the headers have arrived. Only connecting has a time limit.
         """
-        response = await self._send("POST", path, body, "application/json")
+        end = ConnectionEnd()
+        response = await self._send("POST", path, body, "application/json", end)
         return LineStream(response=response, on_lines=on_lines)
 
     def close(self) -> Deferred[None]:
         """Close the idle connections of the pool."""
         return self._pool.closeCachedConnections()
 
-    def _send(self, method: str, path: str, body: bytes, content_type: str):
+    def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        content_type: str,
+        end: ConnectionEnd,
+    ):
+        """Send a request; a connection that is opened for it reports to `end`."""
+        agent = Agent.usingEndpointFactory(
+            self._reactor,
+            BoundedEndpointFactory(reactor=self._reactor, end=end),
+            pool=self._pool,
+        )
         headers = Headers({"content-type": [content_type]})
         producer = _BytesProducer(body) if body else None
         url = (self._base_url + path).encode()
-        return self._agent.request(method.encode(), url, headers, producer)
+        return agent.request(method.encode(), url, headers, producer)
--- a/bilberryring/sidecar/service_runner.py
+++ b/bilberryring/sidecar/service_runner.py
@@ -25,6 +25,7 @@
 from bilberryring.http import RESPONSE_TIMEOUT_SECONDS, HttpClient, HttpResponse
 from bilberryring.process.loops import start_task
 from bilberryring.sidecar.peer import PeerLink
+from bilberryring.sidecar.service_answers import request_answer
 from bilberryring.telemetry import EventLog, LogEvent
 from bilberryring.wire import CallService, LinkProtocol, Refused, ServiceAnswer
 
@@ -239,7 +240,8 @@
         the call may have run.
         """
         seconds_left = from_micros(message.deadline) - self._reactor.seconds()
-        answer = await self._client.request(
+        answer = await request_answer(
+            self._client,
             message.method,
             CALLS_PREFIX + quote(message.path, safe=PATH_CHARACTERS),
             body=message.body,
--- a/bilberryring/sidecar/tests/test_odd_service_answers.py
+++ b/bilberryring/sidecar/tests/test_odd_service_answers.py
@@ -33,6 +33,7 @@
     b"9" * 5_000 + b"\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
 ]
+UNMARKED = b"HTTP/1.1 200 OK\r\n\r\nabc"
 LARGE_STATUS = b"HTTP/1.1 99999999999 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -41,13 +42,21 @@
     st.lists(st.one_of(st.sampled_from(PIECES), st.binary(max_size=8)), max_size=10),
     st.sampled_from([TICKET, ""]),
     st.sampled_from([Close.CLEAN, Close.RESET]),
+    st.booleans(),
 )
-@example([LARGE_STATUS], TICKET, Close.CLEAN)
-@example([LARGE_STATUS], "", Close.CLEAN)
-def test_a_service_may_send_anything(pieces, ticket, close):
+@example([LARGE_STATUS], TICKET, Close.CLEAN, True)
+@example([LARGE_STATUS], "", Close.CLEAN, True)
+@example([UNMARKED], TICKET, Close.CLEAN, True)
+@example([UNMARKED], "", Close.CLEAN, False)
+def test_a_service_may_send_anything(pieces, ticket, close, has_crashed):
     harness = CallHarness()
     harness.call(1, ticket=ticket)
     harness.service.break_off(b"".join(pieces), close)
+    if not harness.link.sent:
+        # Only an end without a mark is answered later, after one new connection.
+        assert close is Close.CLEAN
+        assert harness.service.connections == 2
+        harness.service.refuse() if has_crashed else harness.service.open()
     assert harness.runner.running == 0
     [answer] = harness.link.sent
     answer = decode_message(encode_message(answer))
--- a/bilberryring/sidecar/tests/test_service_runner.py
+++ b/bilberryring/sidecar/tests/test_service_runner.py
@@ -202,3 +202,62 @@
     harness.service.send(HEAD + b'{"ok": 1}')
     [answer] = harness.link.sent
     assert isinstance(answer, ServiceAnswer)
+
+
+CALLS = pytest.mark.parametrize("ticket", [TICKET, ""], ids=["booking", "look-up"])
+
+
+@CALLS
+def test_a_call_whose_answer_ended_with_its_connection_is_not_of_unknown_outcome(
+    ticket,
+):
+    """A body without a length or chunks is whole when its connection is closed in
+    order (RFC 9112, section 6.3); the service still accepts connections."""
+    harness = CallHarness()
+    harness.call(1, ticket=ticket)
+    harness.service.answer(b"whole", framing=Framing.CONNECTION, close=Close.CLEAN)
+    if harness.service.connections == 2:
+        harness.service.open()
+    [answer] = harness.link.sent
+    assert isinstance(answer, ServiceAnswer)
+    assert (answer.status, answer.body) == (200, b"whole")
+    assert harness.runner.running == 0
+    assert "call_unknown" not in harness.log.getvalue()
+
+
+@CALLS
+def test_an_unmarked_answer_of_a_service_that_crashed_is_not_taken_for_whole(ticket):
+    harness = CallHarness()
+    harness.call(1, ticket=ticket)
+    harness.service.answer(b"a part", framing=Framing.CONNECTION, close=Close.CLEAN)
+    if harness.service.connections == 2:
+        assert harness.runner.running == 1
+        harness.service.refuse()
+    [refusal] = harness.link.sent
+    assert (type(refusal), refusal.outcome) == (Refused, "unknown")
+    assert "a part" not in harness.log.getvalue()
+    assert harness.runner.running == 0
+
+
+@CALLS
+def test_an_unmarked_answer_that_was_reset_is_not_taken_for_whole(ticket):
+    harness = CallHarness()
+    harness.call(1, ticket=ticket)
+    harness.service.answer(b"a part", framing=Framing.CONNECTION, close=Close.RESET)
+    [refusal] = harness.link.sent
+    assert (type(refusal), refusal.outcome) == (Refused, "unknown")
+    assert harness.service.connections == 1
+
+
+def test_a_booking_with_an_unmarked_answer_is_answered_again_from_the_ledger():
+    harness = CallHarness()
+    harness.call(1, ticket=TICKET)
+    harness.service.answer(b"whole", framing=Framing.CONNECTION, close=Close.CLEAN)
+    if harness.service.connections == 2:
+        harness.service.open()
+    harness.call(2, ticket=TICKET)
+    answers = [item for item in harness.link.sent if isinstance(item, ServiceAnswer)]
+    assert [(item.attempt, item.body, bool(item.replayed)) for item in answers] == [
+        (1, b"whole", False),
+        (2, b"whole", True),
+    ]
--- a/bilberryring/testing/memory_endpoint.py
+++ b/bilberryring/testing/memory_endpoint.py
@@ -1,6 +1,7 @@
 """An HTTP endpoint in memory, whose answers end in every way."""
 
 from twisted.internet.error import (
+    ConnectionAborted,
     ConnectionDone,
     ConnectionLost,
     ConnectionRefusedError,
@@ -85,7 +86,8 @@
         self._protocol = factory.buildProtocol(None)
         self._is_closed = False
         transport = StringTransport()
-        transport.abortConnection = transport.loseConnection = self._close
+        transport.abortConnection = lambda: self._close(ConnectionAborted())
+        transport.loseConnection = lambda: self._close(ConnectionDone())
         self._protocol.makeConnection(transport)
 
     def send(self, data: bytes) -> None:
@@ -103,7 +105,7 @@
         """Accept the connection, send a part of an answer and end the connection."""
         self.open()
         self.send(data)
-        self._end(close)
+        self.end(close)
 
     def pass_time(self, seconds: float) -> None:
         """Let time pass on the client's clock."""
@@ -116,18 +118,19 @@
         """
         self.open()
         self.send(_frame(body, framing, has_mark=close is Close.AT_END))
-        self._end(close)
+        self.end(close)
 
-    def _end(self, close: Close) -> None:
+    def end(self, close: Close) -> None:
+        """End the connection, unless `close` is `AT_END`."""
         if close is not Close.AT_END and not self._is_closed:
             reason = ConnectionLost() if close is Close.RESET else ConnectionDone()
             self._protocol.connectionLost(Failure(reason))
         self._reactor.advance(0)
 
-    def _close(self) -> None:
+    def _close(self, reason: Exception) -> None:
         if not self._is_closed:
             self._is_closed = True
-            self._protocol.connectionLost(Failure(ConnectionLost()))
+            self._protocol.connectionLost(Failure(reason))
 
 
 def _frame(body: bytes, framing: Framing, *, has_mark: bool) -> bytes:
