End a prompt whole whose end message is missing at its deadline or a stop's end

Cause: all tokens of an answer may have reached the caller before the sidecar's end message. A lost link and a silent endpoint count such an answer as complete; the deadline of the request and the end of a drain did not, and the caller got an error in place of the end mark.

Change: both count it as complete, and cancel the attempt as before.

Measured: two new cells of entry/tests/test_prompt_request.py failed before (a third, a stop before the last token, holds the other side); all 85 tests in entry pass.

--- a/bilberryring/entry/prompt_request.py
+++ b/bilberryring/entry/prompt_request.py
@@ -162,6 +162,10 @@
                 await self._start_attempt()
                 while not await self._handle_message(await self._mailbox.get()):
                     pass
+            except CancelledError:
+                # The process exits; only the end message may be missing.
+                if not self._is_answer_complete():
+                    raise
             finally:
                 self._end_turn()
                 self._cancel_all()
@@ -188,6 +192,8 @@
             case EndpointSilent():
                 return await self._handle_silence()
             case DeadlinePassed():
+                if self._is_answer_complete():
+                    return True
                 self._progress.may_have_run |= bool(self._running)
                 raise self._error(ErrorCode.DEADLINE_PASSED)
             case CallerDisconnected():
@@ -253,7 +259,8 @@
     def _is_answer_complete(self) -> bool:
         """Return whether all tokens were delivered.
 
-        A link that closes after the last token loses only the end message.
+        A link that closes after the last token loses only the end message, and so does
+        a deadline or the end of a stop that comes between them.
         """
         return self._assembly.token_count >= self._prompt.shape.max_tokens
 
--- a/bilberryring/entry/tests/test_prompt_request.py
+++ b/bilberryring/entry/tests/test_prompt_request.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import Clock
 
 from bilberryring.core import Fingerprint, RequestId, ServingError
@@ -124,7 +124,8 @@
             on_token_gap=lambda gap: None,
         )
         self.outcome: list[object] = []
-        Deferred.fromCoroutine(self.request.run()).addBoth(self.outcome.append)
+        self.task = Deferred.fromCoroutine(self.request.run())
+        self.task.addBoth(self.outcome.append)
 
     def choose(self, prompt, objects, *, excluded, is_isolated):
         if not self.has_endpoints:
@@ -508,3 +509,30 @@
     assert harness.output.getvalue().count("internal_fault") == 1
     assert not harness.outcome
     assert harness.channels[1].link.sent[0].isolated
+
+
+def test_a_deadline_between_the_last_token_and_the_end_message_costs_no_end():
+    """The deadline may pass while the sidecar or the entry is suspended."""
+    harness = PromptHarness()
+    harness.channels[0].deliver(tokens(1, 0, "a", "b", "c"))
+    harness.clock.advance(31.0)
+    assert harness.sink.end == "abc"
+    assert harness.outcome[0].token_count == 3
+    assert Cancel in harness.sent(0)
+
+
+def test_a_stop_between_the_last_token_and_the_end_message_costs_no_end():
+    harness = PromptHarness()
+    harness.channels[0].deliver(tokens(1, 0, "a", "b", "c"))
+    harness.task.cancel()
+    assert harness.sink.end == "abc"
+    assert harness.outcome[0].token_count == 3
+
+
+def test_a_stop_before_the_last_token_does_not_end_an_answer_as_whole():
+    harness = PromptHarness()
+    harness.channels[0].deliver(tokens(1, 0, "a", "b"))
+    harness.task.cancel()
+    assert not harness.sink.end
+    assert harness.outcome[0].check(CancelledError)
+    assert Cancel in harness.sent(0)
