Read what has arrived at an entry before a late deadline or a late end of a stop

Cause: timers run before sockets are read. After a pause of the process the deadline of a request, or the end of a drain, was due while its whole answer waited in the kernel. A deadline took no look at all, the end of a drain one read of each link (64 KiB): the caller was told that the outcome is unknown of a booking that ran and was answered whole in time.

--- a/bilberryring/entry/attempt_channel.py
+++ b/bilberryring/entry/attempt_channel.py
@@ -4,10 +4,11 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from twisted.internet.defer import DeferredQueue
+from twisted.internet.defer import Deferred, DeferredQueue
 
 from bilberryring.core import AttemptId
 from bilberryring.entry.endpoint_record import EndpointRecord
+from bilberryring.process.late_reading import read_arrived
 from bilberryring.wire import LinkProtocol
 
 
@@ -40,13 +41,20 @@
 
 
 @contextmanager
-def deadline_timer(reactor, mailbox: DeferredQueue, *, at: float) -> Iterator[None]:
+def deadline_timer(
+    reactor, mailbox: DeferredQueue, *, at: float, is_receiving: Callable[[], bool]
+) -> Iterator[None]:
     """Put `DeadlinePassed` into the mailbox at `at` unless the context exits earlier.
 
-    `at` is in seconds of the reactor's clock.
+    `at` is in seconds of the reactor's clock. What has arrived by then is read first;
+    see `read_arrived`.
     """
-    left = max(0.0, at - reactor.seconds())
-    timer = reactor.callLater(left, mailbox.put, DeadlinePassed())
+
+    def deadline_passed() -> None:
+        reading = read_arrived(reactor, is_receiving, due_at=at)
+        Deferred.fromCoroutine(reading).addBoth(lambda _: mailbox.put(DeadlinePassed()))
+
+    timer = reactor.callLater(max(0.0, at - reactor.seconds()), deadline_passed)
     try:
         yield
     finally:
--- a/bilberryring/entry/daemon.py
+++ b/bilberryring/entry/daemon.py
@@ -24,6 +24,7 @@
 )
 from bilberryring.process.configuration import ConfigurationTask
 from bilberryring.process.explanations import ExplainQuery
+from bilberryring.process.late_reading import read_arrived
 from bilberryring.process.loops import make_loop, start_task
 from bilberryring.process.operator_site import (
     EndpointStatus,
@@ -159,8 +160,9 @@
         while self._state.in_progress:
             if self._reactor.seconds() >= until:
                 self._log.write(LogEvent.DRAIN_TIMED_OUT, left=self._state.in_progress)
-                # Answers that have arrived are read first.
-                await deferLater(self._reactor, 0)
+                await read_arrived(
+                    self._reactor, lambda: self._links.is_receiving, due_at=until
+                )
                 self._caller_site.end_all()
                 break
             await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
--- a/bilberryring/entry/prompt_request.py
+++ b/bilberryring/entry/prompt_request.py
@@ -157,7 +157,12 @@
         Raises `ServingError` when the answer cannot be completed.
         """
         self._budget.record_request()
-        with deadline_timer(self._reactor, self._mailbox, at=self._prompt.deadline):
+        with deadline_timer(
+            self._reactor,
+            self._mailbox,
+            at=self._prompt.deadline,
+            is_receiving=self._is_receiving,
+        ):
             try:
                 await self._start_attempt()
                 while not await self._handle_message(await self._mailbox.get()):
@@ -177,6 +182,11 @@
             token_count=self._assembly.token_count,
         )
 
+    def _is_receiving(self) -> bool:
+        return any(
+            attempt.channel.link.is_receiving for attempt in self._running.values()
+        )
+
     async def _handle_message(self, message: object) -> bool:
         """Handle one message and return whether the answer is complete.
 
--- a/bilberryring/entry/service_request.py
+++ b/bilberryring/entry/service_request.py
@@ -73,6 +73,7 @@
         self._objects = objects
         self._log = log
         self._mailbox = DeferredQueue()
+        self._channel: AttemptChannel | None = None
 
     def caller_disconnected(self) -> None:
         """Record that the caller closed its connection."""
@@ -81,11 +82,19 @@
     async def run(self) -> ServiceAnswer:
         """Return the service's answer, or raise `ServingError` when there is none."""
         self._budget.record_request()
-        with deadline_timer(self._reactor, self._mailbox, at=self._call.deadline):
+        with deadline_timer(
+            self._reactor,
+            self._mailbox,
+            at=self._call.deadline,
+            is_receiving=self._is_receiving,
+        ):
             if self._call.ticket_text:
                 return await self._run_with_ticket(parse_ticket(self._call.ticket_text))
             return await self._run_repeatable()
 
+    def _is_receiving(self) -> bool:
+        return self._channel is not None and self._channel.link.is_receiving
+
     async def _run_with_ticket(self, ticket: Ticket) -> ServiceAnswer:
         """Send the call to the ledger that issued the ticket, and to no other.
 
@@ -171,6 +180,7 @@
         passes or the caller disconnects.
         """
         call = self._call
+        self._channel = channel
         channel.send(
             CallService(
                 attempt=channel.attempt,
--- a/bilberryring/entry/sidecar_links.py
+++ b/bilberryring/entry/sidecar_links.py
@@ -79,6 +79,11 @@
         """The questions to sidecars about suspected prompts."""
         return self._suspects
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a message has arrived, or is arriving, that was not read yet."""
+        return any(link.is_receiving for link in self._open_links())
+
     @property
     def names(self) -> tuple[str, ...]:
         """The names of the tracked endpoints."""
--- a/bilberryring/entry/tests/test_prompt_request.py
+++ b/bilberryring/entry/tests/test_prompt_request.py
@@ -37,6 +37,7 @@
     def __init__(self):
         self.sent: list[object] = []
         self.is_open = True
+        self.is_receiving = False
 
     def send(self, message: object) -> bool:
         self.sent.append(message)
--- /dev/null
+++ b/bilberryring/scenarios/tests/test_ends_on_the_way.py
@@ -0,0 +1,104 @@
+"""Answers that have arrived, or are arriving, when an entry may wait no longer."""
+
+import itertools
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from bilberryring.testing.fleet import Fleet
+from bilberryring.testing.plan import MODEL, SERVICE, FleetPlan
+from bilberryring.testing.processes import pause, wait_until
+
+ENTRY = "entry-1"
+WORKSPACE = "bars"
+DRAIN_SECONDS = 2.0
+DEADLINE_SECONDS = 3.0
+EXIT_SECONDS = 8.0
+ANSWER_SECONDS = 1.0
+MARGIN_SECONDS = 0.7
+N_TOKENS = 40
+SIZES = {"small": 0, "1 MiB": 1024 * 1024, "8 MiB": 8 * 1024 * 1024}
+"""Bytes of an answer beside its head: within one read, within the buffers of a
+connection, and more than those hold."""
+_references = itertools.count()
+
+
+@pytest.fixture
+def fleet():
+    plan = FleetPlan(
+        domains=("valpo-a",),
+        entry_domains=("valpo-a",),
+        engines_per_domain=1,
+        service_deadline_seconds=DEADLINE_SECONDS,
+        drain_seconds=DRAIN_SECONDS,
+    )
+    fleet = Fleet(plan=plan)
+    try:
+        yield fleet.start()
+    finally:
+        fleet.stop()
+
+
+@pytest.fixture
+def pool():
+    with ThreadPoolExecutor(2) as pool:
+        yield pool
+
+
+def book(fleet, ticket, **order):
+    body = {"reference": f"way-{next(_references)}", **order}
+    return fleet.caller(ENTRY, WORKSPACE).call(
+        SERVICE, "reservations", body, ticket=ticket
+    )
+
+
+def start_booking(fleet, pool, size):
+    ticket = fleet.caller(ENTRY, WORKSPACE).request_ticket(SERVICE).body["ticket"]
+    sidecar = f"sidecar-{fleet.services[0]}"
+    booking = pool.submit(
+        book, fleet, ticket, delay_after=ANSWER_SECONDS, answer_bytes=SIZES[size]
+    )
+    wait_until(lambda: fleet.status(sidecar)["in_progress"], 3.0, "the booking")
+    return booking
+
+
+def suspend_for(process, seconds):
+    process.suspend()
+    try:
+        pause(seconds)
+    finally:
+        process.resume()
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_a_booking_answered_while_the_entry_paused_past_its_stop_is_not_lost(
+    fleet, pool, size
+):
+    entry = fleet.process(ENTRY)
+    booking = start_booking(fleet, pool, size)
+    entry.terminate()
+    pause(0.2)
+    suspend_for(entry, DRAIN_SECONDS + MARGIN_SECONDS)
+    assert booking.result().status == 201
+    assert entry.wait(EXIT_SECONDS) == 0
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_a_booking_answered_while_the_entry_paused_past_its_deadline_is_not_lost(
+    fleet, pool, size
+):
+    booking = start_booking(fleet, pool, size)
+    suspend_for(fleet.process(ENTRY), DEADLINE_SECONDS + MARGIN_SECONDS)
+    assert booking.result().status == 201
+
+
+def test_a_stream_that_ended_while_the_entry_paused_past_its_stop_is_whole(fleet, pool):
+    entry = fleet.process(ENTRY)
+    caller = fleet.caller(ENTRY, WORKSPACE)
+    answer = pool.submit(caller.prompt, "a", model=MODEL, max_tokens=N_TOKENS)
+    pause(0.3)
+    entry.terminate()
+    pause(0.1)
+    suspend_for(entry, DRAIN_SECONDS + MARGIN_SECONDS)
+    assert answer.result().is_whole
+    assert entry.wait(EXIT_SECONDS) == 0
--- a/bilberryring/wire/link.py
+++ b/bilberryring/wire/link.py
@@ -6,7 +6,7 @@
 from twisted.internet.interfaces import IDelayedCall
 from twisted.internet.protocol import Protocol, connectionDone
 
-from bilberryring.core import set_tcp_options
+from bilberryring.core import has_unread, set_tcp_options
 from bilberryring.wire.codec import (
     MAX_STRING_BYTES,
     FrameError,
@@ -89,6 +89,11 @@
         """Whether messages can be sent."""
         return self._is_open and not self._is_ended
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether something has arrived that was not read, or a part of a message."""
+        return self.is_open and (bool(self._unread) or has_unread(self.transport))
+
     @property
     def bytes_sent(self) -> int:
         """The bytes sent on this connection, including length prefixes."""
