Let work of a sidecar end whose stop ended only while it was paused

Cause: the drain of a sidecar ends its links, which send nothing after that. If the process was paused over the end of the drain, what the service or the engine had sent meanwhile waited unread, and was dropped: a booking that ran and was answered whole was told as unknown, and a stream that had ended ended with an error if no other engine could go on.

Change: a drain that ends late (0.25 s or more) goes on for at most 1 s while work is in progress, as `process/late_reading.py` does for entries.

--- a/bilberryring/scenarios/tests/test_ends_on_the_way.py
+++ b/bilberryring/scenarios/tests/test_ends_on_the_way.py
@@ -16,7 +16,8 @@
 EXIT_SECONDS = 8.0
 ANSWER_SECONDS = 1.0
 MARGIN_SECONDS = 0.7
-N_TOKENS = 40
+N_TOKENS = 150
+"""Tokens of an answer that takes less time than a pause."""
 SIZES = {"small": 0, "1 MiB": 1024 * 1024, "8 MiB": 8 * 1024 * 1024}
 """Bytes of an answer beside its head: within one read, within the buffers of a
 connection, and more than those hold."""
@@ -62,6 +63,11 @@
     return booking
 
 
+def wait_for_prompt(fleet):
+    [engine] = fleet.engines
+    wait_until(lambda: fleet.engine_counters(engine)["running"], 3.0, "the prompt")
+
+
 def suspend_for(process, seconds):
     process.suspend()
     try:
@@ -96,9 +102,36 @@
     entry = fleet.process(ENTRY)
     caller = fleet.caller(ENTRY, WORKSPACE)
     answer = pool.submit(caller.prompt, "a", model=MODEL, max_tokens=N_TOKENS)
-    pause(0.3)
+    wait_for_prompt(fleet)
     entry.terminate()
-    pause(0.1)
+    assert not answer.done()
     suspend_for(entry, DRAIN_SECONDS + MARGIN_SECONDS)
     assert answer.result().is_whole
     assert entry.wait(EXIT_SECONDS) == 0
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_a_booking_answered_while_the_sidecar_paused_past_its_stop_is_not_lost(
+    fleet, pool, size
+):
+    sidecar = fleet.process(f"sidecar-{fleet.services[0]}")
+    booking = start_booking(fleet, pool, size)
+    sidecar.terminate()
+    pause(0.2)
+    suspend_for(sidecar, DRAIN_SECONDS + 0.3)
+    assert booking.result().status == 201
+    assert sidecar.wait(EXIT_SECONDS) == 0
+
+
+def test_a_stream_that_ended_while_the_sidecar_paused_past_its_stop_is_whole(
+    fleet, pool
+):
+    sidecar = fleet.process(f"sidecar-{fleet.engines[0]}")
+    caller = fleet.caller(ENTRY, WORKSPACE)
+    answer = pool.submit(caller.prompt, "a", model=MODEL, max_tokens=N_TOKENS)
+    wait_for_prompt(fleet)
+    sidecar.terminate()
+    assert not answer.done()
+    suspend_for(sidecar, DRAIN_SECONDS + 0.3)
+    assert answer.result().is_whole
+    assert sidecar.wait(EXIT_SECONDS) == 0
--- a/bilberryring/sidecar/daemon.py
+++ b/bilberryring/sidecar/daemon.py
@@ -21,6 +21,7 @@
 )
 from bilberryring.process.configuration import ConfigurationTask
 from bilberryring.process.engine_death_broadcaster import EngineDeathBroadcaster
+from bilberryring.process.late_reading import read_arrived
 from bilberryring.process.loops import make_loop
 from bilberryring.process.operator_site import (
     ProcessStatus,
@@ -183,6 +184,7 @@
             if now - idle_since >= DRAIN_IDLE_SECONDS:
                 break
             if now >= until:
+                await read_arrived(self._reactor, self._is_working, due_at=until)
                 self._log.write(LogEvent.DRAIN_TIMED_OUT, left=self._in_progress())
                 break
             await deferLater(self._reactor, DRAIN_CHECK_SECONDS)
@@ -220,6 +222,9 @@
         calls = self._service_runner.running if self._service_runner else 0
         return prompts + calls
 
+    def _is_working(self) -> bool:
+        return self._in_progress() > 0
+
     def _sidecar_refusal(self) -> ErrorCode | None:
         """Return the reason for which the sidecar takes no new work, or `None`."""
         match self.state:
