--- a/bilberryring/scenarios/tests/test_ends_on_the_way.py
+++ b/bilberryring/scenarios/tests/test_ends_on_the_way.py
@@ -135,3 +135,20 @@
     suspend_for(sidecar, DRAIN_SECONDS + 0.3)
     assert answer.result().is_whole
     assert sidecar.wait(EXIT_SECONDS) == 0
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_a_booking_answered_while_its_host_paused_past_the_deadline_is_not_lost(
+    fleet, pool, size
+):
+    """The entry and the sidecar are on one host, and pause together."""
+    processes = (fleet.process(ENTRY), fleet.process(f"sidecar-{fleet.services[0]}"))
+    booking = start_booking(fleet, pool, size)
+    for process in processes:
+        process.suspend()
+    try:
+        pause(DEADLINE_SECONDS + MARGIN_SECONDS)
+    finally:
+        for process in processes:
+            process.resume()
+    assert booking.result().status == 201
