Tell an endpoint that cannot be reached from one that has crashed

Callers saw: a stream that ended without a mark, all of whose events they had, was closed without the last chunk, or reset at the end of a stop; a whole body without a length was replaced by a 502.

Cause: after such an end the gateway asks the endpoint for a connection. One that neither accepted nor refused it within 0.6 s counted as crashed, as one that refuses does. A sound endpoint whose queue of new connections is full for a moment drops the handshake, and the kernel repeats it after a second only. "Crashed" then also spoilt the word of the other endpoint: "nothing more" after it is no proof.

Change: only a refusal, or another run, shows a crash. An endpoint that is not reached leaves the end unknown, as one that has left: another endpoint's word decides, and without it there is no end mark. Bodies and streams that must not be repeated are treated as before if the endpoint is not reached. A check sends three handshakes within the same 0.6 s instead of one, so that a queue that has room again is noticed.

The order of `EndpointFate` in test_stream_end.py has one more member; its cases and draws have more, none is changed.

--- a/bilberryring/execution/stream_end.py
+++ b/bilberryring/execution/stream_end.py
@@ -30,6 +30,8 @@
     RUNS = "runs"
     LEFT = "left"
     """It was to leave and has exited, perhaps after its last answer."""
+    UNREACHED = "unreached"
+    """It neither accepts nor refuses connections: it is busy, or cut off."""
     CRASHED = "crashed"
 
 
@@ -39,7 +41,7 @@
     OPEN = "open"
     """More events are to come, as far as is known."""
     UNKNOWN = "unknown"
-    """It may be complete, but an endpoint of it has broken off, or has exited."""
+    """It may be complete, but an endpoint of it has broken off, or may have exited."""
     PRESUMED = "presumed"
     """It is complete unless another endpoint has more events."""
     COMPLETE = "complete"
@@ -68,7 +70,7 @@
                 return replace(self, end=StreamEnd.COMPLETE)
             case Proof.UNKNOWN, EndpointFate.RUNS:
                 return replace(self, end=self._end_after_unknown(end.place))
-            case Proof.UNKNOWN, EndpointFate.LEFT:
+            case Proof.UNKNOWN, EndpointFate.LEFT | EndpointFate.UNREACHED:
                 is_open = self.end is StreamEnd.OPEN
                 return replace(self, end=StreamEnd.UNKNOWN) if is_open else self
         if end.place is Place.INSIDE_EVENT:
--- a/bilberryring/execution/tests/test_stream_end.py
+++ b/bilberryring/execution/tests/test_stream_end.py
@@ -27,7 +27,7 @@
 
 ENDED = unmarked(Place.AFTER_EVENT)
 NOTHING_MORE = unmarked(Place.BEFORE_EVENTS, is_resumed=True)
-RUNS, LEFT, CRASHED = EndpointFate
+RUNS, LEFT, UNREACHED, CRASHED = EndpointFate
 BROKEN = unmarked(Place.AFTER_EVENT, close=Close.RESET)
 BROKEN_INSIDE = unmarked(Place.INSIDE_EVENT)
 
@@ -65,6 +65,10 @@
         ((None, (ENDED, LEFT)), StreamEnd.UNKNOWN),
         ((None, (ENDED, LEFT), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
         ((None, (ENDED, RUNS), (NOTHING_MORE, LEFT)), StreamEnd.PRESUMED),
+        ((None, (ENDED, UNREACHED)), StreamEnd.UNKNOWN),
+        ((None, (ENDED, UNREACHED), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
+        ((None, (ENDED, UNREACHED), (NOTHING_MORE, UNREACHED)), StreamEnd.UNKNOWN),
+        ((None, (BROKEN, CRASHED), (ENDED, UNREACHED)), StreamEnd.UNKNOWN),
         (((NOTHING_MORE, RUNS),), StreamEnd.UNKNOWN),
         (((NOTHING_MORE, RUNS), (NOTHING_MORE, RUNS)), StreamEnd.COMPLETE),
     ],
@@ -98,7 +102,12 @@
     st.tuples(
         st.integers(min_value=0, max_value=N_EVENTS),
         st.sampled_from(
-            [(Close.RESET, RUNS), (Close.CLEAN, CRASHED), (Close.CLEAN, LEFT)]
+            [
+                (Close.RESET, RUNS),
+                (Close.CLEAN, CRASHED),
+                (Close.CLEAN, LEFT),
+                (Close.CLEAN, UNREACHED),
+            ]
         ),
     ),
     max_size=4,
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -105,6 +105,8 @@
 collect changes for 0.2 s: by then they have reported what they placed just before."""
 UNREAD_SECONDS = 0.05
 """Seconds in which what has arrived is read; timers run before sockets are read."""
+UNPROVEN_FATES = frozenset({EndpointFate.CRASHED, EndpointFate.UNREACHED})
+"""Fates of an endpoint after which the orderly end of a body is not believed."""
 URGENT_PREFILL_MS = 100.0
 """Prefill time in milliseconds of one part of a prompt from which the peers are
 notified at once. Two gateways that place such parts on the same engine would stop its
@@ -564,7 +566,7 @@
                         raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
                     if proof is Proof.UNKNOWN:
                         fate = await self._endpoint_fate(relay.attempt)
-                        if fate is EndpointFate.CRASHED:
+                        if fate in UNPROVEN_FATES:
                             raise AttemptError(
                                 reason=FailureReason.CLOSED, was_sent=True
                             )
@@ -614,7 +616,7 @@
         """Raise `AttemptError` unless the stream is complete.
 
         If it may be complete, another endpoint is to tell. A stream that must not be
-        sent again is complete unless its endpoint has crashed.
+        sent again is complete unless its endpoint has crashed, or cannot be reached.
         """
         proof = self._proof_of(attempt, ended, attempt.stream.place)
         fate = EndpointFate.RUNS
@@ -629,20 +631,24 @@
             raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
         if context.route.may_repeat:
             raise AttemptError(reason=FailureReason.END_UNKNOWN, was_sent=True)
+        if fate is EndpointFate.UNREACHED:
+            raise AttemptError(reason=FailureReason.CLOSED, was_sent=True)
 
     async def _endpoint_fate(self, attempt: Attempt) -> EndpointFate:
         """Return what became of an endpoint that has ended an answer in order.
 
         The connections of a process that crashes are closed like those of a sound one,
-        but no new one is accepted, or it is announced as another run.
+        but new ones are refused, or it is announced as another run. One that does not
+        respond at all may have a full queue of new connections.
         """
         endpoint = attempt.choice.endpoint
         failure = await self._pool.connection_failure(endpoint.address)
         announced = self._fleet.endpoints.get(endpoint.id)
         if announced is None or announced.state is EndpointState.LEAVING:
             return EndpointFate.LEFT if failure else EndpointFate.RUNS
-        is_same_run = failure is None and announced.run == endpoint.run
-        return EndpointFate.RUNS if is_same_run else EndpointFate.CRASHED
+        if announced.run != endpoint.run or failure is FailureReason.REFUSED:
+            return EndpointFate.CRASHED
+        return EndpointFate.UNREACHED if failure else EndpointFate.RUNS
 
     def _proof_of(self, attempt: Attempt, ended: ResponseEnd, place: Place) -> Proof:
         """Record how the answer ended; return what that proves."""
--- a/bilberryring/gateway/connection_pool.py
+++ b/bilberryring/gateway/connection_pool.py
@@ -14,6 +14,10 @@
 """Seconds within which a connection must open. Failure domains are a few milliseconds
 apart, and the retransmission of a lost packet takes a second, so any timeout between
 the two has the same effect."""
+N_CHECKS = 3
+"""Handshakes that a check of an endpoint sends within `CONNECT_TIMEOUT_SECONDS`. One
+that finds the queue of new connections full is dropped, and the kernel repeats it after
+a second."""
 MAX_IDLE_PER_ENDPOINT = 8
 """Number of idle connections that are kept for one endpoint."""
 
@@ -56,13 +60,24 @@
         return await self._open(address, min(timeout, CONNECT_TIMEOUT_SECONDS))
 
     async def connection_failure(self, address: str) -> FailureReason | None:
-        """Return why no new connection can be opened; one that opens is kept."""
-        try:
-            connection = await self._open(address, CONNECT_TIMEOUT_SECONDS)
-        except AttemptError as error:
-            return error.reason
-        self.release(connection)
-        return None
+        """Return why no new connection can be opened; one that opens is kept.
+
+        Unless one is refused, several are tried within `CONNECT_TIMEOUT_SECONDS`.
+        """
+        failure = None
+        for _ in range(N_CHECKS):
+            try:
+                connection = await self._open(
+                    address, CONNECT_TIMEOUT_SECONDS / N_CHECKS
+                )
+            except AttemptError as error:
+                failure = error.reason
+                if failure is FailureReason.REFUSED:
+                    break
+            else:
+                self.release(connection)
+                return None
+        return failure
 
     def release(self, connection: EndpointConnection) -> None:
         """Keep a connection without a pending response, unless there are enough."""
--- a/bilberryring/standins/scripted_endpoint.py
+++ b/bilberryring/standins/scripted_endpoint.py
@@ -14,11 +14,13 @@
 from dataclasses import dataclass
 from datetime import datetime
 
-from bilberryring.standins.loopback import process_network
+from bilberryring.standins.loopback import BACKLOG, process_network
 
 STAMP_HEADER = "Bilberryring-Response-Stamp: s-1"
 NOT_EXECUTED_HEADER = "Bilberryring-Not-Executed: 1"
 MAX_LINE_BYTES = 65_536
+QUEUE_FILLERS = 4
+"""Connections that fill a queue of length 0, which holds one."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,6 +85,10 @@
         self._seen: list[ReceivedRequest] = []
         self._connections: list[socket.socket] = []
         self._is_closed = False
+        self._is_held = threading.Event()
+        self._may_accept = threading.Event()
+        self._may_accept.set()
+        self._fillers: list[socket.socket] = []
         self._acceptor = threading.Thread(target=self._accept, daemon=True)
         self._acceptor.start()
 
@@ -106,6 +112,31 @@
         """Use another script from the next request on."""
         self._script = script
 
+    def hold_connections(self) -> None:
+        """Accept no connection until `resume_connections`, and refuse none.
+
+        The queue of new connections is full: the kernel drops further handshakes.
+        """
+        self._is_held.clear()
+        self._may_accept.clear()
+        # The acceptor takes one connection more, before the queue fills.
+        self._fillers.append(socket.create_connection(self._listener.getsockname()))
+        self._is_held.wait()
+        self._listener.listen(0)
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._listener.getsockname())
+            self._fillers.append(filler)
+
+    def resume_connections(self) -> None:
+        """Accept connections again, unless the endpoint listens no more."""
+        with contextlib.suppress(OSError):
+            self._listener.listen(BACKLOG)
+        while self._fillers:
+            self._fillers.pop().close()
+        self._may_accept.set()
+
     def stop_listening(self) -> None:
         """Accept no new connections; the open ones stay open and silent.
 
@@ -113,7 +144,10 @@
         """
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
+        self._may_accept.set()
         self._acceptor.join()
+        while self._fillers:
+            self._fillers.pop().close()
         self._listener.close()
 
     def close(self) -> None:
@@ -129,6 +163,9 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            if not self._may_accept.is_set():
+                self._is_held.set()
+                self._may_accept.wait()
             self._connections.append(connection)
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True
