--- a/bilberryring/testing/stop_mechanisms.py
+++ b/bilberryring/testing/stop_mechanisms.py
@@ -3,6 +3,8 @@
 from bilberryring.testing.mechanism import Mechanism
 
 UNMARKED_ENDS = "bilberryring/platform/tests/test_unmarked_ends.py"
+DOUBTED_ENDS = "bilberryring/platform/tests/test_doubted_ends.py"
+UNMARKED_CALLS = "bilberryring/scenarios/tests/test_unmarked_calls.py"
 STREAM_ENDS = "bilberryring/execution/tests/test_stream_end.py"
 
 STOP_MECHANISMS = (
@@ -69,4 +71,52 @@
         test="bilberryring/telemetry/tests/test_event_log.py"
         "::test_a_flood_of_other_lines_drops_no_last_record",
     ),
+    Mechanism(
+        name="an end at the deadline that was given is doubted",
+        module="gateway/answer_ends.py",
+        present="            return EndpointFate.TIMED_OUT\n",
+        absent="            pass\n",
+        test=f"{DOUBTED_ENDS}"
+        "::test_a_stream_that_its_endpoint_ends_at_its_deadline_has_no_end_mark",
+    ),
+    Mechanism(
+        name="a begun event refutes a presumed end",
+        module="gateway/attempts.py",
+        present="if attempt.stream and attempt.stream.place is Place.INSIDE_EVENT:",
+        absent="if False:",
+        test=f"{DOUBTED_ENDS}"
+        "::test_a_stream_of_which_another_endpoint_has_begun_more_has_no_end_mark",
+    ),
+    Mechanism(
+        name="a full queue of connections is asked again",
+        module="gateway/connection_pool.py",
+        present="N_CHECKS = 3",
+        absent="N_CHECKS = 1",
+        test="bilberryring/platform/tests/test_ends_of_busy_endpoints.py"
+        "::test_a_stream_of_a_busy_endpoint_is_not_cut_at_the_end_of_a_stop",
+    ),
+    Mechanism(
+        name="a call's answer that ends with its connection is whole",
+        module="sidecar/service_answers.py",
+        present="        if not await client.accepts_connection():\n",
+        absent="        if True:\n",
+        test=f"{UNMARKED_CALLS}"
+        "::test_a_whole_answer_that_ends_with_its_connection_is_not_lost",
+    ),
+    Mechanism(
+        name="a service is asked whether it runs after it ended an answer",
+        module="sidecar/service_answers.py",
+        present="        if not await client.accepts_connection():\n",
+        absent="        if False:\n",
+        test=f"{UNMARKED_CALLS}"
+        "::test_a_part_of_an_answer_of_a_service_that_ends_is_not_taken_for_whole",
+    ),
+    Mechanism(
+        name="what has arrived at an entry is read before it refuses",
+        module="entry/daemon.py",
+        present='        await self._listeners.read_arrived("caller_address")\n',
+        absent="",
+        test="bilberryring/scenarios/tests/test_stops_under_load.py"
+        "::test_requests_that_arrived_before_the_signal_and_are_unread_are_served",
+    ),
 )
