Let the soak take an answer without its end mark for what its caller sees, a cut

Cause: the check that compares last records with what callers saw let `unmarked` pass beside a whole answer, from the time when answers without a length were passed on so. Every answer to HTTP/1.1 has a length or chunks since, so that its caller sees a cut.

Change: the check asks for a cut beside `unmarked`, and finds a whole answer, which it let pass. As strict as before: one agreement is replaced by another.

--- a/bilberryring/testing/soak_checks.py
+++ b/bilberryring/testing/soak_checks.py
@@ -318,9 +318,12 @@
         told = history.last_records.get(call.request)
         is_logged = (call.gateway, call.incarnation) in whole_logs
         is_missing = told is None and 200 <= call.answer.status < 300 and is_logged
-        if told == Delivery.UNMARKED.value and delivery is Delivery.WHOLE:
-            continue
-        if is_missing or told not in (None, delivery.value):
+        # A caller that speaks HTTP/1.1 cannot tell a missing mark from a cut.
+        if told == Delivery.UNMARKED.value:
+            told_delivery = Delivery.CUT.value
+        else:
+            told_delivery = told
+        if is_missing or told_delivery not in (None, delivery.value):
             detail = f"the caller saw {delivery.value}, its last record says {told}"
             yield call.request, call.ended_at, detail
 
