Believe the end of a stream that comes shortly before its deadline

Cause: ends within 0.25 s of the deadline that the endpoint was given were doubted. An endpoint stops at the deadline as it gets it, so not before that.

Change: 0.05 s, for whole milliseconds and timers.

--- a/bilberryring/gateway/answer_ends.py
+++ b/bilberryring/gateway/answer_ends.py
@@ -13,9 +13,10 @@
 from bilberryring.gateway.messages import AttemptError, FailureReason, ResponseEnd
 from bilberryring.gateway.request_context import Attempt, RequestContext
 
-DEADLINE_MARGIN_SECONDS = 0.25
+DEADLINE_MARGIN_SECONDS = 0.05
 """Seconds before the deadline of an attempt from which its endpoint may have stopped
-work, and closed the connection in order, without being done."""
+work, and closed the connection in order, without being done. Endpoints measure the
+deadline from when they get the request, in whole milliseconds."""
 
 
 class AnswerEndCheck:
