Believe the end of a stream at a leaving endpoint that serves on

Change: it is asked once more 0.2 s later, and believed if it still accepts a connection. Bodies, and streams that must not be sent again, do not wait for that.

--- a/bilberryring/execution/stream_end.py
+++ b/bilberryring/execution/stream_end.py
@@ -30,7 +30,7 @@
     RUNS = "runs"
     """It accepts connections, and is not announced as another run."""
     LEFT = "left"
-    """It leaves, and may have exited after its last answer or in the middle of it."""
+    """It leaves, and may have exited, after its last answer or in the middle of it."""
     TIMED_OUT = "timed_out"
     """It may have stopped work at the deadline that it was given."""
     UNREACHABLE = "unreachable"
--- a/bilberryring/gateway/answer_ends.py
+++ b/bilberryring/gateway/answer_ends.py
@@ -1,5 +1,7 @@
 """Whether an answer that has ended is complete."""
 
+from twisted.internet.task import deferLater
+
 from bilberryring.execution import (
     AnswerEnd,
     EndpointFate,
@@ -17,6 +19,8 @@
 """Seconds before the deadline of an attempt from which its endpoint may have stopped
 work, and closed the connection in order, without being done. Endpoints measure the
 deadline from when they get the request, in whole milliseconds."""
+EXIT_SECONDS = 0.2
+"""Seconds within which an endpoint that exits has closed its listener as well."""
 
 
 class AnswerEndCheck:
@@ -49,6 +53,8 @@
         fate = EndpointFate.RUNS
         if proof is Proof.UNKNOWN:
             fate = await self._fate(attempt)
+        if fate is EndpointFate.LEFT and context.route.may_repeat:
+            fate = await self._fate_of_leaving(attempt)
         context.known_end = context.known_end.after_end(
             attempt.answer_end, endpoint=fate
         )
@@ -79,6 +85,16 @@
             return EndpointFate.CRASHED
         return EndpointFate.RUNS if failure is None else EndpointFate.UNREACHABLE
 
+    async def _fate_of_leaving(self, attempt: Attempt) -> EndpointFate:
+        """Return whether a leaving endpoint runs a moment after it ended an answer.
+
+        One that exits may close its streams just before its listener.
+        """
+        await deferLater(self._clock, EXIT_SECONDS)
+        address = attempt.choice.endpoint.address
+        failure = await self._pool.connection_failure(address)
+        return EndpointFate.RUNS if failure is None else EndpointFate.LEFT
+
 
 def _record_end(attempt: Attempt, ended: ResponseEnd, place: Place) -> Proof:
     """Record how an answer ended; return what that proves."""
--- a/bilberryring/platform/tests/test_doubted_ends.py
+++ b/bilberryring/platform/tests/test_doubted_ends.py
@@ -164,6 +164,30 @@
     assert answer.is_cut, last_record(site)
 
 
+def test_a_whole_stream_of_a_leaving_endpoint_that_serves_on_has_its_end_mark(
+    make_stream_site,
+):
+    """There is no other endpoint, as beside a replacement of all of them."""
+    site = make_stream_site()
+    endpoints = []
+
+    def leave(request, connection):
+        site.announce(
+            "a",
+            endpoints[0].address,
+            service=MODEL_SERVICE,
+            state="draining",
+            sequence=2,
+        )
+        site.wait_for_standing("a", "leaving")
+        send_unmarked(request, connection)
+
+    endpoints.append(site.add_endpoint("a", leave, service=MODEL_SERVICE))
+    site.start_gateway()
+    answer = call(site)
+    assert (answer.body, answer.is_cut) == (WHOLE, False), last_record(site)
+
+
 @pytest.mark.parametrize("path", ["/chat/", "/once/"])
 @pytest.mark.parametrize("tail", [b": bye\n", b"\n"], ids=["comment", "blank line"])
 def test_the_bytes_after_the_last_event_of_a_stream_reach_its_caller(
