--- a/review/kit2/rig.py
+++ b/review/kit2/rig.py
@@ -43,6 +43,7 @@
     """Loopback addresses, settings, gateways and servers of one case."""
 
     def __init__(self, record, *, gateways=1, grace_s=8):
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp())
         self._net = f"127.{random.randint(40, 200)}.{random.randint(1, 250)}"
