Review case 8: count the bookings that the late retries cost

Cause: the count of lost bookings had those of the first crashes in it, which no rule forbids. Change: only bookings that ran later than the third crash and the window are counted.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -151,16 +151,20 @@
         for _, name, request_id in late:
             self.record.write(f"{name} ran {request_id} after the third crash")
         retries = {request_id for _, _, request_id in late}
-        text = self.log.read_text("utf-8")
+        lines = self.log.read_text("utf-8").splitlines()
+        runs = [line.split() for line in lines if " runs b" in line]
+        ran_late = {request_id for at, _, _, request_id in runs if float(at) > since}
         lost = [
             request_id
-            for request_id, status in self.bookings.items()
-            if status == 502 and f"runs {request_id}\n" in text
+            for request_id in sorted(ran_late)
+            if self.bookings.get(request_id) == 502
         ]
+        for request_id in lost:
+            self.record.write(f"booking {request_id} ran later than that and got 502")
         self.record.write(
             f"{len(retries)} retries reached servers later than {STABILITY_S} s after "
             f"the third crash, in {len(late)} runs; {MOST_RETRIES} are allowed. Of "
-            f"{len(self.bookings)} bookings {len(lost)} ran at a server that crashed and got 502"
+            f"{len(ran_late)} bookings that ran later than that {len(lost)} got 502"
         )
         return kit.BROKEN if len(retries) > MOST_RETRIES else kit.HELD
 
