Log what a list and a copy of published items are complete up to

Hypotheses that the logs could not tell apart: the position told to peers is later than what the list is complete up to; the readers' watches missed changes; copies failed or were never asked for. Change: items_listed has the latest revision of its items and the position that peers are told, copy_taken the position it was asked for, its kind and its size.

--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -396,7 +396,7 @@
             answer = await received
             if not isinstance(answer, CopyAnswer) or answer.prefix != prefix:
                 raise CopyError(f"no copy of {prefix!r}")
-            self._apply_copy(host, answer)
+            self._apply_copy(host, answer, since=position)
             self._view.record_copy(host, now=self._reactor.seconds())
         except Exception as error:
             # Twisted raises many kinds of exceptions for a failed connection.
@@ -419,7 +419,9 @@
             )
             self._on_doubt()
 
-    def _apply_copy(self, host: str, answer: CopyAnswer) -> None:
+    def _apply_copy(
+        self, host: str, answer: CopyAnswer, *, since: ReplicaPosition
+    ) -> None:
         if answer.era is None:
             return
         copy = decode_copy(answer)
@@ -435,8 +437,11 @@
             LogEvent.COPY_TAKEN,
             peer=host,
             prefix=copy.prefix,
+            since=since.latest.number,
             revision=copy.revision,
             era=copy.era,
+            is_delta=copy.is_delta,
+            items=len(copy.items),
             changed=changed,
             lost_writes=len(copy.lost_writes),
             held=held,
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -262,6 +262,8 @@
                 revision=listing.revision,
                 era=listing.era,
                 items=len(listing.items),
+                latest_item=max((item.revision for item in listing.items), default=0),
+                position=self._copies.replica(self._prefix).position.latest.number,
                 changed=changed,
             )
         else:
