Tell peers only the revision up to which a list of published items is complete

Cause: a list comes in pages and is complete up to the revision of its first page. The replica raised its position, which peers are told, to the latest revision of any listed item. Peers copied what changed up to there, without the changes that the first pages were too early for, and never asked for those again. Configuration, evacuations and endpoints share this code, also at the first list of an era, and for later items in the copy of a peer. Evidence: the log of the case, with the fields of the commit before: items_listed with revision 98, latest_item 106, position 106; 2 ms later copy_taken since 99, revision 106, items 3 at five gateways: 3 of 7 changes. Change: the position is the latest change up to which none is missing. Later items of a list or of a peer's copy are held, but do not move it; watches and copies do. Ruled out: lost watch events (readers held all of them), failed copies (none failed).

--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -1,8 +1,10 @@
 """A copy of the published items that processes can update from each other.
 
 Each item carries the revision of its last change. A replica is complete up to one
-revision. It can therefore be replaced with the full copy of a process that is ahead,
-while the copy of a process that is behind cannot undo newer changes.
+revision, its position: no earlier change is missing. It can therefore be replaced with
+the full copy of a process that is ahead, while the copy of a process that is behind
+cannot undo newer changes. A replica may also hold single later changes, as lists come
+in pages that are no snapshot; they do not move its position.
 
 >>> replica = Replica()
 >>> replica.apply((PublishedItem(key="a", revision=3, value=b"1"),))
@@ -15,6 +17,7 @@
 (True, 4)
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -33,7 +36,8 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplicaPosition:
-    """How far a replica is: its latest change, and the latest that the store lost.
+    """How far a replica is: the latest change up to which none is missing, and the
+    latest that the store lost.
 
     >>> behind = ReplicaPosition(latest=Revision(era=1, number=90))
     >>> ReplicaPosition(latest=Revision(era=2, number=3)).is_ahead_of(behind)
@@ -70,7 +74,7 @@
 
     @property
     def revision(self) -> int:
-        """The revision of the latest change applied; 0 before the first one."""
+        """The latest change up to which none is missing; 0 before the first one."""
         return self._revision
 
     @property
@@ -127,10 +131,11 @@
     ) -> tuple[str, ...]:
         """Start a later era with its first full copy; return the keys that changed.
 
-        The copy is complete up to `revision`. `latest` is that of a peer's latest
-        change, which may be a removal. What the copy lacks of the era before holds for
-        as long as the rules say. A replica that `is_young` does not know what was
-        removed shortly before, so that any peer which is not knows more of the losses.
+        The copy is complete up to `revision`. `latest` is the position of the peer
+        that it is from, whose latest change may be a removal. What the copy lacks of
+        the era before holds for as long as the rules say. A replica that `is_young`
+        does not know what was removed shortly before, so that any peer which is not
+        knows more of the losses.
         """
         items = tuple(items)
         before = {key: self.value(key) for key in self.keys}
@@ -142,8 +147,8 @@
         self._items = {item.key: item for item in items}
         self._removed, self._removed_revisions = {}, {}
         self._era = era
-        self._revision = max((item.revision for item in items), default=0)
-        self._revision = max(self._revision, latest)
+        self._revision = latest
+        self._advance_position(items, most=revision)
         self._complete_revision, self._dropped_revision = revision, 0
         self._lost.begin_era(
             ((write, self._items.get(write.key)) for write in known), now=now
@@ -207,18 +212,14 @@
         return tuple(written + removed)
 
     def apply(self, items: Iterable[PublishedItem]) -> tuple[str, ...]:
-        """Apply changes in any order; return the keys that changed, each once."""
-        changed: dict[str, None] = {}
-        for item in items:
-            self._revision = max(self._revision, item.revision)
-            if item.revision <= self._known_revision(item.key):
-                continue
-            before = self.value(item.key)
-            is_changed = self._store_item(item)
-            self._lost.check(item.key, self._items.get(item.key))
-            if is_changed or before != self.value(item.key):
-                changed[item.key] = None
-        return tuple(changed)
+        """Apply all changes since the position, in any order.
+
+        They may begin earlier. Returns the keys that changed, each once.
+        """
+        items = tuple(items)
+        changed = self._store_items(items)
+        self._advance_position(items)
+        return changed
 
     def replace(
         self, items: Iterable[PublishedItem], *, revision: int
@@ -227,7 +228,8 @@
 
         A key that the copy lacks is removed, unless it changed here later. From then
         on, a change up to `revision` of an unknown key is ignored: the key was removed
-        since.
+        since. Later items of the copy are applied as well, but the position does not
+        reach them: other changes between may be missing.
         """
         copied = tuple(items)
         present = {item.key for item in copied}
@@ -236,7 +238,8 @@
             for item in self.items
             if item.key not in present and item.revision < revision
         )
-        changed = self.apply(copied + removals)
+        changed = self._store_items(copied + removals)
+        self._advance_position(copied + removals, most=revision)
         self._complete_revision = max(self._complete_revision, revision)
         return changed
 
@@ -245,8 +248,8 @@
     ) -> tuple[str, ...]:
         """Apply a full copy of another replica; return the keys that changed.
 
-        `revision` is that of the other replica's latest change. It is passed
-        separately, since that change may be a removal, which leaves no item.
+        `revision` is the other replica's position. It is passed separately, since the
+        change there may be a removal, which leaves no item.
         """
         changed = self.replace(items, revision=revision)
         self._revision = max(self._revision, revision)
@@ -255,14 +258,34 @@
     def take_changes(
         self, items: Iterable[PublishedItem], *, revision: int
     ) -> tuple[str, ...]:
-        """Apply another replica's changes since this one's revision, up to `revision`.
+        """Apply another replica's changes since this one's position.
 
+        `revision` is the other replica's position; it may also hold later changes.
         Returns the keys that changed.
         """
-        changed = self.apply(items)
+        changed = self._store_items(items)
         self._revision = max(self._revision, revision)
         return changed
 
+    def _store_items(self, items: Iterable[PublishedItem]) -> tuple[str, ...]:
+        changed: dict[str, None] = {}
+        for item in items:
+            if item.revision <= self._known_revision(item.key):
+                continue
+            before = self.value(item.key)
+            is_changed = self._store_item(item)
+            self._lost.check(item.key, self._items.get(item.key))
+            if is_changed or before != self.value(item.key):
+                changed[item.key] = None
+        return tuple(changed)
+
+    def _advance_position(
+        self, items: Iterable[PublishedItem], *, most: float = math.inf
+    ) -> None:
+        """Move the position to the latest of the changes up to `most`."""
+        revisions = (item.revision for item in items if item.revision <= most)
+        self._revision = max(self._revision, max(revisions, default=0))
+
     def _known_revision(self, key: str) -> int:
         """Return the revision up to which changes of a key are already known."""
         item = self._items.get(key)
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -806,8 +806,9 @@
     Mechanism(
         name="versions that are read together are decoded once",
         module="fleet/replica.py",
-        present="        return tuple(changed)\n\n    def replace(",
-        absent="        return tuple(item.key for item in items)\n\n    def replace(",
+        present="        return tuple(changed)\n\n    def _advance_position(",
+        absent="        return tuple(item.key for item in items)\n\n"
+        "    def _advance_position(",
         test="bilberryring/platform/tests/test_translation.py"
         "::test_versions_that_are_read_together_are_decoded_once",
     ),
--- a/bilberryring/testing/restored_store.py
+++ b/bilberryring/testing/restored_store.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from collections.abc import Callable
 from io import StringIO
 
 from twisted.internet.task import deferLater
@@ -46,11 +47,19 @@
         self._lost_until = self._fleet.network.now
 
     async def list(self, prefix: str) -> Listing:
-        self._fleet.store_calls += 1
-        await self._answer(self._fleet.network.now + READ_TIMEOUT_SECONDS)
-        store = self._fleet.store
-        items = tuple(_to_item(item) for item in store.items(prefix))
-        return Listing(items=items, revision=store.revision, era=store.era)
+        """Return the items in pages of the fleet, which are no snapshot."""
+        store, page_items = self._fleet.store, self._fleet.page_items
+        items: list[PublishedItem] = []
+        revision = None
+        while True:
+            self._fleet.store_calls += 1
+            await self._answer(self._fleet.network.now + READ_TIMEOUT_SECONDS)
+            revision = store.revision if revision is None else revision
+            left = store.items(prefix, after=items[-1].key if items else "")
+            items.extend(_to_item(item) for item in left[:page_items])
+            if page_items is None or len(left) <= page_items:
+                return Listing(items=tuple(items), revision=revision, era=store.era)
+            self._fleet.on_page(prefix, items[-1].key)
 
     async def watch(
         self, prefix: str, *, after: int, era: int, wait: float, patience: float
@@ -80,7 +89,7 @@
     async def _answer(self, until: float) -> None:
         """Wait for an answer; one that the store loses is awaited until a time."""
         fleet = self._fleet
-        await deferLater(fleet.network.clock, STORE_SECONDS)
+        await deferLater(fleet.network.clock, fleet.answer_seconds)
         if fleet.is_store_silent:
             await deferLater(fleet.network.clock, max(0.0, until - fleet.network.now))
             raise StoreError("store_unreachable: simulated, no answer")
@@ -107,10 +116,18 @@
 
 
 class RestoredStoreFleet:
-    """A network of gateways, their store, and the fleet state of each."""
+    """A network of gateways, their store, and the fleet state of each.
+
+    The store lists all items at once, or in pages of `page_items`; `on_page` is called
+    with the prefix and the last key of each page but the last one. Each answer takes
+    `answer_seconds`.
+    """
 
-    def __init__(self, *, gateways: int, seed: int):
+    def __init__(self, *, gateways: int, seed: int, page_items: int | None = None):
         self.store = OperatorStore()
+        self.page_items = page_items
+        self.answer_seconds = STORE_SECONDS
+        self.on_page: Callable[[str, str], None] = lambda prefix, key: None
         self.is_store_down = False
         self.is_store_silent = False
         self.store_calls = 0
