Log how many crashes are known under a request that an endpoint crashed under

Hypotheses that the log could not tell apart: the next attempt is sent before the crash is known; the crash is known and does not count; crashes known before are forgotten; peers are not told. Change: prompt_suspected has the request's fingerprint, its sends and the known crashes. Result: tests of forwarding and telemetry pass.

--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -609,7 +609,11 @@
             parts=context.metadata.shared_parts if is_candidate else (),
         )
         self._crashes.record(death)
-        self._log.prompt_suspected(context, endpoint.id)
+        self._log.prompt_suspected(
+            context,
+            endpoint.id,
+            crashes=self._crashes.crash_count(context.fingerprint),
+        )
 
     def _had_begun(self, attempt: Attempt) -> bool:
         """Whether the endpoint had been writing the answer for a while."""
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -165,12 +165,20 @@
             sent_ago=round(self._clock.seconds() - attempt.sent_at, 3),
         )
 
-    def prompt_suspected(self, context: RequestContext, endpoint: EndpointId) -> None:
-        """Log that a request was running when its endpoint crashed."""
+    def prompt_suspected(
+        self, context: RequestContext, endpoint: EndpointId, *, crashes: int
+    ) -> None:
+        """Log that a request was running when its endpoint crashed.
+
+        `crashes` are the known ones under such requests, at all gateways.
+        """
         self._log.write(
             LogEvent.PROMPT_SUSPECTED,
             request=context.request_id,
             endpoint=endpoint,
+            sends=context.sends,
+            fingerprint=context.fingerprint,
+            crashes=crashes,
             shared_parts=context.metadata.shared_parts,
         )
 
