Wait for the check for a crash before a request is sent again

Callers saw: requests beside one that crashes endpoints were lost with one endpoint more than the three that quarantine it (bookings answered 502). Cause: only prompts with shared parts waited until it was known whether the endpoint of a closed connection had crashed. The second attempt of any other request was chosen, and often sent, before the first crash counted; and what became known between the choice and the sending was looked at for parts alone. Change: all requests wait for the check, for DEATH_CHECK_SECONDS at most; the quarantine is looked at again when the connection is there, also for the first attempt, which is then refused as not run, with the time when the quarantine ends.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -312,7 +312,7 @@
         if not self._is_still_usable(context, choice):
             self._pool.release(connection)
             raise AttemptError(reason=FailureReason.WITHDRAWN, was_sent=False)
-        if self._crashes.quarantined_part(context.metadata.shared_parts) is not None:
+        if self._is_quarantined(context):
             self._pool.release(connection)
             raise AttemptError(reason=FailureReason.QUARANTINED, was_sent=False)
         if not self._retry_policy.try_spend(context):
@@ -382,6 +382,15 @@
         self._log.answer_skipped(context, attempt, metadata)
         return False
 
+    def _is_quarantined(self, context: RequestContext) -> bool:
+        """Whether a request must not be sent any more.
+
+        A crash may have become known since the choice of the endpoint.
+        """
+        if self._crashes.is_quarantined(context.fingerprint):
+            return True
+        return self._crashes.quarantined_part(context.metadata.shared_parts) is not None
+
     def _is_still_usable(self, context: RequestContext, choice: Choice) -> bool:
         """Whether all endpoints of a choice take requests still.
 
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -465,12 +465,16 @@
 
     def _check_quarantine(self, context: RequestContext) -> None:
         """Raise `ServingError` if endpoints crashed under the request or its prompt."""
-        if context.sends and self._crashes.is_quarantined(context.fingerprint):
-            raise self._retry_policy.no_endpoint_error(context)
+        if self._crashes.is_quarantined(context.fingerprint):
+            raise held_back(
+                "the request",
+                retry_after=self._crashes.seconds_left(context.fingerprint),
+                may_have_run=context.may_have_run,
+            )
         part = self._crashes.quarantined_part(context.metadata.shared_parts)
         if part is not None:
             raise held_back(
-                part,
+                f"prompt part {part}",
                 retry_after=self._crashes.part_seconds_left(part),
                 may_have_run=context.may_have_run,
             )
@@ -584,10 +588,7 @@
         if error.was_sent and error.reason is FailureReason.CLOSED:
             check = Deferred.fromCoroutine(self._check_death(context, attempt))
             check.addErrback(lambda failure: self._record_fault(context, failure.value))
-            if context.metadata.shared_parts:
-                await wait_at_most(
-                    check, seconds=DEATH_CHECK_SECONDS, clock=self._reactor
-                )
+            await wait_at_most(check, seconds=DEATH_CHECK_SECONDS, clock=self._reactor)
 
     async def _check_death(self, context: RequestContext, attempt: Attempt) -> None:
         """Suspect the request of a crash if the endpoint accepts no new connection.
--- a/bilberryring/gateway/refusals.py
+++ b/bilberryring/gateway/refusals.py
@@ -4,7 +4,6 @@
 
 from bilberryring.core import (
     ErrorCode,
-    PromptPartId,
     RequestId,
     RunOutcome,
     ServingError,
@@ -28,11 +27,11 @@
     )
 
 
-def held_back(
-    part: PromptPartId, *, retry_after: float, may_have_run: bool
-) -> ServingError:
-    """Return the error for a prompt with a part under which endpoints crashed."""
-    detail = f"prompt part {part}"
+def held_back(detail: str, *, retry_after: float, may_have_run: bool) -> ServingError:
+    """Return the error for a request under which, or under a part, endpoints crashed.
+
+    `detail` names what they crashed under.
+    """
     if may_have_run:
         return outcome_unknown(ErrorCode.ENDPOINT_FAILED, detail=detail)
     return not_run(ErrorCode.HELD_BACK, detail=detail, retry_after=retry_after)
--- a/bilberryring/gateway/tests/test_forwarding.py
+++ b/bilberryring/gateway/tests/test_forwarding.py
@@ -7,13 +7,15 @@
 from twisted.internet.defer import Deferred, succeed
 
 from bilberryring.admission import PlannedStop
-from bilberryring.core import ErrorCode, RunOutcome, ServingError
+from bilberryring.core import ErrorCode, Fingerprint, RunOutcome, ServingError
 from bilberryring.execution import Close
 from bilberryring.fleet import RequestKind
 from bilberryring.gateway import forwarding
+from bilberryring.gateway.crash_record import DEATHS_UNTIL_QUARANTINE
 from bilberryring.gateway.event_stream import MAX_EVENT_BYTES
 from bilberryring.gateway.forwarding import DEATH_CHECK_SECONDS
 from bilberryring.gateway.messages import AttemptError, FailureReason
+from bilberryring.gateway.peer_view import EndpointDeath
 from bilberryring.routing import PlacedRequest
 from bilberryring.testing.played_attempts import LAST_RECORDS, PlayedSite
 from bilberryring.testing.prompt_load import FIGURES
@@ -25,6 +27,8 @@
 GAP_LIMIT_SECONDS = 1.0
 """The silence after which the endpoint of a stream of a `PlayedSite` is silent."""
 LONG_PART_MS = 1_500.0
+FINGERPRINT = Fingerprint("f")
+"""That of the requests of a `PlayedSite`."""
 
 
 def advance(site, seconds):
@@ -32,6 +36,12 @@
         site.clock.advance(0.05)
 
 
+def record_crashes(site, count):
+    for number in range(count):
+        death = EndpointDeath(death=f"run-{number}", fingerprints=(FINGERPRINT,))
+        site.crashes.record(death)
+
+
 def start_second_attempt(**options):
     """Return a site whose first endpoint is silent after an event; a second runs."""
     site = PlayedSite(**options)
@@ -57,6 +67,44 @@
     ]
 
 
+def test_a_request_is_sent_again_once_it_is_known_whether_its_endpoint_crashed():
+    # Guards against a second attempt whose endpoint crashes before the first crash
+    # counts, so that a request in quarantine costs one endpoint more.
+    site = PlayedSite(kind=RequestKind.IDEMPOTENT)
+    site.pool.death_check = Deferred()
+    record_crashes(site, DEATHS_UNTIL_QUARANTINE - 1)
+    site.runs[0].fail(FailureReason.CLOSED)
+    assert len(site.runs) == 1
+    site.pool.death_check.callback(FailureReason.REFUSED)
+    assert len(site.runs) == 1
+    assert site.answer()[0] == 502
+
+
+def test_a_request_is_sent_again_if_the_check_for_a_crash_takes_long():
+    site = PlayedSite(kind=RequestKind.IDEMPOTENT)
+    site.pool.death_check = Deferred()
+    site.runs[0].fail(FailureReason.CLOSED)
+    site.clock.advance(DEATH_CHECK_SECONDS)
+    assert len(site.runs) == 2
+
+
+@pytest.mark.parametrize("sends", [0, 1])
+def test_a_request_that_is_quarantined_while_a_connection_opens_is_not_sent(sends):
+    # Guards against a crash that becomes known between the choice and the sending.
+    site = PlayedSite(kind=RequestKind.IDEMPOTENT)
+    site.pool.held = {f"e{number}" for number in range(sends, 4)}
+    if sends:
+        site.runs[0].fail(FailureReason.CLOSED)
+    else:
+        site.connect()
+    (opening,) = site.pool.opening.values()
+    n_runs = len(site.runs)
+    record_crashes(site, DEATHS_UNTIL_QUARANTINE)
+    opening.callback(None)
+    assert len(site.runs) == n_runs
+    assert site.answer()[0] == (502 if sends else 503)
+
+
 def test_an_error_that_arrives_while_a_crash_is_checked_reaches_the_caller():
     site = PlayedSite(kind=RequestKind.IDEMPOTENT, shared_parts=("p",))
     advance(site, 1.2)
--- a/bilberryring/platform/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -3,6 +3,9 @@
 import threading
 import time
 
+from bilberryring.gateway.crash_record import (
+    DEATHS_UNTIL_QUARANTINE as CRASHES_UNTIL_HELD_BACK,
+)
 from bilberryring.quarantine import QUARANTINE_SECONDS
 from bilberryring.standins.gateway_site import (
     MODEL_SERVICE,
@@ -210,7 +213,11 @@
 
 
 def test_a_request_that_crashes_endpoints_is_held_back(site):
-    """Each endpoint closes when it receives the request, as if it had crashed."""
+    """Each endpoint closes when it receives the request, as if it had crashed.
+
+    Guards against a second attempt that is sent before the crash of the first one is
+    known, so that the third crash does not end the attempts.
+    """
     endpoints = []
 
     def crash(request, connection):
@@ -226,7 +233,7 @@
         responses.append(site.call("/look/", body=b"poison"))
         pause(0.2)
     seen = sum(len(endpoint.requests) for endpoint in endpoints)
-    assert seen <= 4
+    assert seen == CRASHES_UNTIL_HELD_BACK
     assert b"held_back" in responses[-1].body
     assert responses[-1].status == 503
     retry_after = float(responses[-1].headers["retry-after"])
