Quarantine a request after two crashes where earlier ones may be forgotten

Cause: crashes are known in the memory of gateways and told by those that are left. If none is left, a request needs three crashes again, which takes two requests of its caller: two more for each kill, where three are allowed in all. Evidence: the case's logs: prompt_suspected counts from 1 again after each start. Change: gateways know since when the fleet's crashes are known (crash_memory.py): since their start, or what a peer's report states. While that is shorter than a quarantine, two crashes are enough, if the request was sent to the second endpoint as a suspect and no other request was running in both. A fleet that starts for the first time has forgotten nothing: the settings say so (bootstrap), or the store, whose revisions are as many as its items. Otherwise three crashes are needed, as before. Innocents: endpoints that crash at once prove nothing, requests that ran in both crashes are told apart by an answer, and a gateway that is left makes the others need three again. Not bounded: the first request after each kill, and a second one if it has one attempt.

--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -328,6 +328,7 @@
         )
         context.sends += 1
         attempt.number = context.sends
+        attempt.was_suspect = self._crashes.crash_count(context.fingerprint) > 0
         attempt.sent_at = now
         attempt.deadline = context.deadline
         if not connection.is_reused:
--- a/bilberryring/gateway/crash_record.py
+++ b/bilberryring/gateway/crash_record.py
@@ -18,6 +18,7 @@
 from bilberryring.quarantine import (
     QUARANTINE_SECONDS,
     CrashedPrompt,
+    CrashMemory,
     PartDecision,
     PartQuarantine,
     PartStanding,
@@ -47,14 +48,18 @@
 class CrashRecord:
     """Tracks which requests and which parts of prompts endpoints crashed under.
 
-    `clock` is the reactor. `on_news` is called when this gateway learns of a crash, or
+    `clock` is the reactor. `memory` tells since when crashes are known; without it all
+    are. `on_news` is called when this gateway learns of a crash, or
     of an answer that speaks for a part, which peers may not know.
     """
 
-    def __init__(self, *, clock, seed: int | None = None):
+    def __init__(
+        self, *, clock, memory: CrashMemory | None = None, seed: int | None = None
+    ):
         self._clock = clock
+        self._memory = memory
         self._suspects = SuspectTracker(
-            crashes_until_quarantine=DEATHS_UNTIL_QUARANTINE
+            crashes_until_quarantine=DEATHS_UNTIL_QUARANTINE, memory=memory
         )
         self._parts = PartQuarantine(seed=seed)
         self._crashed_at: OrderedDict[EndpointDeath, float] = OrderedDict()
@@ -63,6 +68,13 @@
         self._random = random.Random(seed)
         self._on_news: Callable[[], None] = lambda: None
 
+    @property
+    def memory_seconds(self) -> float:
+        """The seconds for which crashes are known, as far as quarantines reach back."""
+        if self._memory is None:
+            return QUARANTINE_SECONDS
+        return min(self._memory.seconds(now=self._clock.seconds()), QUARANTINE_SECONDS)
+
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether a request must not be sent to an endpoint for now."""
         standing = self._suspects.standing(fingerprint, now=self._clock.seconds())
@@ -128,6 +140,11 @@
         if self._unsent:
             self._on_news()
 
+    def take_over_memory(self, seconds: float) -> None:
+        """Record that a peer has told the crashes of the last `seconds`."""
+        if self._memory is not None:
+            self._memory.take_over(seconds, now=self._clock.seconds())
+
     def add_standings(self, standings: tuple[PartStanding, ...]) -> None:
         """Take over what a peer knows of parts of prompts."""
         now = self._clock.seconds()
@@ -228,6 +245,7 @@
             EndpointDeath(
                 death=crash,
                 fingerprints=(fingerprint,),
+                were_suspects=self._suspects.was_suspect(fingerprint, crash),
                 age_seconds=self._age(fingerprint),
             )
             for fingerprint in chosen
@@ -260,7 +278,10 @@
         while len(self._crashed_at) > MAX_KNOWN_DEATHS:
             self._crashed_at.popitem(last=False)
         self._suspects.record_crash(
-            death.death, list(death.fingerprints), now=crashed_at
+            death.death,
+            list(death.fingerprints),
+            now=crashed_at,
+            were_suspects=death.were_suspects,
         )
         if death.parts and death.fingerprints:
             prompt = CrashedPrompt(fingerprint=death.fingerprints[0], parts=death.parts)
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -57,6 +57,7 @@
 )
 from bilberryring.process.pauses import PauseDetector
 from bilberryring.process.running import Listeners
+from bilberryring.quarantine import CrashMemory
 from bilberryring.routing import WorkTracker
 from bilberryring.telemetry import (
     FIRST_TOKEN_BUCKETS,
@@ -148,7 +149,10 @@
             peers=lambda: self._peer_view.store_access(now=reactor.seconds()),
         )
         incarnation = new_incarnation()
-        self._crashes = crashes = CrashRecord(clock=reactor)
+        crash_memory = CrashMemory(now=reactor.seconds())
+        if settings.is_first_start:
+            crash_memory.record_first_start()
+        self._crashes = crashes = CrashRecord(clock=reactor, memory=crash_memory)
         self._counters = GatewayCounters(metrics=self._metrics)
         self._client_budget = make_client_budget(
             clock=reactor,
@@ -180,6 +184,7 @@
             log=log,
             on_endpoint_removed=self._on_endpoint_removed,
             on_endpoint_started=self._on_endpoint_started,
+            on_first_start=crash_memory.record_first_start,
         )
         self._peers.set_doubt_listener(self._adapter.refresh)
         self._copies.add_listener(
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -608,12 +608,14 @@
             death=endpoint.run,
             fingerprints=(context.fingerprint,),
             parts=context.metadata.shared_parts if is_candidate else (),
+            were_suspects=attempt.was_suspect,
         )
         self._crashes.record(death)
         self._log.prompt_suspected(
             context,
             endpoint.id,
             crashes=self._crashes.crash_count(context.fingerprint),
+            memory_seconds=self._crashes.memory_seconds,
         )
 
     def _had_begun(self, attempt: Attempt) -> bool:
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -32,14 +32,16 @@
 class EndpointDeath:
     """A crash of an endpoint; `death` is its id.
 
-    `fingerprints` are those of the requests that were running there. `parts` are the
-    shared parts of the first one's prompt, unless the endpoint had been writing its
-    answer for a while. The crash happened `age_seconds` ago.
+    `fingerprints` are those of the requests that were running there; with
+    `were_suspects` they were suspects of an earlier crash when they were sent. `parts`
+    are the shared parts of the first one's prompt, unless the endpoint had been writing
+    its answer for a while. The crash happened `age_seconds` ago.
     """
 
     death: str
     fingerprints: tuple[Fingerprint, ...]
     parts: tuple[PromptPartId, ...] = ()
+    were_suspects: bool = field(default=False, compare=False)
     age_seconds: float = field(default=0.0, compare=False)
 
 
@@ -60,7 +62,8 @@
     it changed since the last report. `positions` are those of its published items by
     prefix; without `knows_eras` it tells none. `members` are some of the gateways that
     it knows. `parts` is what it knows of parts of prompts under which endpoints
-    crashed. `speeds` are its own estimates of endpoints that differ from others.
+    crashed. `speeds` are its own estimates of endpoints that differ from others. It
+    knows the crashes of the last `crash_memory_seconds`.
     """
 
     incarnation: str
@@ -76,6 +79,7 @@
     deaths: tuple[EndpointDeath, ...] = ()
     parts: tuple[PartStanding, ...] = ()
     speeds: tuple[ReportedSpeed, ...] = ()
+    crash_memory_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -231,6 +231,7 @@
         for speed in report.speeds:
             self._speeds.record_peer(report.host, speed, now=now)
         self._handle_news(CrashNews(deaths=report.deaths, parts=report.parts))
+        self._crashes.take_over_memory(report.crash_memory_seconds)
         if self._is_ahead(report):
             self._copy_from_peers()
 
@@ -329,6 +330,7 @@
             parts=encode_parts(self._crashes.standings()) if is_complete else [],
             store_access=self._duty.access.value,
             failure_domain=self._settings.failure_domain,
+            crash_memory_s=int(self._crashes.memory_seconds),
         )
 
     def _send_report(self, report: GatewayReport | CrashReport, hosts) -> None:
--- a/bilberryring/gateway/report_codec.py
+++ b/bilberryring/gateway/report_codec.py
@@ -114,6 +114,7 @@
             fingerprints=list(item.fingerprints),
             parts=list(item.parts),
             age_ms=round(item.age_seconds * MS_PER_SECOND),
+            were_suspects=item.were_suspects or None,
         )
         for item in deaths
     ]
@@ -182,6 +183,7 @@
                 for item in message.work or ()
                 if item.slowdown_hundredths is not None
             ),
+            crash_memory_seconds=float(_count(message.crash_memory_s or 0)),
         )
     except ValueError as error:
         raise ReportError(str(error))
@@ -220,6 +222,7 @@
         death=_required(message.death),
         fingerprints=tuple(Fingerprint(item) for item in message.fingerprints or ()),
         parts=tuple(PromptPartId(item) for item in message.parts or ()),
+        were_suspects=bool(message.were_suspects),
         age_seconds=_count(message.age_ms or 0) / MS_PER_SECOND,
     )
 
--- a/bilberryring/gateway/request_context.py
+++ b/bilberryring/gateway/request_context.py
@@ -130,8 +130,9 @@
 class Attempt:
     """One attempt of a request at a chosen endpoint; times are as in `RequestContext`.
 
-    `number` counts the attempts that sent the request. `stream` is what the attempt has
-    read of a stream. The request was sent at `sent_at` with `deadline`;
+    `number` counts the attempts that sent the request, and `was_suspect` tells whether
+    an endpoint was known to have crashed under it then. `stream` is what the attempt
+    has read of a stream. The request was sent at `sent_at` with `deadline`;
     `answer_began_at` is when the first data of the answer came, and `answer_end` how it
     ended, if it did.
     `stated_limit` is the requests per second to which the endpoint limits all gateways.
@@ -147,6 +148,7 @@
     choice: Choice
     stream: EventStream | None
     number: int = 0
+    was_suspect: bool = False
     sent_at: float = 0.0
     deadline: float = math.inf
     answer_began_at: float | None = None
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -166,11 +166,17 @@
         )
 
     def prompt_suspected(
-        self, context: RequestContext, endpoint: EndpointId, *, crashes: int
+        self,
+        context: RequestContext,
+        endpoint: EndpointId,
+        *,
+        crashes: int,
+        memory_seconds: float,
     ) -> None:
         """Log that a request was running when its endpoint crashed.
 
-        `crashes` are the known ones under such requests, at all gateways.
+        `crashes` are the known ones under such requests, at all gateways, and
+        `memory_seconds` the time for which this gateway knows of crashes.
         """
         self._log.write(
             LogEvent.PROMPT_SUSPECTED,
@@ -179,6 +185,7 @@
             sends=context.sends,
             fingerprint=context.fingerprint,
             crashes=crashes,
+            memory_s=round(memory_seconds, 3),
             shared_parts=context.metadata.shared_parts,
         )
 
--- a/bilberryring/gateway/settings.py
+++ b/bilberryring/gateway/settings.py
@@ -29,7 +29,8 @@
     domains with their regions. With `learns_capacity` the choice between endpoints
     follows their learned speed. `memory_bytes` and `max_descriptors` are what the
     machine gives to the process, 0 if what the operators wrote is implausible, or
-    `None` if they wrote nothing.
+    `None` if they wrote nothing. `is_first_start` tells that the whole fleet starts for
+    the first time.
     """
 
     process: str
@@ -47,6 +48,7 @@
     learns_capacity: bool = True
     memory_bytes: int | None = None
     max_descriptors: int | None = None
+    is_first_start: bool = False
 
     @property
     def metrics_address(self) -> str:
--- a/bilberryring/platform/settings.py
+++ b/bilberryring/platform/settings.py
@@ -59,6 +59,7 @@
     zones: dict[str, str] = {}
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     learn_capacity: bool = True
+    bootstrap: bool = False
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -104,6 +105,7 @@
         learns_capacity=content.learn_capacity,
         memory_bytes=bytes_from_megabytes(content.limits.memory_mb),
         max_descriptors=_plausible_descriptors(content.limits.max_fds),
+        is_first_start=content.bootstrap,
     )
 
 
--- a/bilberryring/quarantine/__init__.py
+++ b/bilberryring/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Quarantine for prompts, and parts of prompts, that crash engines."""
 
+from bilberryring.quarantine.crash_memory import CrashMemory
 from bilberryring.quarantine.part_evidence import CrashedPrompt
 from bilberryring.quarantine.parts import (
     PartAction,
@@ -26,6 +27,7 @@
 
 __all__ = [
     "CRASHES_UNTIL_QUARANTINE",
+    "CrashMemory",
     "CrashedPrompt",
     "MAX_QUESTIONS",
     "MAX_SUSPECTS",
--- a/bilberryring/quarantine/suspicions.py
+++ b/bilberryring/quarantine/suspicions.py
@@ -23,12 +23,18 @@
 from enum import Enum
 
 from bilberryring.core import Fingerprint
+from bilberryring.quarantine.crash_memory import CrashMemory
 
 SUSPECT_SECONDS = 300.0
 """Seconds after its last crash for which a prompt stays a suspect."""
 QUARANTINE_SECONDS = 600.0
 """Seconds after its last crash for which a prompt stays quarantined."""
 CRASHES_UNTIL_QUARANTINE = 2
+SUFFICIENT_CRASHES = 2
+"""Crashes that quarantine a prompt while earlier ones may have been forgotten.
+
+It must have been sent as a suspect and have crashed another engine then, and no other
+prompt may have been running in all of the crashes."""
 MAX_SUSPECTS = 256
 """Prompts on record; beyond it, the one with the oldest crash is forgotten."""
 MAX_CLEARED = 4_096
@@ -46,24 +52,43 @@
 @dataclass(slots=True, kw_only=True)
 class _Record:
     crashes: set[str] = field(default_factory=set)
+    crashes_as_suspect: set[str] = field(default_factory=set)
     last_crash: float = -math.inf
 
 
 class SuspectTracker:
-    """Tracks the suspect prompts that one process knows of; times are in seconds."""
-
-    def __init__(self, *, crashes_until_quarantine: int = CRASHES_UNTIL_QUARANTINE):
+    """Tracks the suspect prompts that one process knows of; times are in seconds.
+
+    `memory` tells since when crashes are known; without it all are. While a quarantine
+    may have been forgotten, `SUFFICIENT_CRASHES` that only one prompt explains begin
+    it.
+    """
+
+    def __init__(
+        self,
+        *,
+        crashes_until_quarantine: int = CRASHES_UNTIL_QUARANTINE,
+        memory: CrashMemory | None = None,
+    ):
         self._crashes_until_quarantine = crashes_until_quarantine
+        self._memory = memory
         self._records: OrderedDict[Fingerprint, _Record] = OrderedDict()
+        self._running: dict[str, set[Fingerprint]] = {}
         self._cleared: OrderedDict[tuple[str, Fingerprint], None] = OrderedDict()
 
     def record_crash(
-        self, crash: str, fingerprints: list[Fingerprint], *, now: float
+        self,
+        crash: str,
+        fingerprints: list[Fingerprint],
+        *,
+        now: float,
+        were_suspects: bool = False,
     ) -> list[Fingerprint]:
         """Record the prompts that ran when an engine crashed; return the new ones.
 
         `crash` identifies the event; repeated reports of it count once. `now` is the
-        time of the crash if that is known.
+        time of the crash if that is known. With `were_suspects` the prompts were
+        suspects when they were sent: it is no crash of several engines at once.
         """
         new: list[Fingerprint] = []
         for fingerprint in fingerprints:
@@ -72,11 +97,14 @@
             record = self._records.setdefault(fingerprint, _Record())
             if crash not in record.crashes:
                 record.crashes.add(crash)
+                if were_suspects:
+                    record.crashes_as_suspect.add(crash)
+                self._running.setdefault(crash, set()).add(fingerprint)
                 new.append(fingerprint)
                 record.last_crash = max(record.last_crash, now)
             self._records.move_to_end(fingerprint)
         while len(self._records) > MAX_SUSPECTS:
-            self._records.popitem(last=False)
+            self._forget(next(iter(self._records)))
         return new
 
     def clear(self, fingerprint: Fingerprint) -> tuple[str, ...]:
@@ -107,8 +135,10 @@
             is_new = self._mark_cleared(crash, fingerprint) or is_new
             if record is not None:
                 record.crashes.discard(crash)
+                record.crashes_as_suspect.discard(crash)
+                self._forget_running(crash, fingerprint)
         if record is not None and not record.crashes:
-            del self._records[fingerprint]
+            self._forget(fingerprint)
         return is_new
 
     def crashes(self, fingerprint: Fingerprint) -> frozenset[str]:
@@ -116,6 +146,11 @@
         record = self._records.get(fingerprint)
         return frozenset(record.crashes) if record else frozenset()
 
+    def was_suspect(self, fingerprint: Fingerprint, crash: str) -> bool:
+        """Return whether a prompt was a suspect when it was sent to that engine."""
+        record = self._records.get(fingerprint)
+        return record is not None and crash in record.crashes_as_suspect
+
     def crash_count(self, fingerprint: Fingerprint) -> int:
         """Return the number of crashes in which a prompt was running."""
         record = self._records.get(fingerprint)
@@ -126,10 +161,10 @@
         record = self._records.get(fingerprint)
         if record is None:
             return PromptStanding.CLEAR
-        is_quarantined = len(record.crashes) >= self._crashes_until_quarantine
+        is_quarantined = self._is_sufficient(record, now=now)
         kept_seconds = QUARANTINE_SECONDS if is_quarantined else SUSPECT_SECONDS
         if now - record.last_crash > kept_seconds:
-            del self._records[fingerprint]
+            self._forget(fingerprint)
             return PromptStanding.CLEAR
         if is_quarantined:
             return PromptStanding.QUARANTINED
@@ -161,6 +196,32 @@
         """Return the seconds since the last crash of a prompt that is on record."""
         return now - self._records[fingerprint].last_crash
 
+    def _is_sufficient(self, record: _Record, *, now: float) -> bool:
+        """Whether the crashes of a prompt are reason for a quarantine."""
+        if len(record.crashes) >= self._crashes_until_quarantine:
+            return True
+        if self._memory is None or len(record.crashes) < SUFFICIENT_CRASHES:
+            return False
+        if not record.crashes_as_suspect:
+            return False
+        if self._memory.covers(QUARANTINE_SECONDS, now=now):
+            return False
+        explaining = set.intersection(
+            *(self._running[crash] for crash in record.crashes)
+        )
+        return len(explaining) == 1
+
+    def _forget(self, fingerprint: Fingerprint) -> None:
+        record = self._records.pop(fingerprint)
+        for crash in record.crashes:
+            self._forget_running(crash, fingerprint)
+
+    def _forget_running(self, crash: str, fingerprint: Fingerprint) -> None:
+        running = self._running.get(crash, set())
+        running.discard(fingerprint)
+        if not running:
+            self._running.pop(crash, None)
+
     def _mark_cleared(self, crash: str, fingerprint: Fingerprint) -> bool:
         """Stop a crash from counting for a prompt; return whether that was new."""
         key = (crash, fingerprint)
--- a/bilberryring/testing/peer_network.py
+++ b/bilberryring/testing/peer_network.py
@@ -35,6 +35,7 @@
 from bilberryring.gateway.published_copies import PublishedCopies
 from bilberryring.gateway.settings import GatewaySettings
 from bilberryring.gateway.store_readers import ReadingDuty, StoreAccess
+from bilberryring.quarantine import CrashMemory
 from bilberryring.routing import PlacedRequest, WorkTracker
 from bilberryring.telemetry import EventLog
 from bilberryring.testing.prompt_load import FIGURES
@@ -162,7 +163,10 @@
 
 
 class PeerNetwork:
-    """Gateways before one service of engines; `loss` is the share of lost datagrams."""
+    """Gateways before one service of engines; `loss` is the share of lost datagrams.
+
+    The first gateway on each host starts as one of a new fleet.
+    """
 
     def __init__(
         self,
@@ -400,7 +404,12 @@
             peers=lambda: view.store_access(now=self._clock.seconds()),
         )
         duty.record(StoreAccess.WORKING)
-        crashes = CrashRecord(clock=self._clock, seed=generator.randrange(2**32))
+        memory = CrashMemory(now=self.now)
+        if host not in self._gateways:
+            memory.record_first_start()
+        crashes = CrashRecord(
+            clock=self._clock, memory=memory, seed=generator.randrange(2**32)
+        )
         speeds = EndpointSpeeds(seed=self._n_starts)
         copies = PublishedCopies(
             prefixes=self._prefixes, clock=self._clock, rules=self._rules
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -1810,6 +1810,7 @@
      - fingerprints
      - parts
      - age_ms
+     - were_suspects
 
     """
 
@@ -1818,14 +1819,16 @@
         'fingerprints',
         'parts',
         'age_ms',
+        'were_suspects',
     )
 
 
-    def __init__(self, death=None, fingerprints=None, parts=None, age_ms=None,):
+    def __init__(self, death=None, fingerprints=None, parts=None, age_ms=None, were_suspects=None,):
         self.death = death
         self.fingerprints = fingerprints
         self.parts = parts
         self.age_ms = age_ms
+        self.were_suspects = were_suspects
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1866,6 +1869,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.were_suspects = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1898,6 +1906,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.were_suspects is not None:
+            oprot.writeFieldBegin('were_suspects', TType.BOOL, 5)
+            oprot.writeBool(self.were_suspects)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2948,6 +2960,7 @@
      - store_access
      - failure_domain
      - parts
+     - crash_memory_s
 
     """
 
@@ -2962,10 +2975,11 @@
         'store_access',
         'failure_domain',
         'parts',
+        'crash_memory_s',
     )
 
 
-    def __init__(self, incarnation=None, sequence=None, is_complete=None, work=None, revisions=None, members=None, deaths=None, store_access=None, failure_domain=None, parts=None,):
+    def __init__(self, incarnation=None, sequence=None, is_complete=None, work=None, revisions=None, members=None, deaths=None, store_access=None, failure_domain=None, parts=None, crash_memory_s=None,):
         self.incarnation = incarnation
         self.sequence = sequence
         self.is_complete = is_complete
@@ -2976,6 +2990,7 @@
         self.store_access = store_access
         self.failure_domain = failure_domain
         self.parts = parts
+        self.crash_memory_s = crash_memory_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3066,6 +3081,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.crash_memory_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3131,6 +3151,10 @@
                 iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.crash_memory_s is not None:
+            oprot.writeFieldBegin('crash_memory_s', TType.I32, 11)
+            oprot.writeI32(self.crash_memory_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4157,6 +4181,7 @@
     (2, TType.LIST, 'fingerprints', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'were_suspects', None, None, ),  # 5
 )
 all_structs.append(PartReport)
 PartReport.thrift_spec = (
@@ -4245,6 +4270,7 @@
     (8, TType.I32, 'store_access', None, None, ),  # 8
     (9, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 9
     (10, TType.LIST, 'parts', (TType.STRUCT, [PartReport, None], False), None, ),  # 10
+    (11, TType.I32, 'crash_memory_s', None, None, ),  # 11
 )
 all_structs.append(CopyItem)
 CopyItem.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -130,6 +130,8 @@
   2: list<string> fingerprints,
   3: list<string> parts,
   4: i32 age_ms,
+  // Whether the prompts were suspects when they were sent to the engine.
+  5: optional bool were_suspects,
 }
 
 struct PartReport {
@@ -212,6 +214,8 @@
   8: i32 store_access,
   9: string failure_domain,
   10: list<PartReport> parts,
+  // The seconds for which the sender knows of crashes; earlier versions send none.
+  11: optional i32 crash_memory_s,
 }
 
 struct CopyItem {
