Ask twice whether an endpoint crashed whose listener accepts a last connection

Cause: the kernel may close the connections of a process that ends before its listener. The check for a crash asked with one handshake; in that moment it succeeded, and the crash counted for nobody. Change: the new connection has to stay open for LISTENER_SECONDS; one that is closed is followed by another handshake, which is refused if the process is gone. An endpoint that accepts and closes three times, as one at its limit of connections, has not crashed. A retry after a connection that a sound endpoint closed comes up to 0.03 s later.

--- a/bilberryring/gateway/connection_pool.py
+++ b/bilberryring/gateway/connection_pool.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientCreator
+from twisted.internet.task import deferLater
 
 from bilberryring.core import RequestId
 from bilberryring.gateway.endpoint_connection import EndpointConnection
@@ -59,10 +60,13 @@
                 return connection
         return await self._open(address, min(timeout, CONNECT_TIMEOUT_SECONDS))
 
-    async def connection_failure(self, address: str) -> FailureReason | None:
+    async def connection_failure(
+        self, address: str, *, lasting: float = 0.0
+    ) -> FailureReason | None:
         """Return why no new connection can be opened; one that opens is kept.
 
-        Unless one is refused, several are tried within `CONNECT_TIMEOUT_SECONDS`.
+        Unless one is refused, several are tried within `CONNECT_TIMEOUT_SECONDS`, also
+        after one that does not stay open for `lasting` seconds.
         """
         failure = None
         for _ in range(N_CHECKS):
@@ -74,9 +78,13 @@
                 failure = error.reason
                 if failure is FailureReason.REFUSED:
                     break
-            else:
+                continue
+            failure = None
+            if lasting:
+                await deferLater(self._reactor, lasting)
+            if connection.is_open:
                 self.release(connection)
-                return None
+                break
         return failure
 
     def release(self, connection: EndpointConnection) -> None:
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -77,6 +77,10 @@
 another endpoint is asked whether it has more."""
 BEGIN_SECONDS = 1.0
 """Seconds of writing after which an answer no longer counts as just begun."""
+LISTENER_SECONDS = 0.03
+"""Seconds for which a new connection to an endpoint has to stay open, as proof that it
+runs. The kernel may close the connections of a process that ends before its listener.
+"""
 DEATH_CHECK_SECONDS = 0.1
 """Longest time in seconds for which another attempt waits for the check whether the
 endpoint crashed. An endpoint that refuses connections does so within milliseconds."""
@@ -600,7 +604,9 @@
         was_silent = attempt.is_silent and not attempt.is_excused
         endpoint = attempt.choice.endpoint
         had_begun = self._had_begun(attempt)
-        failure = await self._pool.connection_failure(endpoint.address)
+        failure = await self._pool.connection_failure(
+            endpoint.address, lasting=LISTENER_SECONDS
+        )
         if failure is None or (was_silent and failure is not FailureReason.REFUSED):
             return
         is_candidate = failure is FailureReason.REFUSED and not had_begun
--- a/bilberryring/gateway/tests/test_connection_pool.py
+++ b/bilberryring/gateway/tests/test_connection_pool.py
@@ -1,9 +1,15 @@
 """Connections that are opened, and openings that are given up."""
 
+import pytest
 from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
-from bilberryring.gateway.connection_pool import ConnectionPool
+from bilberryring.gateway.connection_pool import N_CHECKS, ConnectionPool
+from bilberryring.gateway.messages import FailureReason
+
+LASTING_SECONDS = 0.03
 
 
 def test_an_opening_that_is_cancelled_is_no_failure_of_the_endpoint():
@@ -17,3 +23,76 @@
     opening.cancel()
     reactor.advance(0)
     assert [failure.type for failure in failures] == [CancelledError]
+
+
+class OptionlessTransport(StringTransport):
+    """A transport without a socket, so that options of one have no effect."""
+
+    def getHandle(self):
+        return self
+
+    def setsockopt(self, level, option, value):
+        pass
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def setTcpKeepAlive(self, enabled):
+        pass
+
+
+class Check:
+    """A check of an endpoint, whose handshakes a test answers."""
+
+    def __init__(self):
+        self.reactor = MemoryReactorClock()
+        self.pool = ConnectionPool(reactor=self.reactor)
+        self.results = []
+        checking = Deferred.fromCoroutine(
+            self.pool.connection_failure("127.0.0.1:1", lasting=LASTING_SECONDS)
+        )
+        checking.addCallback(self.results.append)
+
+    def accept(self):
+        """Accept the latest handshake; return the connection."""
+        *_, factory, _, _ = self.reactor.tcpClients[-1]
+        connection = factory.buildProtocol(None)
+        connection.makeConnection(OptionlessTransport())
+        self.reactor.advance(0)
+        return connection
+
+    def refuse(self):
+        *_, factory, _, _ = self.reactor.tcpClients[-1]
+        factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        self.reactor.advance(0)
+
+    def close(self, connection):
+        connection.connectionLost(Failure(ConnectionDone()))
+        self.reactor.advance(LASTING_SECONDS)
+
+
+def test_an_endpoint_whose_new_connection_stays_open_runs():
+    check = Check()
+    check.accept()
+    assert check.results == []
+    check.reactor.advance(LASTING_SECONDS)
+    assert check.results == [None]
+
+
+@pytest.mark.parametrize("n_closed", [1, N_CHECKS - 1])
+def test_a_listener_that_outlives_its_process_for_a_moment_is_no_proof(n_closed):
+    # Guards against a crash that is not noticed: the kernel accepts a connection after
+    # it has closed the others, and resets it as it closes the listener.
+    check = Check()
+    for _ in range(n_closed):
+        check.close(check.accept())
+    check.refuse()
+    assert check.results == [FailureReason.REFUSED]
+
+
+def test_an_endpoint_that_closes_new_connections_and_accepts_more_has_not_crashed():
+    """It may have as many connections as it accepts."""
+    check = Check()
+    for _ in range(N_CHECKS):
+        check.close(check.accept())
+    assert check.results == [None]
--- a/bilberryring/gateway/tests/test_renewals.py
+++ b/bilberryring/gateway/tests/test_renewals.py
@@ -56,7 +56,7 @@
         await deferLater(self.clock, 0)
         return SimpleNamespace(send=lambda **order: self._send(address, order))
 
-    async def connection_failure(self, address):
+    async def connection_failure(self, address, *, lasting=0.0):
         if self.is_silent(address) and not self._accepts:
             await deferLater(self.clock, CONNECT_TIMEOUT_SECONDS)
             return FailureReason.NOT_CONNECTED
--- a/bilberryring/gateway/tests/test_reservations.py
+++ b/bilberryring/gateway/tests/test_reservations.py
@@ -175,7 +175,7 @@
     async def acquire(self, address, *, max_idle, timeout, request_id):
         return await succeed(SimpleNamespace(send=self._send))
 
-    async def connection_failure(self, address):
+    async def connection_failure(self, address, *, lasting=0.0):
         return await succeed(None)
 
     def _send(self, **request):
@@ -248,7 +248,7 @@
         self.sent = []
         self._fault = fault
 
-    async def connection_failure(self, address):
+    async def connection_failure(self, address, *, lasting=0.0):
         await self._pass("check")
         return None
 
--- a/bilberryring/testing/played_attempts.py
+++ b/bilberryring/testing/played_attempts.py
@@ -152,7 +152,7 @@
             is_reused=False, send=lambda **request: self._send(address, request)
         )
 
-    async def connection_failure(self, address):
+    async def connection_failure(self, address, *, lasting=0.0):
         if address in self.crashed:
             return FailureReason.NOT_CONNECTED
         return await self.death_check if self.death_check is not None else None
@@ -191,7 +191,7 @@
         await succeed(None)
         return SimpleNamespace(send=lambda **order: self._send(address, order))
 
-    async def connection_failure(self, address):
+    async def connection_failure(self, address, *, lasting=0.0):
         return await succeed(None)
 
     def _send(self, address, order):
--- a/bilberryring/testing/silent_fleet.py
+++ b/bilberryring/testing/silent_fleet.py
@@ -184,7 +184,7 @@
     async def acquire(self, address: str, **options) -> _Connection:
         return self._fleet.connect(address)
 
-    async def connection_failure(self, address: str) -> None:
+    async def connection_failure(self, address: str, **options) -> None:
         return None
 
     def release(self, connection: _Connection) -> None:
