Ask the socket whether a connection ended in order

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was written; now and then the part reached the caller as a complete answer (trial here: 16 of 1,500 requests, 11 of 250 with a 3 MB body and pieces of 64 KiB read before the reset; idempotent and not). Cause: for a moment, while the kernel drops what was to be written, a connection that is reset shows an error and neither input nor an end. The epoll reactor of Twisted takes an error without input for an end in order (ConnectionDone). Evidence: a trial with each read and write of the reactor logged: the 11 connections that were lost with ConnectionDone had no read and no failed write before it; all 371 others were lost with ConnectionLost. So the guess that a failed write hides the error from the next read is ruled out. Change: connections to endpoints, and those of the client that entries and sidecars use, are told of the end of reading before the socket is closed. It is in order only if the socket has no error and a read finds its end.

--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -6,8 +6,10 @@
 import h11
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from bilberryring.core import (
     ErrorCode,
@@ -27,6 +29,7 @@
     ResponseEnd,
     ResponseHead,
 )
+from bilberryring.http import close_after_read_end
 
 DEFAULT_IDLE_SECONDS = 2.0
 """Seconds for which an idle connection may be reused when the endpoint sends no
@@ -180,6 +183,7 @@
             waiting.callback(None)
 
 
+@implementer(IHalfCloseableProtocol)
 class EndpointConnection(Protocol):
     """An HTTP/1.1 client connection to one endpoint.
 
@@ -312,6 +316,14 @@
             self.abort()
         self._limit_skipped_bytes(len(data))
 
+    def readConnectionLost(self) -> None:
+        """Close the connection; its end may be that of an answer without a length."""
+        self._is_open = False
+        close_after_read_end(self.transport)
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: this side is never ended before the other one."""
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._is_open = False
         if self._response is not None:
--- a/bilberryring/http/__init__.py
+++ b/bilberryring/http/__init__.py
@@ -45,6 +45,7 @@
     ClientBudget,
     make_client_budget,
 )
+from bilberryring.http.read_end import close_after_read_end
 
 __all__ = [
     "MAX_ANSWER_BYTES",
@@ -75,6 +76,7 @@
     "RESPONSE_TIMEOUT_SECONDS",
     "ResponseTimeoutError",
     "UnmarkedAnswerError",
+    "close_after_read_end",
     "make_client_budget",
     "make_site",
     "problem_from_error",
--- a/bilberryring/http/bounded_endpoint.py
+++ b/bilberryring/http/bounded_endpoint.py
@@ -5,7 +5,11 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.interfaces import IReactorTCP, IStreamClientEndpoint
+from twisted.internet.interfaces import (
+    IHalfCloseableProtocol,
+    IReactorTCP,
+    IStreamClientEndpoint,
+)
 from twisted.internet.protocol import connectionDone
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.python.failure import Failure
@@ -14,6 +18,7 @@
 from zope.interface import implementer
 
 from bilberryring.http.connection_end import ConnectionEnd
+from bilberryring.http.read_end import close_after_read_end
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 MAX_HEAD_BYTES = 64 * 1024
@@ -24,6 +29,7 @@
 INTERIM_STATUS = re.compile(rb"HTTP/1\.[01] 1\d\d")
 
 
+@implementer(IHalfCloseableProtocol)
 class _BoundedConnection(ProtocolWrapper):
     """Aborts the connection when the answer to the latest request is too long."""
 
@@ -51,6 +57,13 @@
             return
         super().dataReceived(data)
 
+    def readConnectionLost(self) -> None:
+        """Close the connection; its end may be that of an answer without a length."""
+        close_after_read_end(self.transport)
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: this side is never ended before the other one."""
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self._end.record(reason, is_closed_here=bool(self.disconnecting))
         super().connectionLost(reason)
