Write the rest of a request before an answer ends with its connection

Cause: the end of the endpoint's side counted at once, while the request was still being written; the connection was closed then, so that its reset was never seen. Change: where such an end is what marks the end of an answer, the rest of the request is written first, for half a second at most. An endpoint that reads on ends the answer as soon as it has all; a reset breaks it off; one that does neither is believed as before.

--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -319,7 +319,12 @@
     def readConnectionLost(self) -> None:
         """Close the connection; its end may be that of an answer without a length."""
         self._is_open = False
-        close_after_read_end(self.transport)
+        close_after_read_end(
+            self._reactor,
+            self.transport,
+            awaits_rest=self._response is not None
+            and self._framing is Framing.CONNECTION,
+        )
 
     def writeConnectionLost(self) -> None:
         """Do nothing: this side is never ended before the other one."""
--- a/bilberryring/gateway/tests/test_ends_of_uploads.py
+++ b/bilberryring/gateway/tests/test_ends_of_uploads.py
@@ -15,6 +15,7 @@
 from bilberryring.execution import Close
 from bilberryring.gateway.endpoint_connection import EndpointConnection
 from bilberryring.gateway.messages import ResponseData, ResponseEnd
+from bilberryring.http import REST_SECONDS
 
 HEAD = b"HTTP/1.1 200 OK\r\n%s\r\n"
 PART = b"part"
@@ -76,6 +77,18 @@
         )
         self.peer.close()
 
+    def read_all(self):
+        """Read the rest of the upload while the reactor writes it."""
+        self.peer.setblocking(False)
+
+        def is_read():
+            try:
+                return self.peer.recv(1 << 20) == b""
+            except BlockingIOError:
+                return bool(self.ends)
+
+        self.run_until(is_read)
+
     @property
     def ends(self):
         return [event for event in self.events if isinstance(event, ResponseEnd)]
@@ -118,12 +131,44 @@
     assert upload.close_of_answer() is Close.RESET
 
 
+def test_a_reset_after_an_end_in_order_does_not_complete_an_answer(make_upload):
+    # Guards against an end that precedes the reset by a moment: the endpoint has read
+    # all that had arrived, closes the connection, and gets the rest.
+    upload = make_upload()
+    upload.answer()
+    upload.peer.shutdown(socket.SHUT_WR)
+    upload.run(5)
+    upload.reset()
+    assert upload.close_of_answer() is Close.RESET
+
+
+def test_an_answer_whose_endpoint_reads_on_to_the_end_is_complete(make_upload):
+    upload = make_upload()
+    upload.answer()
+    upload.peer.shutdown(socket.SHUT_WR)
+    upload.run(5)
+    assert not upload.ends
+    upload.read_all()
+    assert upload.close_of_answer() is Close.CLEAN
+
+
+def test_an_answer_is_not_held_for_an_endpoint_that_reads_no_more(make_upload):
+    upload = make_upload()
+    upload.answer()
+    upload.peer.shutdown(socket.SHUT_WR)
+    began_at = upload.reactor.seconds()
+    assert upload.close_of_answer() is Close.CLEAN
+    assert upload.reactor.seconds() - began_at < 2 * REST_SECONDS
+
+
 def test_an_answer_to_a_request_that_was_read_ends_with_its_connection(make_upload):
     upload = make_upload(body=b"short")
     upload.peer.recv(1 << 16)
     upload.answer()
+    began_at = upload.reactor.seconds()
     upload.peer.close()
     assert upload.close_of_answer() is Close.CLEAN
+    assert upload.reactor.seconds() - began_at < REST_SECONDS
 
 
 def test_an_early_answer_with_its_length_is_whole_before_a_reset(make_upload):
--- a/bilberryring/http/__init__.py
+++ b/bilberryring/http/__init__.py
@@ -45,7 +45,7 @@
     ClientBudget,
     make_client_budget,
 )
-from bilberryring.http.read_end import close_after_read_end
+from bilberryring.http.read_end import REST_SECONDS, close_after_read_end
 
 __all__ = [
     "MAX_ANSWER_BYTES",
@@ -73,6 +73,7 @@
     "PROBLEM_TYPE",
     "PROBLEM_TYPE_PREFIX",
     "Problem",
+    "REST_SECONDS",
     "RESPONSE_TIMEOUT_SECONDS",
     "ResponseTimeoutError",
     "UnmarkedAnswerError",
--- a/bilberryring/http/bounded_endpoint.py
+++ b/bilberryring/http/bounded_endpoint.py
@@ -59,7 +59,7 @@
 
     def readConnectionLost(self) -> None:
         """Close the connection; its end may be that of an answer without a length."""
-        close_after_read_end(self.transport)
+        close_after_read_end(self.transport.reactor, self.transport, awaits_rest=True)
 
     def writeConnectionLost(self) -> None:
         """Do nothing: this side is never ended before the other one."""
--- a/bilberryring/http/tests/test_ends_of_connections_of_clients.py
+++ b/bilberryring/http/tests/test_ends_of_connections_of_clients.py
@@ -86,3 +86,13 @@
     result = exchange.result()
     assert isinstance(result, UnmarkedAnswerError)
     assert result.answer.body == b"part"
+
+
+def test_a_reset_after_an_end_in_order_is_no_end_in_order(make_exchange):
+    # Guards against an end that precedes the reset by a moment.
+    exchange = make_exchange(body=b"u" * 8_000_000)
+    exchange.send_part()
+    exchange.peer.shutdown(socket.SHUT_WR)
+    exchange.run(5)
+    exchange.reset()
+    assert not isinstance(exchange.result(), UnmarkedAnswerError)
