Refuse answers whose status is none of HTTP

Cause: the parsers check the form of a status, three digits or a number, and not its range, 100 to 599 (RFC 9110, section 15). Change: a gateway takes such an answer for bytes that are no answer; the client of entries and sidecars raises InvalidStatusError.

--- a/bilberryring/gateway/endpoint_connection.py
+++ b/bilberryring/gateway/endpoint_connection.py
@@ -29,7 +29,7 @@
     ResponseEnd,
     ResponseHead,
 )
-from bilberryring.http import close_after_read_end
+from bilberryring.http import MAX_STATUS, close_after_read_end
 
 DEFAULT_IDLE_SECONDS = 2.0
 """Seconds for which an idle connection may be reused when the endpoint sends no
@@ -387,6 +387,10 @@
             self._response.add(ResponseData(data))
 
     def _handle_head(self, h11_response: h11.Response) -> None:
+        if h11_response.status_code > MAX_STATUS:
+            self._fail(FailureReason.MALFORMED)
+            self.abort()
+            return
         head = ResponseHead(
             status=h11_response.status_code,
             reason=bytes(h11_response.reason),
--- a/bilberryring/gateway/tests/test_endpoint_connection.py
+++ b/bilberryring/gateway/tests/test_endpoint_connection.py
@@ -1,6 +1,7 @@
 """What a connection to an endpoint skips before the answer to its request."""
 
 import pytest
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
@@ -10,6 +11,7 @@
     MAX_SKIPPED_HEADS,
     EndpointConnection,
 )
+from bilberryring.gateway.messages import FailureReason
 
 INTERIM = b"HTTP/1.1 103 Hints\r\n\r\n"
 OTHER = b"HTTP/1.1 503 Busy\r\nX-Other: 1\r\nContent-Length: 0\r\n\r\n"
@@ -32,7 +34,7 @@
         transport.abortConnection = transport.loseConnection
         self.connection.transport = transport
         self.connection._is_open = True
-        self.connection.send(
+        self._response = self.connection.send(
             method=b"POST",
             target=b"/",
             headers=((b"Host", b"h"),),
@@ -41,11 +43,40 @@
             request_id=RequestId("r"),
         )
 
+    def failure(self):
+        """Return why the request has no answer, if it has failed."""
+        result = []
+        receiving = Deferred.fromCoroutine(self._response.receive(timeout=0.0))
+        receiving.addBoth(result.append)
+        return getattr(getattr(result[0], "value", None), "reason", None)
+
     def _is_expected(self, head):
         self.n_heads += 1
         return (b"X-Other", b"1") not in head.headers
 
 
+@pytest.mark.parametrize(
+    "status",
+    ["000", "099", "0", "20", "0200", "2000", "-20", "+20", "2x0", "1e2", "", "101"]
+    + ["600", "700", "999"],
+)
+def test_an_answer_whose_status_is_none_of_http_is_no_answer(status):
+    # Guards against callers who get the answer of an endpoint in trouble.
+    sent = Sent()
+    answer = b"HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n" % status.encode()
+    sent.connection.dataReceived(answer)
+    assert not sent.connection.is_open
+    assert sent.failure() is FailureReason.MALFORMED
+
+
+@pytest.mark.parametrize("status", [200, 204, 299, 404, 418, 500, 599])
+def test_an_answer_with_a_status_of_http_is_one_whatever_it_means(status):
+    sent = Sent()
+    answer = b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+    sent.connection.dataReceived(answer)
+    assert sent.failure() is None
+
+
 @pytest.mark.parametrize("head", [INTERIM, OTHER])
 def test_few_heads_before_an_answer_are_skipped(head):
     sent = Sent()
--- a/bilberryring/http/client.py
+++ b/bilberryring/http/client.py
@@ -31,6 +31,12 @@
 longest one is given up."""
 MAX_IDLE_CONNECTIONS_PER_HOST = 64
 RESPONSE_TIMEOUT_SECONDS = 60.0
+MIN_STATUS, MAX_STATUS = 100, 599
+"""The status codes of HTTP (RFC 9110, section 15)."""
+
+
+class InvalidStatusError(Exception):
+    """The response has a status that is none of HTTP; the server is at fault."""
 
 
 class ResponseTimeoutError(Exception):
@@ -274,8 +280,9 @@
 
         `timeout` is in seconds. It limits the time until the headers, including
         the connection, and once more the time for the body. `ResponseTimeoutError` is
-        raised when it has passed, and `UnmarkedAnswerError` when it is not known
-        whether the body is complete although its connection was closed in order.
+        raised when it has passed, `InvalidStatusError` for a status that is none of
+        HTTP, and `UnmarkedAnswerError` when it is not known whether the body is
+        complete although its connection was closed in order.
         """
         end = ConnectionEnd()
         started_at = self._reactor.seconds()
@@ -291,6 +298,8 @@
             if self._reactor.seconds() - started_at >= timeout:
                 raise ResponseTimeoutError(f"no response in {timeout} s: {error}")
             raise
+        if not MIN_STATUS <= response.code <= MAX_STATUS:
+            raise InvalidStatusError(f"status {response.code}")
         answer = HttpResponse(
             status=response.code, headers=response.headers, body=content
         )
--- a/bilberryring/http/tests/test_ends_of_connections_of_clients.py
+++ b/bilberryring/http/tests/test_answers_of_servers.py
@@ -1,4 +1,4 @@
-"""How the end of a connection is told to the client of endpoints and the platform."""
+"""What the client of endpoints and the platform takes for an answer."""
 
 import select
 import socket
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.epollreactor import EPollReactor
 
-from bilberryring.http import HttpClient, UnmarkedAnswerError
+from bilberryring.http import HttpClient, HttpResponse, UnmarkedAnswerError
 
 STEP_SECONDS = 0.01
 MAX_STEPS = 500
@@ -96,3 +96,11 @@
     exchange.run(5)
     exchange.reset()
     assert not isinstance(exchange.result(), UnmarkedAnswerError)
+
+
+@pytest.mark.parametrize("status", [0, 20, 99, 600, 999, 2000])
+def test_a_status_that_is_none_of_http_is_no_answer(make_exchange, status):
+    # Guards against callers who get the answer of a service in trouble.
+    exchange = make_exchange(body=b"short")
+    exchange.peer.sendall(b"HTTP/1.1 %03d X\r\nContent-Length: 0\r\n\r\n" % status)
+    assert not isinstance(exchange.result(), HttpResponse)
