Copy a replica that has fewer items at the same position

Callers would see: requests at an endpoint that ended, if all gateways that read the store start anew just after its removal, before anyone has copied that. Cause: a list shows no removals, so the position after it is that of the latest item, which is also the position of replicas that still hold the removed one: neither is behind. Evidence: test_paged_lists.py, once it asked that all replicas agree with the store when it is quiet; not seen with real processes. Change: a position has the number of items, unless later changes are held as well. With fewer items at the same position a replica is ahead, and is copied whole; what it lacks is removed, also what was written last. Gateways of an earlier version state no number.

--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -39,6 +39,8 @@
     """How far a replica is: the latest change up to which none is missing, and the
     latest that the store lost.
 
+    `n_items` is the number of items, unless the replica holds later changes as well.
+
     >>> behind = ReplicaPosition(latest=Revision(era=1, number=90))
     >>> ReplicaPosition(latest=Revision(era=2, number=3)).is_ahead_of(behind)
     True
@@ -46,13 +48,27 @@
 
     latest: Revision = Revision()
     latest_lost: Revision = Revision()
+    n_items: int | None = None
 
     def is_ahead_of(self, other: "ReplicaPosition") -> bool:
-        """Whether a replica here knows something that one there does not."""
+        """Whether a replica here knows something that one there does not.
+
+        With fewer items at the same position it knows of a later removal: it has listed
+        the store since, and a list shows no removals.
+        """
         if self.latest > other.latest:
             return True
-        is_same_era = self.latest.era == other.latest.era
-        return is_same_era and self.latest_lost > other.latest_lost
+        if self.latest.era != other.latest.era:
+            return False
+        if self.latest_lost > other.latest_lost:
+            return True
+        return self.is_at(other) and self.n_items < other.n_items
+
+    def is_at(self, other: "ReplicaPosition") -> bool:
+        """Whether two replicas differ by removals at most."""
+        if self.n_items is None or other.n_items is None:
+            return False
+        return (self.latest, self.latest_lost) == (other.latest, other.latest_lost)
 
 
 class Replica:
@@ -69,6 +85,7 @@
         self._latest_lost = Revision()
         self._era = 0
         self._revision = 0
+        self._latest = 0
         self._complete_revision = 0
         self._dropped_revision = 0
 
@@ -88,6 +105,7 @@
         return ReplicaPosition(
             latest=Revision(era=self._era, number=self._revision),
             latest_lost=self._latest_lost,
+            n_items=len(self._items) if self._latest <= self._revision else None,
         )
 
     @property
@@ -148,6 +166,7 @@
         self._removed, self._removed_revisions = {}, {}
         self._era = era
         self._revision = latest
+        self._latest = max((item.revision for item in items), default=0)
         self._advance_position(items, most=revision)
         self._complete_revision, self._dropped_revision = revision, 0
         self._lost.begin_era(
@@ -236,9 +255,9 @@
         removals = tuple(
             PublishedItem(key=item.key, revision=revision, value=None)
             for item in self.items
-            if item.key not in present and item.revision < revision
+            if item.key not in present and item.revision <= revision
         )
-        changed = self._store_items(copied + removals)
+        changed = self._store_items(copied) + self._store_removals(removals)
         self._advance_position(copied + removals, most=revision)
         self._complete_revision = max(self._complete_revision, revision)
         return changed
@@ -272,13 +291,22 @@
         for item in items:
             if item.revision <= self._known_revision(item.key):
                 continue
-            before = self.value(item.key)
-            is_changed = self._store_item(item)
-            self._lost.check(item.key, self._items.get(item.key))
-            if is_changed or before != self.value(item.key):
+            if self._replace_item(item):
                 changed[item.key] = None
         return tuple(changed)
 
+    def _store_removals(self, removals: Iterable[PublishedItem]) -> tuple[str, ...]:
+        """Remove items that a copy lacks, also those that were written last."""
+        return tuple(item.key for item in removals if self._replace_item(item))
+
+    def _replace_item(self, item: PublishedItem) -> bool:
+        """Store or remove an item; return whether the value of its key changed."""
+        before = self.value(item.key)
+        is_changed = self._store_item(item)
+        self._latest = max(self._latest, item.revision)
+        self._lost.check(item.key, self._items.get(item.key))
+        return is_changed or before != self.value(item.key)
+
     def _advance_position(
         self, items: Iterable[PublishedItem], *, most: float = math.inf
     ) -> None:
--- a/bilberryring/fleet/tests/test_paged_lists.py
+++ b/bilberryring/fleet/tests/test_paged_lists.py
@@ -18,6 +18,7 @@
 KEYS = ("a", "b", "c")
 PAGE_ITEMS = 1
 REPLICAS = 3
+SETTLE_ROUNDS = 2 * REPLICAS
 NUMBERS = st.integers(min_value=0, max_value=REPLICAS - 1)
 
 
@@ -73,11 +74,12 @@
         """Become a reader again: the copied changes are not asked for."""
         self.watched_to = max(self.watched_to, self.replica.position.latest.number)
 
-    def copy_from(self, peer: "Reader", *, since: int | None = None) -> None:
-        """Take what a peer has, which may have been asked for some time ago."""
+    def copy_from(self, peer: "Reader") -> None:
+        """Take what a peer has beyond the own position, or all of it."""
         theirs, latest = peer.replica, peer.replica.position.latest.number
-        asked_since = self.replica.position.latest.number if since is None else since
-        changes = theirs.changes_since(asked_since)
+        own = self.replica.position
+        wants_all = theirs.position.is_at(own)
+        changes = theirs.changes_since(0 if wants_all else own.latest.number)
         if changes is None:
             self.replica.take_copy(theirs.items, revision=latest)
         else:
@@ -144,6 +146,42 @@
             for item in self.store.changes[revision:]
         )
 
+    def teardown(self):
+        """Once the store is quiet, one reader is enough for all to agree with it."""
+        first = self.readers[0]
+        if first.watched_to is None or first.pages is not None:
+            first.read_page(self.store)
+            while first.pages is not None:
+                first.read_page(self.store)
+        first.watch(self.store)
+        for _ in range(SETTLE_ROUNDS):
+            for mine in self.readers:
+                for theirs in self.readers:
+                    if theirs.replica.position.is_ahead_of(mine.replica.position):
+                        mine.copy_from(theirs)
+        for reader in self.readers:
+            held = {item.key: item for item in reader.replica.items}
+            assert held == self.store.items
+
 
 TestPagedLists = PagedListsMachine.TestCase
 TestPagedLists.settings = settings(max_examples=400, deadline=None, derandomize=True)
+
+
+def test_a_removal_that_only_a_later_list_shows_reaches_a_replica_at_that_position():
+    """All readers start anew just after a removal, before anyone copied it.
+
+    A list shows no removals, so that their position is that of a replica which still
+    has the item.
+    """
+    store, replica, reader = History(), Reader(), Reader()
+    store.write("a", b"1")
+    store.write("b", b"1")
+    while replica.watched_to is None:
+        replica.read_page(store)
+    store.write("a", None)
+    while reader.watched_to is None:
+        reader.read_page(store)
+    if reader.replica.position.is_ahead_of(replica.replica.position):
+        replica.copy_from(reader)
+    assert {item.key for item in replica.replica.items} == {"b"}
--- a/bilberryring/gateway/copy_codec.py
+++ b/bilberryring/gateway/copy_codec.py
@@ -53,6 +53,7 @@
             era=position.latest.era,
             lost_era=position.latest_lost.era or None,
             lost_revision=position.latest_lost.number or None,
+            n_items=position.n_items,
         )
         for prefix, position in positions
     ]
@@ -63,14 +64,17 @@
     return ReplicaPosition(
         latest=Revision(era=_count(message.era), number=_count(message.revision)),
         latest_lost=_decode_lost(message.lost_era, message.lost_revision),
+        n_items=None if message.n_items is None else _count(message.n_items),
     )
 
 
-def make_query(prefix: str, position: ReplicaPosition) -> CopyQuery:
-    """Return the request for what a peer has beyond a position."""
+def make_query(
+    prefix: str, position: ReplicaPosition, *, wants_all: bool = False
+) -> CopyQuery:
+    """Return the request for what a peer has beyond a position, or for all of it."""
     return CopyQuery(
         prefix=prefix,
-        revision=position.latest.number,
+        revision=0 if wants_all else position.latest.number,
         era=position.latest.era,
         takes_compressed=True,
     )
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -329,6 +329,11 @@
         near = [host for host in hosts if self._peers[host].failure_domain == domain]
         return self._random.choice(near or hosts)
 
+    def position(self, host: str, prefix: str) -> ReplicaPosition | None:
+        """Return how far a peer's replica of a prefix is, as it reported last."""
+        peer = self._peers.get(host)
+        return None if peer is None else peer.positions.get(prefix)
+
     def _is_doubted(self, host: str) -> bool:
         """Whether no copy from a peer has succeeded since one failed."""
         if self._doubted_since is None:
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -393,7 +393,9 @@
             link = await creator.connectTCP(
                 host, self._settings.peer_port, timeout=COPY_TIMEOUT_SECONDS
             )
-            link.send(make_query(prefix, position))
+            known = self._view.position(host, prefix)
+            wants_all = known is not None and known.is_at(position)
+            link.send(make_query(prefix, position, wants_all=wants_all))
             received.addTimeout(COPY_TIMEOUT_SECONDS, self._reactor)
             answer = await received
             if not isinstance(answer, CopyAnswer) or answer.prefix != prefix:
--- a/bilberryring/platform/tests/test_paged_list_fleets.py
+++ b/bilberryring/platform/tests/test_paged_list_fleets.py
@@ -7,12 +7,14 @@
 import pytest
 
 from bilberryring.fleet import EndpointState
+from bilberryring.gateway.store_readers import StoreAccess, is_reader
 from bilberryring.platform.names import ENDPOINT_PREFIX, OPERATOR_PREFIX
 from bilberryring.testing.restored_store import RestoredStoreFleet
 
 ENDPOINTS = 24
 IN_FORCE_SECONDS = 2.0
 ANSWER_SECONDS = 0.03
+READERS_START_SECONDS = 0.4
 RESTARTED = 6
 NAMES = tuple(f"e{number:02}" for number in range(ENDPOINTS))
 DOMAINS_KEY = f"{OPERATOR_PREFIX}evacuate/"
@@ -92,3 +94,26 @@
         assert beliefs(fleet, lambda state: state.endpoints.domains_out) == {
             frozenset(expected)
         }
+
+
+def test_an_endpoint_that_ends_just_before_all_readers_start_anew_is_gone(fleet):
+    """Only their new lists tell of it, by its absence, before they copy from peers."""
+    fleet.page_items, fleet.answer_seconds = None, 0.0
+    readers = [
+        gateway
+        for gateway in fleet.network.gateways
+        if is_reader(
+            own_host=gateway.host,
+            own_access=StoreAccess.WORKING,
+            peers={
+                peer.host: StoreAccess.WORKING
+                for peer in fleet.network.gateways
+                if peer is not gateway
+            },
+        )
+    ]
+    for gateway in readers:
+        fleet.network.restart(gateway, seconds=READERS_START_SECONDS)
+    fleet.store.remove(f"{ENDPOINT_PREFIX}{NAMES[0]}")
+    fleet.network.advance(READERS_START_SECONDS + IN_FORCE_SECONDS)
+    assert beliefs(fleet, ready_endpoints) == {frozenset(NAMES[1:])}
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -280,6 +280,64 @@
         test="bilberryring/gateway/tests/test_peer_network.py"
         "::test_a_crash_becomes_known_beyond_the_neighbours",
     ),
+    Mechanism(
+        name="a list moves the position up to its first page alone",
+        module="fleet/replica.py",
+        present="        self._advance_position(copied + removals, most=revision)\n",
+        absent="        self._advance_position(copied + removals)\n",
+        test="bilberryring/fleet/tests/test_paged_lists.py::TestPagedLists",
+    ),
+    Mechanism(
+        name="a replica with fewer items at the same position is copied",
+        module="fleet/replica.py",
+        present="return self.is_at(other) and self.n_items < other.n_items",
+        absent="return False",
+        test="bilberryring/fleet/tests/test_paged_lists.py::test_a_removal_that_only"
+        "_a_later_list_shows_reaches_a_replica_at_that_position",
+    ),
+    Mechanism(
+        name="a request is sent again once a crash would be known",
+        module="gateway/forwarding.py",
+        present="            await wait_at_most(check, seconds=DEATH_CHECK_SECONDS,",
+        absent="            wait_at_most(check, seconds=DEATH_CHECK_SECONDS,",
+        test="bilberryring/gateway/tests/test_forwarding.py"
+        "::test_a_request_is_sent_again_once_it_is_known_whether_its_endpoint_crashed",
+    ),
+    Mechanism(
+        name="two crashes are enough while earlier ones may be forgotten",
+        module="quarantine/suspicions.py",
+        present="        if not record.crashes_as_suspect:\n",
+        absent="        if True:\n",
+        test="bilberryring/gateway/tests/test_forgotten_quarantine.py",
+    ),
+    Mechanism(
+        name="a connection has to last as proof that its endpoint runs",
+        module="gateway/connection_pool.py",
+        present="            if connection.is_open:\n",
+        absent="            if True:\n",
+        test="bilberryring/gateway/tests/test_connection_pool.py",
+    ),
+    Mechanism(
+        name="a connection has ended in order if its socket says so",
+        module="gateway/endpoint_connection.py",
+        present="@implementer(IHalfCloseableProtocol)\nclass EndpointConnection",
+        absent="class EndpointConnection",
+        test="bilberryring/gateway/tests/test_ends_of_uploads.py",
+    ),
+    Mechanism(
+        name="the rest of a request is written before its answer ends",
+        module="http/read_end.py",
+        present="    elif awaits_rest:\n",
+        absent="    elif False:\n",
+        test="bilberryring/gateway/tests/test_ends_of_uploads.py",
+    ),
+    Mechanism(
+        name="an answer has a status of HTTP",
+        module="gateway/endpoint_connection.py",
+        present="        if h11_response.status_code > MAX_STATUS:\n",
+        absent="        if False:\n",
+        test="bilberryring/gateway/tests/test_endpoint_connection.py",
+    ),
     Mechanism(
         name="changes alone are copied only where all removals are known",
         module="fleet/replica.py",
@@ -806,9 +864,9 @@
     Mechanism(
         name="versions that are read together are decoded once",
         module="fleet/replica.py",
-        present="        return tuple(changed)\n\n    def _advance_position(",
+        present="        return tuple(changed)\n\n    def _store_removals(",
         absent="        return tuple(item.key for item in items)\n\n"
-        "    def _advance_position(",
+        "    def _store_removals(",
         test="bilberryring/platform/tests/test_translation.py"
         "::test_versions_that_are_read_together_are_decoded_once",
     ),
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -2759,6 +2759,7 @@
      - era
      - lost_era
      - lost_revision
+     - n_items
 
     """
 
@@ -2768,15 +2769,17 @@
         'era',
         'lost_era',
         'lost_revision',
+        'n_items',
     )
 
 
-    def __init__(self, prefix=None, revision=None, era=None, lost_era=None, lost_revision=None,):
+    def __init__(self, prefix=None, revision=None, era=None, lost_era=None, lost_revision=None, n_items=None,):
         self.prefix = prefix
         self.revision = revision
         self.era = era
         self.lost_era = lost_era
         self.lost_revision = lost_revision
+        self.n_items = n_items
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2812,6 +2815,11 @@
                     self.lost_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.n_items = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2842,6 +2850,10 @@
             oprot.writeFieldBegin('lost_revision', TType.I64, 5)
             oprot.writeI64(self.lost_revision)
             oprot.writeFieldEnd()
+        if self.n_items is not None:
+            oprot.writeFieldBegin('n_items', TType.I32, 6)
+            oprot.writeI32(self.n_items)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4250,6 +4262,7 @@
     (3, TType.I64, 'era', None, None, ),  # 3
     (4, TType.I64, 'lost_era', None, None, ),  # 4
     (5, TType.I64, 'lost_revision', None, None, ),  # 5
+    (6, TType.I32, 'n_items', None, None, ),  # 6
 )
 all_structs.append(Member)
 Member.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -196,6 +196,8 @@
   3: optional i64 era,
   4: optional i64 lost_era,
   5: optional i64 lost_revision,
+  // The number of items; none while later changes than the revision are held.
+  6: optional i32 n_items,
 }
 
 struct Member {
