Name the level of replicas; keep no list of the store's past

Read as a newcomer: is_at did not say what it compares; the error of a request that is held back after an attempt named "the request". StorePast kept the first lists of the store, with all values, for as long as the process; it keeps its verdict now.

--- a/bilberryring/fleet/replica.py
+++ b/bilberryring/fleet/replica.py
@@ -62,10 +62,13 @@
             return False
         if self.latest_lost > other.latest_lost:
             return True
-        return self.is_at(other) and self.n_items < other.n_items
+        return self.is_level_with(other) and self.n_items < other.n_items
 
-    def is_at(self, other: "ReplicaPosition") -> bool:
-        """Whether two replicas differ by removals at most."""
+    def is_level_with(self, other: "ReplicaPosition") -> bool:
+        """Whether two replicas have the same latest change.
+
+        They hold the same items, but for what was removed after that.
+        """
         if self.n_items is None or other.n_items is None:
             return False
         return (self.latest, self.latest_lost) == (other.latest, other.latest_lost)
--- a/bilberryring/fleet/tests/test_paged_lists.py
+++ b/bilberryring/fleet/tests/test_paged_lists.py
@@ -78,7 +78,7 @@
         """Take what a peer has beyond the own position, or all of it."""
         theirs, latest = peer.replica, peer.replica.position.latest.number
         own = self.replica.position
-        wants_all = theirs.position.is_at(own)
+        wants_all = theirs.position.is_level_with(own)
         changes = theirs.changes_since(0 if wants_all else own.latest.number)
         if changes is None:
             self.replica.take_copy(theirs.items, revision=latest)
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -471,7 +471,7 @@
         """Raise `ServingError` if endpoints crashed under the request or its prompt."""
         if self._crashes.is_quarantined(context.fingerprint):
             raise held_back(
-                "the request",
+                "endpoints crashed under the request",
                 retry_after=self._crashes.seconds_left(context.fingerprint),
                 may_have_run=context.may_have_run,
             )
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -394,7 +394,8 @@
                 host, self._settings.peer_port, timeout=COPY_TIMEOUT_SECONDS
             )
             known = self._view.position(host, prefix)
-            wants_all = known is not None and known.is_at(position)
+            # Changes since the position would not show what was removed later.
+            wants_all = known is not None and known.is_level_with(position)
             link.send(make_query(prefix, position, wants_all=wants_all))
             received.addTimeout(COPY_TIMEOUT_SECONDS, self._reactor)
             answer = await received
--- a/bilberryring/platform/store_past.py
+++ b/bilberryring/platform/store_past.py
@@ -31,26 +31,36 @@
     """What the first list of each prefix tells of earlier writes."""
 
     def __init__(self, *, prefixes: tuple[str, ...]):
-        self._prefixes = prefixes
-        self._listings: dict[str, Listing] = {}
+        self._missing = set(prefixes)
+        self._listings: list[Listing] = []
+        self._is_known_empty = False
 
     @property
     def is_known_empty(self) -> bool:
         """Whether it is certain that nothing was replaced or removed."""
-        if len(self._listings) < len(self._prefixes):
-            return False
-        if any(listing.n_rewritten for listing in self._listings.values()):
-            return False
-        items = [item for listing in self._listings.values() for item in listing.items]
-        began_at = next(
-            (item.revision for item in items if item.key == CONFIGURATION_KEY), None
-        )
-        if began_at is None:
-            return False
-        ends_at = min(listing.revision for listing in self._listings.values())
-        n_writes = sum(began_at <= item.revision <= ends_at for item in items)
-        return n_writes == 1 + ends_at - began_at
+        return self._is_known_empty
 
     def record(self, prefix: str, listing: Listing) -> None:
         """Record a list of a prefix, if it is the first one of this process."""
-        self._listings.setdefault(prefix, listing)
+        if prefix not in self._missing:
+            return
+        self._missing.remove(prefix)
+        self._listings.append(listing)
+        if not self._missing:
+            self._is_known_empty = _are_first_writes(self._listings)
+            self._listings.clear()
+
+
+def _are_first_writes(listings: list[Listing]) -> bool:
+    """Whether each write from the first configuration to the first list is listed."""
+    if any(listing.n_rewritten for listing in listings):
+        return False
+    revisions = {
+        item.key: item.revision for listing in listings for item in listing.items
+    }
+    began_at = revisions.get(CONFIGURATION_KEY)
+    if began_at is None:
+        return False
+    ends_at = min(listing.revision for listing in listings)
+    n_writes = sum(began_at <= revision <= ends_at for revision in revisions.values())
+    return n_writes == 1 + ends_at - began_at
--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -290,7 +290,7 @@
     Mechanism(
         name="a replica with fewer items at the same position is copied",
         module="fleet/replica.py",
-        present="return self.is_at(other) and self.n_items < other.n_items",
+        present="return self.is_level_with(other) and self.n_items < other.n_items",
         absent="return False",
         test="bilberryring/fleet/tests/test_paged_lists.py::test_a_removal_that_only"
         "_a_later_list_shows_reaches_a_replica_at_that_position",
