Believe the end of an answer only if the endpoint's new connection stays open

Cause: the same as that of the crash that was not noticed: one handshake was the proof that the endpoint runs, and the kernel may close the connections of a process that ends before its listener. Change: the connection has to stay open for LISTENER_SECONDS here as well; another handshake follows one that is closed. An answer that ends with its connection is held for 0.03 s longer.

--- a/bilberryring/gateway/answer_ends.py
+++ b/bilberryring/gateway/answer_ends.py
@@ -11,7 +11,7 @@
     proof_of_end,
 )
 from bilberryring.fleet import EndpointState, FleetState
-from bilberryring.gateway.connection_pool import ConnectionPool
+from bilberryring.gateway.connection_pool import LISTENER_SECONDS, ConnectionPool
 from bilberryring.gateway.messages import AttemptError, FailureReason, ResponseEnd
 from bilberryring.gateway.request_context import Attempt, RequestContext
 
@@ -72,12 +72,14 @@
         """Return what became of an endpoint that has ended an answer in order.
 
         The connections of a process that crashes are closed like those of a sound one,
-        but no new one is accepted, or it is announced as another run.
+        but no new one is accepted to stay, or it is announced as another run.
         """
         if self._clock.seconds() >= attempt.deadline - DEADLINE_MARGIN_SECONDS:
             return EndpointFate.TIMED_OUT
         endpoint = attempt.choice.endpoint
-        failure = await self._pool.connection_failure(endpoint.address)
+        failure = await self._pool.connection_failure(
+            endpoint.address, lasting=LISTENER_SECONDS
+        )
         announced = self._fleet.endpoints.get(endpoint.id)
         if announced is None or announced.state is EndpointState.LEAVING:
             return EndpointFate.LEFT
@@ -92,7 +94,7 @@
         """
         await deferLater(self._clock, EXIT_SECONDS)
         address = attempt.choice.endpoint.address
-        failure = await self._pool.connection_failure(address)
+        failure = await self._pool.connection_failure(address, lasting=LISTENER_SECONDS)
         return EndpointFate.RUNS if failure is None else EndpointFate.LEFT
 
 
--- a/bilberryring/gateway/connection_pool.py
+++ b/bilberryring/gateway/connection_pool.py
@@ -19,6 +19,10 @@
 """Handshakes that a check of an endpoint sends within `CONNECT_TIMEOUT_SECONDS`. One
 that finds the queue of new connections full is dropped, and the kernel repeats it after
 a second."""
+LISTENER_SECONDS = 0.03
+"""Seconds for which a new connection to an endpoint has to stay open, as proof that it
+runs. The kernel may close the connections of a process that ends before its listener.
+"""
 MAX_IDLE_PER_ENDPOINT = 8
 """Number of idle connections that are kept for one endpoint."""
 
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -11,7 +11,7 @@
 from bilberryring.fleet import MS_PER_SECOND, AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.attempts import AttemptRunner
 from bilberryring.gateway.caller_site import CallerExchange
-from bilberryring.gateway.connection_pool import ConnectionPool
+from bilberryring.gateway.connection_pool import LISTENER_SECONDS, ConnectionPool
 from bilberryring.gateway.crash_record import CrashRecord
 from bilberryring.gateway.endpoint_choice import Choice, EndpointChooser
 from bilberryring.gateway.late_requests import deadline_in_stop, predicted_seconds
@@ -77,10 +77,6 @@
 another endpoint is asked whether it has more."""
 BEGIN_SECONDS = 1.0
 """Seconds of writing after which an answer no longer counts as just begun."""
-LISTENER_SECONDS = 0.03
-"""Seconds for which a new connection to an endpoint has to stay open, as proof that it
-runs. The kernel may close the connections of a process that ends before its listener.
-"""
 DEATH_CHECK_SECONDS = 0.1
 """Longest time in seconds for which another attempt waits for the check whether the
 endpoint crashed. An endpoint that refuses connections does so within milliseconds."""
--- a/bilberryring/gateway/tests/test_connection_pool.py
+++ b/bilberryring/gateway/tests/test_connection_pool.py
@@ -1,4 +1,6 @@
-"""Connections that are opened, and openings that are given up."""
+"""Connections that are opened, given up, or opened to see whether an endpoint runs."""
+
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet.defer import CancelledError, Deferred
@@ -6,10 +8,14 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
-from bilberryring.gateway.connection_pool import N_CHECKS, ConnectionPool
-from bilberryring.gateway.messages import FailureReason
-
-LASTING_SECONDS = 0.03
+from bilberryring.execution import Close, Framing
+from bilberryring.gateway.answer_ends import AnswerEndCheck
+from bilberryring.gateway.connection_pool import (
+    LISTENER_SECONDS,
+    N_CHECKS,
+    ConnectionPool,
+)
+from bilberryring.gateway.messages import FailureReason, ResponseEnd
 
 
 def test_an_opening_that_is_cancelled_is_no_failure_of_the_endpoint():
@@ -49,7 +55,7 @@
         self.pool = ConnectionPool(reactor=self.reactor)
         self.results = []
         checking = Deferred.fromCoroutine(
-            self.pool.connection_failure("127.0.0.1:1", lasting=LASTING_SECONDS)
+            self.pool.connection_failure("127.0.0.1:1", lasting=LISTENER_SECONDS)
         )
         checking.addCallback(self.results.append)
 
@@ -68,14 +74,14 @@
 
     def close(self, connection):
         connection.connectionLost(Failure(ConnectionDone()))
-        self.reactor.advance(LASTING_SECONDS)
+        self.reactor.advance(LISTENER_SECONDS)
 
 
 def test_an_endpoint_whose_new_connection_stays_open_runs():
     check = Check()
     check.accept()
     assert check.results == []
-    check.reactor.advance(LASTING_SECONDS)
+    check.reactor.advance(LISTENER_SECONDS)
     assert check.results == [None]
 
 
@@ -90,6 +96,36 @@
     assert check.results == [FailureReason.REFUSED]
 
 
+@pytest.mark.parametrize("is_closed_again", [True, False], ids=["crashed", "runs"])
+def test_an_answer_that_ends_with_its_connection_needs_an_endpoint_that_runs_on(
+    is_closed_again,
+):
+    # Guards against a part of an answer of a killed endpoint that is taken as whole,
+    # since its listener still accepts a connection.
+    check = Check()
+    endpoint = SimpleNamespace(id="e", run="e/1", address="127.0.0.1:1", state=None)
+    ends = AnswerEndCheck(
+        clock=check.reactor,
+        pool=check.pool,
+        fleet=SimpleNamespace(endpoints={"e": endpoint}),
+    )
+    attempt = SimpleNamespace(
+        deadline=9.0, choice=SimpleNamespace(endpoint=endpoint), answer_end=None
+    )
+    ended = ResponseEnd(framing=Framing.CONNECTION, close=Close.CLEAN)
+    results = []
+    Deferred.fromCoroutine(ends.check_body(attempt, ended)).addBoth(results.append)
+    connection = check.accept()
+    if is_closed_again:
+        check.close(connection)
+        check.refuse()
+        (failure,) = results
+        assert failure.value.reason is FailureReason.CLOSED
+    else:
+        check.reactor.advance(LISTENER_SECONDS)
+        assert results == [None]
+
+
 def test_an_endpoint_that_closes_new_connections_and_accepts_more_has_not_crashed():
     """It may have as many connections as it accepts."""
     check = Check()
