State numbers of items and the age of what is known in complete reports alone

Change: complete reports have them, which a gateway sends each 2 s, and at once to a peer that it hears for the first time. Result: 153 tests of quarantines, lists, reports and links pass.

--- a/bilberryring/gateway/copy_codec.py
+++ b/bilberryring/gateway/copy_codec.py
@@ -43,9 +43,12 @@
 
 
 def encode_positions(
-    positions: Iterable[tuple[str, ReplicaPosition]],
+    positions: Iterable[tuple[str, ReplicaPosition]], *, has_counts: bool = True
 ) -> list[CopyRevision]:
-    """Return the messages with the position of each prefix's replica."""
+    """Return the messages with the position of each prefix's replica.
+
+    The numbers of items are left out unless `has_counts` is set.
+    """
     return [
         CopyRevision(
             prefix=prefix,
@@ -53,7 +56,7 @@
             era=position.latest.era,
             lost_era=position.latest_lost.era or None,
             lost_revision=position.latest_lost.number or None,
-            n_items=position.n_items,
+            n_items=position.n_items if has_counts else None,
         )
         for prefix, position in positions
     ]
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -62,8 +62,8 @@
     it changed since the last report. `positions` are those of its published items by
     prefix; without `knows_eras` it tells none. `members` are some of the gateways that
     it knows. `parts` is what it knows of parts of prompts under which endpoints
-    crashed. `speeds` are its own estimates of endpoints that differ from others. It
-    knows the crashes of the last `crash_memory_seconds`.
+    crashed. `speeds` are its own estimates of endpoints that differ from others. A
+    complete report states that it knows the crashes of the last `crash_memory_seconds`.
     """
 
     incarnation: str
--- a/bilberryring/gateway/peers.py
+++ b/bilberryring/gateway/peers.py
@@ -323,14 +323,14 @@
                 )
                 for endpoint in endpoints
             ],
-            revisions=encode_positions(self._copies.positions),
+            revisions=encode_positions(self._copies.positions, has_counts=is_complete),
             deaths=(
                 encode_deaths(self._crashes.reported_deaths()) if is_complete else []
             ),
             parts=encode_parts(self._crashes.standings()) if is_complete else [],
             store_access=self._duty.access.value,
             failure_domain=self._settings.failure_domain,
-            crash_memory_s=int(self._crashes.memory_seconds),
+            crash_memory_s=int(self._crashes.memory_seconds) if is_complete else None,
         )
 
     def _send_report(self, report: GatewayReport | CrashReport, hosts) -> None:
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -196,7 +196,7 @@
   3: optional i64 era,
   4: optional i64 lost_era,
   5: optional i64 lost_revision,
-  // The number of items; none while later changes than the revision are held.
+  // The number of items, in complete reports; none while later changes are held.
   6: optional i32 n_items,
 }
 
@@ -216,7 +216,8 @@
   8: i32 store_access,
   9: string failure_domain,
   10: list<PartReport> parts,
-  // The seconds for which the sender knows of crashes; earlier versions send none.
+  // The seconds for which the sender knows of crashes, in complete reports; earlier
+  // versions send none.
   11: optional i32 crash_memory_s,
 }
 
