--- a/review/kit3/stand.py
+++ b/review/kit3/stand.py
@@ -289,12 +289,14 @@
             await asyncio.sleep(0.1)
         raise CannotRunError(f"{gateway.name} did not become ready")
 
-    async def start_server(self, *arguments: str) -> asyncio.subprocess.Process:
-        """Start a server of the file `server.py`, which logs to the record's folder."""
+    async def start_server(
+        self, *arguments: str, program: str = "server.py"
+    ) -> asyncio.subprocess.Process:
+        """Start a server of a file beside this one, which logs to the same folder."""
         with (self.folder / "servers.log").open("ab") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(Path(__file__).with_name("server.py")),
+                str(Path(__file__).with_name(program)),
                 *arguments,
                 stdout=log,
                 stderr=log,
