--- a/review/kit3/stand.py
+++ b/review/kit3/stand.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -310,7 +311,7 @@
         return path.read_text().splitlines() if path.exists() else []
 
     async def end(self) -> None:
-        """End all processes; those that still run are killed."""
+        """End all processes; those that still run are killed. Remove the folder."""
         for process in self.processes:
             if process.returncode is None:
                 try:
@@ -322,6 +323,8 @@
             await process.wait()
         for line in self.server_lines():
             self.record.write(f"server    {line}")
+        if not os.environ.get("KEEP_FOLDER"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRunError(Exception):
@@ -359,7 +362,7 @@
                     lines.append(f"Content-Length: {len(body)}")
                 head = "\r\n".join([*lines, "", ""]).encode()
                 writer.write(head + body)
-                await _read_answer(reader, answer)
+                await read_answer(reader, answer)
             finally:
                 writer.close()
     except (asyncio.IncompleteReadError, ConnectionError, ValueError):
@@ -369,7 +372,8 @@
     return answer
 
 
-async def _read_answer(reader, answer: Answer) -> None:
+async def read_answer(reader, answer: Answer) -> None:
+    """Read one answer by its framing; what has arrived of it stays in `answer`."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     answer.status = int(head[0].split(" ")[1])
     for line in head[1:]:
