--- a/review/11/case.py
+++ b/review/11/case.py
@@ -20,7 +20,8 @@
 
 PIECES = 40
 GAP_MS = 100
-N_EACH = 6
+N_EACH = 14
+N_SERVERS = 7
 NOTICE_SECONDS = 2.0
 ROUTES = [
     route("lookup", "/lookup/", "idempotent", "app"),
@@ -33,16 +34,17 @@
     """Return how the rule was broken."""
     fleet.store.put("op/config", configuration(1, ROUTES, ["app"]))
     servers = {}
-    for name in ("i-1", "i-2"):
-        ip = fleet.new_ip()
+    for number in range(1, N_SERVERS + 1):
+        name, ip = f"i-{number}", fleet.new_ip()
         address = f"{ip}:{free_ports(ip, 1)[0]}"
         process = await fleet.start_server(
             "--address", address, "--id", name, "--unframed"
         )
         servers[name] = (address, process)
-    await asyncio.sleep(0.7)
+    await asyncio.sleep(1.0)
+    for name, (address, _) in servers.items():
+        fleet.store.put(f"servers/{name}", entry(address, "app"))
     address, leaving = servers["i-1"]
-    fleet.store.put("servers/i-1", entry(address, "app"))
     await fleet.start_gateways(2)
     await asyncio.sleep(3.5)
 
@@ -62,7 +64,6 @@
             )
         )
     await asyncio.sleep(0.5)
-    fleet.store.put("servers/i-2", entry(servers["i-2"][0], "app"))
     fleet.store.put(
         "servers/i-1", entry(address, "app", state="draining", sequence=2)
     )
