--- a/review/11/case.py
+++ b/review/11/case.py
@@ -64,9 +64,7 @@
             )
         )
     await asyncio.sleep(0.5)
-    fleet.store.put(
-        "servers/i-1", entry(address, "app", state="draining", sequence=2)
-    )
+    fleet.store.put("servers/i-1", entry(address, "app", state="draining", sequence=2))
     await asyncio.sleep(NOTICE_SECONDS)
     if trouble():
         fleet.record.write("server    i-1 is killed, 2 s after its notice")
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,8 +10,8 @@
 from kit3.stand import (  # noqa: E402
     HOST,
     Answer,
-    entry,
     configuration,
+    entry,
     free_ports,
     read_answer,
     request_headers,
@@ -64,7 +64,11 @@
             try:
                 async with asyncio.timeout(10):
                     await read_answer(reader, answer)
-            except (asyncio.IncompleteReadError, ConnectionError, TimeoutError) as error:
+            except (
+                asyncio.IncompleteReadError,
+                ConnectionError,
+                TimeoutError,
+            ) as error:
                 answer.end = f"cut ({type(error).__name__})"
             fleet.record.write(
                 f"client    {request}: status {answer.status}, {answer.end},"
--- a/review/kit3/engine.py
+++ b/review/kit3/engine.py
@@ -1,9 +1,9 @@
 """A model server of the operators' platform, as a process of its own.
 
 It answers prompts with a stream of events, sets memory aside by orders, and reads a
-prompt with the helpers that the request names, whose tickets it uses. With `--hang FILE`
-it never answers a prompt that has helpers, unless another server has done so before:
-then FILE exists. It logs what memory is set aside, used and freed.
+prompt with the helpers that the request names, whose tickets it uses. With `--hang
+FILE` it never answers a prompt that has helpers, unless another server has done so
+before: then FILE exists. It logs what memory is set aside, used and freed.
 """
 
 import argparse
--- a/review/kit3/stand.py
+++ b/review/kit3/stand.py
@@ -96,7 +96,7 @@
     async def start(self) -> None:
         """Listen on a loopback address."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.address = "{}:{}".format(*server.sockets[0].getsockname())
 
     def put(self, key: str, value: dict | bytes) -> int:
         """Write an item, as the operator or a server does; return its revision."""
@@ -245,7 +245,7 @@
                 f'control = "{ip}:{ports[2]}"\n[limits]\ncpu_share = 0.817\n'
                 f"cores = 1\nmemory_mb = {memory_mb}\nmax_fds = 4100\n"
                 "link_mbps = 1000.0\ndisk_mb = 0\n[fault_tolerance]\nmachines = 2\n"
-                f'zones = 1\nregions = 0\n{BOUNDS}[platform]\n'
+                f"zones = 1\nregions = 0\n{BOUNDS}[platform]\n"
                 f'address = "{self.store.address}"\nform = "read"\n'
                 "writes_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\n"
                 "value_bytes = 1048576\nttl_min_ms = 1000\n"
