--- a/review/kit3/server.py
+++ b/review/kit3/server.py
@@ -59,7 +59,8 @@
             self._write(writer, 421, more, b"")
             return True
         query = {key: values[0] for key, values in parse_qs(path.query).items()}
-        log(f"{name} runs {request} {method} {target} body={len(body)}")
+        tenant = headers.get("bilberryring-tenant")
+        log(f"{name} runs {request} {method} {target} body={len(body)} {tenant=!a}")
         kind = path.path.rsplit("/", 1)[-1]
         if kind == "whole":
             await asyncio.sleep(int(query.get("ms", 60)) / 1000)
--- a/review/kit3/stand.py
+++ b/review/kit3/stand.py
@@ -395,12 +395,14 @@
     answer.end = "whole"
 
 
-def request_headers(request_id: str, deadline_ms: int) -> dict[str, str]:
+def request_headers(
+    request_id: str, deadline_ms: int, *, key: str = KEY
+) -> dict[str, str]:
     """Return the headers that each client sends."""
     return {
         "Bilberryring-Request-Id": request_id,
         "Bilberryring-Deadline-Ms": str(deadline_ms),
-        "Authorization": f"Bearer {KEY}",
+        "Authorization": f"Bearer {key}",
     }
 
 
