--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,34 +1,32 @@
-"""Another writer announces a service that is not named, at the address of a server."""
+"""A new version of the configuration names tenants with letters beyond Latin-1."""
 
+import ast
 import asyncio
+import re
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from kit3.stand import (  # noqa: E402
-    HOST,
-    Answer,
+    CannotRunError,
+    ask,
     configuration,
     entry,
     free_ports,
-    read_answer,
     request_headers,
     route,
     run,
     trouble,
 )
 
-N_STREAMS = 8
-N_BOOKINGS = 4
-PIECES = 40
-GAP_MS = 100
-ALLOWED_LOSSES = 3
 ROUTES = [
+    route("lookup", "/lookup/", "idempotent", "app"),
     route("booking", "/booking/", "non_idempotent", "app", attempts=1),
-    route("draft", "/draft/", "streaming", "app", gap_aim_ms=250),
 ]
+KEYS = {"key-of-the-first-tenant": 0, "key-of-the-second-tenant": 1}
+NAMES = ("Optica Ștefan", "Optica Țtefan") if trouble() else ("hule930", "hule931")
+N_REQUESTS = 20
 
 
 async def play(fleet):
@@ -38,65 +36,52 @@
     address = f"{ip}:{free_ports(ip, 1)[0]}"
     await fleet.start_server("--address", address, "--id", "i-1")
     await asyncio.sleep(0.7)
-    own = entry(address, "app")
-    fleet.store.put("servers/i-1", own)
+    fleet.store.put("servers/i-1", entry(address, "app"))
     await fleet.start_gateways(2)
     await asyncio.sleep(3.5)
+    changed = configuration(4, ROUTES, ["app"])
+    changed["tenants"] += [
+        {"name": NAMES[number], "api_keys": [key], "priority": 1}
+        for key, number in KEYS.items()
+    ]
+    fleet.store.put("op/config", changed)
+    # Later than `config_apply_ms`.
+    await asyncio.sleep(3.0)
+
+    expected = {}
+    for number in range(N_REQUESTS):
+        key = tuple(KEYS)[number % 2]
+        path = "lookup" if number % 4 < 2 else "booking"
+        name = f"{path}-{number}"
+        expected[name] = NAMES[KEYS[key]]
+        fleet.record.write(f"client    sends {name} with {key} of {expected[name]}")
+        answer = await ask(
+            fleet.gateways[number // 2 % 2].front,
+            "GET" if path == "lookup" else "POST",
+            f"/{path}/whole?ms=20",
+            request_headers(name, 3000, key=key),
+        )
+        fleet.record.write(f"client    {name}: status {answer.status}, {answer.end}")
 
-    async def client(number, kind):
-        """Send two requests on one connection; return the answer to the second."""
-        gateway = fleet.gateways[number % 2]
-        reader, writer = await asyncio.open_connection(*gateway.front)
-        name = f"{kind}-{number}"
-        target = f"/draft/stream?pieces={PIECES}&gap_ms={GAP_MS}&n={name}"
-        if kind == "booking":
-            target = f"/booking/whole?ms={PIECES * GAP_MS}&n={name}"
-        for request, wanted in (
-            (f"{name}-first", f"/booking/whole?ms=20&n={name}"),
-            (name, target),
-        ):
-            headers = request_headers(request, 9000)
-            lines = [f"POST {wanted} HTTP/1.1", f"Host: {HOST}", "Content-Length: 0"]
-            lines += [f"{key}: {value}" for key, value in headers.items()]
-            fleet.record.write(f"client    sends {request} to {gateway.name}: {wanted}")
-            writer.write("\r\n".join([*lines, "", ""]).encode())
-            answer = Answer()
-            try:
-                async with asyncio.timeout(10):
-                    await read_answer(reader, answer)
-            except (
-                asyncio.IncompleteReadError,
-                ConnectionError,
-                TimeoutError,
-            ) as error:
-                answer.end = f"cut ({type(error).__name__})"
-            fleet.record.write(
-                f"client    {request}: status {answer.status}, {answer.end},"
-                f" {answer.body.count(b'data: ')} events"
+    found, n_run = [], 0
+    for line in fleet.server_lines():
+        match = re.search(r" runs (\S+) .* tenant=(.*)$", line)
+        if match is None or match[1] not in expected:
+            continue
+        n_run += 1
+        wanted, got = expected[match[1]], ast.literal_eval(match[2])
+        if got is None or wanted not in (got, _as_utf_8(got)):
+            found.append(
+                f"{match[1]}: run for tenant {got!r}, the key is of {wanted!r}"
             )
-        writer.close()
-        return name, answer
+    if not n_run and not trouble():
+        raise CannotRunError("no request was run")
+    return found
 
-    tasks = [
-        asyncio.create_task(client(number, kind))
-        for kind, count in (("draft", N_STREAMS), ("booking", N_BOOKINGS))
-        for number in range(count)
-    ]
-    await asyncio.sleep(1.5)
-    if trouble():
-        # An entry of another writer, which names a service that is not named here.
-        odd = entry(address, "audit", born=int(time.time() * 1000))
-        fleet.store.put("servers/agent-7", odd)
-    await asyncio.sleep(1.2)
-    # The server writes about every 1.2 s.
-    fleet.store.put("servers/i-1", {**own, "sequence": 2})
-    answers = await asyncio.gather(*tasks)
-    lost = [
-        f"{name}: status {answer.status}, {answer.end}"
-        for name, answer in answers
-        if name.startswith("draft") and answer.end != "whole"
-    ]
-    return lost if len(lost) > ALLOWED_LOSSES else []
+
+def _as_utf_8(text: str) -> str:
+    """Return a header's value, read as Latin-1, as one that was sent in UTF-8."""
+    return text.encode("latin-1").decode("utf-8", "replace")
 
 
 run(play, Path(__file__).parent)
--- a/review/kit3/engine.py
+++ b/review/kit3/engine.py
@@ -3,7 +3,8 @@
 It answers prompts with a stream of events, sets memory aside by orders, and reads a
 prompt with the helpers that the request names, whose tickets it uses. With `--hang
 FILE` it never answers a prompt that has helpers, unless another server has done so
-before: then FILE exists. It logs what memory is set aside, used and freed.
+before: then FILE exists. With `--lose FILE` it runs such a prompt, and its answer is
+lost. It logs what memory is set aside, used and freed.
 """
 
 import argparse
@@ -98,7 +99,7 @@
         helpers = [item for item in headers.get("bilberryring-helpers", "").split(",")]
         helpers = [item.strip() for item in helpers if item.strip()]
         log(f"{self._options.id} got {request} helpers={helpers}")
-        if helpers and self._may_hang():
+        if helpers and self._is_first(self._options.hang):
             log(f"{self._options.id} hangs with {request}")
             await reader.read(1)
             log(f"{self._options.id} sees that {request} was given up")
@@ -109,6 +110,10 @@
                 self._answer(writer, 503, {}, "Bilberryring-Not-Executed: 1\r\n")
                 return True
         await asyncio.sleep(1.0 if helpers else 0.05)
+        if helpers and self._is_first(self._options.lose):
+            log(f"{self._options.id} has run {request}, its answer is lost")
+            await reader.read(1)
+            return False
         log(f"{self._options.id} runs {request} {target}")
         writer.write(
             (
@@ -126,12 +131,12 @@
         writer.write(b"0\r\n\r\n")
         return True
 
-    def _may_hang(self) -> bool:
-        """Whether this is the first prompt of all servers that may hang."""
-        if not self._options.hang:
+    def _is_first(self, path: str) -> bool:
+        """Whether no server has created a file yet; none does if `path` is empty."""
+        if not path:
             return False
         try:
-            Path(self._options.hang).touch(exist_ok=False)
+            Path(path).touch(exist_ok=False)
         except FileExistsError:
             return False
         return True
@@ -163,6 +168,7 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--kv", type=int, default=315_000)
     parser.add_argument("--hang", default="")
+    parser.add_argument("--lose", default="")
     options = parser.parse_args()
     engine = Engine(options)
     host, _, port = options.address.rpartition(":")
