Review: form of the stand-ins and checks

Cause: a port was sought on an address that is none of loopback; an unexpected error ended a script with 1; two cases could pass without being played; case 12 counted over all machines, and asked a server for more than its slots.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,7 +13,6 @@
     ask,
     configuration,
     entry,
-    free_ports,
     request_headers,
     route,
     run,
@@ -39,8 +38,7 @@
 
     async def keep_server():
         """Start a server under a new id whenever the one before has crashed."""
-        ip = fleet.new_ip()
-        address = f"{ip}:{free_ports(ip, 1)[0]}"
+        address = fleet.new_address()
         while not state["ends"]:
             state["servers"] += 1
             name = f"i-{state['servers']}"
@@ -118,8 +116,10 @@
         if (match := re.match(r"\[([\d.]+)\] \S+ crashes under (\S+)", line))
     ]
     fleet.record.write(f"crashes   {len(crashes)}")
+    if not crashes:
+        raise CannotRunError("the request has reached no server")
     if len(crashes) < 3:
-        raise CannotRunError("the request has crashed fewer than three servers")
+        return []
     bound = crashes[2][0] + STABILITY_SECONDS
     late = sorted({name for _, name in crashes if sent[name] > bound})
     fleet.record.write(f"retries   {len(late)}: {' '.join(late)}")
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -10,9 +10,9 @@
 from kit3.stand import (  # noqa: E402
     HOST,
     Answer,
+    CannotRunError,
     configuration,
     entry,
-    free_ports,
     read_answer,
     request_headers,
     route,
@@ -20,8 +20,9 @@
     trouble,
 )
 
-N_STREAMS = 8
+N_STREAMS = 12
 N_BOOKINGS = 4
+N_SLOTS = 16
 PIECES = 40
 GAP_MS = 100
 ALLOWED_LOSSES = 3
@@ -34,11 +35,10 @@
 async def play(fleet):
     """Return how the rule was broken."""
     fleet.store.put("op/config", configuration(1, ROUTES, ["app"]))
-    ip = fleet.new_ip()
-    address = f"{ip}:{free_ports(ip, 1)[0]}"
+    address = fleet.new_address()
     await fleet.start_server("--address", address, "--id", "i-1")
     await asyncio.sleep(0.7)
-    own = entry(address, "app")
+    own = entry(address, "app", slots=N_SLOTS)
     fleet.store.put("servers/i-1", own)
     await fleet.start_gateways(2)
     await asyncio.sleep(3.5)
@@ -75,7 +75,7 @@
                 f" {answer.body.count(b'data: ')} events"
             )
         writer.close()
-        return name, answer
+        return gateway.name, name, answer
 
     tasks = [
         asyncio.create_task(client(number, kind))
@@ -91,12 +91,21 @@
     # The server writes about every 1.2 s.
     fleet.store.put("servers/i-1", {**own, "sequence": 2})
     answers = await asyncio.gather(*tasks)
-    lost = [
-        f"{name}: status {answer.status}, {answer.end}"
-        for name, answer in answers
-        if name.startswith("draft") and answer.end != "whole"
-    ]
-    return lost if len(lost) > ALLOWED_LOSSES else []
+    if not all(answer.status for _, _, answer in answers):
+        raise CannotRunError("a request got no answer at all, not even a part")
+    breaches = []
+    for gateway in fleet.gateways:
+        lost = [
+            f"{gateway.name} {name}: status {answer.status}, {answer.end}"
+            for machine, name, answer in answers
+            if machine == gateway.name
+            and name.startswith("draft")
+            and answer.end != "whole"
+        ]
+        fleet.record.write(f"closed    {len(lost)} kept connections at {gateway.name}")
+        if len(lost) > ALLOWED_LOSSES:
+            breaches += lost
+    return breaches
 
 
 run(play, Path(__file__).parent)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -13,7 +13,6 @@
     ask,
     configuration,
     entry,
-    free_ports,
     request_headers,
     route,
     run,
@@ -32,8 +31,7 @@
 async def play(fleet):
     """Return how the rule was broken."""
     fleet.store.put("op/config", configuration(1, ROUTES, ["app"]))
-    ip = fleet.new_ip()
-    address = f"{ip}:{free_ports(ip, 1)[0]}"
+    address = fleet.new_address()
     await fleet.start_server("--address", address, "--id", "i-1")
     await asyncio.sleep(0.7)
     fleet.store.put("servers/i-1", entry(address, "app"))
@@ -74,7 +72,15 @@
             found.append(
                 f"{match[1]}: run for tenant {got!r}, the key is of {wanted!r}"
             )
-    if not n_run and not trouble():
+    # Gateways may refuse the version or its keys, but not what held before.
+    before = await ask(
+        fleet.gateways[0].front,
+        "GET",
+        "/lookup/whole?ms=20",
+        request_headers("lookup-of-an-earlier-tenant", 3000),
+    )
+    fleet.record.write(f"client    an earlier tenant: status {before.status}")
+    if before.status != 200 or (not n_run and not trouble()):
         raise CannotRunError("no request was run")
     return found
 
--- a/review/kit3/engine.py
+++ b/review/kit3/engine.py
@@ -3,8 +3,7 @@
 It answers prompts with a stream of events, sets memory aside by orders, and reads a
 prompt with the helpers that the request names, whose tickets it uses. With `--hang
 FILE` it never answers a prompt that has helpers, unless another server has done so
-before: then FILE exists. With `--lose FILE` it runs such a prompt, and its answer is
-lost. It logs what memory is set aside, used and freed.
+before: then FILE exists. It logs what memory is set aside, used and freed.
 """
 
 import argparse
@@ -110,10 +109,6 @@
                 self._answer(writer, 503, {}, "Bilberryring-Not-Executed: 1\r\n")
                 return True
         await asyncio.sleep(1.0 if helpers else 0.05)
-        if helpers and self._is_first(self._options.lose):
-            log(f"{self._options.id} has run {request}, its answer is lost")
-            await reader.read(1)
-            return False
         log(f"{self._options.id} runs {request} {target}")
         writer.write(
             (
@@ -168,7 +163,6 @@
     parser.add_argument("--id", required=True)
     parser.add_argument("--kv", type=int, default=315_000)
     parser.add_argument("--hang", default="")
-    parser.add_argument("--lose", default="")
     options = parser.parse_args()
     engine = Engine(options)
     host, _, port = options.address.rpartition(":")
--- a/review/kit3/server.py
+++ b/review/kit3/server.py
@@ -1,9 +1,8 @@
 """A plain server of the operators' platform, as a process of its own.
 
 It answers what the path asks for: `/.../whole?bytes=800&ms=60` is one body after some
-work, `/.../slow?pieces=20&gap_ms=100&bytes=400` a body that is written in pieces, and
-`/.../stream?pieces=20&gap_ms=100` a stream of events with rising ids. With `--unframed`
-an answer has no length, and ends with its connection. It logs each run to its output.
+work, and `/.../stream?pieces=20&gap_ms=100` a stream of events with rising ids. It logs
+each run to its output.
 """
 
 import argparse
@@ -61,42 +60,30 @@
         query = {key: values[0] for key, values in parse_qs(path.query).items()}
         tenant = headers.get("bilberryring-tenant")
         log(f"{name} runs {request} {method} {target} body={len(body)} {tenant=!a}")
-        kind = path.path.rsplit("/", 1)[-1]
-        if kind == "whole":
+        if path.path.endswith("/stream"):
+            await self._write_stream(writer, query, common, headers)
+        else:
             await asyncio.sleep(int(query.get("ms", 60)) / 1000)
-            content = b"x" * int(query.get("bytes", 800))
-            self._write(writer, 200, common, content)
-            log(f"{name} has answered {request}")
-            return True
-        return await self._write_pieces(writer, kind, query, common, headers, request)
+            self._write(writer, 200, common, b"x" * int(query.get("bytes", 800)))
+        log(f"{name} has answered {request}")
+        return True
 
-    async def _write_pieces(
-        self, writer, kind, query, common, headers, request
-    ) -> bool:
-        is_stream = kind == "stream"
-        first = int(headers.get("last-event-id", 0) or 0) + 1 if is_stream else 1
+    async def _write_stream(self, writer, query, common, headers) -> None:
+        first = int(headers.get("last-event-id", 0) or 0) + 1
         count = int(query.get("pieces", 20))
-        n_bytes = int(query.get("bytes", 400))
-        framing = "Connection: close\r\n"
-        if not self._options.unframed:
-            framing = "Transfer-Encoding: chunked\r\n"
-        form = "text/event-stream" if is_stream else "text/plain"
-        head = f"HTTP/1.1 200 OK\r\nContent-Type: {form}\r\n{common}{framing}\r\n"
-        writer.write(head.encode())
+        writer.write(
+            (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                f"{common}Transfer-Encoding: chunked\r\n\r\n"
+            ).encode()
+        )
         for number in range(first, count + 1):
             await asyncio.sleep(int(query.get("gap_ms", 100)) / 1000)
-            piece = b"%06d " % number + b"y" * (n_bytes - 8) + b"\n"
-            if is_stream:
-                piece = b"id: %d\ndata: piece %d of %d\n\n" % (number, number, count)
-            if not self._options.unframed:
-                piece = b"%x\r\n%b\r\n" % (len(piece), piece)
-            writer.write(piece)
+            event = b"id: %d\ndata: piece %d of %d\n\n" % (number, number, count)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-        if not self._options.unframed:
-            writer.write(b"0\r\n\r\n")
+        writer.write(b"0\r\n\r\n")
         await writer.drain()
-        log(f"{self._options.id} has answered {request} with {count} pieces")
-        return not self._options.unframed
 
     def _write(self, writer, status: int, headers: str, body: bytes) -> None:
         head = f"HTTP/1.1 {status} X\r\n{headers}Content-Length: {len(body)}\r\n\r\n"
@@ -108,7 +95,6 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--address", required=True)
     parser.add_argument("--id", required=True)
-    parser.add_argument("--unframed", action="store_true")
     options = parser.parse_args()
     host, _, port = options.address.rpartition(":")
     server = await asyncio.start_server(
--- a/review/kit3/stand.py
+++ b/review/kit3/stand.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import random
@@ -63,7 +64,7 @@
     """The file `record.txt` of a case: a line for all that was sent, answered, run."""
 
     def __init__(self, folder: Path):
-        self._file = (folder / "record.txt").open("w")
+        self._file = (folder / "record.txt").open("w", encoding="utf-8")
 
     def write(self, text: str) -> None:
         """Write one line with the seconds since the start."""
@@ -71,14 +72,21 @@
         self._file.flush()
 
 
-def free_ports(host: str, count: int) -> list[int]:
-    """Return ports that nothing listens on, not even on other loopback addresses."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("0.0.0.0" if host == "any" else host, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+def free_ports(hosts: list[str], count: int) -> list[int]:
+    """Return ports that are free at all of some loopback addresses."""
+    ports: list[int] = []
+    while len(ports) < count:
+        with contextlib.ExitStack() as stack:
+            port = 0
+            try:
+                for host in hosts:
+                    item = stack.enter_context(socket.socket())
+                    item.bind((host, port))
+                    port = item.getsockname()[1]
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -215,6 +223,11 @@
         self._net = random.randrange(20, 250)
         self._n_hosts = 0
 
+    def new_address(self) -> str:
+        """Return a free address for a server, at a loopback address of its own."""
+        ip = self.new_ip()
+        return f"{ip}:{free_ports([ip], 1)[0]}"
+
     def new_ip(self) -> str:
         """Return a loopback address that nothing else of this case uses."""
         self._n_hosts += 1
@@ -223,8 +236,8 @@
     async def start_gateways(self, count: int, *, memory_mb: int = 300) -> None:
         """Start the gateways and wait until all are ready."""
         await self.store.start()
-        ports = free_ports("any", 5)
         ips = [self.new_ip() for _ in range(count)]
+        ports = free_ports(ips, 5)
         seeds = [f"{ip}:{ports[2]}" for ip in ips[:3]]
         for number, ip in enumerate(ips, 1):
             gateway = Gateway(
@@ -485,7 +498,8 @@
         try:
             async with asyncio.timeout(105):
                 breaches = await case(fleet)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except Exception as error:
+            # Only a case that was played to its end says whether the rule held.
             record.write(f"the case could not run: {error!r}")
             return 2
         finally:
