Take no entry of an unknown service for an endpoint

Cause: every entry that can be decoded became an endpoint of the fleet and, as a run that had not been known, ended what runs at its address. Whether it names an endpoint to use was asked only where requests are placed. Evidence: ended_run_aborted names the foreign entry and no attempt does; the logs that were there tell this from an entry that is placed on. Ruled out: the endpoint itself closes. Change: an entry is an endpoint if the configuration names its service. Until then it is kept apart, logged once (standing unknown_service) and looked at again with each configuration. An endpoint stays one when a later configuration drops its service, since requests may run there. Why it works: what is done by address is done for endpoints only. Three files of tests announced services that no configuration of theirs named; they name them now, their checks are unchanged.

--- a/bilberryring/platform/tests/test_odd_entries.py
+++ b/bilberryring/platform/tests/test_odd_entries.py
@@ -56,7 +56,8 @@
     site = GatewaySite(gateways=len(GATEWAYS), retry_slack=100_000).start()
     plain, model = make_configuration()["services"]
     unlimited = model | {"cold_per_s": 0}
-    site.publish(make_configuration(services=[plain, unlimited]))
+    elsewhere = {"name": "elsewhere"}
+    site.publish(make_configuration(services=[plain, unlimited, elsewhere]))
     site.add_endpoint("good-orders", answer)
     site.add_endpoint("good-model", answer, service=MODEL_SERVICE)
     for number in GATEWAYS:
--- a/bilberryring/platform/tests/test_odd_entry_of_a_fleet.py
+++ b/bilberryring/platform/tests/test_odd_entry_of_a_fleet.py
@@ -11,6 +11,7 @@
 from bilberryring.fleet import FleetState, PublishedItem
 from bilberryring.gateway.copy_codec import answer_query, decode_copy, make_query
 from bilberryring.gateway.published_copies import PublishedCopies
+from bilberryring.platform.configuration import decode_configuration
 from bilberryring.platform.loss_rules import PlatformLossRules
 from bilberryring.platform.tests.odd_entries import ENTRY, ODD_ENTRIES
 from bilberryring.platform.translation import PREFIXES, Translator
@@ -18,6 +19,7 @@
 from bilberryring.wire import decode_message, encode_message
 
 PREFIX = "servers/"
+CONFIGURATION = b'{"version": 1, "routes": [], "services": [{"name": "orders"}]}'
 ENDPOINTS = {68: 748, 400: 4_400}
 WRITES = 40
 CASES = ["slots_400_digits", "nested_elsewhere", "zone_1_mb", "no_json"]
@@ -45,6 +47,7 @@
             log=EventLog(process="p", role="gateway", stream=self.output),
             on_endpoint_removed=lambda endpoint: None,
         )
+        self.fleet.put_in_force(decode_configuration(CONFIGURATION))
         self.copies.add_listener(translator.update_fleet)
         self.copies.add_era_listener(translator.begin_era)
 
--- a/bilberryring/platform/tests/test_translation.py
+++ b/bilberryring/platform/tests/test_translation.py
@@ -96,6 +96,9 @@
         ]
         translator.update_fleet(replica, replica.apply(items))
 
+    listed = {"name": ENTRY["service"]}
+    content = {"version": 1, "routes": [], "services": [listed]}
+    fleet.put_in_force(configuration.decode_configuration(json.dumps(content).encode()))
     entry = json.dumps(ENTRY).encode()
     apply(20, a=entry, b=entry)
     apply(30, a=None, c=entry)
--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -5,6 +5,7 @@
 from bilberryring.fleet import (
     LAPSE_HOLD_SECONDS,
     RECOVERY_GRACE_SECONDS,
+    AnnouncedEndpoint,
     EndpointId,
     FailureDomain,
     FleetState,
@@ -32,6 +33,10 @@
 class Translator:
     """Updates the fleet state from the published keys that changed.
 
+    An entry whose service no configuration has named is no endpoint of the fleet, and
+    says nothing of what else runs at its address. It is kept until a configuration
+    names its service.
+
     `on_endpoint_removed` is called with a known endpoint whose announcement was
     removed, unless the announcement may only have lapsed during an outage of the store,
     and `on_endpoint_started` with each run of an endpoint that is announced.
@@ -54,7 +59,8 @@
         self._on_endpoint_removed = on_endpoint_removed
         self._on_endpoint_started = on_endpoint_started
         self._restored_at = -math.inf
-        self._unreadable: dict[EndpointId, str] = {}
+        self._unusable: dict[EndpointId, tuple[str, str]] = {}
+        self._of_unknown_services: dict[EndpointId, AnnouncedEndpoint] = {}
 
     def begin_era(self, prefix: str, replica: Replica) -> None:
         """Note that the store is in a later era, and log what it has lost.
@@ -131,36 +137,75 @@
                 keys=len(configuration.workspaces_by_key),
                 idle_seconds=configuration.limits.idle_timeout,
             )
+            self._announce_of_new_services()
 
     def _apply_announcement(self, key: str, value: bytes | None) -> None:
         endpoint_id = EndpointId(key.removeprefix(ENDPOINT_PREFIX))
         now = self._reactor.seconds()
-        known = self._fleet.endpoints.get(endpoint_id)
+        self._of_unknown_services.pop(endpoint_id, None)
         if value is None:
-            is_return = now - self._restored_at < RECOVERY_GRACE_SECONDS
-            is_lapse = is_return or self._health.is_recovering(RECOVERY_GRACE_SECONDS)
-            hold = RECOVERY_GRACE_SECONDS if is_return else LAPSE_HOLD_SECONDS
-            self._fleet.endpoints.withdraw(
-                endpoint_id, now=now, is_lapse=is_lapse, hold_seconds=hold
-            )
-            self._unreadable.pop(endpoint_id, None)
-            self._log_standing(endpoint_id, "lapsed" if is_lapse else "gone")
-            if known is not None and not is_lapse:
-                self._on_endpoint_removed(known)
+            self._remove(endpoint_id)
             return
         try:
             endpoint = decode_endpoint(key, value, now=now)
         except ContentError as error:
             self._fleet.endpoints.withdraw(endpoint_id, now=now)
-            self._log_unreadable(endpoint_id, str(error))
+            self._log_unusable(endpoint_id, "unreadable", str(error))
             return
-        self._unreadable.pop(endpoint_id, None)
+        if not self._is_of_known_service(endpoint):
+            self._fleet.endpoints.withdraw(endpoint_id, now=now)
+            self._of_unknown_services[endpoint_id] = endpoint
+            self._log_unusable(endpoint_id, "unknown_service", endpoint.service)
+            return
+        self._announce(endpoint)
+
+    def _remove(self, endpoint_id: EndpointId) -> None:
+        now = self._reactor.seconds()
+        known = self._fleet.endpoints.get(endpoint_id)
+        is_return = now - self._restored_at < RECOVERY_GRACE_SECONDS
+        is_lapse = is_return or self._health.is_recovering(RECOVERY_GRACE_SECONDS)
+        hold = RECOVERY_GRACE_SECONDS if is_return else LAPSE_HOLD_SECONDS
+        self._fleet.endpoints.withdraw(
+            endpoint_id, now=now, is_lapse=is_lapse, hold_seconds=hold
+        )
+        self._unusable.pop(endpoint_id, None)
+        self._log_standing(endpoint_id, "lapsed" if is_lapse else "gone")
+        if known is not None and not is_lapse:
+            self._on_endpoint_removed(known)
+
+    def _announce(self, endpoint: AnnouncedEndpoint) -> None:
+        known = self._fleet.endpoints.get(endpoint.id)
+        self._unusable.pop(endpoint.id, None)
         self._fleet.endpoints.announce(endpoint)
         if known is None or known.state is not endpoint.state:
-            self._log_standing(endpoint_id, endpoint.state.value)
+            self._log_standing(endpoint.id, endpoint.state.value)
         if known is None or known.run != endpoint.run:
             self._on_endpoint_started(endpoint)
 
+    def _is_of_known_service(self, endpoint: AnnouncedEndpoint) -> bool:
+        """Whether the configuration names the service, or did when it was announced.
+
+        Requests may still run at an endpoint whose service is dropped since.
+        """
+        configuration = self._fleet.configuration
+        if configuration is not None and endpoint.service in configuration.services:
+            return True
+        known = self._fleet.endpoints.get(endpoint.id)
+        return known is not None and known.service == endpoint.service
+
+    def _announce_of_new_services(self) -> None:
+        """Announce the endpoints whose service the new configuration names."""
+        for endpoint in tuple(self._of_unknown_services.values()):
+            if not self._is_of_known_service(endpoint):
+                continue
+            del self._of_unknown_services[endpoint.id]
+            try:
+                self._announce(endpoint)
+            except Exception as error:
+                self._log.write(
+                    LogEvent.INTERNAL_FAULT, endpoint=endpoint.id, detail=repr(error)
+                )
+
     def _apply_evacuations(self, replica: Replica) -> None:
         domains = {
             FailureDomain(key.removeprefix(EVACUATION_PREFIX))
@@ -170,12 +215,12 @@
         self._fleet.endpoints.set_domains_out(domains)
         self._log.write(LogEvent.DOMAINS_OUT, domains=sorted(domains))
 
-    def _log_unreadable(self, endpoint: EndpointId, detail: str) -> None:
-        """Log why an entry cannot be read, once while that stays the same."""
-        if self._unreadable.get(endpoint) == detail:
+    def _log_unusable(self, endpoint: EndpointId, standing: str, detail: str) -> None:
+        """Log why an entry names no endpoint, once while that stays the same."""
+        if self._unusable.get(endpoint) == (standing, detail):
             return
-        self._unreadable[endpoint] = detail
-        self._log_standing(endpoint, "unreadable", detail=detail)
+        self._unusable[endpoint] = (standing, detail)
+        self._log_standing(endpoint, standing, detail=detail)
 
     def _log_standing(self, endpoint: EndpointId, standing: str, **fields) -> None:
         self._log.write(
