Allow for a new interval in the test of a stated limit

The log shows why: no_endpoint_free had free_in 0.001 for the call before it, so the endpoint's interval began with the last one, and its answer is within the limit that the test states. Change: the test counts answers against that limit, one request a second in any 4 s beside the one that states it, in place of the last status; it needs a refusal as before. That is stricter: eleven answers of twelve used to pass.

--- a/bilberryring/platform/tests/test_requests.py
+++ b/bilberryring/platform/tests/test_requests.py
@@ -310,8 +310,9 @@
         pause(0.04)
     assert len(limited.requests) <= 1.5 * 4 + 5
     other.set_script(answer_in_need)
-    refused = [site.call("/look/") for _ in range(12)][-1]
-    assert refused.status == 503
+    answers = [site.call("/look/") for _ in range(12)]
+    refused = [answer for answer in answers if answer.status == 503][-1]
+    assert len([answer for answer in answers if answer.status == 200]) <= 1 + 4
     assert b"not_run" in refused.body
     assert 0.0 < float(refused.headers["retry-after"]) <= 4.0
 
