Close idle connections with the run to which they were opened

Cause: connections are kept by address, and their end was tied to the entry of an id. Change: they are closed when another run is announced at the address; when an entry goes, only if no endpoint is announced there any more. Test: test_connections_to_a_run_that_has_started_stay_when_the_earlier_entry_goes failed on (the connection to the earlier run was used again) and passes; 47 tests of test_ended_runs.py and of fleet passed.

--- a/bilberryring/fleet/endpoints.py
+++ b/bilberryring/fleet/endpoints.py
@@ -91,6 +91,10 @@
         """Return an endpoint by its id, or `None` when it is not announced."""
         return self._endpoints.get(endpoint_id)
 
+    def has_address(self, address: str) -> bool:
+        """Whether an endpoint is announced at an address."""
+        return any(item.address == address for item in self._endpoints.values())
+
     def usable(self, service: ServiceName) -> tuple[AnnouncedEndpoint, ...]:
         """Return the endpoints of a service that may get new requests."""
         if service not in self._by_service:
--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -505,10 +505,13 @@
     def _on_endpoint_removed(self, endpoint: AnnouncedEndpoint) -> None:
         self._health.forget(endpoint.id)
         self._statements.forget_limit(endpoint.run)
-        self._pool.close_address(endpoint.address)
+        if not self._fleet.endpoints.has_address(endpoint.address):
+            self._pool.close_address(endpoint.address)
         self._samples.forget(endpoint)
 
     def _on_endpoint_started(self, endpoint: AnnouncedEndpoint) -> None:
+        # Idle connections to the address were opened to an earlier run.
+        self._pool.close_address(endpoint.address)
         self._forwarder.end_earlier_runs(endpoint)
 
     def _count_held_answers(self, n_bytes: int) -> None:
--- a/bilberryring/platform/tests/test_ended_runs.py
+++ b/bilberryring/platform/tests/test_ended_runs.py
@@ -165,3 +165,22 @@
     gateway.resume()
     thread.join(3.0)
     assert answers[0][1].status == 200
+
+
+def test_connections_to_a_run_that_has_started_stay_when_the_earlier_entry_goes(site):
+    # Guards against connections that are closed as those of another run.
+    def script(request, connection):
+        connection.sendall(whole_answer(request.request_id, b"ok"))
+
+    endpoint = site.add_endpoint("a", script, service=PLAIN_SERVICE, born=BORN_MS)
+    site.start_gateway()
+    assert site.call("/look/").status == 200
+    site.announce("b", endpoint.address, service=PLAIN_SERVICE, born=BORN_MS + 5_000)
+    site.wait_for_standing("b", "ready")
+    assert site.call("/look/").status == 200
+    opened = set(endpoint.connections)
+    assert len(opened) == 2
+    site.remove("servers/a")
+    site.wait_for_standing("a", "gone")
+    assert site.call("/look/").status == 200
+    assert set(endpoint.connections) == opened
