Let the settings alone tell of the first start of a fleet

Cause: a start in which the store listed each write since the first configuration counted as the first one of the fleet, whatever the settings said, so three crashes were asked for. An endpoint that crashed keeps its entry for three heartbeats and its successor writes under a new id: for some seconds nothing was replaced or removed although endpoints have crashed. Evidence: memory_s of prompt_suspected, and is_first_start, which process_started has now. Ruled out: a second crash that does not count. Why it works: the platform states bootstrap only when the whole system starts for the first time. Without it a request needs two crashes for ten minutes, as after a loss.

--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -184,7 +184,6 @@
             log=log,
             on_endpoint_removed=self._on_endpoint_removed,
             on_endpoint_started=self._on_endpoint_started,
-            on_first_start=crash_memory.record_first_start,
         )
         self._peers.set_doubt_listener(self._adapter.refresh)
         self._copies.add_listener(
@@ -358,6 +357,7 @@
             caller_address=settings.caller_address,
             metrics_address=settings.metrics_address,
             failure_domain=settings.failure_domain,
+            is_first_start=settings.is_first_start,
         )
 
     def _listen_for_callers(self) -> None:
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -190,20 +190,30 @@
         return self._processes[name]
 
     def start_gateway(
-        self, number: int = 1, *, is_awaited: bool = True, store_address: str = ""
+        self,
+        number: int = 1,
+        *,
+        is_awaited: bool = True,
+        store_address: str = "",
+        is_first_start: bool | None = None,
     ) -> None:
         """Start a gateway and, with `is_awaited`, wait until it is ready.
 
         `store_address` is where it reads the store, if not from the store itself.
-        `RuntimeError` is raised when it exits before it is ready.
+        `is_first_start` is what its settings say of the whole fleet; without it they
+        say so at the first start of each gateway. `RuntimeError` is raised when it
+        exits before it is ready.
         """
         name = f"gateway-{number}"
+        if is_first_start is None:
+            is_first_start = name not in self._processes
         host = self.host(number)
         seeds = [f"{self.host(other + 1)}:1" for other in range(self._n_gateways)]
         text = (
             f'node = "{name}"\nip = "{host}"\nzone = "north"\nregion = "here"\n'
             f"internal_ports = [{PEER_PORT}, {PEER_PORT + 9}]\n"
             f"seeds = {json.dumps(seeds)}\n"
+            f"bootstrap = {json.dumps(is_first_start)}\n"
             f'[zones]\nnorth = "here"\nsouth = "here"\n'
             f'[listen]\nfront = "{host}:{CALLER_PORT}"\n'
             f'ready = "{host}:{READY_PORT}"\n'
