Refuse a request of one attempt after a crash that it alone explains

Cause: where crashes may have been forgotten, two were needed of which the second one is under a suspect. A request of two attempts shows that within one coming; one that is sent once has to come again. Evidence: prompt_suspected of the second coming counts 2, 0.5 s after the first, at another gateway. Ruled out: the first crash is told too late. Change: while crashes may be forgotten, a request that is sent to one endpoint at most is refused for 300 s after a crash that it alone explains: it was sent at most 0.1 s before it, 0.025 s after each other request there, no endpoint crashed within a second for another reason, and it was not answered here before (quarantine/crash_causes.py). Why it works: one coming after each loss, so that three losses keep the bound. Tests: the site's cell failed on (2 endpoints, 1 allowed); 45 tests of test_forgotten_quarantine.py and test_first_start.py pass, 225 of quarantine, wire, reports and forwarding did.

--- a/bilberryring/fleet/configuration.py
+++ b/bilberryring/fleet/configuration.py
@@ -74,6 +74,14 @@
         )
         return patience / MS_PER_SECOND
 
+    @property
+    def is_sent_once(self) -> bool:
+        """Whether a request of the route is sent to one endpoint at most.
+
+        One that an endpoint refused as not run may still be sent to another.
+        """
+        return self.max_endpoints <= 1 or not self.may_repeat
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request of the route may run more than once."""
--- a/bilberryring/gateway/attempts.py
+++ b/bilberryring/gateway/attempts.py
@@ -388,7 +388,9 @@
 
         A crash may have become known since the choice of the endpoint.
         """
-        if self._crashes.is_quarantined(context.fingerprint):
+        if self._crashes.is_quarantined(
+            context.fingerprint, is_sent_once=context.route.is_sent_once
+        ):
             return True
         return self._crashes.quarantined_part(context.metadata.shared_parts) is not None
 
--- a/bilberryring/gateway/crash_record.py
+++ b/bilberryring/gateway/crash_record.py
@@ -43,6 +43,8 @@
 """Maximum number of crashes that are remembered, so that each is passed on once."""
 MAX_REPORTED_PARTS = 64
 """Maximum number of parts of prompts in one report."""
+MAX_ANSWERED = 4_096
+"""Requests that were answered and are remembered, the last ones."""
 
 
 class CrashRecord:
@@ -65,6 +67,7 @@
         self._crashed_at: OrderedDict[EndpointDeath, float] = OrderedDict()
         self._unsent: deque[EndpointDeath] = deque(maxlen=MAX_REPORTED_DEATHS)
         self._contested: OrderedDict[PromptPartId, float] = OrderedDict()
+        self._answered: OrderedDict[Fingerprint, None] = OrderedDict()
         self._random = random.Random(seed)
         self._on_news: Callable[[], None] = lambda: None
 
@@ -75,9 +78,18 @@
             return QUARANTINE_SECONDS
         return min(self._memory.seconds(now=self._clock.seconds()), QUARANTINE_SECONDS)
 
-    def is_quarantined(self, fingerprint: Fingerprint) -> bool:
-        """Whether a request must not be sent to an endpoint for now."""
-        standing = self._suspects.standing(fingerprint, now=self._clock.seconds())
+    def is_quarantined(
+        self, fingerprint: Fingerprint, *, is_sent_once: bool = False
+    ) -> bool:
+        """Whether a request must not be sent to an endpoint for now.
+
+        One that is sent to one endpoint at most is also refused if it alone explains a
+        crash and earlier crashes may have been forgotten.
+        """
+        now = self._clock.seconds()
+        standing = self._suspects.standing(fingerprint, now=now)
+        if standing is PromptStanding.SUSPECT and is_sent_once:
+            return self._suspects.is_sole_cause(fingerprint, now=now)
         return standing is PromptStanding.QUARANTINED
 
     def seconds_left(self, fingerprint: Fingerprint) -> float:
@@ -109,7 +121,12 @@
         self._on_news = on_news
 
     def record(self, death: EndpointDeath) -> None:
-        """Record a crash that this gateway observed and include it in reports."""
+        """Record a crash that this gateway observed and include it in reports.
+
+        A request that was answered before does not crash endpoints at once.
+        """
+        if not self._answered.keys().isdisjoint(death.fingerprints):
+            death = replace(death, sent_before=math.inf)
         self.add_deaths((death,))
 
     def add_deaths(self, deaths: tuple[EndpointDeath, ...]) -> None:
@@ -162,6 +179,10 @@
     def clear(self, fingerprint: Fingerprint) -> None:
         """Clear a request of suspicion after it got a complete response."""
         self._suspects.clear(fingerprint)
+        self._answered[fingerprint] = None
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
 
     def record_served(
         self, parts: tuple[PromptPartId, ...], *, began_at: float
@@ -246,6 +267,7 @@
                 death=crash,
                 fingerprints=(fingerprint,),
                 were_suspects=self._suspects.was_suspect(fingerprint, crash),
+                sent_before=self._suspects.sent_before(fingerprint, crash),
                 age_seconds=self._age(fingerprint),
             )
             for fingerprint in chosen
@@ -282,6 +304,7 @@
             list(death.fingerprints),
             now=crashed_at,
             were_suspects=death.were_suspects,
+            sent_before=death.sent_before,
         )
         if death.parts and death.fingerprints:
             prompt = CrashedPrompt(fingerprint=death.fingerprints[0], parts=death.parts)
--- a/bilberryring/gateway/forwarding.py
+++ b/bilberryring/gateway/forwarding.py
@@ -465,7 +465,9 @@
 
     def _check_quarantine(self, context: RequestContext) -> None:
         """Raise `ServingError` if endpoints crashed under the request or its prompt."""
-        if self._crashes.is_quarantined(context.fingerprint):
+        if self._crashes.is_quarantined(
+            context.fingerprint, is_sent_once=context.route.is_sent_once
+        ):
             raise held_back(
                 "endpoints crashed under the request",
                 retry_after=self._crashes.seconds_left(context.fingerprint),
@@ -598,6 +600,7 @@
         all may be cut off; if it was silent before, nothing tells of a crash.
         """
         was_silent = attempt.is_silent and not attempt.is_excused
+        sent_before = self._reactor.seconds() - attempt.sent_at
         endpoint = attempt.choice.endpoint
         had_begun = self._had_begun(attempt)
         failure = await self._pool.connection_failure(
@@ -611,6 +614,7 @@
             fingerprints=(context.fingerprint,),
             parts=context.metadata.shared_parts if is_candidate else (),
             were_suspects=attempt.was_suspect,
+            sent_before=sent_before if failure is FailureReason.REFUSED else math.inf,
         )
         self._crashes.record(death)
         self._log.prompt_suspected(
@@ -618,6 +622,7 @@
             endpoint.id,
             crashes=self._crashes.crash_count(context.fingerprint),
             memory_seconds=self._crashes.memory_seconds,
+            sent_before=sent_before,
         )
 
     def _had_begun(self, attempt: Attempt) -> bool:
--- a/bilberryring/gateway/peer_view.py
+++ b/bilberryring/gateway/peer_view.py
@@ -35,7 +35,8 @@
     `fingerprints` are those of the requests that were running there; with
     `were_suspects` they were suspects of an earlier crash when they were sent. `parts`
     are the shared parts of the first one's prompt, unless the endpoint had been writing
-    its answer for a while. The crash happened `age_seconds` ago.
+    its answer for a while. The crash happened `age_seconds` ago, and `sent_before`
+    seconds after they were sent, which is infinite if they cannot have caused it.
     """
 
     death: str
@@ -43,6 +44,7 @@
     parts: tuple[PromptPartId, ...] = ()
     were_suspects: bool = field(default=False, compare=False)
     age_seconds: float = field(default=0.0, compare=False)
+    sent_before: float = field(default=math.inf, compare=False)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bilberryring/gateway/report_codec.py
+++ b/bilberryring/gateway/report_codec.py
@@ -7,6 +7,7 @@
 import functools
 import ipaddress
 import itertools
+import math
 from collections.abc import Iterable
 
 from bilberryring.capacity import ReportedSpeed
@@ -115,6 +116,9 @@
             parts=list(item.parts),
             age_ms=round(item.age_seconds * MS_PER_SECOND),
             were_suspects=item.were_suspects or None,
+            sent_before_ms=None
+            if math.isinf(item.sent_before)
+            else _clamp_milliseconds(item.sent_before * MS_PER_SECOND),
         )
         for item in deaths
     ]
@@ -224,6 +228,9 @@
         parts=tuple(PromptPartId(item) for item in message.parts or ()),
         were_suspects=bool(message.were_suspects),
         age_seconds=_count(message.age_ms or 0) / MS_PER_SECOND,
+        sent_before=math.inf
+        if message.sent_before_ms is None
+        else _count(message.sent_before_ms) / MS_PER_SECOND,
     )
 
 
--- a/bilberryring/gateway/request_gate.py
+++ b/bilberryring/gateway/request_gate.py
@@ -41,7 +41,7 @@
         if len(request.body) > configuration.limits.max_body_bytes:
             raise not_run(ErrorCode.BODY_TOO_LARGE)
         fingerprint = fingerprint_of(request, metadata.key)
-        if self._crashes.is_quarantined(fingerprint):
+        if self._crashes.is_quarantined(fingerprint, is_sent_once=route.is_sent_once):
             retry_after = self._crashes.seconds_left(fingerprint)
             raise not_run(ErrorCode.HELD_BACK, retry_after=retry_after)
         service = self._service(route)
--- a/bilberryring/gateway/request_log.py
+++ b/bilberryring/gateway/request_log.py
@@ -5,7 +5,7 @@
 
 from bilberryring.core import ClosedBy, Delivery, ServingError
 from bilberryring.execution import AnswerEnd, SilenceDecision, proof_of_end
-from bilberryring.fleet import AnnouncedEndpoint, EndpointId
+from bilberryring.fleet import MS_PER_SECOND, AnnouncedEndpoint, EndpointId
 from bilberryring.gateway.counters import CALLER_LEFT, GatewayCounters
 from bilberryring.gateway.endpoint_choice import Choice
 from bilberryring.gateway.messages import CallerMetadata, ResponseMetadata
@@ -172,11 +172,13 @@
         *,
         crashes: int,
         memory_seconds: float,
+        sent_before: float,
     ) -> None:
         """Log that a request was running when its endpoint crashed.
 
         `crashes` are the known ones under such requests, at all gateways, and
-        `memory_seconds` the time for which this gateway knows of crashes.
+        `memory_seconds` the time for which this gateway knows of crashes. The request
+        was sent `sent_before` seconds before its connection was closed.
         """
         self._log.write(
             LogEvent.PROMPT_SUSPECTED,
@@ -186,6 +188,7 @@
             fingerprint=context.fingerprint,
             crashes=crashes,
             memory_s=round(memory_seconds, 3),
+            sent_before_ms=round(sent_before * MS_PER_SECOND, 1),
             shared_parts=context.metadata.shared_parts,
         )
 
--- a/bilberryring/platform/tests/test_first_start.py
+++ b/bilberryring/platform/tests/test_first_start.py
@@ -57,3 +57,10 @@
     Endpoints that crashed just before are still listed then, and others not yet.
     """
     assert play_crashes(site, "/look/", is_first_start=False) == SUFFICIENT_CRASHES
+
+
+def test_a_request_of_one_attempt_crashes_one_endpoint_after_a_loss_of_all_gateways(
+    site,
+):
+    """Guards against a booking that reaches endpoints twice after each loss."""
+    assert play_crashes(site, "/charge/", is_first_start=False) == 1
--- a/bilberryring/quarantine/suspicions.py
+++ b/bilberryring/quarantine/suspicions.py
@@ -23,6 +23,7 @@
 from enum import Enum
 
 from bilberryring.core import Fingerprint
+from bilberryring.quarantine.crash_causes import CrashCauses
 from bilberryring.quarantine.crash_memory import CrashMemory
 
 SUSPECT_SECONDS = 300.0
@@ -35,6 +36,9 @@
 
 It must have been sent as a suspect and have crashed another engine then, and no other
 prompt may have been running in all of the crashes."""
+SOLE_CAUSE_SECONDS = SUSPECT_SECONDS
+"""Seconds for which a prompt that is sent once is refused after a crash that it alone
+explains, while earlier crashes may have been forgotten."""
 MAX_SUSPECTS = 256
 """Prompts on record; beyond it, the one with the oldest crash is forgotten."""
 MAX_CLEARED = 4_096
@@ -61,7 +65,7 @@
 
     `memory` tells since when crashes are known; without it all are. While a quarantine
     may have been forgotten, `SUFFICIENT_CRASHES` that only one prompt explains begin
-    it.
+    it, and `is_sole_cause` tells of a prompt that explains a single one.
     """
 
     def __init__(
@@ -74,6 +78,7 @@
         self._memory = memory
         self._records: OrderedDict[Fingerprint, _Record] = OrderedDict()
         self._running: dict[str, set[Fingerprint]] = {}
+        self._causes = CrashCauses()
         self._cleared: OrderedDict[tuple[str, Fingerprint], None] = OrderedDict()
 
     def record_crash(
@@ -83,12 +88,14 @@
         *,
         now: float,
         were_suspects: bool = False,
+        sent_before: float = math.inf,
     ) -> list[Fingerprint]:
         """Record the prompts that ran when an engine crashed; return the new ones.
 
         `crash` identifies the event; repeated reports of it count once. `now` is the
         time of the crash if that is known. With `were_suspects` the prompts were
-        suspects when they were sent: it is no crash of several engines at once.
+        suspects when they were sent: it is no crash of several engines at once. They
+        were sent `sent_before` seconds before the crash, as in `CrashCauses.record`.
         """
         new: list[Fingerprint] = []
         for fingerprint in fingerprints:
@@ -100,6 +107,7 @@
                 if were_suspects:
                     record.crashes_as_suspect.add(crash)
                 self._running.setdefault(crash, set()).add(fingerprint)
+                self._causes.record(crash, fingerprint, at=now, sent_before=sent_before)
                 new.append(fingerprint)
                 record.last_crash = max(record.last_crash, now)
             self._records.move_to_end(fingerprint)
@@ -156,6 +164,25 @@
         record = self._records.get(fingerprint)
         return len(record.crashes) if record else 0
 
+    def sent_before(self, fingerprint: Fingerprint, crash: str) -> float:
+        """Return how many seconds before a crash a prompt had been sent."""
+        return self._causes.sent_before(crash, fingerprint)
+
+    def is_sole_cause(self, fingerprint: Fingerprint, *, now: float) -> bool:
+        """Whether a prompt alone explains a crash, and may have caused forgotten ones.
+
+        A prompt that is sent to several engines shows by its next attempt whether it
+        crashes them; one that is sent once does so only when it comes again.
+        """
+        record = self._records.get(fingerprint)
+        if record is None or now - record.last_crash > SOLE_CAUSE_SECONDS:
+            return False
+        if self._memory is None or self._memory.covers(QUARANTINE_SECONDS, now=now):
+            return False
+        return any(
+            self._causes.is_sole_cause(crash, fingerprint) for crash in record.crashes
+        )
+
     def standing(self, fingerprint: Fingerprint, *, now: float) -> PromptStanding:
         """Return how to treat a prompt; a record that has expired is removed."""
         record = self._records.get(fingerprint)
@@ -171,10 +198,12 @@
         return PromptStanding.SUSPECT
 
     def seconds_left(self, fingerprint: Fingerprint, *, now: float) -> float:
-        """Return for how many seconds a prompt remains quarantined."""
-        if self.standing(fingerprint, now=now) is not PromptStanding.QUARANTINED:
-            return 0.0
-        return self._records[fingerprint].last_crash + QUARANTINE_SECONDS - now
+        """Return for how many seconds a prompt remains refused, if it is."""
+        if self.standing(fingerprint, now=now) is PromptStanding.QUARANTINED:
+            return self._records[fingerprint].last_crash + QUARANTINE_SECONDS - now
+        if self.is_sole_cause(fingerprint, now=now):
+            return self._records[fingerprint].last_crash + SOLE_CAUSE_SECONDS - now
+        return 0.0
 
     def quarantined(self, *, now: float) -> tuple[Fingerprint, ...]:
         """Return the prompts that are quarantined at the time `now`."""
@@ -217,6 +246,7 @@
             self._forget_running(crash, fingerprint)
 
     def _forget_running(self, crash: str, fingerprint: Fingerprint) -> None:
+        self._causes.forget(crash, fingerprint)
         running = self._running.get(crash, set())
         running.discard(fingerprint)
         if not running:
--- a/bilberryring/wire/gen/ttypes.py
+++ b/bilberryring/wire/gen/ttypes.py
@@ -1811,6 +1811,7 @@
      - parts
      - age_ms
      - were_suspects
+     - sent_before_ms
 
     """
 
@@ -1820,15 +1821,17 @@
         'parts',
         'age_ms',
         'were_suspects',
+        'sent_before_ms',
     )
 
 
-    def __init__(self, death=None, fingerprints=None, parts=None, age_ms=None, were_suspects=None,):
+    def __init__(self, death=None, fingerprints=None, parts=None, age_ms=None, were_suspects=None, sent_before_ms=None,):
         self.death = death
         self.fingerprints = fingerprints
         self.parts = parts
         self.age_ms = age_ms
         self.were_suspects = were_suspects
+        self.sent_before_ms = sent_before_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1874,6 +1877,11 @@
                     self.were_suspects = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.sent_before_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1910,6 +1918,10 @@
             oprot.writeFieldBegin('were_suspects', TType.BOOL, 5)
             oprot.writeBool(self.were_suspects)
             oprot.writeFieldEnd()
+        if self.sent_before_ms is not None:
+            oprot.writeFieldBegin('sent_before_ms', TType.I32, 6)
+            oprot.writeI32(self.sent_before_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4194,6 +4206,7 @@
     (3, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
     (5, TType.BOOL, 'were_suspects', None, None, ),  # 5
+    (6, TType.I32, 'sent_before_ms', None, None, ),  # 6
 )
 all_structs.append(PartReport)
 PartReport.thrift_spec = (
--- a/bilberryring/wire/messages.thrift
+++ b/bilberryring/wire/messages.thrift
@@ -132,6 +132,9 @@
   4: i32 age_ms,
   // Whether the prompts were suspects when they were sent to the engine.
   5: optional bool were_suspects,
+  // Milliseconds from the sending of the prompts to the crash, if they may have caused
+  // it; earlier versions send none.
+  6: optional i32 sent_before_ms,
 }
 
 struct PartReport {
