Send the names of workspaces to endpoints in UTF-8

Cause: the header was written in Latin-1 with ? for letters that it lacks. Ruled out: a change where the configuration is read. Why it works: each text has its own bytes in UTF-8. Latin-1 where it goes and UTF-8 elsewhere would not do: the bytes of one name in UTF-8 are those of another in Latin-1.

--- a/bilberryring/platform/headers.py
+++ b/bilberryring/platform/headers.py
@@ -192,7 +192,12 @@
 
 
 def _encode_workspace(workspace: WorkspaceName) -> bytes:
-    return workspace.encode("latin-1", "replace")
+    """Return the name in UTF-8, so that no two names have the same bytes.
+
+    A second coding for names that fit it would break that: the bytes of a name in UTF-8
+    are those of another one in Latin-1.
+    """
+    return workspace.encode()
 
 
 def _parse_bearer(value: bytes) -> str | None:
--- a/bilberryring/platform/tests/test_headers.py
+++ b/bilberryring/platform/tests/test_headers.py
@@ -1,6 +1,8 @@
 """Translation of request and response headers."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bilberryring.admission import MAX_REST_SECONDS
 from bilberryring.gateway.messages import AttemptMetadata
@@ -36,6 +38,33 @@
     return [value for key, value in headers if key.lower() == name.lower()]
 
 
+@pytest.mark.parametrize(
+    "names",
+    [
+        ("Optica Ștefan", "Optica Țtefan", "Optica ?tefan"),
+        ("Ș", "È\u0098"),
+        ("é", "Ã©", "e\u0301"),
+        ("bars \U0001f377", "bars \U0001f378", "bars \U0001f377\ufe0f"),
+        ("Città", "CittÅ", "CittÃ"),
+    ],
+)
+def test_no_two_workspaces_are_the_same_to_an_endpoint(names):
+    # Guards against workspaces that endpoints cannot tell apart.
+    sent = [
+        value
+        for name in names
+        for value in values(encode_request(workspace=name), b"Bilberryring-Tenant")
+    ]
+    assert [value.decode() for value in sent] == list(names)
+    assert len(set(sent)) == len(names)
+
+
+@given(st.text(st.characters(exclude_categories=["Cs"])))
+def test_a_name_in_any_script_reaches_the_endpoint_unchanged(name):
+    sent = values(encode_request(workspace=name), b"Bilberryring-Tenant")
+    assert [value.decode() for value in sent] == [name]
+
+
 def test_the_headers_of_a_caller_are_decoded():
     facts = decode_request_headers(CALLER)
     assert (facts.request_id, facts.key, facts.timeout) == ("r1", "secret", 2.5)
--- a/bilberryring/validation/check.py
+++ b/bilberryring/validation/check.py
@@ -183,6 +183,12 @@
     owners: dict[str, int] = {}
     workspaces = listing.workspaces or ()
     for index, workspace in enumerate(workspaces):
+        if not workspace.name.isascii():
+            yield make_finding(
+                FindingCode.NAME_NOT_ASCII,
+                _of_workspace(index, workspace, "name"),
+                "endpoints get this name in UTF-8",
+            )
         if not workspace.key_digests:
             yield make_finding(
                 FindingCode.WORKSPACE_WITHOUT_KEYS,
--- a/bilberryring/validation/findings.py
+++ b/bilberryring/validation/findings.py
@@ -89,6 +89,11 @@
         Severity.WARNING,
         "give each route and each workspace its own name",
     )
+    NAME_NOT_ASCII = (
+        "name_not_ascii",
+        Severity.WARNING,
+        "check that endpoints read the name of a workspace as UTF-8, or use ASCII",
+    )
     SERVICE_REPEATED = (
         "service_repeated",
         Severity.ERROR,
--- a/bilberryring/validation/tests/test_check.py
+++ b/bilberryring/validation/tests/test_check.py
@@ -139,6 +139,12 @@
         make_listing(workspaces=(make_workspace(), make_workspace(key_digests=("x",)))),
         make_listing(workspaces=(make_workspace(), make_workspace("cafes"))),
     ),
+    "workspace name beyond ASCII": (
+        FindingCode.NAME_NOT_ASCII,
+        "workspaces[0]:caffè:name",
+        make_listing(workspaces=(make_workspace("caffè"),)),
+        make_listing(workspaces=(make_workspace("caffe"),)),
+    ),
     "shared key": (
         FindingCode.KEY_OF_TWO_WORKSPACES,
         "workspaces[1]:cafes:key_digests",
