--- a/bilberryring/testing/mechanisms.py
+++ b/bilberryring/testing/mechanisms.py
@@ -13,6 +13,7 @@
 import click
 
 from bilberryring.testing.capacity_mechanisms import CAPACITY_MECHANISMS
+from bilberryring.testing.fleet_mechanisms import FLEET_MECHANISMS
 from bilberryring.testing.mechanism import Mechanism
 from bilberryring.testing.processes import scratch_directory
 from bilberryring.testing.soak_checks import CHECKS
@@ -1398,6 +1399,7 @@
         for check, function in CHECKS.items()
     ),
     *CAPACITY_MECHANISMS,
+    *FLEET_MECHANISMS,
     *STOP_MECHANISMS,
 )
 
