List in status the requests that are refused only if they are sent once

Cause: a request that alone explains a crash is refused with held_back, and status named only those in quarantine, so operators would not have found it there. A name with a lone surrogate is among the odd configurations now: the version is refused, as before.

--- a/bilberryring/gateway/crash_record.py
+++ b/bilberryring/gateway/crash_record.py
@@ -112,6 +112,15 @@
         """Return the fingerprints of all requests in quarantine."""
         return self._suspects.quarantined(now=self._clock.seconds())
 
+    def sole_causes(self) -> tuple[Fingerprint, ...]:
+        """Return the requests that are refused if they are sent once, and only then."""
+        now = self._clock.seconds()
+        return tuple(
+            fingerprint
+            for fingerprint in self._suspects.suspects(now=now)
+            if self._suspects.is_sole_cause(fingerprint, now=now)
+        )
+
     def quarantined_parts(self) -> tuple[PromptPartId, ...]:
         """Return all parts of prompts in quarantine."""
         return self._parts.quarantined(now=self._clock.seconds())
--- a/bilberryring/gateway/operator_queries.py
+++ b/bilberryring/gateway/operator_queries.py
@@ -94,6 +94,7 @@
             ),
             quarantined=(
                 *self._crashes.quarantined(),
+                *(f"{item}, if sent once" for item in self._crashes.sole_causes()),
                 *(f"part {part}" for part in self._crashes.quarantined_parts()),
             ),
             silent_attempts=self._counters.silent_attempts,
--- a/bilberryring/gateway/tests/test_forgotten_quarantine.py
+++ b/bilberryring/gateway/tests/test_forgotten_quarantine.py
@@ -54,9 +54,7 @@
     )
 
 
-def crash(
-    gateway, name, *fingerprints, were_suspects=True, sent_before=math.inf, ago=0.0
-):
+def crash(gateway, name, *fingerprints, were_suspects=True, sent_before=math.inf):
     for fingerprint in fingerprints:
         death = EndpointDeath(
             death=name,
@@ -141,6 +139,7 @@
     crash(network.gateways[0], "run-1", BAD, sent_before=AT_ONCE)
     network.advance(NEWS_SECONDS)
     assert (knowing(network), refusing(network)) == (0, 4)
+    assert {item.crashes.sole_causes() for item in network.gateways} == {(BAD,)}
 
 
 @pytest.mark.parametrize("is_first_start", [False, True])
--- a/bilberryring/platform/tests/test_odd_configurations.py
+++ b/bilberryring/platform/tests/test_odd_configurations.py
@@ -96,6 +96,9 @@
     "kind_unknown": configuration_with(("routes", 0, "kind"), f'"{"k" * 1_000_000}"'),
     "route_name_long": configuration_with(("routes", 0, "name"), f'"{"n" * 100_000}"'),
     "workspace_line_break": configuration_with(("tenants", 0, "name"), r'"a\r\nX: y"'),
+    "workspace_lone_surrogate": configuration_with(
+        ("tenants", 0, "name"), r'"a\ud800b"'
+    ),
     "workspace_nul": configuration_with(("tenants", 0, "name"), r'"a\u0000"'),
     "workspace_spaced": configuration_with(("tenants", 0, "name"), '" a "'),
     "routes_number": configuration_with(("routes",), "7"),
