Ask the store of a first start where the settings leave it out

Cause: since a start counts as the first one only if the settings say so. Change: bootstrap is true, false or left out.

--- a/bilberryring/gateway/daemon.py
+++ b/bilberryring/gateway/daemon.py
@@ -184,6 +184,7 @@
             log=log,
             on_endpoint_removed=self._on_endpoint_removed,
             on_endpoint_started=self._on_endpoint_started,
+            on_first_start=crash_memory.record_first_start,
         )
         self._peers.set_doubt_listener(self._adapter.refresh)
         self._copies.add_listener(
--- a/bilberryring/gateway/settings.py
+++ b/bilberryring/gateway/settings.py
@@ -29,8 +29,8 @@
     domains with their regions. With `learns_capacity` the choice between endpoints
     follows their learned speed. `memory_bytes` and `max_descriptors` are what the
     machine gives to the process, 0 if what the operators wrote is implausible, or
-    `None` if they wrote nothing. `is_first_start` tells that the whole fleet starts for
-    the first time.
+    `None` if they wrote nothing. `is_first_start` tells whether the whole fleet starts
+    for the first time, or is `None` as well.
     """
 
     process: str
@@ -48,7 +48,7 @@
     learns_capacity: bool = True
     memory_bytes: int | None = None
     max_descriptors: int | None = None
-    is_first_start: bool = False
+    is_first_start: bool | None = None
 
     @property
     def metrics_address(self) -> str:
--- a/bilberryring/platform/adapter.py
+++ b/bilberryring/platform/adapter.py
@@ -21,7 +21,8 @@
 from bilberryring.platform.loss_rules import PlatformLossRules
 from bilberryring.platform.names import READY_PATH, SETTINGS_VARIABLE
 from bilberryring.platform.settings import read_settings
-from bilberryring.platform.store import StoreClient
+from bilberryring.platform.store import Listing, StoreClient
+from bilberryring.platform.store_past import StorePast
 from bilberryring.platform.translation import MAX_LOGGED_KEYS, PREFIXES, Translator
 from bilberryring.platform.watch import StoreHealth, StoreWatch
 from bilberryring.telemetry import EventLog, LogEvent
@@ -91,6 +92,8 @@
     `on_endpoint_removed` is called with an endpoint whose announcement was removed,
     unless the announcement may only have lapsed during an outage of the store, and
     `on_endpoint_started` with each run of an endpoint that is announced.
+    `on_first_start` is called if the settings say nothing of a first start and the
+    store shows that no endpoint has ended before.
     """
 
     ready_path = READY_PATH
@@ -109,7 +112,11 @@
         log: EventLog,
         on_endpoint_removed,
         on_endpoint_started,
+        on_first_start,
     ):
+        is_asked = settings.is_first_start is None
+        self._past = StorePast(prefixes=PREFIXES) if is_asked else None
+        self._on_first_start = on_first_start
         self._stores = {
             prefix: _connect_store(reactor, settings) for prefix in PREFIXES
         }
@@ -138,6 +145,7 @@
                 duty=duty,
                 log=log,
                 entry_count=lambda: peers.entry_count(now=reactor.seconds()),
+                on_list=self._record_list,
             )
             for prefix, store in self._stores.items()
         ]
@@ -180,6 +188,13 @@
             )
         self._translator.expire()
 
+    def _record_list(self, prefix: str, listing: Listing) -> None:
+        if self._past is None:
+            return
+        self._past.record(prefix, listing)
+        if self._past.is_known_empty:
+            self._on_first_start()
+
 
 def _connect_store(reactor, settings: GatewaySettings) -> StoreClient:
     """Return a client for the requests of one prefix.
--- a/bilberryring/platform/settings.py
+++ b/bilberryring/platform/settings.py
@@ -59,7 +59,7 @@
     zones: dict[str, str] = {}
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     learn_capacity: bool = True
-    bootstrap: bool = False
+    bootstrap: bool | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
--- a/bilberryring/platform/store.py
+++ b/bilberryring/platform/store.py
@@ -48,12 +48,14 @@
     """All items under a prefix, or the changes after a revision.
 
     A watch that continues after `revision` misses no change. Revisions count only
-    within their `era`.
+    within their `era`. `n_rewritten` is how many items of a list were written again
+    since they were created.
     """
 
     items: tuple[PublishedItem, ...]
     revision: int
     era: int = 0
+    n_rewritten: int = 0
 
 
 _Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
@@ -62,6 +64,7 @@
 class _Item(msgspec.Struct, kw_only=True):
     key: str
     revision: _Revision
+    create_rev: _Revision = 0
     value: str | None = None
     tombstone: bool = False
 
@@ -100,7 +103,7 @@
         revision: int | None = None
         era: int | None = None
         after = ""
-        n_bytes = 0
+        n_bytes = n_rewritten = 0
         for _ in range(MAX_PAGES):
             response = await self._read_page(prefix, after)
             n_bytes += len(response.body)
@@ -111,8 +114,14 @@
             era = page_era if era is None else era
             _check_era(page_era, expected=era)
             items.extend(_to_published_item(item) for item in page.items)
+            n_rewritten += sum(item.create_rev != item.revision for item in page.items)
             if not page.has_more or not page.items:
-                return Listing(items=tuple(items), revision=revision, era=era)
+                return Listing(
+                    items=tuple(items),
+                    revision=revision,
+                    era=era,
+                    n_rewritten=n_rewritten,
+                )
             after = page.items[-1].key
         raise StoreError(
             "store_endless: the list is too long. Remedy: list again later"
--- a/bilberryring/platform/watch.py
+++ b/bilberryring/platform/watch.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
@@ -132,7 +133,10 @@
 
 
 class StoreWatch:
-    """Keeps the copy of one prefix up to date, with one call to the store at a time."""
+    """Keeps the copy of one prefix up to date, with one call to the store at a time.
+
+    `on_list` is called with the prefix and each list of it.
+    """
 
     def __init__(
         self,
@@ -145,8 +149,10 @@
         duty: ReadingDuty,
         log: EventLog,
         entry_count,
+        on_list: Callable[[str, Listing], None] = lambda prefix, listing: None,
         generator: random.Random | None = None,
     ):
+        self._on_list = on_list
         self._random = generator or random.Random()
         self._reactor = reactor
         self._store = store
@@ -250,6 +256,7 @@
             await self._confirm_era(listing)
             self._check_not_older(listing.era)
             self._health.record_success(self._prefix)
+            self._on_list(self._prefix, listing)
             changed = self._copies.replace(
                 self._prefix,
                 listing.items,
--- a/bilberryring/standins/gateway_site.py
+++ b/bilberryring/standins/gateway_site.py
@@ -196,24 +196,26 @@
         is_awaited: bool = True,
         store_address: str = "",
         is_first_start: bool | None = None,
+        states_first_start: bool = True,
     ) -> None:
         """Start a gateway and, with `is_awaited`, wait until it is ready.
 
         `store_address` is where it reads the store, if not from the store itself.
         `is_first_start` is what its settings say of the whole fleet; without it they
-        say so at the first start of each gateway. `RuntimeError` is raised when it
-        exits before it is ready.
+        say so at the first start of each gateway, and nothing unless
+        `states_first_start`. `RuntimeError` is raised when it exits before it is ready.
         """
         name = f"gateway-{number}"
         if is_first_start is None:
             is_first_start = name not in self._processes
+        statement = f"bootstrap = {json.dumps(is_first_start)}\n"
         host = self.host(number)
         seeds = [f"{self.host(other + 1)}:1" for other in range(self._n_gateways)]
         text = (
             f'node = "{name}"\nip = "{host}"\nzone = "north"\nregion = "here"\n'
             f"internal_ports = [{PEER_PORT}, {PEER_PORT + 9}]\n"
             f"seeds = {json.dumps(seeds)}\n"
-            f"bootstrap = {json.dumps(is_first_start)}\n"
+            f"{statement if states_first_start else ''}"
             f'[zones]\nnorth = "here"\nsouth = "here"\n'
             f'[listen]\nfront = "{host}:{CALLER_PORT}"\n'
             f'ready = "{host}:{READY_PORT}"\n'
