--- a/bilberryring/platform/translation.py
+++ b/bilberryring/platform/translation.py
@@ -183,9 +183,10 @@
             self._on_endpoint_started(endpoint)
 
     def _is_of_known_service(self, endpoint: AnnouncedEndpoint) -> bool:
-        """Whether the configuration names the service, or did when it was announced.
+        """Whether a configuration names the service of an endpoint.
 
-        Requests may still run at an endpoint whose service is dropped since.
+        It is the one in force, or an earlier one if the endpoint was announced then:
+        requests may still run there although its service is dropped since.
         """
         configuration = self._fleet.configuration
         if configuration is not None and endpoint.service in configuration.services:
